Set up the workspace, its tool chain and the runtime package

Cause: nothing existed. Every later package needs an injected clock, a seeded random source, owned clean-up, JSON-lines logs and checked settings.

--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,15 @@
+/** What every process needs: time, randomness, ownership, logs and settings. */
+export {type Clock, isAborted, repeat, sleep, systemClock} from './clock.js';
+export {VirtualClock, settle} from './virtualClock.js';
+export {type Random, seededRandom, systemRandom} from './random.js';
+export {DisposableStore} from './disposableStore.js';
+export {
+  type Logger,
+  type LogFields,
+  type LogLevel,
+  type LoggerOptions,
+  createLogger,
+  logLevels,
+  silentLogger,
+} from './logger.js';
+export {type SettingsProblem, checkDocument, formatProblem, parseSettings} from './settings.js';
--- /dev/null
+++ b/packages/runtime/src/logger.ts
@@ -0,0 +1,79 @@
+/** JSON-lines logs. */
+import {Logger as TsLogger} from 'tslog';
+
+/** Named fields of a log line. Secrets are never passed here. */
+export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+
+/** Writes one JSON object a line. */
+export interface Logger {
+  debug(message: string, fields?: LogFields): void;
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+}
+
+/** Severities, least severe first. */
+export const logLevels = ['debug', 'info', 'warn', 'error'] as const;
+
+/** The least severity that is written. */
+export type LogLevel = (typeof logLevels)[number];
+
+const tslogLevels: Readonly<Record<LogLevel, number>> = {debug: 2, info: 3, warn: 4, error: 5};
+
+/** What a logger needs. */
+export interface LoggerOptions {
+  readonly process: string;
+  readonly level: LogLevel;
+  /** Receives each finished line, without its line feed. */
+  readonly write?: (line: string) => void;
+}
+
+/** Creates a logger that writes flat JSON objects with `time`, `level`, `process` and `message`. */
+export function createLogger(options: LoggerOptions): Logger {
+  const write =
+    options.write ??
+    ((line: string) => {
+      process.stderr.write(`${line}\n`);
+    });
+  // Log positions cost a stack trace for each line, so they stay off.
+  const logger = new TsLogger<LogFields>({
+    type: 'hidden',
+    minLevel: tslogLevels[options.level],
+    hideLogPositionForProduction: true,
+    overwrite: {
+      addMeta: (fields, _levelId, levelName) => ({
+        ...fields,
+        _meta: {level: levelName} as never,
+      }),
+    },
+  });
+  logger.attachTransport((record) => {
+    const {_meta, message, ...fields} = record as unknown as {
+      _meta: {level: string};
+      message: string;
+    };
+    write(
+      JSON.stringify({
+        time: new Date().toISOString(),
+        level: _meta.level.toLowerCase(),
+        process: options.process,
+        message,
+        ...fields,
+      }),
+    );
+  });
+  return {
+    debug: (message, fields) => void logger.debug({message, ...fields}),
+    info: (message, fields) => void logger.info({message, ...fields}),
+    warn: (message, fields) => void logger.warn({message, ...fields}),
+    error: (message, fields) => void logger.error({message, ...fields}),
+  };
+}
+
+/** A logger that writes nothing. */
+export const silentLogger: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
--- /dev/null
+++ b/packages/runtime/src/random.ts
@@ -0,0 +1,19 @@
+/** Randomness as an injected dependency, so that a seed reproduces a run. */
+import {randomBytes} from 'node:crypto';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** A source of random numbers, uniform in [0, 1). */
+export type Random = () => number;
+
+const UINT32_RANGE = 0x1_0000_0000;
+
+/** A reproducible source. */
+export function seededRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / UINT32_RANGE;
+}
+
+/** A source seeded by the operating system. */
+export function systemRandom(): Random {
+  return seededRandom(randomBytes(4).readInt32LE());
+}
