Add typed messages, HTTP, event streams and JSON-RPC between processes

Change: one typed failure with `ran` no/yes/unknown; work, load and method schemas; HTTP on both sides with limits on body, header, connections and idle time; answers as server-sent events, chunks unquoted so that a chunk is serialized once; JSON-RPC over one WebSocket for each pair; a cluster key compared as digests in constant time.

Weighed: one JSON object a chunk would quote the engine's JSON once more on each of two hops, so the chunk's text is the event's data as it came.

--- /dev/null
+++ b/packages/protocol/src/identity.ts
@@ -0,0 +1,19 @@
+/** Identities of processes and requests. */
+import {randomBytes} from 'node:crypto';
+
+const RANDOM_BYTES = 6;
+const RADIX = 36;
+
+/** A new incarnation: start time and randomness, so that no earlier life of a process shares it. */
+export function createIncarnation(startMs: number): string {
+  return `${Math.floor(startMs).toString(RADIX)}-${randomBytes(RANDOM_BYTES).toString('hex')}`;
+}
+
+/** Numbers the requests of one incarnation. */
+export function requestIds(incarnation: string): () => string {
+  let sequence = 0;
+  return () => {
+    sequence += 1;
+    return `${incarnation}.${sequence.toString(RADIX)}`;
+  };
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,41 @@
+/** Typed messages, identities and failures that the processes share. */
+export {
+  type Failure,
+  type FailureBody,
+  type FailureCode,
+  type Ran,
+  failureBody,
+  failureSchema,
+  failureStatus,
+  ranSchema,
+  refusal,
+} from './failure.js';
+export {createIncarnation, requestIds} from './identity.js';
+export {
+  type AnswerEvent,
+  answerEventName,
+  failedStartSchema,
+  decodeWorkEvent,
+  encodeWorkEvent,
+  type FailedStart,
+} from './workStream.js';
+export {type Instance, type InstanceList, instanceSchema} from './instance.js';
+export {type Load, loadSchema} from './load.js';
+export {
+  type Method,
+  type Withdrawal,
+  cancelMethod,
+  probeMethod,
+  withdrawMethod,
+  withdrawalSchema,
+} from './rpc.js';
+export {type Tier, tierCount, tierSchema} from './tier.js';
+export {
+  type Call,
+  type Generation,
+  type Task,
+  type Work,
+  type WorkEvent,
+  workEventSchema,
+  workSchema,
+} from './work.js';
--- /dev/null
+++ b/packages/protocol/src/rpc.ts
@@ -0,0 +1,37 @@
+/** Methods of the control connection between two processes. */
+import {z} from 'zod';
+import {loadSchema} from './load.js';
+
+/** A method with the schemas of its parameters and its result. */
+export interface Method<P, R> {
+  readonly name: string;
+  readonly params: z.ZodType<P>;
+  readonly result: z.ZodType<R>;
+}
+
+function method<P, R>(name: string, params: z.ZodType<P>, result: z.ZodType<R>): Method<P, R> {
+  return {name, params, result};
+}
+
+/** Asks an agent for its load. */
+export const probeMethod = method('agent.probe', z.object({}), loadSchema);
+
+/** What became of a withdrawn request. */
+export const withdrawalSchema = z.enum(['never-started', 'started', 'finished']);
+
+/** What became of a withdrawn request: no work was done, work has begun, or the work has ended. */
+export type Withdrawal = z.infer<typeof withdrawalSchema>;
+
+/** Takes back a request that has not been started; a late arrival of the same id is refused afterwards. */
+export const withdrawMethod = method(
+  'agent.withdraw',
+  z.object({id: z.string()}),
+  z.object({outcome: withdrawalSchema}),
+);
+
+/** Stops a request whose caller has gone. */
+export const cancelMethod = method(
+  'agent.cancel',
+  z.object({id: z.string()}),
+  z.object({wasKnown: z.boolean()}),
+);
--- /dev/null
+++ b/packages/protocol/src/tier.ts
@@ -0,0 +1,14 @@
+/** Service tiers: 0 is the most urgent, 6 the least. */
+import {z} from 'zod';
+
+/** Number of service tiers. */
+export const tierCount = 7;
+
+/** Checks a tier. */
+export const tierSchema = z
+  .int()
+  .min(0)
+  .max(tierCount - 1);
+
+/** A service tier. */
+export type Tier = z.infer<typeof tierSchema>;
--- /dev/null
+++ b/packages/protocol/src/workStream.ts
@@ -0,0 +1,40 @@
+/** How the events of an answer travel as server-sent events: a chunk's text goes unquoted. */
+import {z} from 'zod';
+import {failureSchema} from './failure.js';
+import {loadSchema} from './load.js';
+import {type WorkEvent, workEventSchema} from './work.js';
+
+/** The `event` field of everything but chunks. */
+export const answerEventName = 'state';
+
+/** A server-sent event. */
+export interface AnswerEvent {
+  readonly event?: string | undefined;
+  readonly id?: string | undefined;
+  readonly data: string;
+}
+
+/** The server-sent event for an event of an answer. */
+export function encodeWorkEvent(event: WorkEvent): AnswerEvent {
+  if (event.kind === 'chunk') return {id: String(event.number), data: event.data};
+  return {event: answerEventName, data: JSON.stringify(event)};
+}
+
+/** Reads an event of an answer; undefined when it cannot be read. */
+export function decodeWorkEvent(event: AnswerEvent): WorkEvent | undefined {
+  if (event.event !== answerEventName) {
+    const number = Number(event.id);
+    return Number.isSafeInteger(number) ? {kind: 'chunk', number, data: event.data} : undefined;
+  }
+  try {
+    return workEventSchema.safeParse(JSON.parse(event.data)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Checks the body of an answer that has no events: the agent did not take the request. */
+export const failedStartSchema = z.object({failure: failureSchema, load: loadSchema});
+
+/** The agent did not take the request. */
+export type FailedStart = Readonly<z.infer<typeof failedStartSchema>>;
--- /dev/null
+++ b/packages/transport/src/eventStream.ts
@@ -0,0 +1,55 @@
+/** Server-sent events, written to and read from HTTP bodies. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+
+/** An event of a stream. */
+export type StreamEvent = EventSourceMessage;
+
+/** Sends the head of an event stream. */
+export function openEventStream(
+  response: ServerResponse,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(200, {
+    ...headers,
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-store',
+  });
+  response.flushHeaders();
+}
+
+/** The fields of an event to send. */
+export interface OutgoingEvent {
+  readonly data: string;
+  readonly id?: string | undefined;
+  readonly event?: string | undefined;
+}
+
+/** Formats one event. */
+export function formatEvent({data, id, event}: OutgoingEvent): string {
+  let text = id === undefined ? '' : `id: ${id}\n`;
+  if (event !== undefined) text += `event: ${event}\n`;
+  const lines = data.includes('\n') ? data.replaceAll('\n', '\ndata: ') : data;
+  return `${text}data: ${lines}\n\n`;
+}
+
+/** Reads events until the body ends; a body that is cut off ends the iteration the same way. */
+export async function* readEvents(body: IncomingMessage): AsyncGenerator<StreamEvent, void> {
+  let events: StreamEvent[] = [];
+  const parser = createParser({
+    onEvent: (event) => {
+      events.push(event);
+    },
+  });
+  body.setEncoding('utf8');
+  try {
+    for await (const text of body) {
+      parser.feed(text as string);
+      const ready = events;
+      events = [];
+      yield* ready;
+    }
+  } catch {
+    // The reader tells a whole stream by its own end mark, so a broken one needs no error here.
+  }
+}
--- /dev/null
+++ b/packages/transport/src/httpClient.ts
@@ -0,0 +1,151 @@
+/** HTTP requests to other processes and to the platform, with Node's own client. */
+import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Why no answer came. */
+export interface ConnectionError {
+  readonly code: 'refused' | 'timed_out' | 'broken' | 'aborted';
+  readonly message: string;
+  /** Whether any byte of the request may have reached the other side. */
+  readonly maySent: boolean;
+}
+
+/** A request to send. */
+export interface ClientRequest {
+  /** `host:port`. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  readonly signal?: AbortSignal;
+  /** Milliseconds until the answer's head must be there. */
+  readonly timeoutMs?: number;
+}
+
+/** The answer's head; its body is read from `stream`. */
+export interface ClientAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly stream: IncomingMessage;
+}
+
+/** The answer with its whole body. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** A client with a pool of kept connections. */
+export interface HttpClient extends Disposable {
+  /** Resolves when the answer's head has arrived. */
+  send(request: ClientRequest): Promise<Result<ClientAnswer, ConnectionError>>;
+  /** Resolves when the whole answer has arrived. */
+  fetch(request: ClientRequest): Promise<Result<WholeAnswer, ConnectionError>>;
+}
+
+const IDLE_SOCKETS_PER_HOST = 64;
+const DEFAULT_TIMEOUT_MS = 30_000;
+
+/** Creates a client. */
+export function createHttpClient(): HttpClient {
+  const agent = new Agent({keepAlive: true, maxFreeSockets: IDLE_SOCKETS_PER_HOST, noDelay: true});
+  const send = (request: ClientRequest) => sendOnce(agent, request);
+  return {
+    send,
+    fetch: (request) => fetchWhole(send, request),
+    [Symbol.dispose]() {
+      agent.destroy();
+    },
+  };
+}
+
+function sendOnce(
+  agent: Agent,
+  request: ClientRequest,
+): Promise<Result<ClientAnswer, ConnectionError>> {
+  const [host, port] = splitAddress(request.address);
+  return new Promise((resolve) => {
+    let isConnected = false;
+    let isTimedOut = false;
+    const fail = (error: NodeJS.ErrnoException) => {
+      clearTimeout(timer);
+      resolve(err(describeError(error, request, {isConnected, isTimedOut})));
+    };
+    const outgoing = httpRequest(
+      {
+        agent,
+        host,
+        port,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        signal: request.signal,
+      },
+      (answer) => {
+        clearTimeout(timer);
+        // Errors after the head are seen by the reader of the stream as an early close.
+        answer.on('error', () => undefined);
+        resolve(
+          ok({
+            status: answer.statusCode ?? 0,
+            headers: answer.headers as Record<string, string>,
+            stream: answer,
+          }),
+        );
+      },
+    );
+    const timer = setTimeout(() => {
+      isTimedOut = true;
+      outgoing.destroy(new Error('timed out'));
+    }, request.timeoutMs ?? DEFAULT_TIMEOUT_MS);
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) isConnected = true;
+      else socket.once('connect', () => (isConnected = true));
+    });
+    outgoing.on('error', fail);
+    outgoing.end(request.body);
+  });
+}
+
+interface ErrorContext {
+  readonly isConnected: boolean;
+  readonly isTimedOut: boolean;
+}
+
+function describeError(
+  error: NodeJS.ErrnoException,
+  request: ClientRequest,
+  context: ErrorContext,
+): ConnectionError {
+  const message = `${request.method} ${request.address}${request.path}: ${error.message}`;
+  const maySent = context.isConnected;
+  if (context.isTimedOut) return {code: 'timed_out', message, maySent};
+  if (error.name === 'AbortError') return {code: 'aborted', message, maySent};
+  if (error.code === 'ECONNREFUSED') return {code: 'refused', message, maySent: false};
+  return {code: 'broken', message, maySent};
+}
+
+async function fetchWhole(
+  send: HttpClient['send'],
+  request: ClientRequest,
+): Promise<Result<WholeAnswer, ConnectionError>> {
+  const answer = await send(request);
+  if (answer.isErr()) return err(answer.error);
+  const {status, headers, stream} = answer.value;
+  const parts: Buffer[] = [];
+  try {
+    for await (const part of stream) parts.push(part as Buffer);
+  } catch {
+    const message = `${request.method} ${request.address}${request.path}: answer cut off`;
+    return err({code: 'broken', message, maySent: true});
+  }
+  return ok({status, headers, body: Buffer.concat(parts)});
+}
+
+/** Splits `host:port`. */
+export function splitAddress(address: string): readonly [host: string, port: number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,38 @@
+/** HTTP, event streams and JSON-RPC between processes. */
+export {type ClusterKey, createClusterKey} from './clusterKey.js';
+export {
+  type OutgoingEvent,
+  type StreamEvent,
+  formatEvent,
+  openEventStream,
+  readEvents,
+} from './eventStream.js';
+export {
+  type ClientAnswer,
+  type ClientRequest,
+  type ConnectionError,
+  type HttpClient,
+  type WholeAnswer,
+  createHttpClient,
+  splitAddress,
+} from './httpClient.js';
+export {
+  type BodyError,
+  type HttpServer,
+  type HttpServerOptions,
+  type ListenError,
+  type ServerLimits,
+  drained,
+  listen,
+  readBody,
+  sendJson,
+  serverLimitsSchema,
+} from './httpServer.js';
+export {
+  type CallError,
+  type ControlServer,
+  Methods,
+  type Peer,
+  createControlServer,
+  createPeer,
+} from './rpc.js';
--- /dev/null
+++ b/packages/transport/src/rpc.ts
@@ -0,0 +1,155 @@
+/** JSON-RPC over one WebSocket for each pair of processes. */
+import type {IncomingMessage} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {type Method} from '@marigoldfold/protocol';
+import {JSONRPCClient, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
+import {err, ok, type Result} from 'neverthrow';
+import {WebSocket, WebSocketServer} from 'ws';
+import type {ClusterKey} from './clusterKey.js';
+
+/** Path of the control connection. */
+const CONTROL_PATH = '/control';
+const MAX_MESSAGE_BYTES = 2_097_152;
+const INVALID_PARAMS = -32602;
+const DEFAULT_TIMEOUT_MS = 2000;
+/** The message that the JSON-RPC library gives a call that had no answer in time. */
+const TIMEOUT_MESSAGE = 'Request timeout';
+const CLOSED_MESSAGE = 'connection closed';
+
+/** Why a call has no result. */
+export interface CallError {
+  readonly code: 'unreachable' | 'timed_out' | 'rejected';
+  readonly message: string;
+}
+
+/** Calls methods of one peer. */
+export interface Peer extends Disposable {
+  readonly address: string;
+  readonly isConnected: () => boolean;
+  call<P, R>(method: Method<P, R>, params: P, timeoutMs?: number): Promise<Result<R, CallError>>;
+}
+
+/** Methods that a process offers to its peers. */
+export class Methods {
+  readonly server = new JSONRPCServer({errorListener: () => undefined});
+
+  /** Adds a method; parameters are checked before the handler sees them. */
+  add<P, R>(method: Method<P, R>, handle: (params: P) => R | Promise<R>): this {
+    this.server.addMethod(method.name, async (params: unknown) => {
+      const checked = method.params.safeParse(params);
+      if (!checked.success) throw new JSONRPCErrorException(checked.error.message, INVALID_PARAMS);
+      return handle(checked.data);
+    });
+    return this;
+  }
+}
+
+/** Accepts control connections on the `upgrade` event of an HTTP server. */
+export interface ControlServer extends Disposable {
+  upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void;
+}
+
+/** Serves methods to peers that show the cluster key. */
+export function createControlServer(methods: Methods, clusterKey: ClusterKey): ControlServer {
+  const server = new WebSocketServer({
+    noServer: true,
+    perMessageDeflate: false,
+    maxPayload: MAX_MESSAGE_BYTES,
+  });
+  return {
+    upgrade(request, socket, head) {
+      if (request.url !== CONTROL_PATH || !clusterKey.isShownBy(request.headers)) {
+        socket.end('HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n');
+        return;
+      }
+      server.handleUpgrade(request, socket, head, (connection) => {
+        serveConnection(connection, methods);
+      });
+    },
+    [Symbol.dispose]() {
+      for (const connection of server.clients) connection.terminate();
+      server.close();
+    },
+  };
+}
+
+function serveConnection(connection: WebSocket, methods: Methods): void {
+  connection.on('error', () => {
+    connection.terminate();
+  });
+  connection.on('message', (data: Buffer) => {
+    void methods.server.receiveJSON(data.toString()).then((answer) => {
+      if (answer !== null && connection.readyState === WebSocket.OPEN) {
+        connection.send(JSON.stringify(answer));
+      }
+    });
+  });
+}
+
+/** A peer that is connected on the first call and again after a break. */
+export function createPeer(address: string, clusterKey: ClusterKey): Peer {
+  let connection: Promise<WebSocket> | undefined;
+  let isConnected = false;
+  const client = new JSONRPCClient(async (request) => {
+    const open = await connect();
+    open.send(JSON.stringify(request));
+  });
+
+  const connect = (): Promise<WebSocket> => {
+    connection ??= new Promise<WebSocket>((resolve, reject) => {
+      const socket = new WebSocket(`ws://${address}${CONTROL_PATH}`, {
+        headers: clusterKey.headers,
+        perMessageDeflate: false,
+        maxPayload: MAX_MESSAGE_BYTES,
+      });
+      socket.on('open', () => {
+        isConnected = true;
+        resolve(socket);
+      });
+      socket.on('message', (data: Buffer) => {
+        client.receive(JSON.parse(data.toString()) as Parameters<typeof client.receive>[0]);
+      });
+      socket.on('error', reject);
+      socket.on('close', () => {
+        isConnected = false;
+        connection = undefined;
+        client.rejectAllPendingRequests(CLOSED_MESSAGE);
+        reject(new Error(CLOSED_MESSAGE));
+      });
+    });
+    return connection;
+  };
+
+  return {
+    address,
+    isConnected: () => isConnected,
+    async call(method, params, timeoutMs = DEFAULT_TIMEOUT_MS) {
+      try {
+        const result: unknown = await client.timeout(timeoutMs).request(method.name, params);
+        const checked = method.result.safeParse(result);
+        if (checked.success) return ok(checked.data);
+        return err({code: 'rejected', message: checked.error.message});
+      } catch (error) {
+        return err(describeCallError(error));
+      }
+    },
+    [Symbol.dispose]() {
+      const open = connection;
+      connection = undefined;
+      void open?.then(
+        (socket) => {
+          socket.close();
+        },
+        () => undefined,
+      );
+    },
+  };
+}
+
+function describeCallError(error: unknown): CallError {
+  const message = error instanceof Error ? error.message : String(error);
+  if (message === TIMEOUT_MESSAGE) return {code: 'timed_out', message};
+  if (message === CLOSED_MESSAGE) return {code: 'unreachable', message};
+  if (error instanceof JSONRPCErrorException) return {code: 'rejected', message};
+  return {code: 'unreachable', message};
+}
