Add tickets, the chain, claims, and what follows and chooses by them

Change: the configuration as an immutable fold in 256 shards with a two-level digest; tickets by one compare-and-swap; the monitor's Ed25519 decisions; `advance` as the only step from n to n+1; claims for calls that may run at most once; the key-value service over etcd's v3 JSON gateway; the instance list in the format of Prometheus' HTTP service discovery; thin versions of feed, endpoint choice, account limits, retry budget.

Weighed: digesting a ticket after defaults are filled in would break the chain when a later version adds a default, so states stay as written.

--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,30 @@
+/** How the processes act together: configuration, membership, choice of endpoint, limits. */
+export {AccountLimits} from './accountLimits.js';
+export {ConfigurationFeed, type ConfigurationFeedOptions} from './configurationFeed.js';
+export {
+  type Candidate,
+  type Demand,
+  EndpointChoice,
+  type EndpointChoiceOptions,
+} from './endpointChoice.js';
+export {hash64} from './hash.js';
+export {
+  InstanceFeed,
+  type InstanceFeedOptions,
+  type InstanceSource,
+  createInstanceSource,
+  parseTargetGroups,
+} from './instanceFeed.js';
+export {rankMembers} from './rendezvous.js';
+export {
+  type Secrets,
+  addressSchema,
+  limitsSchema,
+  logSchema,
+  platformSchema,
+  processSchema,
+  readSecrets,
+  secretsSchema,
+} from './processSettings.js';
+export {RetryBudget} from './retryBudget.js';
+export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
--- /dev/null
+++ b/packages/coordination/src/processCommand.ts
@@ -0,0 +1,60 @@
+/** What the commands of entry and agent share: reading the settings file and waiting for the signal to leave. */
+import {readFileSync} from 'node:fs';
+import {formatProblem, type Logger, parseSettings} from '@marigoldfold/runtime';
+import {err, ok, type Result} from 'neverthrow';
+import type {z} from 'zod';
+import {readSecrets, type Secrets, type secretsSchema} from './processSettings.js';
+
+/** Settings of a process with the secrets that they name. */
+export interface LoadedSettings<T> {
+  readonly settings: T;
+  readonly secrets: Secrets;
+}
+
+/** Reads a settings file and its secrets; the error has a line for each problem. */
+export function loadProcessSettings<T extends {readonly secrets: z.infer<typeof secretsSchema>}>(
+  schema: z.ZodType<T>,
+  file: string,
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<LoadedSettings<T>, string> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch {
+    return err(`${file} cannot be read`);
+  }
+  const settings = parseSettings(schema, text);
+  if (settings.isErr()) return err(describe(file, settings.error.map(formatProblem)));
+  const secrets = readSecrets(settings.value.secrets, environment);
+  if (secrets.isErr()) return err(describe(file, secrets.error));
+  return ok({settings: settings.value, secrets: secrets.value});
+}
+
+function describe(file: string, problems: readonly string[]): string {
+  return [
+    `${file} has ${problems.length} problem(s):`,
+    ...problems.map((line) => `  ${line}`),
+  ].join('\n');
+}
+
+/** Drains a process on SIGINT or SIGTERM; a further signal is logged and cuts nothing. */
+export function drainOnSignal(
+  drain: () => Promise<void>,
+  logger: Logger,
+  describeActive: () => number,
+): Promise<void> {
+  return new Promise((resolve) => {
+    let isDraining = false;
+    const handle = (signal: string) => {
+      if (isDraining) {
+        logger.warn('still draining', {signal, wouldBeCut: describeActive()});
+        return;
+      }
+      isDraining = true;
+      logger.info('draining', {signal});
+      void drain().then(resolve);
+    };
+    process.on('SIGINT', handle);
+    process.on('SIGTERM', handle);
+  });
+}
--- /dev/null
+++ b/packages/state/src/approval.ts
@@ -0,0 +1,59 @@
+/** The monitor's Ed25519 key and its signatures. */
+import {
+  createPrivateKey,
+  createPublicKey,
+  generateKeyPairSync,
+  type KeyObject,
+  sign,
+  verify,
+} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import {canonicalJson} from './digest.js';
+import type {Decision, UnsignedDecision} from './ticket.js';
+
+/** A key pair as it is kept in files: PKCS#8 PEM and SPKI in base64. */
+export interface MonitorKey {
+  readonly privateKeyPem: string;
+  readonly publicKey: string;
+}
+
+/** Generates a key pair. */
+export function generateMonitorKey(): MonitorKey {
+  const {privateKey, publicKey} = generateKeyPairSync('ed25519');
+  return {
+    privateKeyPem: privateKey.export({type: 'pkcs8', format: 'pem'}).toString(),
+    publicKey: publicKey.export({type: 'spki', format: 'der'}).toString('base64'),
+  };
+}
+
+/** Signs a decision. */
+export function signDecision(
+  decision: UnsignedDecision,
+  privateKeyPem: string,
+): Result<Decision, string> {
+  let key: KeyObject;
+  try {
+    key = createPrivateKey(privateKeyPem);
+  } catch {
+    return err('not an Ed25519 private key in PEM');
+  }
+  if (key.asymmetricKeyType !== 'ed25519') return err('not an Ed25519 private key');
+  const signature = sign(null, Buffer.from(canonicalJson(decision)), key).toString('base64');
+  return ok({...decision, signature});
+}
+
+/** Whether a decision was signed with the private part of a public key. */
+export function isSignedBy(decision: Decision, publicKey: string): boolean {
+  const {signature, ...unsigned} = decision;
+  try {
+    const key = createPublicKey({
+      key: Buffer.from(publicKey, 'base64'),
+      type: 'spki',
+      format: 'der',
+    });
+    const message = Buffer.from(canonicalJson(unsigned));
+    return verify(null, message, key, Buffer.from(signature, 'base64'));
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/state/src/digest.ts
@@ -0,0 +1,29 @@
+/** SHA-256 digests over canonical JSON (RFC 8785). */
+import {createHash} from 'node:crypto';
+import canonicalizeModule from 'canonicalize';
+
+// The module is CommonJS, and its types declare a default export that Node does not unwrap.
+const canonicalize = canonicalizeModule as unknown as (value: unknown) => string | undefined;
+
+/** A SHA-256 digest in hexadecimal. */
+export type Digest = string;
+
+const DIGEST_HEX_LENGTH = 64;
+
+/** The digest before the first ticket. */
+export const zeroDigest: Digest = '0'.repeat(DIGEST_HEX_LENGTH);
+
+/** The canonical JSON text of a value. */
+export function canonicalJson(value: unknown): string {
+  return canonicalize(value) ?? 'null';
+}
+
+/** Digest of a text. */
+export function digestText(text: string): Digest {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** Digest of a value's canonical JSON. */
+export function digestValue(value: unknown): Digest {
+  return digestText(canonicalJson(value));
+}
--- /dev/null
+++ b/packages/state/src/etcdKeyValue.ts
@@ -0,0 +1,265 @@
+/** The key-value service over etcd's v3 JSON gateway. */
+import {createInterface} from 'node:readline';
+import type {ConnectionError, HttpClient} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import type {z} from 'zod';
+import {
+  decodeText,
+  encodeText,
+  etcdPaths,
+  leaseGrantSchema,
+  leaseKeepAliveSchema,
+  rangeAnswerSchema,
+  rangeEnd,
+  txnAnswerSchema,
+  watchMessageSchema,
+} from './etcdMessages.js';
+import type {
+  KeyValue,
+  KeyValueEntry,
+  Listing,
+  ListOptions,
+  StoreError,
+  WatchOptions,
+  WriteOptions,
+  WriteOutcome,
+} from './keyValue.js';
+
+/** What the client of the service needs. */
+export interface EtcdOptions {
+  readonly client: HttpClient;
+  /** `host:port` of the service. */
+  readonly address: string;
+  /** Milliseconds until a call other than a watch is given up. */
+  readonly timeoutMs: number;
+}
+
+const HTTP_OK = 200;
+
+/** Connects to the service. */
+export function createEtcdKeyValue(options: EtcdOptions): KeyValue {
+  const call = createCall(options);
+  return {
+    get: async (key) => {
+      const answer = await call(etcdPaths.range, {key: encodeText(key)}, rangeAnswerSchema, 'read');
+      return answer.map((range) => range.kvs.map(toEntry)[0]);
+    },
+    list: (prefix, listOptions) => list(call, prefix, listOptions),
+    write: (key, value, writeOptions) => write(call, key, value, writeOptions),
+    remove: (key, ifRevision) => remove(call, key, ifRevision),
+    watch: (prefix, watchOptions) => watch(options, prefix, watchOptions),
+    grantLease: async (ttlSeconds) => {
+      const body = {TTL: String(ttlSeconds)};
+      const answer = await call(etcdPaths.leaseGrant, body, leaseGrantSchema, 'write');
+      return answer.map((grant) => grant.ID);
+    },
+    renewLease: async (lease) => {
+      const answer = await call(
+        etcdPaths.leaseKeepAlive,
+        {ID: lease},
+        leaseKeepAliveSchema,
+        'write',
+      );
+      return answer.map((renewal) => renewal.result.TTL > 0);
+    },
+    revokeLease: async (lease) => {
+      const answer = await call(etcdPaths.leaseRevoke, {ID: lease}, undefined, 'write');
+      return answer.map(() => undefined);
+    },
+  };
+}
+
+type Effect = 'read' | 'write';
+
+type Call = <T>(
+  path: string,
+  body: unknown,
+  schema: z.ZodType<T> | undefined,
+  effect: Effect,
+) => Promise<Result<T, StoreError>>;
+
+function createCall({client, address, timeoutMs}: EtcdOptions): Call {
+  return async (path, body, schema, effect) => {
+    const text = JSON.stringify(body);
+    const headers = {'content-type': 'application/json'};
+    const answer = await client.fetch({
+      address,
+      method: 'POST',
+      path,
+      headers,
+      body: text,
+      timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    if (answer.isErr()) return err(describeConnectionError(answer.error, effect));
+    const {status, body: answerBody} = answer.value;
+    if (status !== HTTP_OK) return err(describeStatus(status, path));
+    return parseAnswer(answerBody.toString(), schema, effect);
+  };
+}
+
+function parseAnswer<T>(
+  text: string,
+  schema: z.ZodType<T> | undefined,
+  effect: Effect,
+): Result<T, StoreError> {
+  if (schema === undefined) return ok(undefined as T);
+  const checked = schema.safeParse(parseJson(text));
+  if (checked.success) return ok(checked.data);
+  const message = 'the key-value service gave an answer that cannot be read';
+  return err({code: 'rejected', message, mayHaveTakenEffect: effect === 'write'});
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function describeConnectionError(error: ConnectionError, effect: Effect): StoreError {
+  const isTimeout = error.code === 'timed_out' || error.code === 'aborted';
+  return {
+    code: isTimeout ? 'timed_out' : 'unavailable',
+    message: `key-value service: ${error.message}`,
+    mayHaveTakenEffect: effect === 'write' && error.maySent,
+  };
+}
+
+const HTTP_SERVER_ERROR = 500;
+
+function describeStatus(status: number, path: string): StoreError {
+  const message = `key-value service: ${path} answered ${status}`;
+  const isServerSide = status >= HTTP_SERVER_ERROR;
+  // A gateway may answer 5xx after the service has committed, so the write counts as uncertain.
+  return {
+    code: isServerSide ? 'unavailable' : 'rejected',
+    message,
+    mayHaveTakenEffect: isServerSide,
+  };
+}
+
+interface Pair {
+  readonly key: string;
+  readonly value: string;
+  readonly mod_revision: number;
+}
+
+function toEntry(pair: Pair): KeyValueEntry {
+  return {
+    key: decodeText(pair.key),
+    value: decodeText(pair.value),
+    revision: pair.mod_revision,
+  };
+}
+
+async function list(
+  call: Call,
+  prefix: string,
+  options: ListOptions = {},
+): Promise<Result<Listing, StoreError>> {
+  const body = {
+    key: encodeText(options.from ?? prefix),
+    range_end: rangeEnd(prefix),
+    limit: String(options.limit ?? 0),
+    sort_target: 'KEY',
+    sort_order: 'ASCEND',
+  };
+  const answer = await call(etcdPaths.range, body, rangeAnswerSchema, 'read');
+  return answer.map((range) => ({
+    entries: range.kvs.map(toEntry),
+    revision: range.header.revision,
+  }));
+}
+
+async function write(
+  call: Call,
+  key: string,
+  value: string,
+  options: WriteOptions,
+): Promise<Result<WriteOutcome, StoreError>> {
+  const put = {key: encodeText(key), value: encodeText(value), lease: options.lease};
+  return compareAndSwap(call, key, options.ifRevision, {request_put: put});
+}
+
+async function remove(
+  call: Call,
+  key: string,
+  ifRevision: number,
+): Promise<Result<WriteOutcome, StoreError>> {
+  const operation = {request_delete_range: {key: encodeText(key)}};
+  return compareAndSwap(call, key, ifRevision, operation);
+}
+
+async function compareAndSwap(
+  call: Call,
+  key: string,
+  ifRevision: number,
+  operation: unknown,
+): Promise<Result<WriteOutcome, StoreError>> {
+  const encodedKey = encodeText(key);
+  const body = {
+    compare: [{key: encodedKey, target: 'MOD', result: 'EQUAL', mod_revision: String(ifRevision)}],
+    success: [operation],
+    failure: [{request_range: {key: encodedKey}}],
+  };
+  const answer = await call(etcdPaths.txn, body, txnAnswerSchema, 'write');
+  return answer.map((txn): WriteOutcome => {
+    if (txn.succeeded) return {kind: 'written', revision: txn.header.revision};
+    const current = txn.responses[0]?.response_range?.kvs[0];
+    return {kind: 'conflict', current: current === undefined ? undefined : toEntry(current)};
+  });
+}
+
+async function watch(
+  {client, address}: EtcdOptions,
+  prefix: string,
+  options: WatchOptions,
+): Promise<Result<Listing, StoreError>> {
+  const create = {
+    key: encodeText(prefix),
+    range_end: rangeEnd(prefix),
+    start_revision: String(options.afterRevision + 1),
+  };
+  const timeout = AbortSignal.timeout(options.timeoutMs);
+  const signal =
+    options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
+  const nothing: Listing = {entries: [], revision: options.afterRevision};
+  const answer = await client.send({
+    address,
+    method: 'POST',
+    path: etcdPaths.watch,
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify({create_request: create}),
+    timeoutMs: options.timeoutMs,
+    signal,
+  });
+  if (answer.isErr()) {
+    if (answer.error.code === 'aborted') return ok(nothing);
+    return err(describeConnectionError(answer.error, 'read'));
+  }
+  if (answer.value.status !== HTTP_OK)
+    return err(describeStatus(answer.value.status, etcdPaths.watch));
+  const lines = createInterface({input: answer.value.stream});
+  try {
+    for await (const line of lines) {
+      const message = watchMessageSchema.safeParse(parseJson(line));
+      if (!message.success) {
+        const text = 'key-value service: the watch gave a message that cannot be read';
+        return err({code: 'rejected', message: text, mayHaveTakenEffect: false});
+      }
+      const {events, header, canceled} = message.data.result;
+      if (canceled) break;
+      if (events.length === 0) continue;
+      return ok({entries: events.map((event) => toEntry(event.kv)), revision: header.revision});
+    }
+  } catch {
+    // An abort ends the body with an error; the checks below tell it from a break.
+  } finally {
+    answer.value.stream.destroy();
+  }
+  if (signal.aborted) return ok(nothing);
+  const message = 'key-value service: the watch was cut off';
+  return err({code: 'unavailable', message, mayHaveTakenEffect: false});
+}
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,75 @@
+/** What lasts: the record of tickets, the configuration, claims, and the key-value service. */
+export {type MonitorKey, generateMonitorKey, isSignedBy, signDecision} from './approval.js';
+export {
+  type ChainError,
+  type Head,
+  advance,
+  configurationAfter,
+  findConflict,
+  genesis,
+  monitorObjectName,
+} from './chain.js';
+export {
+  type CallOutcome,
+  type Claim,
+  type ClaimError,
+  type ClaimKey,
+  type ClaimResult,
+  callDigest,
+  claimCall,
+  claimPath,
+  recordOutcome,
+  releaseClaim,
+} from './claims.js';
+export {
+  type Change,
+  type StoredObject,
+  Configuration,
+  objectKey,
+  shardCount,
+} from './configuration.js';
+export {type Digest, canonicalJson, digestText, digestValue, zeroDigest} from './digest.js';
+export {type EtcdOptions, createEtcdKeyValue} from './etcdKeyValue.js';
+export {decodeText, encodeText, etcdPaths} from './etcdMessages.js';
+export type {
+  KeyValue,
+  KeyValueEntry,
+  Listing,
+  ListOptions,
+  StoreError,
+  WatchOptions,
+  WriteOptions,
+  WriteOutcome,
+} from './keyValue.js';
+export {
+  type Account,
+  type Endpoint,
+  type EndpointSet,
+  type Kind,
+  type ObjectState,
+  type RequestClass,
+  kinds,
+  objectSchemas,
+} from './objects.js';
+export {
+  type RecordError,
+  type RecordPage,
+  type TicketRecord,
+  decidedTickets,
+  decisionPrefix,
+  openRecord,
+} from './record.js';
+export {
+  type DecidedTicket,
+  type Decision,
+  type Draft,
+  type Ticket,
+  type UnsignedDecision,
+  decidedTicketSchema,
+  decisionSchema,
+  draftSchema,
+  maxTicketBytes,
+  ticketBytes,
+  ticketDigest,
+  ticketSchema,
+} from './ticket.js';
