Add stand-ins of the platform, the engine and a ledger

Change: in-memory key-value service behind etcd's JSON gateway, a lagging instance list, an OpenAI-compatible engine with continuous batching, priorities and streams that resume by Last-Event-ID, and a ledger whose postings may not be repeated. An answer's text carries a digest of its prompt, so a test can tell whose answer it is.

--- /dev/null
+++ b/packages/standin/src/engineServer.ts
@@ -0,0 +1,185 @@
+/** Serves the engine stand-in: OpenAI-compatible, with resumable event streams and placement orders. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {digestText} from '@marigoldfold/state';
+import {
+  formatEvent,
+  openEventStream,
+  readBody,
+  sendJson,
+  serverLimitsSchema,
+} from '@marigoldfold/transport';
+import {z} from 'zod';
+import type {SimulatedEngine, Token} from './simulatedEngine.js';
+
+const completionSchema = z.looseObject({
+  model: z.string(),
+  messages: z.array(z.looseObject({content: z.unknown()})).optional(),
+  prompt: z.union([z.string(), z.array(z.string())]).optional(),
+  max_tokens: z.int().min(1).optional(),
+  max_completion_tokens: z.int().min(1).optional(),
+  priority: z.number().default(0),
+  stream_options: z.looseObject({include_usage: z.boolean().optional()}).optional(),
+});
+
+const limits = serverLimitsSchema.parse({maxBodyBytes: 16_777_216});
+const streamPath = /^\/v1\/streams\/([^/]+)$/;
+const CHARACTERS_PER_TOKEN = 4;
+const DEFAULT_OUTPUT_TOKENS = 16;
+const STATUS = {ok: 200, badRequest: 400, notFound: 404, conflict: 409} as const;
+
+interface OpenStream {
+  readonly model: string;
+  readonly isChat: boolean;
+  readonly promptTokens: number;
+  readonly includesUsage: boolean;
+}
+
+/** Handles a request to the engine. */
+export function serveEngine(engine: SimulatedEngine) {
+  const streams = new Map<string, OpenStream>();
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = request.url ?? '';
+    const streamId = streamPath.exec(url)?.[1];
+    if (streamId !== undefined && request.method === 'DELETE') {
+      streams.delete(streamId);
+      sendJson(response, STATUS.ok, {cancelled: engine.cancel(streamId)});
+      return;
+    }
+    if (streamId !== undefined) {
+      resume(engine, streams, streamId, request, response);
+      return;
+    }
+    if (url === '/v1/chat/completions' || url === '/v1/completions') {
+      await complete(engine, streams, request, response);
+      return;
+    }
+    sendJson(response, STATUS.notFound, {error: {message: `no such path: ${url}`}});
+  };
+}
+
+async function complete(
+  engine: SimulatedEngine,
+  streams: Map<string, OpenStream>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request, limits);
+  if (body.isErr()) {
+    sendJson(response, STATUS.badRequest, {error: {message: body.error}});
+    return;
+  }
+  const checked = completionSchema.safeParse(JSON.parse(body.value.toString()));
+  if (!checked.success) {
+    sendJson(response, STATUS.badRequest, {error: {message: checked.error.message}});
+    return;
+  }
+  const prompt = JSON.stringify(checked.data.messages ?? checked.data.prompt ?? '');
+  const id = String(request.headers['x-request-id'] ?? digestText(prompt + String(Math.random())));
+  const open: OpenStream = {
+    model: checked.data.model,
+    isChat: request.url === '/v1/chat/completions',
+    promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+    includesUsage: checked.data.stream_options?.include_usage === true,
+  };
+  if (engine.has(id)) {
+    sendJson(response, STATUS.conflict, {error: {message: `request ${id} is known already`}});
+    return;
+  }
+  const {max_tokens: maxTokens, max_completion_tokens: maxCompletionTokens} = checked.data;
+  streams.set(id, open);
+  const send = tokenWriter(engine, streams, id, open, response);
+  openEventStream(response);
+  engine.begin(
+    {
+      id,
+      promptTokens: open.promptTokens,
+      outputTokens: maxCompletionTokens ?? maxTokens ?? DEFAULT_OUTPUT_TOKENS,
+      priority: checked.data.priority,
+      tokenText: answerText(prompt),
+    },
+    send,
+  );
+}
+
+function resume(
+  engine: SimulatedEngine,
+  streams: Map<string, OpenStream>,
+  id: string,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const open = streams.get(id);
+  const after = Number(request.headers['last-event-id'] ?? 0);
+  if (open === undefined) {
+    sendJson(response, STATUS.notFound, {error: {message: `no stream ${id}`}});
+    return;
+  }
+  openEventStream(response);
+  const send = tokenWriter(engine, streams, id, open, response);
+  if (!engine.resume(id, after, send)) response.destroy();
+}
+
+/** The text of the answer to a prompt; a reader can tell from it whose answer it is. */
+export function answerText(prompt: string): (number: number) => string {
+  const mark = digestText(prompt).slice(0, 8);
+  return (number) => (number === 1 ? `answer ${mark}:` : ` w${number}`);
+}
+
+function tokenWriter(
+  engine: SimulatedEngine,
+  streams: Map<string, OpenStream>,
+  id: string,
+  open: OpenStream,
+  response: ServerResponse,
+): (token: Token) => void {
+  let isOver = false;
+  response.once('close', () => {
+    // A closed stream keeps its state in the engine until it is resumed, cancelled or expires.
+    if (!isOver) engine.pause(id, send);
+  });
+  const send = (token: Token) => {
+    if (response.destroyed) return;
+    const data = JSON.stringify(toChunk(id, open, token));
+    response.write(formatEvent({data, id: String(token.number)}));
+    if (!token.isLast) return;
+    isOver = true;
+    streams.delete(id);
+    if (open.includesUsage) {
+      const usage = JSON.stringify(toUsageChunk(id, open, token.number));
+      response.write(formatEvent({data: usage, id: String(token.number + 1)}));
+    }
+    response.end(formatEvent({data: '[DONE]'}));
+  };
+  return send;
+}
+
+function chunkHead(id: string, open: OpenStream) {
+  return {
+    id: `${open.isChat ? 'chatcmpl' : 'cmpl'}-${id}`,
+    object: open.isChat ? 'chat.completion.chunk' : 'text_completion',
+    created: 0,
+    model: open.model,
+  };
+}
+
+function toChunk(id: string, open: OpenStream, token: Token) {
+  const finish = token.isLast ? 'stop' : null;
+  const choice = open.isChat
+    ? {
+        index: 0,
+        delta: {...(token.number === 1 ? {role: 'assistant'} : {}), content: token.text},
+        finish_reason: finish,
+      }
+    : {index: 0, text: token.text, finish_reason: finish};
+  return {...chunkHead(id, open), choices: [choice]};
+}
+
+function toUsageChunk(id: string, open: OpenStream, completionTokens: number) {
+  const {promptTokens} = open;
+  const usage = {
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+  };
+  return {...chunkHead(id, open), choices: [], usage};
+}
--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,20 @@
+/** Stand-ins of the platform and of the served systems, for tests, benchmarks and local use. */
+export {answerText, serveEngine} from './engineServer.js';
+export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
+export {serveKeyValue} from './keyValueServer.js';
+export {Ledger, type Posting, serveLedger} from './ledgerService.js';
+export {MemoryKeyValue} from './memoryKeyValue.js';
+export {
+  type EngineRequest,
+  type EngineSpeed,
+  SimulatedEngine,
+  type Token,
+} from './simulatedEngine.js';
+export {
+  type StandIn,
+  batchingSpeed,
+  startEngine,
+  startInstanceList,
+  startKeyValue,
+  startLedger,
+} from './platform.js';
--- /dev/null
+++ b/packages/standin/src/keyValueServer.ts
@@ -0,0 +1,156 @@
+/** Serves the in-memory key-value service by etcd's v3 JSON gateway. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {decodeText, encodeText, etcdPaths, type KeyValueEntry} from '@marigoldfold/state';
+import {readBody, sendJson, serverLimitsSchema} from '@marigoldfold/transport';
+import {z} from 'zod';
+import type {MemoryKeyValue} from './memoryKeyValue.js';
+
+const limits = serverLimitsSchema.parse({});
+
+const rangeSchema = z.object({
+  key: z.string(),
+  range_end: z.string().optional(),
+  limit: z.string().default('0'),
+});
+
+const txnSchema = z.object({
+  compare: z.tuple([z.object({key: z.string(), mod_revision: z.string()})]),
+  success: z.tuple([
+    z.object({
+      request_put: z
+        .object({key: z.string(), value: z.string(), lease: z.string().optional()})
+        .optional(),
+      request_delete_range: z.object({key: z.string()}).optional(),
+    }),
+  ]),
+});
+
+const watchSchema = z.object({
+  create_request: z.object({key: z.string(), start_revision: z.string()}),
+});
+
+const grantSchema = z.object({TTL: z.string()});
+const leaseSchema = z.object({ID: z.string()});
+
+const BAD_REQUEST = 400;
+const NOT_FOUND = 404;
+const OK = 200;
+const WATCH_LIMIT_MS = 600_000;
+
+type Handle = (store: MemoryKeyValue, body: unknown, response: ServerResponse) => Promise<void>;
+
+const handlers: Readonly<Record<string, Handle>> = {
+  [etcdPaths.range]: range,
+  [etcdPaths.txn]: txn,
+  [etcdPaths.watch]: watch,
+  [etcdPaths.leaseGrant]: grantLease,
+  [etcdPaths.leaseKeepAlive]: renewLease,
+  [etcdPaths.leaseRevoke]: revokeLease,
+};
+
+/** Handles a request of the gateway. */
+export function serveKeyValue(store: MemoryKeyValue) {
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(request, limits);
+    const handle = handlers[request.url ?? ''];
+    if (handle === undefined) {
+      sendJson(response, NOT_FOUND, {code: 5, message: 'Not Found'});
+      return;
+    }
+    if (body.isErr()) {
+      sendJson(response, BAD_REQUEST, {code: 3, message: body.error});
+      return;
+    }
+    try {
+      await handle(store, JSON.parse(body.value.toString()), response);
+    } catch (error) {
+      sendJson(response, BAD_REQUEST, {code: 3, message: String(error)});
+    }
+  };
+}
+
+function toPair({key, value, revision}: KeyValueEntry) {
+  return {key: encodeText(key), value: encodeText(value), mod_revision: String(revision)};
+}
+
+async function range(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  const request = rangeSchema.parse(body);
+  const key = decodeText(request.key);
+  if (request.range_end === undefined) {
+    const entry = (await store.get(key)).unwrapOr(undefined);
+    const kvs = entry === undefined ? [] : [toPair(entry)];
+    sendJson(response, OK, {header: {revision: '0'}, kvs});
+    return;
+  }
+  const prefix = commonPrefix(key, decodeText(request.range_end));
+  const listing = await store.list(prefix, {from: key, limit: Number(request.limit)});
+  const {entries, revision} = listing._unsafeUnwrap();
+  sendJson(response, OK, {header: {revision: String(revision)}, kvs: entries.map(toPair)});
+}
+
+/** The prefix whose range ends at `end`. */
+function commonPrefix(key: string, end: string): string {
+  return key.slice(0, end.length - 1) + String.fromCharCode(end.charCodeAt(end.length - 1) - 1);
+}
+
+async function txn(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  const {compare, success} = txnSchema.parse(body);
+  const key = decodeText(compare[0].key);
+  const ifRevision = Number(compare[0].mod_revision);
+  const put = success[0].request_put;
+  const answer =
+    put === undefined
+      ? await store.remove(key, ifRevision)
+      : await store.write(key, decodeText(put.value), {
+          ifRevision,
+          ...(put.lease === undefined ? {} : {lease: put.lease}),
+        });
+  const outcome = answer._unsafeUnwrap();
+  if (outcome.kind === 'written') {
+    sendJson(response, OK, {header: {revision: String(outcome.revision)}, succeeded: true});
+    return;
+  }
+  const kvs = outcome.current === undefined ? [] : [toPair(outcome.current)];
+  sendJson(response, OK, {header: {revision: '0'}, responses: [{response_range: {kvs}}]});
+}
+
+async function watch(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  const {create_request: create} = watchSchema.parse(body);
+  const controller = new AbortController();
+  response.once('close', () => {
+    controller.abort();
+  });
+  response.writeHead(OK, {'content-type': 'application/json'});
+  response.write(`${JSON.stringify({result: {header: {revision: '0'}, created: true}})}\n`);
+  const prefix = decodeText(create.key);
+  let afterRevision = Number(create.start_revision) - 1;
+  while (!controller.signal.aborted) {
+    const listing = await store.watch(prefix, {
+      afterRevision,
+      timeoutMs: WATCH_LIMIT_MS,
+      signal: controller.signal,
+    });
+    const {entries, revision} = listing._unsafeUnwrap();
+    afterRevision = revision;
+    if (entries.length === 0) continue;
+    const events = entries.map((entry) => ({kv: toPair(entry)}));
+    response.write(`${JSON.stringify({result: {header: {revision: String(revision)}, events}})}\n`);
+  }
+}
+
+async function grantLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  const {TTL} = grantSchema.parse(body);
+  const id = await store.grantLease(Number(TTL));
+  sendJson(response, OK, {ID: id._unsafeUnwrap(), TTL});
+}
+
+async function renewLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  const {ID} = leaseSchema.parse(body);
+  const isAlive = (await store.renewLease(ID))._unsafeUnwrap();
+  sendJson(response, OK, {result: {ID, TTL: isAlive ? '1' : '0'}});
+}
+
+async function revokeLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+  await store.revokeLease(leaseSchema.parse(body).ID);
+  sendJson(response, OK, {});
+}
--- /dev/null
+++ b/packages/standin/src/memoryKeyValue.ts
@@ -0,0 +1,188 @@
+/** An in-memory key-value service with compare-and-swap, leases and watches. */
+import {type Clock, sleep} from '@marigoldfold/runtime';
+import type {
+  KeyValue,
+  KeyValueEntry,
+  Listing,
+  ListOptions,
+  StoreError,
+  WatchOptions,
+  WriteOptions,
+  WriteOutcome,
+} from '@marigoldfold/state';
+import {ok, type Result} from 'neverthrow';
+
+interface Stored {
+  readonly entry: KeyValueEntry;
+  readonly lease: string | undefined;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  expiresAtMs: number;
+}
+
+interface Waiter {
+  readonly prefix: string;
+  readonly wake: () => void;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** The service's state; every write has a revision of its own. */
+export class MemoryKeyValue implements KeyValue {
+  readonly #clock: Clock;
+  readonly #stored = new Map<string, Stored>();
+  readonly #leases = new Map<string, Lease>();
+  readonly #history: KeyValueEntry[] = [];
+  readonly #waiters = new Set<Waiter>();
+  #revision = 1;
+  #leaseSequence = 0;
+  /** Number of calls taken so far; a waiting watch is one. */
+  callCount = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  get(key: string): Promise<Result<KeyValueEntry | undefined, StoreError>> {
+    this.#begin();
+    return Promise.resolve(ok(this.#stored.get(key)?.entry));
+  }
+
+  list(prefix: string, options: ListOptions = {}): Promise<Result<Listing, StoreError>> {
+    this.#begin();
+    const from = options.from ?? prefix;
+    const entries: KeyValueEntry[] = [];
+    for (const [key, {entry}] of this.#stored) {
+      if (key.startsWith(prefix) && key >= from) entries.push(entry);
+    }
+    entries.sort((a, b) => (a.key < b.key ? -1 : 1));
+    const limit = options.limit ?? 0;
+    const page = limit > 0 ? entries.slice(0, limit) : entries;
+    return Promise.resolve(ok({entries: page, revision: this.#revision}));
+  }
+
+  write(
+    key: string,
+    value: string,
+    options: WriteOptions,
+  ): Promise<Result<WriteOutcome, StoreError>> {
+    this.#begin();
+    const conflict = this.#findConflict(key, options.ifRevision);
+    if (conflict !== undefined) return Promise.resolve(ok(conflict));
+    this.#revision += 1;
+    const entry = {key, value, revision: this.#revision};
+    this.#stored.set(key, {entry, lease: options.lease});
+    this.#publish(entry);
+    return Promise.resolve(ok({kind: 'written', revision: this.#revision}));
+  }
+
+  remove(key: string, ifRevision: number): Promise<Result<WriteOutcome, StoreError>> {
+    this.#begin();
+    const conflict = this.#findConflict(key, ifRevision);
+    if (conflict !== undefined) return Promise.resolve(ok(conflict));
+    this.#remove(key);
+    return Promise.resolve(ok({kind: 'written', revision: this.#revision}));
+  }
+
+  async watch(prefix: string, options: WatchOptions): Promise<Result<Listing, StoreError>> {
+    this.#begin();
+    const pending = this.#changes(prefix, options.afterRevision);
+    if (pending.length > 0) return ok({entries: pending, revision: this.#revision});
+    await this.#wait(prefix, options);
+    const entries = this.#changes(prefix, options.afterRevision);
+    return ok({entries, revision: this.#revision});
+  }
+
+  grantLease(ttlSeconds: number): Promise<Result<string, StoreError>> {
+    this.#begin();
+    this.#leaseSequence += 1;
+    const id = String(this.#leaseSequence);
+    const ttlMs = ttlSeconds * MS_PER_SECOND;
+    this.#leases.set(id, {ttlMs, expiresAtMs: this.#clock.now() + ttlMs});
+    this.#clock.schedule(ttlMs, () => {
+      this.#expire();
+    });
+    return Promise.resolve(ok(id));
+  }
+
+  renewLease(id: string): Promise<Result<boolean, StoreError>> {
+    this.#begin();
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return Promise.resolve(ok(false));
+    lease.expiresAtMs = this.#clock.now() + lease.ttlMs;
+    this.#clock.schedule(lease.ttlMs, () => {
+      this.#expire();
+    });
+    return Promise.resolve(ok(true));
+  }
+
+  revokeLease(id: string): Promise<Result<void, StoreError>> {
+    this.#begin();
+    this.#dropLease(id);
+    return Promise.resolve(ok(undefined));
+  }
+
+  #begin(): void {
+    this.callCount += 1;
+    this.#expire();
+  }
+
+  #findConflict(key: string, ifRevision: number): WriteOutcome | undefined {
+    const current = this.#stored.get(key)?.entry;
+    if ((current?.revision ?? 0) === ifRevision) return undefined;
+    return {kind: 'conflict', current};
+  }
+
+  #remove(key: string): void {
+    this.#stored.delete(key);
+    this.#revision += 1;
+    this.#publish({key, value: '', revision: this.#revision});
+  }
+
+  #publish(entry: KeyValueEntry): void {
+    this.#history.push(entry);
+    for (const waiter of this.#waiters) {
+      if (entry.key.startsWith(waiter.prefix)) waiter.wake();
+    }
+  }
+
+  #changes(prefix: string, afterRevision: number): readonly KeyValueEntry[] {
+    const changes: KeyValueEntry[] = [];
+    for (let index = this.#history.length - 1; index >= 0; index -= 1) {
+      const entry = this.#history[index];
+      if (entry === undefined || entry.revision <= afterRevision) break;
+      if (entry.key.startsWith(prefix)) changes.unshift(entry);
+    }
+    return changes;
+  }
+
+  async #wait(prefix: string, options: WatchOptions): Promise<void> {
+    const controller = new AbortController();
+    const abort = () => {
+      controller.abort();
+    };
+    const waiter: Waiter = {prefix, wake: abort};
+    this.#waiters.add(waiter);
+    options.signal?.addEventListener('abort', abort, {once: true});
+    if (options.signal?.aborted === true) abort();
+    await sleep(this.#clock, options.timeoutMs, controller.signal);
+    options.signal?.removeEventListener('abort', abort);
+    this.#waiters.delete(waiter);
+  }
+
+  #expire(): void {
+    const now = this.#clock.now();
+    for (const [id, lease] of this.#leases) {
+      if (lease.expiresAtMs <= now) this.#dropLease(id);
+    }
+  }
+
+  #dropLease(id: string): void {
+    this.#leases.delete(id);
+    for (const [key, stored] of this.#stored) {
+      if (stored.lease === id) this.#remove(key);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standin/src/platform.ts
@@ -0,0 +1,102 @@
+/** Starts the stand-ins on loopback. */
+import {type Clock, DisposableStore} from '@marigoldfold/runtime';
+import {
+  type HttpServer,
+  listen,
+  type ListenError,
+  serverLimitsSchema,
+} from '@marigoldfold/transport';
+import type {Result} from 'neverthrow';
+import {serveEngine} from './engineServer.js';
+import {LaggingInstanceList, serveInstanceList} from './instanceListServer.js';
+import {serveKeyValue} from './keyValueServer.js';
+import {Ledger, serveLedger} from './ledgerService.js';
+import {MemoryKeyValue} from './memoryKeyValue.js';
+import {type EngineSpeed, SimulatedEngine} from './simulatedEngine.js';
+
+const LOOPBACK = '127.0.0.1';
+const limits = serverLimitsSchema.parse({maxBodyBytes: 16_777_216});
+
+type Handle = Parameters<typeof listen>[0]['handle'];
+
+/** A stand-in that listens on loopback. */
+export interface StandIn<T> extends Disposable {
+  readonly address: string;
+  /** What is behind the address. */
+  readonly subject: T;
+}
+
+async function serve<T>(
+  subject: T,
+  handle: Handle,
+  port: number,
+): Promise<Result<StandIn<T>, ListenError>> {
+  const onDefect = (error: unknown) => {
+    process.stderr.write(`stand-in: ${String(error)}\n`);
+  };
+  const server = await listen({host: LOOPBACK, port, limits, handle, onDefect});
+  return server.map((listening: HttpServer) => ({
+    address: listening.address,
+    subject,
+    [Symbol.dispose]() {
+      listening[Symbol.dispose]();
+    },
+  }));
+}
+
+/** Starts the key-value service. */
+export function startKeyValue(
+  clock: Clock,
+  port = 0,
+): Promise<Result<StandIn<MemoryKeyValue>, ListenError>> {
+  const store = new MemoryKeyValue(clock);
+  return serve(store, serveKeyValue(store), port);
+}
+
+/** Starts the list of instances. */
+export function startInstanceList(
+  clock: Clock,
+  lagMs: number,
+  port = 0,
+): Promise<Result<StandIn<LaggingInstanceList>, ListenError>> {
+  const list = new LaggingInstanceList(clock, lagMs);
+  return serve(list, serveInstanceList(list), port);
+}
+
+/** Starts a model engine. */
+export async function startEngine(
+  clock: Clock,
+  speed: EngineSpeed,
+  port = 0,
+): Promise<Result<StandIn<SimulatedEngine>, ListenError>> {
+  const engine = new SimulatedEngine(clock, speed);
+  const server = await serve(engine, serveEngine(engine), port);
+  return server.map((standIn) => {
+    const disposables = new DisposableStore();
+    disposables.add(engine);
+    disposables.add(standIn);
+    return {
+      ...standIn,
+      [Symbol.dispose]() {
+        disposables[Symbol.dispose]();
+      },
+    };
+  });
+}
+
+/** Starts a ledger. */
+export function startLedger(port = 0): Promise<Result<StandIn<Ledger>, ListenError>> {
+  const ledger = new Ledger();
+  return serve(ledger, serveLedger(ledger), port);
+}
+
+/** An engine speed that grows slower with its batch, as continuous batching does. */
+export function batchingSpeed(slots: number, interTokenMs: number): EngineSpeed {
+  const slowdownPerRequest = 0.02;
+  const prefillTokensPerSecond = 8000;
+  return {
+    slots,
+    prefillTokensPerSecond,
+    interTokenMs: (batchSize) => interTokenMs * (1 + slowdownPerRequest * (batchSize - 1)),
+  };
+}
--- /dev/null
+++ b/packages/standin/src/simulatedEngine.ts
@@ -0,0 +1,185 @@
+/** A model engine stand-in: continuous batching, priorities, streams that can be resumed and cancelled. */
+import type {Clock} from '@marigoldfold/runtime';
+
+/** How fast the engine is. */
+export interface EngineSpeed {
+  /** Requests that can be in the batch at one time. */
+  readonly slots: number;
+  /** Prompt tokens read a second. */
+  readonly prefillTokensPerSecond: number;
+  /** Milliseconds between tokens with a batch of a size. */
+  readonly interTokenMs: (batchSize: number) => number;
+}
+
+/** A request to the engine. */
+export interface EngineRequest {
+  readonly id: string;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Lower values go first. */
+  readonly priority: number;
+  /** The text of a token of the answer; numbers start at 1. */
+  readonly tokenText: (number: number) => string;
+}
+
+/** A generated token. */
+export interface Token {
+  readonly number: number;
+  readonly text: string;
+  readonly isLast: boolean;
+}
+
+/** Receives the tokens of one generation. */
+export type Listener = (token: Token) => void;
+
+interface Generation {
+  readonly request: EngineRequest;
+  readonly order: number;
+  generated: number;
+  prefillLeftMs: number;
+  listener: Listener | undefined;
+  pausedAtMs: number | undefined;
+}
+
+const MS_PER_SECOND = 1000;
+const PAUSE_LIMIT_MS = 30_000;
+
+/** The engine. A generation without a listener is paused and keeps its state for a while. */
+export class SimulatedEngine implements Disposable {
+  readonly #clock: Clock;
+  readonly #generations = new Map<string, Generation>();
+  #speed: EngineSpeed;
+  #order = 0;
+  #nextStep: Disposable | undefined;
+  #isDisposed = false;
+  /** Tokens generated so far. */
+  tokensGenerated = 0;
+  /** While true, no step is made. */
+  isHung = false;
+
+  constructor(clock: Clock, speed: EngineSpeed) {
+    this.#clock = clock;
+    this.#speed = speed;
+  }
+
+  /** Number of generations that are in the engine, paused ones included. */
+  get generationCount(): number {
+    return this.#generations.size;
+  }
+
+  /** Changes how fast the engine is from the next step on. */
+  setSpeed(speed: EngineSpeed): void {
+    this.#speed = speed;
+  }
+
+  /** Begins a generation; false when the id is known already. */
+  begin(request: EngineRequest, listener: Listener): boolean {
+    if (this.#generations.has(request.id)) return false;
+    const prefillLeftMs =
+      (request.promptTokens / this.#speed.prefillTokensPerSecond) * MS_PER_SECOND;
+    this.#order += 1;
+    this.#generations.set(request.id, {
+      request,
+      order: this.#order,
+      generated: 0,
+      prefillLeftMs,
+      listener,
+      pausedAtMs: undefined,
+    });
+    this.#wake();
+    return true;
+  }
+
+  /** Goes on with a paused generation after a token; false when its state is gone. */
+  resume(id: string, after: number, listener: Listener): boolean {
+    const generation = this.#generations.get(id);
+    if (generation === undefined || after > generation.generated) return false;
+    generation.listener = listener;
+    generation.pausedAtMs = undefined;
+    for (let number = after + 1; number <= generation.generated; number += 1) {
+      listener(toToken(generation, number));
+    }
+    if (generation.generated >= generation.request.outputTokens) this.#generations.delete(id);
+    this.#wake();
+    return true;
+  }
+
+  /** Whether a generation is in the engine. */
+  has(id: string): boolean {
+    return this.#generations.has(id);
+  }
+
+  /** Pauses a generation that still goes to a listener; its slot is free for others. */
+  pause(id: string, listener: Listener): void {
+    const generation = this.#generations.get(id);
+    // A stream that was resumed elsewhere belongs to the newer listener.
+    if (generation?.listener !== listener) return;
+    generation.listener = undefined;
+    generation.pausedAtMs = this.#clock.now();
+  }
+
+  /** Drops a generation; false when it is not known. */
+  cancel(id: string): boolean {
+    return this.#generations.delete(id);
+  }
+
+  [Symbol.dispose](): void {
+    this.#isDisposed = true;
+    this.#nextStep?.[Symbol.dispose]();
+    this.#generations.clear();
+  }
+
+  #wake(): void {
+    if (this.#nextStep === undefined && !this.#isDisposed) this.#scheduleStep();
+  }
+
+  #scheduleStep(): void {
+    const batch = this.#batch();
+    const stepMs = this.#speed.interTokenMs(Math.max(1, batch.length));
+    this.#nextStep = this.#clock.schedule(stepMs, () => {
+      this.#step(stepMs);
+    });
+  }
+
+  #step(stepMs: number): void {
+    if (!this.isHung) {
+      for (const generation of this.#batch()) this.#advance(generation, stepMs);
+    }
+    this.#dropExpired();
+    this.#nextStep = undefined;
+    if (this.#generations.size > 0) this.#scheduleStep();
+  }
+
+  #advance(generation: Generation, stepMs: number): void {
+    if (generation.prefillLeftMs > 0) {
+      generation.prefillLeftMs -= stepMs;
+      return;
+    }
+    generation.generated += 1;
+    this.tokensGenerated += 1;
+    const token = toToken(generation, generation.generated);
+    if (token.isLast) this.#generations.delete(generation.request.id);
+    generation.listener?.(token);
+  }
+
+  #batch(): readonly Generation[] {
+    const active: Generation[] = [];
+    for (const generation of this.#generations.values()) {
+      if (generation.listener !== undefined) active.push(generation);
+    }
+    if (active.length <= this.#speed.slots) return active;
+    active.sort((a, b) => a.request.priority - b.request.priority || a.order - b.order);
+    return active.slice(0, this.#speed.slots);
+  }
+
+  #dropExpired(): void {
+    const oldest = this.#clock.now() - PAUSE_LIMIT_MS;
+    for (const [id, {pausedAtMs}] of this.#generations) {
+      if (pausedAtMs !== undefined && pausedAtMs < oldest) this.#generations.delete(id);
+    }
+  }
+}
+
+function toToken({request}: Generation, number: number): Token {
+  return {number, text: request.tokenText(number), isLast: number >= request.outputTokens};
+}
