Add the operators' tool and the local system

Change: `marigoldfold dev`, `ticket`, `status`, `settings check` and `key generate`; the example configuration comes in by signed tickets only. The tests drive the whole path with the `openai` client: streamed, whole, an abort that cancels the engine's work, and an at-most-once posting.

--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Load and experiments. */
+export {};
--- /dev/null
+++ b/packages/cli/src/commands/index.ts
@@ -0,0 +1,21 @@
+/** The commands of `marigoldfold` by name. */
+import {Dev} from './dev.js';
+import {KeyGenerate} from './keyGenerate.js';
+import {SettingsCheck} from './settingsCheck.js';
+import {Status} from './status.js';
+import {TicketApprove, TicketReject} from './ticketDecide.js';
+import {TicketPropose} from './ticketPropose.js';
+import {TicketList, TicketShow} from './ticketRead.js';
+
+/** Commands by id. */
+export const commands = {
+  dev: Dev,
+  'key:generate': KeyGenerate,
+  'settings:check': SettingsCheck,
+  status: Status,
+  'ticket:approve': TicketApprove,
+  'ticket:list': TicketList,
+  'ticket:propose': TicketPropose,
+  'ticket:reject': TicketReject,
+  'ticket:show': TicketShow,
+};
--- /dev/null
+++ b/packages/cli/src/commands/settingsCheck.ts
@@ -0,0 +1,42 @@
+/** `marigoldfold settings check`. */
+import {readFileSync} from 'node:fs';
+import {agentSettingsSchema} from '@marigoldfold/agent';
+import {entrySettingsSchema} from '@marigoldfold/entry';
+import {formatProblem, parseSettings} from '@marigoldfold/runtime';
+import {Args, Command, Flags} from '@oclif/core';
+
+const schemas = {entry: entrySettingsSchema, agent: agentSettingsSchema} as const;
+
+/** Checks a settings file. */
+export class SettingsCheck extends Command {
+  static override readonly description = 'Checks a settings file and lists every problem.';
+  static override readonly examples = ['marigoldfold settings check entry.toml --role entry'];
+  static override readonly args = {
+    file: Args.string({description: 'settings file (TOML)', required: true}),
+  };
+  static override readonly flags = {
+    role: Flags.string({
+      description: 'whose settings they are; told from the file when absent',
+      options: ['entry', 'agent'],
+    }),
+  };
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(SettingsCheck);
+    let text: string;
+    try {
+      text = readFileSync(args.file, 'utf8');
+    } catch {
+      this.error(`${args.file} cannot be read`, {exit: 2});
+    }
+    // Only the settings of an agent have an endpoint.
+    const guessed = /^\s*\[endpoint\]/m.test(text) ? 'agent' : 'entry';
+    const role = (flags.role ?? guessed) as keyof typeof schemas;
+    const settings = parseSettings<unknown>(schemas[role], text);
+    if (settings.isErr()) {
+      const lines = settings.error.map((problem) => `  ${formatProblem(problem)}`);
+      this.error([`${args.file} has ${lines.length} problem(s):`, ...lines].join('\n'), {exit: 2});
+    }
+    this.log(`${args.file}: valid settings of an ${role}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/ticketDecide.ts
@@ -0,0 +1,94 @@
+/** `marigoldfold ticket approve` and `marigoldfold ticket reject`. */
+import {createPrivateKey, createPublicKey} from 'node:crypto';
+import {systemClock} from '@marigoldfold/runtime';
+import type {Decision} from '@marigoldfold/state';
+import {Args, Flags} from '@oclif/core';
+import {signOnRecord} from '../decide.js';
+import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
+
+const decideArgs = {number: Args.integer({description: 'number of the ticket', required: true})};
+
+const decideFlags = {
+  ...operatorFlags,
+  'monitor-key': Flags.string({
+    description: "file with the monitor's private key (PEM)",
+    env: 'MARIGOLDFOLD_MONITOR_PRIVATE_KEY_FILE',
+    required: true,
+  }),
+  'first-public-key': Flags.string({
+    description: 'public key of the first decision, when the key has been changed since',
+  }),
+  note: Flags.string({description: 'a remark for the record', default: ''}),
+};
+
+interface DecideFlags {
+  readonly operators: string;
+  readonly 'operator-key': string;
+  readonly 'monitor-key': string;
+  readonly 'first-public-key'?: string | undefined;
+  readonly note: string;
+  readonly json: boolean;
+}
+
+abstract class TicketDecide extends OperatorCommand {
+  protected async decide(
+    verdict: Decision['verdict'],
+    number: number,
+    flags: DecideFlags,
+  ): Promise<void> {
+    const privateKeyPem = this.readFile(flags['monitor-key']);
+    using client = this.connect(flags);
+    const record = this.require(await client.read(0));
+    const decision = signOnRecord(record, {
+      number,
+      verdict,
+      note: flags.note,
+      privateKeyPem,
+      firstPublicKey: flags['first-public-key'] ?? this.#publicKeyOf(privateKeyPem),
+      nowMs: systemClock.now(),
+    });
+    if (decision.isErr()) this.error(decision.error, {exit: 1});
+    this.require(await client.decide(decision.value));
+    if (flags.json) this.log(JSON.stringify(decision.value));
+    else this.log(`ticket ${number} ${verdict}, state digest ${decision.value.stateDigest}`);
+  }
+
+  #publicKeyOf(privateKeyPem: string): string {
+    try {
+      const key = createPublicKey(createPrivateKey(privateKeyPem));
+      return key.export({type: 'spki', format: 'der'}).toString('base64');
+    } catch {
+      this.error('--monitor-key: not a private key in PEM', {exit: 2});
+    }
+  }
+}
+
+/** Approves a ticket. */
+export class TicketApprove extends TicketDecide {
+  static override readonly description =
+    'Checks the whole record, then approves a ticket with the signature of the monitor.';
+  static override readonly examples = ['marigoldfold ticket approve 4 --monitor-key monitor.pem'];
+  static override readonly args = decideArgs;
+  static override readonly flags = decideFlags;
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(TicketApprove);
+    await this.decide('approved', args.number, flags);
+  }
+}
+
+/** Rejects a ticket. */
+export class TicketReject extends TicketDecide {
+  static override readonly description =
+    'Checks the whole record, then rejects a ticket with the signature of the monitor.';
+  static override readonly examples = [
+    'marigoldfold ticket reject 4 --monitor-key monitor.pem --note "limit too high"',
+  ];
+  static override readonly args = decideArgs;
+  static override readonly flags = decideFlags;
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(TicketReject);
+    await this.decide('rejected', args.number, flags);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/decide.ts
@@ -0,0 +1,79 @@
+/** The monitor's decision: replays the record, checks the whole chain, and signs the result. */
+import {
+  advance,
+  configurationAfter,
+  decidedTickets,
+  type Decision,
+  findConflict,
+  genesis,
+  type Head,
+  signDecision,
+  type Ticket,
+  ticketDigest,
+} from '@marigoldfold/state';
+import {err, ok, type Result} from 'neverthrow';
+import type {RecordAnswer} from './operatorClient.js';
+
+/** What is decided, and with which key. */
+export interface DecisionRequest {
+  readonly number: number;
+  readonly verdict: Decision['verdict'];
+  readonly note: string;
+  readonly privateKeyPem: string;
+  /** Public key that the first decision is checked against. */
+  readonly firstPublicKey: string;
+  readonly nowMs: number;
+}
+
+/** Replays all decided tickets. */
+export function replay(record: RecordAnswer, firstPublicKey: string): Result<Head, string> {
+  let head = genesis(firstPublicKey);
+  for (const decided of decidedTickets({...record, revision: 0})) {
+    const next = advance(head, decided);
+    if (next.isErr()) return err(`the record is broken: ${next.error.message}`);
+    head = next.value;
+  }
+  return ok(head);
+}
+
+/** Signs a decision on the first undecided ticket. */
+export function signOnRecord(
+  record: RecordAnswer,
+  request: DecisionRequest,
+): Result<Decision, string> {
+  const head = replay(record, request.firstPublicKey);
+  if (head.isErr()) return err(head.error);
+  const ticket = record.tickets.find(({number}) => number === request.number);
+  if (ticket === undefined) return err(`there is no ticket ${request.number}`);
+  const problem = findProblem(head.value, ticket, request);
+  if (problem !== undefined) return err(problem);
+  const after =
+    request.verdict === 'approved'
+      ? configurationAfter(head.value, ticket)
+      : head.value.configuration;
+  return signDecision(
+    {
+      number: ticket.number,
+      verdict: request.verdict,
+      ticketDigest: ticketDigest(ticket),
+      stateDigest: after.digest,
+      note: request.note,
+      decidedAtMs: request.nowMs,
+    },
+    request.privateKeyPem,
+  );
+}
+
+function findProblem(
+  head: Head,
+  ticket: Ticket,
+  {number, verdict}: DecisionRequest,
+): string | undefined {
+  if (number <= head.number) return `ticket ${number} has been decided already`;
+  if (number > head.number + 1) return `ticket ${head.number + 1} has to be decided first`;
+  if (ticket.previousDigest !== head.digest)
+    return `ticket ${number} does not follow ${head.number}`;
+  if (verdict === 'rejected') return undefined;
+  const conflict = findConflict(head.configuration, ticket);
+  return conflict === undefined ? undefined : `${conflict}; reject it`;
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,10 @@
+/** The operators' tool, and the local system that it can run. */
+export {type DecisionRequest, replay, signOnRecord} from './decide.js';
+export {
+  type LocalKeys,
+  type LocalSystem,
+  type LocalSystemOptions,
+  startLocalSystem,
+} from './localSystem.js';
+export {type OperatorClient, createOperatorClient} from './operatorClient.js';
+export {formatTable} from './table.js';
--- /dev/null
+++ b/packages/cli/src/operatorClient.ts
@@ -0,0 +1,113 @@
+/** Calls the operators' API of an entry. */
+import {
+  type OperatorError,
+  operatorErrorSchema,
+  proposalAnswerSchema,
+  type Proposal,
+  recordAnswerSchema,
+  type Status,
+  statusSchema,
+} from '@marigoldfold/entry';
+import type {Decision, Ticket} from '@marigoldfold/state';
+import {createHttpClient, type HttpClient} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+
+/** Where the API is and who calls it. */
+export interface OperatorClientOptions {
+  /** `host:port` of an entry's operators' port. */
+  readonly address: string;
+  readonly operatorKey: string;
+}
+
+/** Tickets and decisions. */
+export interface RecordAnswer {
+  readonly tickets: readonly Ticket[];
+  readonly decisions: readonly Decision[];
+}
+
+/** The operators' API. */
+export interface OperatorClient extends Disposable {
+  propose(proposal: Proposal): Promise<Result<Ticket, OperatorError>>;
+  decide(decision: Decision): Promise<Result<void, OperatorError>>;
+  read(after: number): Promise<Result<RecordAnswer, OperatorError>>;
+  status(): Promise<Result<Status, OperatorError>>;
+}
+
+const TIMEOUT_MS = 10_000;
+const OK = 200;
+
+/** Connects to the API. */
+export function createOperatorClient(options: OperatorClientOptions): OperatorClient {
+  const client = createHttpClient();
+  return {
+    propose: async (proposal) => {
+      const answer = await call(
+        client,
+        options,
+        'POST',
+        '/tickets',
+        proposalAnswerSchema,
+        proposal,
+      );
+      return answer.map(({ticket}) => ticket);
+    },
+    decide: async (decision) => {
+      const answer = await call(client, options, 'POST', '/decisions', z.unknown(), decision);
+      return answer.map(() => undefined);
+    },
+    read: (after) => call(client, options, 'GET', `/tickets?after=${after}`, recordAnswerSchema),
+    status: () => call(client, options, 'GET', '/status', statusSchema),
+    [Symbol.dispose]() {
+      client[Symbol.dispose]();
+    },
+  };
+}
+
+async function call<T>(
+  client: HttpClient,
+  {address, operatorKey}: OperatorClientOptions,
+  method: 'GET' | 'POST',
+  path: string,
+  schema: z.ZodType<T>,
+  body?: unknown,
+): Promise<Result<T, OperatorError>> {
+  const answer = await client.fetch({
+    address,
+    method,
+    path,
+    headers: {authorization: `Bearer ${operatorKey}`, 'content-type': 'application/json'},
+    ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+    timeoutMs: TIMEOUT_MS,
+  });
+  if (answer.isErr()) {
+    const {message, maySent} = answer.error;
+    const mayHaveTakenEffect = method === 'POST' && maySent;
+    return err({code: 'unreachable', message, mayHaveTakenEffect, problems: []});
+  }
+  const document = parseJson(answer.value.body.toString());
+  if (answer.value.status === OK) {
+    const checked = schema.safeParse(document);
+    if (checked.success) return ok(checked.data);
+  }
+  const refused = operatorErrorSchema.safeParse(document);
+  if (refused.success) return err(refused.data.error);
+  const message = `${address} gave an answer that cannot be read (status ${answer.value.status})`;
+  return err({code: 'unreadable', message, mayHaveTakenEffect: method === 'POST', problems: []});
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Lines for a person. */
+export function formatOperatorError(error: OperatorError): string {
+  const effect = error.mayHaveTakenEffect
+    ? 'It may have taken effect all the same; run the same command again to find out.'
+    : 'It has not taken effect.';
+  return [error.message, ...error.problems.map((problem) => `  ${problem}`), effect].join('\n');
+}
