--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -23,6 +23,7 @@
   startLedger,
 } from '@marigoldfold/standin';
 import {digestText, type Draft, generateMonitorKey, type MonitorKey} from '@marigoldfold/state';
+import type {ServerLimits} from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {signOnRecord} from './decide.js';
 import {exampleDrafts} from './exampleConfiguration.js';
@@ -38,6 +39,8 @@
   readonly engines?: number;
   readonly slots?: number;
   readonly interTokenMs?: number;
+  /** Limits of the entry on callers and operators; the usual ones when absent. */
+  readonly limits?: Partial<ServerLimits>;
 }
 
 /** The keys that were generated for the local system. */
@@ -135,6 +138,7 @@
     operatorsListen: `${LOOPBACK}:${options.operatorsPort}`,
     operators: [{name: 'dev', keySha256: digestText(keys.operator)}],
     platform,
+    limits: options.limits ?? {},
   });
   const entry = await startEntry({
     settings: entrySettings,
--- /dev/null
+++ b/packages/entry/src/__fixtures__/scriptedApi.ts
@@ -0,0 +1,69 @@
+/** The callers' API before a router that gives prepared chunks. */
+import {AccountLimits} from '@marigoldfold/coordination';
+import {requestIds, type Work} from '@marigoldfold/protocol';
+import {silentLogger, systemClock} from '@marigoldfold/runtime';
+import {Configuration, digestText, genesis} from '@marigoldfold/state';
+import {type HttpServer, listen, serverLimitsSchema} from '@marigoldfold/transport';
+import {Registry} from 'prom-client';
+import {RequestMetrics} from '../attainment.js';
+import {createCallersApi} from '../callersApi.js';
+import type {RoutedAnswer} from '../router.js';
+
+/** Bearer key of the only account. */
+export const scriptedKey = 'mf.choir.AAAA';
+
+const configuration = Configuration.empty.apply(
+  [
+    {kind: 'endpointSet', name: 'engines', state: {type: 'engine', models: ['m'], slots: 4}},
+    {kind: 'class', name: 'short', state: {tier: 1, endpointSets: ['engines']}},
+    {
+      kind: 'account',
+      name: 'choir',
+      state: {
+        keyDigests: [digestText(scriptedKey)],
+        classes: ['short'],
+        defaultClass: 'short',
+        requestsPerSecond: 1000,
+        burst: 1000,
+        concurrency: 100,
+      },
+    },
+  ],
+  1,
+);
+
+/** Serves the API; the script gives the data of the chunks of each answer. */
+export async function serveScripted(
+  script: (work: Work) => readonly unknown[],
+): Promise<HttpServer> {
+  const limits = serverLimitsSchema.parse({});
+  const server = await listen({
+    host: '127.0.0.1',
+    port: 0,
+    limits,
+    handle: createCallersApi({
+      incarnation: 'test',
+      clock: systemClock,
+      logger: silentLogger,
+      limits,
+      head: () => ({...genesis(''), number: 1, configuration}),
+      accountLimits: new AccountLimits(systemClock),
+      router: {route: ({work}) => play(script(work))},
+      metrics: new RequestMetrics(new Registry()),
+      nextRequestId: requestIds('test'),
+    }),
+    onDefect: (error) => {
+      throw error;
+    },
+  });
+  return server._unsafeUnwrap();
+}
+
+async function* play(chunks: readonly unknown[]): RoutedAnswer {
+  for (const [index, chunk] of chunks.entries()) {
+    const data = typeof chunk === 'string' ? chunk : JSON.stringify(chunk);
+    yield {kind: 'chunk', number: index + 1, data};
+    await Promise.resolve();
+  }
+  return {kind: 'whole'};
+}
--- a/packages/entry/src/attainment.ts
+++ b/packages/entry/src/attainment.ts
@@ -1,7 +1,7 @@
 /** Measures each request against the targets of its class. */
 import type {Clock} from '@marigoldfold/runtime';
 import type {RequestClass} from '@marigoldfold/state';
-import {Counter, Histogram, type Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 /** How a request ended, as its class's targets see it. */
 export type RequestOutcome = 'attained' | 'late' | 'refused' | 'failed' | 'cancelled';
@@ -14,6 +14,8 @@
 /** Metrics of requests by class. */
 export class RequestMetrics {
   readonly requests: Counter<'class' | 'outcome'>;
+  readonly refusals: Counter<'code' | 'ran'>;
+  readonly inFlight: Gauge;
   readonly firstToken: Histogram<'class'>;
   readonly interToken: Histogram<'class'>;
   readonly completion: Histogram<'class'>;
@@ -26,6 +28,17 @@
       labelNames: ['class', 'outcome'],
       registers,
     });
+    this.refusals = new Counter({
+      name: 'marigoldfold_refusals_total',
+      help: 'Failures that callers were told of, by code and by whether the work was run.',
+      labelNames: ['code', 'ran'],
+      registers,
+    });
+    this.inFlight = new Gauge({
+      name: 'marigoldfold_requests_in_flight',
+      help: 'Requests that were admitted and have not ended.',
+      registers,
+    });
     const histogram = (name: string, help: string, buckets: number[]) =>
       new Histogram({name, help, buckets, labelNames: ['class'], registers});
     this.firstToken = histogram(
--- /dev/null
+++ b/packages/entry/src/callerExchange.ts
@@ -0,0 +1,170 @@
+/** What all requests of callers share: refusals, bodies, admission and the work that goes to an agent. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AccountLimits} from '@marigoldfold/coordination';
+import {
+  type Failure,
+  failureBody,
+  failureStatus,
+  refusal,
+  type Task,
+  type Work,
+} from '@marigoldfold/protocol';
+import type {Clock, LogFields, Logger} from '@marigoldfold/runtime';
+import type {Configuration, EndpointSet, Head} from '@marigoldfold/state';
+import {readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import {type RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
+import {type Caller, type NamedClass} from './callerRequest.js';
+import type {RoutedEnd, Router} from './router.js';
+
+/** What the API needs. */
+export interface CallersApiOptions {
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly limits: ServerLimits;
+  readonly head: () => Head;
+  readonly accountLimits: AccountLimits;
+  readonly router: Pick<Router, 'route'>;
+  readonly metrics: RequestMetrics;
+  readonly nextRequestId: () => string;
+}
+
+/** One request of a caller that has shown its key. */
+export interface Exchange {
+  readonly id: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly head: Head;
+  readonly caller: Caller;
+}
+
+/** First-token budget of classes without a target, in milliseconds. */
+const UNTARGETED_BUDGET_MS = 3_600_000;
+const MS_PER_SECOND = 1000;
+
+/** Tells a caller of a failure and records the decision. */
+export function sendFailure(
+  {logger, metrics}: CallersApiOptions,
+  {id, response}: Pick<Exchange, 'id' | 'response'>,
+  failure: Failure,
+  fields: LogFields,
+): void {
+  const {code, ran, retryAfterMs} = failure;
+  logger.info('refused', {decision: 'refusal', request: id, code, ran, ...fields});
+  metrics.refusals.inc({code, ran});
+  const headers: Record<string, string> = {};
+  if (retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
+  }
+  sendJson(response, failureStatus(failure), failureBody(failure, id), headers);
+}
+
+/** The endpoint sets that a class may use. */
+export function usableSets(
+  configuration: Configuration,
+  className: string,
+): readonly EndpointSet[] {
+  const sets: EndpointSet[] = [];
+  for (const name of configuration.get('class', className)?.endpointSets ?? []) {
+    const set = configuration.get('endpointSet', name);
+    if (set !== undefined) sets.push(set);
+  }
+  return sets;
+}
+
+/** Reads the body, or says why it was not read. */
+export async function readCheckedBody(
+  {limits}: CallersApiOptions,
+  {request}: Exchange,
+): Promise<Result<Buffer, Failure>> {
+  const body = await readBody(request, limits);
+  if (body.isOk()) return ok(body.value);
+  switch (body.error) {
+    case 'too_large':
+      return err(refusal('body_too_large', `body: is over ${limits.maxBodyBytes} bytes`));
+    case 'timed_out':
+      return err(refusal('request_timeout', 'body: did not arrive in time'));
+    case 'aborted':
+      return err(refusal('caller_gone', 'the caller has gone'));
+  }
+}
+
+/** Sends an answer; aborting the controller gives the work up. */
+export type Send = (timer: RequestTimer, controller: AbortController) => Promise<RoutedEnd>;
+
+/** Admits a request and serves it; resolves to a failure that has not been sent yet. */
+export async function admitAndServe(
+  options: CallersApiOptions,
+  exchange: Exchange,
+  named: NamedClass,
+  send: Send,
+): Promise<Failure | undefined> {
+  const {accountName, account} = exchange.caller;
+  const timer = new RequestTimer(options.clock, options.metrics, named.name, named.requestClass);
+  const admitted = options.accountLimits.admit(accountName, account);
+  if (admitted.isErr()) {
+    timer.finish('refused');
+    return admitted.error;
+  }
+  const controller = new AbortController();
+  exchange.response.once('close', () => {
+    controller.abort();
+  });
+  options.metrics.inFlight.inc();
+  let end: RoutedEnd;
+  try {
+    end = await send(timer, controller);
+  } finally {
+    options.metrics.inFlight.dec();
+    admitted.value[Symbol.dispose]();
+  }
+  options.logger.info('request', {
+    request: exchange.id,
+    class: named.name,
+    account: accountName,
+    configuration: exchange.head.number,
+    outcome: finishTimer(timer, end, exchange.response),
+  });
+  if (end.kind === 'whole' || exchange.response.headersSent) return undefined;
+  return end.failure;
+}
+
+function finishTimer(
+  timer: RequestTimer,
+  end: RoutedEnd,
+  {destroyed}: ServerResponse,
+): RequestOutcome {
+  if (end.kind === 'whole') return timer.finishWhole();
+  if (destroyed) return timer.finish('cancelled');
+  return timer.finish(end.failure.ran === 'no' ? 'refused' : 'failed');
+}
+
+/** What is to be done, with its size. */
+export interface WorkContent {
+  readonly task: Task;
+  readonly promptTokens: number;
+}
+
+/** The request as it goes to an agent. */
+export function createWork(
+  {incarnation}: CallersApiOptions,
+  {id, caller, head}: Exchange,
+  {name, requestClass}: NamedClass,
+  {task, promptTokens}: WorkContent,
+): Work {
+  const {tier, firstTokenMs, completionMs, interTokenMs, typicalOutputTokens} = requestClass;
+  return {
+    id,
+    entry: incarnation,
+    account: caller.accountName,
+    class: name,
+    tier,
+    firstTokenBudgetMs: firstTokenMs ?? completionMs ?? UNTARGETED_BUDGET_MS,
+    interTokenTargetMs: interTokenMs,
+    typicalOutputTokens,
+    promptTokens,
+    configuration: head.number,
+    task,
+  };
+}
--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -60,6 +60,19 @@
   return ok({name, requestClass});
 }
 
+/** Answers to one prompt that a request may ask for. */
+const MAX_CHOICES = 128;
+const tokenSchema = z.int().min(0);
+const promptSchema = z.union(
+  [
+    z.string(),
+    z.array(z.string()).min(1),
+    z.array(tokenSchema).min(1),
+    z.array(z.array(tokenSchema).min(1)).min(1),
+  ],
+  {error: 'a text, a list of texts, a list of tokens or a list of lists of tokens'},
+);
+
 const generationSchema = z.looseObject({
   model: z.string().min(1),
   stream: z.boolean().nullish(),
@@ -67,9 +80,10 @@
     .array(z.looseObject({role: z.string()}))
     .min(1)
     .optional(),
-  prompt: z.union([z.string(), z.array(z.unknown()).min(1)]).optional(),
+  prompt: promptSchema.optional(),
   max_tokens: z.int().min(1).nullish(),
   max_completion_tokens: z.int().min(1).nullish(),
+  n: z.int().min(1).max(MAX_CHOICES).nullish(),
   stream_options: z.looseObject({include_usage: z.boolean().optional()}).nullish(),
 });
 
@@ -103,9 +117,17 @@
   if (checked.data[required] === undefined) {
     return err(refusal('bad_request', `${required}: is required`));
   }
+  const isStreamed = checked.data.stream === true;
+  // Engines always stream, and a whole answer carries its usage without being asked.
+  const wanted = isStreamed ? {} : {stream_options: {include_usage: true}};
   return ok({
-    generation: {kind: 'generation', model: checked.data.model, path, body: checked.data},
-    isStreamed: checked.data.stream === true,
+    generation: {
+      kind: 'generation',
+      model: checked.data.model,
+      path,
+      body: {...checked.data, ...wanted},
+    },
+    isStreamed,
     isChat,
     promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
   });
--- a/packages/entry/src/completionAssembly.ts
+++ b/packages/entry/src/completionAssembly.ts
@@ -14,6 +14,8 @@
   id: z.string().optional(),
   created: z.number().optional(),
   model: z.string().optional(),
+  system_fingerprint: z.string().nullish(),
+  service_tier: z.string().nullish(),
   choices: z.array(
     z.looseObject({
       index: z.number(),
@@ -27,6 +29,7 @@
         })
         .optional(),
       finish_reason: z.string().nullish(),
+      logprobs: z.record(z.string(), z.unknown()).nullish(),
     }),
   ),
   usage: z.unknown().optional(),
@@ -44,6 +47,8 @@
   role: string;
   finishReason: string | null;
   readonly toolCalls: Map<number, ToolCall>;
+  /** Lists of a token each, which chunks extend, by name. */
+  readonly logprobs: Map<string, unknown>;
 }
 
 /** Collects the chunks of one answer. */
@@ -54,6 +59,8 @@
   #created = 0;
   #model = '';
   #usage: unknown;
+  /** Fields of the answer as a whole that engines may add. */
+  #extras: Readonly<Record<string, string>> = {};
 
   constructor(isChat: boolean) {
     this.#isChat = isChat;
@@ -70,6 +77,9 @@
     const checked = chunkSchema.safeParse(document);
     if (!checked.success) return false;
     const {id, created, model, choices, usage} = checked.data;
+    const {system_fingerprint: fingerprint, service_tier: serviceTier} = checked.data;
+    if (typeof fingerprint === 'string') this.#addExtra('system_fingerprint', fingerprint);
+    if (typeof serviceTier === 'string') this.#addExtra('service_tier', serviceTier);
     this.#id = id ?? this.#id;
     this.#created = created ?? this.#created;
     this.#model = model ?? this.#model;
@@ -87,10 +97,15 @@
       created: this.#created,
       model: this.#model,
       choices: choices.map(([index, choice]) => this.#buildChoice(index, choice)),
+      ...this.#extras,
       ...(this.#usage === undefined ? {} : {usage: this.#usage}),
     };
   }
 
+  #addExtra(name: string, value: string): void {
+    this.#extras = {...this.#extras, [name]: value};
+  }
+
   #choice(index: number): Choice {
     const known = this.#choices.get(index);
     if (known !== undefined) return known;
@@ -100,6 +115,7 @@
       role: 'assistant',
       finishReason: null,
       toolCalls: new Map(),
+      logprobs: new Map(),
     };
     this.#choices.set(index, choice);
     return choice;
@@ -110,6 +126,7 @@
     choice.refusal += part.delta?.refusal ?? '';
     choice.role = part.delta?.role ?? choice.role;
     choice.finishReason = part.finish_reason ?? choice.finishReason;
+    extendLists(choice.logprobs, part.logprobs ?? {});
     for (const call of part.delta?.tool_calls ?? []) {
       const known = choice.toolCalls.get(call.index) ?? {
         id: '',
@@ -124,7 +141,8 @@
   }
 
   #buildChoice(index: number, choice: Choice): unknown {
-    const finish = {index, finish_reason: choice.finishReason, logprobs: null};
+    const logprobs = choice.logprobs.size === 0 ? null : Object.fromEntries(choice.logprobs);
+    const finish = {index, finish_reason: choice.finishReason, logprobs};
     if (!this.#isChat) return {...finish, text: choice.text};
     const toolCalls = [...choice.toolCalls].sort(([a], [b]) => a - b).map(([, call]) => call);
     const message = {
@@ -136,3 +154,12 @@
     return {...finish, message};
   }
 }
+
+function extendLists(lists: Map<string, unknown>, parts: Readonly<Record<string, unknown>>): void {
+  for (const [name, part] of Object.entries(parts)) {
+    const known = lists.get(name);
+    if (Array.isArray(known) && Array.isArray(part)) {
+      lists.set(name, (known as unknown[]).concat(part));
+    } else if (part !== null || known === undefined) lists.set(name, part);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/generationApi.ts
@@ -0,0 +1,115 @@
+/** Serves generations, streamed and whole. */
+import {type Failure, failureBody, refusal} from '@marigoldfold/protocol';
+import {drained, formatEvent, openEventStream, sendJson} from '@marigoldfold/transport';
+import type {RequestTimer} from './attainment.js';
+import {
+  admitAndServe,
+  type CallersApiOptions,
+  createWork,
+  type Exchange,
+  readCheckedBody,
+  usableSets,
+} from './callerExchange.js';
+import {type GenerationRequest, readGeneration, resolveClass} from './callerRequest.js';
+import {CompletionAssembly} from './completionAssembly.js';
+import type {RoutedAnswer, RoutedEnd, RoutedRequest} from './router.js';
+
+const OK = 200;
+
+/** Serves a generation; resolves to a failure that has not been sent yet. */
+export async function serveGeneration(
+  options: CallersApiOptions,
+  exchange: Exchange,
+  path: string,
+): Promise<Failure | undefined> {
+  const body = await readCheckedBody(options, exchange);
+  if (body.isErr()) return body.error;
+  const parsed = readGeneration(path, body.value);
+  if (parsed.isErr()) return parsed.error;
+  const generation = parsed.value;
+  const {configuration} = exchange.head;
+  const named = resolveClass(configuration, exchange.caller, exchange.request.headers);
+  if (named.isErr()) return named.error;
+  const {model} = generation.generation;
+  const sets = usableSets(configuration, named.value.name);
+  if (!sets.some((set) => set.models.includes(model))) {
+    const message = `model: class ${named.value.name} has no endpoints with model ${model}`;
+    return refusal('unknown_model', message);
+  }
+  return admitAndServe(options, exchange, named.value, (timer, controller) => {
+    const routed: RoutedRequest = {
+      work: createWork(options, exchange, named.value, {
+        task: generation.generation,
+        promptTokens: generation.promptTokens,
+      }),
+      demand: {
+        requestClass: named.value.requestClass,
+        tier: named.value.requestClass.tier,
+        target: {kind: 'model', model},
+      },
+    };
+    const answer = options.router.route(routed, controller.signal);
+    return generation.isStreamed
+      ? sendStream(options, exchange, answer, timer)
+      : sendWhole(exchange, generation, answer, timer, controller);
+  });
+}
+
+async function sendStream(
+  {limits}: CallersApiOptions,
+  {id, response}: Exchange,
+  answer: RoutedAnswer,
+  timer: RequestTimer,
+): Promise<RoutedEnd> {
+  while (true) {
+    const {done, value} = await answer.next();
+    if (done === true) {
+      if (value.kind === 'whole') {
+        if (!response.headersSent) openEventStream(response);
+        response.end(formatEvent({data: '[DONE]'}));
+      } else if (response.headersSent) {
+        response.end(formatEvent({data: JSON.stringify(failureBody(value.failure, id))}));
+      }
+      return value;
+    }
+    if (value.kind !== 'chunk') continue;
+    timer.observeChunk();
+    if (!response.headersSent) openEventStream(response);
+    response.write(formatEvent({data: value.data}));
+    if (response.writableNeedDrain) await drained(response, limits.stalledReaderTimeoutMs);
+  }
+}
+
+async function sendWhole(
+  {response}: Exchange,
+  {isChat}: GenerationRequest,
+  answer: RoutedAnswer,
+  timer: RequestTimer,
+  controller: AbortController,
+): Promise<RoutedEnd> {
+  const assembly = new CompletionAssembly(isChat);
+  let isReadable = true;
+  while (true) {
+    const {done, value} = await answer.next();
+    if (done === true) {
+      if (!isReadable) return unreadable;
+      if (value.kind === 'whole') sendJson(response, OK, assembly.build());
+      return value;
+    }
+    if (value.kind !== 'chunk' || !isReadable) continue;
+    timer.observeChunk();
+    if (assembly.add(value.data)) continue;
+    // The rest is of no use, so the work is cancelled at the agent.
+    isReadable = false;
+    controller.abort();
+  }
+}
+
+const unreadable: RoutedEnd = {
+  kind: 'failed',
+  failure: {
+    code: 'answer_incomplete',
+    message: 'the engine gave a part of the answer that cannot be read',
+    ran: 'yes',
+  },
+};
--- /dev/null
+++ b/packages/transport/src/clientError.ts
@@ -0,0 +1,32 @@
+/** Answers to what cannot be handled as a request: broken HTTP, oversized headers, headers that never end. */
+import {STATUS_CODES} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {type Failure, failureBody, failureStatus, refusal} from '@marigoldfold/protocol';
+
+/** Writes the failure for a parser's error and closes the connection. */
+export function answerClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const failure = describeClientError(error);
+  const status = failureStatus(failure);
+  const body = JSON.stringify(failureBody(failure, ''));
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    'connection: close',
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+function describeClientError(error: NodeJS.ErrnoException): Failure {
+  if (error.code === 'HPE_HEADER_OVERFLOW') {
+    return refusal('headers_too_large', 'the headers are too large');
+  }
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+    return refusal('request_timeout', 'the request did not arrive in time');
+  }
+  return refusal('bad_request', 'the request is not valid HTTP');
+}
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -4,6 +4,8 @@
 import type {Duplex} from 'node:stream';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {type Failure, failureBody, failureStatus, refusal} from '@marigoldfold/protocol';
+import {answerClientError} from './clientError.js';
 
 /** Checks the limits of a server. */
 export const serverLimitsSchema = z.strictObject({
@@ -11,12 +13,14 @@
   maxBodyBytes: z.int().min(1024).default(4_194_304),
   /** Bytes of a request's headers. */
   maxHeaderBytes: z.int().min(1024).max(1_048_576).default(16_384),
-  /** Connections at one time. */
+  /** Connections at one time; further ones get one refusal each. */
   maxConnections: z.int().min(1).default(10_000),
   /** Milliseconds that a connection may stay idle between requests. */
   idleTimeoutMs: z.int().min(100).default(60_000),
   /** Milliseconds within which the whole request must have arrived. */
   requestTimeoutMs: z.int().min(100).default(30_000),
+  /** Milliseconds that a client may take no byte of an answer that is ready for it. */
+  stalledReaderTimeoutMs: z.int().min(100).default(30_000),
 });
 
 /** Limits of a server. */
@@ -52,32 +56,50 @@
 }
 
 const CONNECTION_CHECK_MS = 1000;
+/** Connections above the limit that are still told why they are refused. */
+const SURPLUS_CONNECTIONS = 64;
+const SURPLUS_RETRY_MS = 1000;
 
 /** Starts to listen. */
 export async function listen(options: HttpServerOptions): Promise<Result<HttpServer, ListenError>> {
   const {limits} = options;
   const sockets = new Set<Socket>();
+  const surplus = new WeakSet<Socket>();
+  const answering = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       maxHeaderSize: limits.maxHeaderBytes,
-      requestTimeout: limits.requestTimeoutMs,
+      // Bodies have a timer of their own, whose answer is better than the server's.
+      requestTimeout: limits.requestTimeoutMs * 2 + CONNECTION_CHECK_MS,
       headersTimeout: limits.requestTimeoutMs,
       keepAliveTimeout: limits.idleTimeoutMs,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
       noDelay: true,
     },
     (request, response) => {
+      answering.set(request.socket, response);
+      if (surplus.has(request.socket)) {
+        refuseSurplus(response);
+        return;
+      }
       options.handle(request, response).catch((error: unknown) => {
         options.onDefect(error);
         response.destroy();
       });
     },
   );
-  server.maxConnections = limits.maxConnections;
+  server.maxConnections = limits.maxConnections + SURPLUS_CONNECTIONS;
   server.on('connection', (socket) => {
+    if (sockets.size >= limits.maxConnections) surplus.add(socket);
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
+  server.on('clientError', (error, socket) => {
+    const response = answering.get(socket);
+    // An answer that is under way must not be mixed with another one.
+    if (response?.headersSent === true && !response.writableFinished) socket.destroy();
+    else answerClientError(error, socket);
+  });
   if (options.upgrade !== undefined) server.on('upgrade', options.upgrade);
   const failure = await startListening(server, options);
   if (failure !== undefined) return err(failure);
@@ -100,6 +122,13 @@
   });
 }
 
+function refuseSurplus(response: ServerResponse): void {
+  const message = 'the instance has as many connections as it may have';
+  const failure: Failure = refusal('too_many_connections', message, SURPLUS_RETRY_MS);
+  const headers = {connection: 'close'};
+  sendJson(response, failureStatus(failure), failureBody(failure, ''), headers);
+}
+
 function startListening(
   server: Server,
   options: HttpServerOptions,
@@ -121,46 +150,6 @@
   });
 }
 
-/** Why a body was not read. */
-export type BodyError = 'too_large' | 'timed_out' | 'aborted';
-
-/** Reads a request's body up to a limit. */
-export function readBody(
-  request: IncomingMessage,
-  limits: ServerLimits,
-): Promise<Result<Buffer, BodyError>> {
-  const {maxBodyBytes, requestTimeoutMs} = limits;
-  if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
-    return Promise.resolve(err('too_large'));
-  }
-  return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    const finish = (result: Result<Buffer, BodyError>) => {
-      clearTimeout(timer);
-      request.removeAllListeners('data');
-      resolve(result);
-    };
-    const timer = setTimeout(() => {
-      finish(err('timed_out'));
-    }, requestTimeoutMs);
-    request.on('data', (part: Buffer) => {
-      size += part.length;
-      if (size > maxBodyBytes) finish(err('too_large'));
-      else parts.push(part);
-    });
-    request.on('end', () => {
-      finish(ok(Buffer.concat(parts)));
-    });
-    request.on('close', () => {
-      finish(err('aborted'));
-    });
-    request.on('error', () => {
-      finish(err('aborted'));
-    });
-  });
-}
-
 /** Sends a JSON body. */
 export function sendJson(
   response: ServerResponse,
@@ -178,13 +167,16 @@
   response.end(text);
 }
 
-/** Resolves when the response can take more, or has been closed. */
-export function drained(response: ServerResponse): Promise<void> {
+/** Resolves when the response can take more, or has been closed; a client that takes nothing is cut off. */
+export function drained(response: ServerResponse, stalledTimeoutMs = 0): Promise<void> {
   if (!response.writableNeedDrain || response.destroyed) return Promise.resolve();
+  // The socket's own timer starts anew with each byte that the client takes.
+  response.setTimeout(stalledTimeoutMs);
   return new Promise((resolve) => {
     const finish = () => {
       response.off('drain', finish);
       response.off('close', finish);
+      response.setTimeout(0);
       resolve();
     };
     response.on('drain', finish);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -17,17 +17,16 @@
   splitAddress,
 } from './httpClient.js';
 export {
-  type BodyError,
   type HttpServer,
   type HttpServerOptions,
   type ListenError,
   type ServerLimits,
   drained,
   listen,
-  readBody,
   sendJson,
   serverLimitsSchema,
 } from './httpServer.js';
+export {type BodyError, readBody} from './requestBody.js';
 export {
   type CallError,
   type ControlServer,
--- /dev/null
+++ b/packages/transport/src/requestBody.ts
@@ -0,0 +1,68 @@
+/** Reads the bodies of requests within limits. */
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import type {ServerLimits} from './httpServer.js';
+
+/** Why a body was not read. */
+export type BodyError = 'too_large' | 'timed_out' | 'aborted';
+
+/** Time for a sender to notice an early answer before its connection is closed, in milliseconds. */
+const LINGER_MS = 2000;
+
+/** Reads a request's body up to a limit. */
+export async function readBody(
+  request: IncomingMessage,
+  limits: ServerLimits,
+): Promise<Result<Buffer, BodyError>> {
+  const body = await collect(request, limits);
+  if (body.isErr() && body.error !== 'aborted') linger(request);
+  return body;
+}
+
+function collect(
+  request: IncomingMessage,
+  {maxBodyBytes, requestTimeoutMs}: ServerLimits,
+): Promise<Result<Buffer, BodyError>> {
+  if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
+    return Promise.resolve(err('too_large'));
+  }
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    const finish = (result: Result<Buffer, BodyError>) => {
+      clearTimeout(timer);
+      request.removeAllListeners('data');
+      resolve(result);
+    };
+    const timer = setTimeout(() => {
+      finish(err('timed_out'));
+    }, requestTimeoutMs);
+    request.on('data', (part: Buffer) => {
+      size += part.length;
+      if (size > maxBodyBytes) finish(err('too_large'));
+      else parts.push(part);
+    });
+    request.on('end', () => {
+      finish(ok(Buffer.concat(parts)));
+    });
+    request.on('close', () => {
+      finish(err('aborted'));
+    });
+    request.on('error', () => {
+      finish(err('aborted'));
+    });
+  });
+}
+
+/** Discards the rest of a body for a while: closing at once would reset the connection and lose the answer. */
+function linger(request: IncomingMessage): void {
+  const timer = setTimeout(() => {
+    request.socket.destroy();
+  }, LINGER_MS);
+  const stop = () => {
+    clearTimeout(timer);
+  };
+  request.once('end', stop);
+  request.socket.once('close', stop);
+  request.resume();
+}
