--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,5 +1,8 @@
 import {defineConfig} from 'vitest/config';
 
+/** Where CI wants a report in JSON; the usual output is printed all the same. */
+const reportFile = process.env.TEST_REPORT;
+
 export default defineConfig({
   resolve: {
     alias: [
@@ -10,7 +13,10 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.test.ts'],
+    include: ['packages/*/src/**/__tests__/**/*.test.ts', 'scripts/__tests__/*.test.js'],
+    ...(reportFile === undefined
+      ? {}
+      : {reporters: ['default', ['json', {outputFile: reportFile}]]}),
     testTimeout: 20_000,
     maxWorkers: 5,
   },
