--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -1,5 +1,11 @@
 /** One agent: everything that it owns, wired together. */
-import {ConfigurationFeed, type Secrets} from '@marigoldfold/coordination';
+import {
+  addConnectionMetrics,
+  ConfigurationFeed,
+  createProcessRegistry,
+  type ProcessMetricsOptions,
+  type Secrets,
+} from '@marigoldfold/coordination';
 import {createIncarnation} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger} from '@marigoldfold/runtime';
 import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
@@ -11,7 +17,7 @@
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import {Gauge, Registry} from 'prom-client';
+import {Gauge, type Registry} from 'prom-client';
 import {createCallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
 import {createHttpService} from './plainService.js';
@@ -27,6 +33,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly timing?: WorkerTiming;
+  /** Whether to serve Node's own metrics as well; for a process that runs only this agent. */
+  readonly includesNodeMetrics?: boolean;
 }
 
 /** A running agent. */
@@ -85,13 +93,17 @@
     }),
   );
   const [host, port] = splitAddress(settings.listen);
+  const registry = createRegistry(worker, {
+    feed,
+    includesNode: options.includesNodeMetrics === true,
+  });
   const server = await startAgentServer({
     host,
     port,
     limits: settings.limits,
     clusterKey: createClusterKey(secrets.clusterKey),
     worker,
-    registry: createRegistry(worker, feed),
+    registry,
     isReady: () => feed.head.number > 0,
     logger,
   });
@@ -100,6 +112,7 @@
     return err(server.error);
   }
   disposables.add(server.value);
+  addConnectionMetrics(registry, {entries: server.value.connectionCount});
   feed.start();
   logger.info('ready', {address: server.value.address, endpoint: endpoint.name});
   return ok({
@@ -117,8 +130,8 @@
   });
 }
 
-function createRegistry(worker: Worker, feed: ConfigurationFeed): Registry {
-  const registry = new Registry();
+function createRegistry(worker: Worker, options: ProcessMetricsOptions): Registry {
+  const registry = createProcessRegistry(options);
   const registers = [registry];
   new Gauge({
     name: 'marigoldfold_agent_requests',
@@ -131,13 +144,5 @@
       for (const [tier, count] of queued.entries()) this.set({state: 'queued', tier}, count);
     },
   });
-  new Gauge({
-    name: 'marigoldfold_configuration_number',
-    help: 'Number of the ticket in force.',
-    registers,
-    collect() {
-      this.set(feed.head.number);
-    },
-  });
   return registry;
 }
--- a/packages/agent/src/command.ts
+++ b/packages/agent/src/command.ts
@@ -19,7 +19,13 @@
     if (loaded.isErr()) this.error(loaded.error, {exit: 2});
     const {settings, secrets} = loaded.value;
     const logger = createLogger({process: settings.process.name, level: settings.log.level});
-    const agent = await startAgent({settings, secrets, clock: systemClock, logger});
+    const agent = await startAgent({
+      settings,
+      secrets,
+      clock: systemClock,
+      logger,
+      includesNodeMetrics: true,
+    });
     if (agent.isErr()) this.error(agent.error.message, {exit: 1});
     const {worker} = agent.value;
     await drainOnSignal(
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -12,17 +12,13 @@
 /** Checks the settings of an agent. */
 export const agentSettingsSchema = z.strictObject({
   process: processSchema,
-  /** Where the agent listens for entries. */
-  listen: addressSchema,
+  listen: addressSchema.describe('Where the agent listens for entries.'),
   endpoint: z.strictObject({
-    /** Name of the endpoint in the configuration. */
-    name: z.string().min(1),
-    type: z.enum(['engine', 'service']),
-    address: addressSchema,
-    /** Requests that the endpoint can run at once. */
-    slots: z.int().min(1).max(4096),
-    /** Requests that may wait. */
-    queueCapacity: z.int().min(1).default(1000),
+    name: z.string().min(1).describe('Name of the endpoint in the configuration.'),
+    type: z.enum(['engine', 'service']).describe('A model engine or a plain service.'),
+    address: addressSchema.describe('Address of the endpoint itself.'),
+    slots: z.int().min(1).max(4096).describe('Requests that the endpoint can run at once.'),
+    queueCapacity: z.int().min(1).max(1_000_000).default(1000).describe('Requests that may wait.'),
   }),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -7,4 +7,5 @@
   startLocalSystem,
 } from './localSystem.js';
 export {type OperatorClient, createOperatorClient} from './operatorClient.js';
+export {settingsReference} from './settingsReference.js';
 export {formatTable} from './table.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -26,5 +26,10 @@
   readSecrets,
   secretsSchema,
 } from './processSettings.js';
+export {
+  type ProcessMetricsOptions,
+  addConnectionMetrics,
+  createProcessRegistry,
+} from './processMetrics.js';
 export {RetryBudget} from './retryBudget.js';
 export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
--- a/packages/coordination/src/processCommand.ts
+++ b/packages/coordination/src/processCommand.ts
@@ -2,8 +2,8 @@
 import {readFileSync} from 'node:fs';
 import {formatProblem, type Logger, parseSettings} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
-import {readSecrets, type Secrets, type secretsSchema} from './processSettings.js';
+import {z} from 'zod';
+import {readSecrets, type Secrets, secretsSchema} from './processSettings.js';
 
 /** Settings of a process with the secrets that they name. */
 export interface LoadedSettings<T> {
@@ -24,12 +24,19 @@
     return err(`${file} cannot be read`);
   }
   const settings = parseSettings(schema, text);
-  if (settings.isErr()) return err(describe(file, settings.error.map(formatProblem)));
-  const secrets = readSecrets(settings.value.secrets, environment);
-  if (secrets.isErr()) return err(describe(file, secrets.error));
-  return ok({settings: settings.value, secrets: secrets.value});
+  const secrets = parseSettings(secretsPartSchema, text)
+    .map((part) => part.secrets)
+    .unwrapOr({});
+  const read = readSecrets(secrets, environment);
+  if (settings.isOk() && read.isOk()) return ok({settings: settings.value, secrets: read.value});
+  const settingsProblems = settings.isErr() ? settings.error.map(formatProblem) : [];
+  const secretsProblems = read.isErr() ? read.error : [];
+  return err(describe(file, [...settingsProblems, ...secretsProblems]));
 }
 
+/** The part that names the secrets, whatever else the file has wrong. */
+const secretsPartSchema = z.looseObject({secrets: secretsSchema.default({})});
+
 function describe(file: string, problems: readonly string[]): string {
   return [
     `${file} has ${problems.length} problem(s):`,
--- /dev/null
+++ b/packages/coordination/src/processMetrics.ts
@@ -0,0 +1,53 @@
+/** Metrics that entry and agent share. */
+import {collectDefaultMetrics, Gauge, Registry} from 'prom-client';
+import type {ConfigurationFeed} from './configurationFeed.js';
+
+/** What the metrics are taken from. */
+export interface ProcessMetricsOptions {
+  readonly feed: ConfigurationFeed;
+  /** Whether to add Node's own metrics; only for a process that has one registry. */
+  readonly includesNode: boolean;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Creates a registry with the metrics of the configuration, and of the process when asked. */
+export function createProcessRegistry({feed, includesNode}: ProcessMetricsOptions): Registry {
+  const registry = new Registry();
+  const registers = [registry];
+  if (includesNode) collectDefaultMetrics({register: registry});
+  new Gauge({
+    name: 'marigoldfold_configuration_number',
+    help: 'Number of the ticket in force.',
+    registers,
+    collect() {
+      this.set(feed.head.number);
+    },
+  });
+  new Gauge({
+    name: 'marigoldfold_configuration_confirmation_age_seconds',
+    help: 'Time since the configuration was last confirmed against the service; -1 before the first.',
+    registers,
+    collect() {
+      const ageMs = feed.confirmationAgeMs;
+      this.set(ageMs === undefined ? -1 : ageMs / MS_PER_SECOND);
+    },
+  });
+  return registry;
+}
+
+/** Adds the number of open connections of each server. */
+export function addConnectionMetrics(
+  registry: Registry,
+  countByServer: Readonly<Record<string, () => number>>,
+): void {
+  new Gauge({
+    name: 'marigoldfold_connections',
+    help: 'Open connections by server.',
+    labelNames: ['server'],
+    registers: [registry],
+    collect() {
+      for (const [server, count] of Object.entries(countByServer)) this.set({server}, count());
+    },
+  });
+}
--- a/packages/coordination/src/processSettings.ts
+++ b/packages/coordination/src/processSettings.ts
@@ -1,4 +1,5 @@
 /** Parts of the settings that entry and agent share, and the secrets that both need. */
+import {createPublicKey} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {logLevels} from '@marigoldfold/runtime';
 import {serverLimitsSchema} from '@marigoldfold/transport';
@@ -17,30 +18,45 @@
 
 /** Checks the identity of a process. */
 export const processSchema = z.strictObject({
-  /** Name of the instance, unique while it lives. */
-  name: z.string().min(1),
-  failureDomain: z.string().min(1),
-  region: z.string().min(1),
+  name: z.string().min(1).describe('Name of the instance, unique while it lives.'),
+  failureDomain: z.string().min(1).describe('Failure domain that the instance is in.'),
+  region: z.string().min(1).describe('Region that the failure domain is in.'),
 });
 
 /** Checks where the platform's services are. */
 export const platformSchema = z.strictObject({
-  keyValue: addressSchema,
-  instances: addressSchema,
-  /** Milliseconds until a call of the key-value service is given up. */
-  keyValueTimeoutMs: z.int().min(10).default(2000),
-  /** Milliseconds between reads of the list of instances. */
-  instancesIntervalMs: z.int().min(100).default(2000),
+  keyValue: addressSchema.describe('Address of the key-value service.'),
+  instances: addressSchema.describe('Address of the list of live and leaving instances.'),
+  keyValueTimeoutMs: z
+    .int()
+    .min(10)
+    .max(60_000)
+    .default(2000)
+    .describe('Milliseconds until a call of the key-value service is given up.'),
+  instancesIntervalMs: z
+    .int()
+    .min(100)
+    .max(600_000)
+    .default(2000)
+    .describe('Milliseconds between reads of the list of instances.'),
 });
 
 /** Checks where the secrets are; each has a file or an environment variable. */
 export const secretsSchema = z.strictObject({
-  clusterKeyFile: z.string().optional(),
-  monitorKeyFile: z.string().optional(),
+  clusterKeyFile: z
+    .string()
+    .optional()
+    .describe('File with the cluster key; else MARIGOLDFOLD_CLUSTER_KEY is read.'),
+  monitorKeyFile: z
+    .string()
+    .optional()
+    .describe("File with the monitor's public key; else MARIGOLDFOLD_MONITOR_KEY is read."),
 });
 
 /** Checks the settings of the log. */
-export const logSchema = z.strictObject({level: z.enum(logLevels).default('info')});
+export const logSchema = z.strictObject({
+  level: z.enum(logLevels).default('info').describe('Least severity that is logged.'),
+});
 
 /** Checks the limits on other processes' and operators' requests. */
 export const limitsSchema = serverLimitsSchema;
@@ -71,10 +87,23 @@
     problems.push(`the cluster key has fewer than ${MIN_CLUSTER_KEY_LENGTH} characters`);
   }
   if (monitorKey.isErr()) problems.push(monitorKey.error);
+  else if (!isEd25519(monitorKey.value)) {
+    problems.push("the monitor's key is not an Ed25519 public key (SPKI in base64)");
+  }
   if (problems.length > 0 || clusterKey.isErr() || monitorKey.isErr()) return err(problems);
   return ok({clusterKey: clusterKey.value, monitorKey: monitorKey.value});
 }
 
+function isEd25519(spkiBase64: string): boolean {
+  try {
+    const key = Buffer.from(spkiBase64, 'base64');
+    const {asymmetricKeyType} = createPublicKey({key, format: 'der', type: 'spki'});
+    return asymmetricKeyType === 'ed25519';
+  } catch {
+    return false;
+  }
+}
+
 function readSecret(
   file: string | undefined,
   name: keyof typeof environmentNames,
--- a/packages/entry/src/command.ts
+++ b/packages/entry/src/command.ts
@@ -25,6 +25,7 @@
       clock: systemClock,
       random: systemRandom(),
       logger,
+      includesNodeMetrics: true,
     });
     if (entry.isErr()) this.error(entry.error.message, {exit: 1});
     const {callers} = entry.value;
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,8 +1,10 @@
 /** One entry: everything that it owns, wired together. */
 import {
   AccountLimits,
+  addConnectionMetrics,
   ConfigurationFeed,
   createInstanceSource,
+  createProcessRegistry,
   EndpointChoice,
   InstanceFeed,
   RetryBudget,
@@ -20,7 +22,6 @@
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import {Gauge, Registry} from 'prom-client';
 import {combineLatest} from 'rxjs';
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
@@ -38,6 +39,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Whether to serve Node's own metrics as well; for a process that runs only this entry. */
+  readonly includesNodeMetrics?: boolean;
 }
 
 /** A running entry. */
@@ -63,7 +66,8 @@
   const {feed, instances, links, choice} = parts;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
-  const registry = createRegistry(feed);
+  const includesNode = options.includesNodeMetrics === true;
+  const registry = createProcessRegistry({feed, includesNode});
   const linkTo = (instance: Instance) => links.get(instance);
   const incarnation = createIncarnation(clock.now());
   const onDefect = (error: unknown) => {
@@ -112,6 +116,10 @@
     return err(operators.error);
   }
   disposables.add(operators.value);
+  addConnectionMetrics(registry, {
+    callers: callers.value.connectionCount,
+    operators: operators.value.connectionCount,
+  });
 
   const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
     choice.update(head.configuration, list.instances);
@@ -182,16 +190,3 @@
   const [host, port] = splitAddress(address);
   return {host, port};
 }
-
-function createRegistry(feed: ConfigurationFeed): Registry {
-  const registry = new Registry();
-  new Gauge({
-    name: 'marigoldfold_configuration_number',
-    help: 'Number of the ticket in force.',
-    registers: [registry],
-    collect() {
-      this.set(feed.head.number);
-    },
-  });
-  return registry;
-}
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -12,19 +12,22 @@
 /** Checks the settings of an entry. */
 export const entrySettingsSchema = z.strictObject({
   process: processSchema,
-  /** Where callers connect. */
-  listen: addressSchema,
-  /** Where operators and the metrics collector connect. */
-  operatorsListen: addressSchema,
-  /** People who may propose tickets, each with the SHA-256 digest of a bearer key. */
+  listen: addressSchema.describe('Where callers connect.'),
+  operatorsListen: addressSchema.describe(
+    'Where operators, the monitor and the metrics collector connect.',
+  ),
   operators: z
     .array(
       z.strictObject({
-        name: z.string().min(1),
-        keySha256: z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest in hexadecimal'),
+        name: z.string().min(1).describe('Name that the tickets of this operator carry.'),
+        keySha256: z
+          .string()
+          .regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest in lower-case hexadecimal')
+          .describe("SHA-256 digest of the operator's bearer key."),
       }),
     )
-    .default([]),
+    .default([])
+    .describe('People who may propose tickets.'),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- a/packages/runtime/src/settings.ts
+++ b/packages/runtime/src/settings.ts
@@ -42,7 +42,9 @@
       const path = unknownKey === undefined ? issue.path : [...issue.path, unknownKey];
       problems.push({
         key: path.join('.'),
-        value: describeValue(valueAt(document, path)),
+        value: isSecret(path)
+          ? 'a value that is not shown'
+          : describeValue(valueAt(document, path)),
         message: unknownKey === undefined ? issue.message : 'unknown key',
       });
     }
@@ -65,6 +67,15 @@
   return value;
 }
 
+const MAX_VALUE_LENGTH = 200;
+
 function describeValue(value: unknown): string {
-  return value === undefined ? 'nothing' : JSON.stringify(value);
+  if (value === undefined) return 'nothing';
+  const text = JSON.stringify(value);
+  return text.length > MAX_VALUE_LENGTH ? `${text.slice(0, MAX_VALUE_LENGTH)}…` : text;
+}
+
+/** A key may hold a secret by mistake, such as a bearer key in the place of its digest. */
+function isSecret(path: readonly PropertyKey[]): boolean {
+  return path.some((part) => /(?:key|secret|password|token|sha256|digests?)$/i.test(String(part)));
 }
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -9,18 +9,33 @@
 
 /** Checks the limits of a server. */
 export const serverLimitsSchema = z.strictObject({
-  /** Bytes of a request's body. */
-  maxBodyBytes: z.int().min(1024).default(4_194_304),
-  /** Bytes of a request's headers. */
-  maxHeaderBytes: z.int().min(1024).max(1_048_576).default(16_384),
-  /** Connections at one time; further ones get one refusal each. */
-  maxConnections: z.int().min(1).default(10_000),
-  /** Milliseconds that a connection may stay idle between requests. */
-  idleTimeoutMs: z.int().min(100).default(60_000),
-  /** Milliseconds within which the whole request must have arrived. */
-  requestTimeoutMs: z.int().min(100).default(30_000),
-  /** Milliseconds that a client may take no byte of an answer that is ready for it. */
-  stalledReaderTimeoutMs: z.int().min(100).default(30_000),
+  maxBodyBytes: z.int().min(1024).default(4_194_304).describe("Bytes of a request's body."),
+  maxHeaderBytes: z
+    .int()
+    .min(1024)
+    .max(1_048_576)
+    .default(16_384)
+    .describe("Bytes of a request's headers."),
+  maxConnections: z
+    .int()
+    .min(1)
+    .default(10_000)
+    .describe('Connections at one time; further ones get one refusal each.'),
+  idleTimeoutMs: z
+    .int()
+    .min(100)
+    .default(60_000)
+    .describe('Milliseconds that a connection may stay idle between requests.'),
+  requestTimeoutMs: z
+    .int()
+    .min(100)
+    .default(30_000)
+    .describe('Milliseconds within which the whole request must have arrived.'),
+  stalledReaderTimeoutMs: z
+    .int()
+    .min(100)
+    .default(30_000)
+    .describe('Milliseconds that a client may take no byte of an answer that is ready for it.'),
 });
 
 /** Limits of a server. */
