Make claims survive lost and late writes, and let operators settle unknown calls

Cause: a claim whose write took effect after the read-back left a pending claim that nobody knew of; a lost release or a lost recording ended in unknown for ever; nothing removed old claims; a path such as //postings or /%70ostings went around the rule that asks for a key.

Figures (callRunner.test.ts): a call costs two writes, a repeat one.

--- /dev/null
+++ b/packages/agent/src/__tests__/callRunner.test.ts
@@ -0,0 +1,224 @@
+import {type KeyValue, recordOutcome} from '@marigoldfold/state';
+import {silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {
+  faultyKeyValue,
+  MemoryKeyValue,
+  type StoreCall,
+  type StoreFault,
+} from '@marigoldfold/standin';
+import {err} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {callOf, callWork, countingService} from '../__fixtures__/scriptedWork.js';
+import {CallRunner, claimSendLimitMs} from '../callRunner.js';
+import type {PlainService} from '../plainService.js';
+
+const RETENTION_MS = 24 * 3_600_000;
+
+interface Setup {
+  readonly clock: VirtualClock;
+  readonly memory: MemoryKeyValue;
+  readonly runner: (
+    service: PlainService,
+    chooseFault?: (call: StoreCall) => StoreFault,
+  ) => CallRunner;
+}
+
+function setup(): Setup {
+  const clock = new VirtualClock();
+  const memory = new MemoryKeyValue(clock);
+  return {
+    clock,
+    memory,
+    runner(service, chooseFault) {
+      const store: KeyValue =
+        chooseFault === undefined ? memory : faultyKeyValue({clock, store: memory, chooseFault});
+      return new CallRunner({
+        service,
+        store,
+        clock,
+        logger: silentLogger,
+        claimRetentionMs: RETENTION_MS,
+      });
+    },
+  };
+}
+
+async function run(runner: CallRunner, key = 'key-1', body = 'one') {
+  const work = callWork('a.1', key, body);
+  return runner.run(work, callOf(work), new AbortController().signal);
+}
+
+describe('a call under a claim', () => {
+  it('runs once for one key, also at another agent', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService();
+    const first = await run(runner(service));
+    const second = await run(runner(service));
+    expect(second._unsafeUnwrap()).toEqual(first._unsafeUnwrap());
+    expect(ran).toHaveLength(1);
+  });
+
+  it('is refused when the key was used for another body', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService();
+    await run(runner(service));
+    const other = await run(runner(service), 'key-1', 'two');
+    expect(other._unsafeUnwrapErr()).toMatchObject({code: 'idempotency_key_reused', ran: 'no'});
+    expect(ran).toHaveLength(1);
+  });
+
+  it('costs two writes, a repeat costs one, and a lease is granted once for many calls', async () => {
+    const {runner, memory} = setup();
+    const {service} = countingService();
+    const agent = runner(service);
+    await run(agent, 'key-0');
+    const before = memory.callCount;
+    await run(agent, 'key-1');
+    expect(memory.callCount - before).toBe(2);
+    await run(agent, 'key-1');
+    expect(memory.callCount - before).toBe(3);
+  });
+
+  it('is not sent when the key-value service is down', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService();
+    const refused = await run(runner(service, () => 'refused'));
+    expect(refused._unsafeUnwrapErr()).toMatchObject({code: 'store_unavailable', ran: 'no'});
+    expect(ran).toHaveLength(0);
+  });
+
+  it('runs once although the answer to its claim was lost', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService();
+    const agent = runner(service, ({number}) => (number === 1 ? 'answer-lost' : 'none'));
+    expect((await run(agent)).isOk()).toBe(true);
+    await run(runner(service));
+    expect(ran).toHaveLength(1);
+  });
+
+  it('leaves no claim behind when the write of a lost request takes effect late', async () => {
+    const {runner, clock} = setup();
+    const {service, ran} = countingService();
+    const agent = runner(service, ({number}) => (number === 1 ? {lateByMs: 5000} : 'none'));
+    const first = await run(agent);
+    await clock.advance(10_000);
+    const second = await run(runner(service));
+    expect(second._unsafeUnwrap()).toEqual(first._unsafeUnwrap());
+    expect(ran).toHaveLength(1);
+  });
+
+  it('that was refused may run later although its claim took effect after the refusal', async () => {
+    const {runner, clock} = setup();
+    const {service, ran} = countingService();
+    const agent = runner(service, ({number}) => (number <= 3 ? {lateByMs: 5000} : 'none'));
+    expect((await run(agent))._unsafeUnwrapErr()).toMatchObject({ran: 'no'});
+    await clock.advance(10_000);
+    // Another agent cannot know that the first never sent anything.
+    const elsewhere = await run(runner(service));
+    expect(elsewhere._unsafeUnwrapErr()).toMatchObject({
+      code: 'call_outcome_unknown',
+      ran: 'unknown',
+    });
+    expect((await run(agent)).isOk()).toBe(true);
+    expect(ran).toHaveLength(1);
+  });
+
+  it('that could not be sent may run again although its release was lost', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService((count) =>
+      Promise.resolve(
+        count === 1 ? err({message: 'refused', maySent: false}) : err({message: '', maySent: true}),
+      ),
+    );
+    const agent = runner(service, ({method}) => (method === 'remove' ? 'request-lost' : 'none'));
+    expect((await run(agent))._unsafeUnwrapErr()).toMatchObject({ran: 'no'});
+    await run(agent);
+    expect(ran).toHaveLength(2);
+  });
+
+  it('is unknown to all later attempts when its answer never came', async () => {
+    const {runner} = setup();
+    const {service, ran} = countingService(() =>
+      Promise.resolve(err({message: 'cut off', maySent: true})),
+    );
+    expect((await run(runner(service)))._unsafeUnwrapErr().ran).toBe('unknown');
+    expect((await run(runner(service)))._unsafeUnwrapErr()).toMatchObject({
+      code: 'call_outcome_unknown',
+      ran: 'unknown',
+    });
+    expect(ran).toHaveLength(1);
+  });
+
+  it('is not sent by a holder that was paused too long', async () => {
+    const {runner, clock, memory} = setup();
+    const {service, ran} = countingService();
+    const agent = runner(service, ({number}) =>
+      number === 1 ? {slowByMs: claimSendLimitMs + 1} : 'none',
+    );
+    const running = run(agent);
+    await clock.advance(claimSendLimitMs + 10);
+    expect((await running)._unsafeUnwrapErr()).toMatchObject({ran: 'no'});
+    expect(ran).toHaveLength(0);
+    expect((await memory.list('claims/'))._unsafeUnwrap().entries).toHaveLength(0);
+  });
+});
+
+describe('the outcome of a call', () => {
+  it('is recorded later when the key-value service fails, and repeats get it meanwhile', async () => {
+    const {runner, clock} = setup();
+    const {service, ran} = countingService();
+    let isDown = false;
+    const agent = runner(
+      async (...call) => {
+        isDown = true;
+        return service(...call);
+      },
+      () => (isDown ? 'refused' : 'none'),
+    );
+    const first = (await run(agent))._unsafeUnwrap();
+    expect(agent.unrecordedCount).toBe(1);
+    isDown = false;
+    expect((await run(agent))._unsafeUnwrap()).toEqual(first);
+    await clock.advance(2000);
+    await agent.drain();
+    expect((await run(runner(service)))._unsafeUnwrap()).toEqual(first);
+    expect(ran).toHaveLength(1);
+  });
+
+  it('is on record when the answer to its write was lost', async () => {
+    const {runner} = setup();
+    const {service} = countingService();
+    const agent = runner(service, ({number}) => (number === 3 ? 'answer-lost' : 'none'));
+    const first = (await run(agent))._unsafeUnwrap();
+    expect(agent.unrecordedCount).toBe(0);
+    expect((await run(runner(service)))._unsafeUnwrap()).toEqual(first);
+  });
+
+  it('lapses after the retention, while a claim without an outcome stays', async () => {
+    const {runner, clock, memory} = setup();
+    const {service} = countingService((count) =>
+      Promise.resolve(
+        count === 1 ? err({message: 'cut off', maySent: true}) : err({message: '', maySent: false}),
+      ),
+    );
+    const recording = runner(countingService().service);
+    await run(recording, 'recorded');
+    await run(runner(service), 'pending');
+    await clock.advance(RETENTION_MS - 1000);
+    expect((await memory.list('claims/'))._unsafeUnwrap().entries).toHaveLength(2);
+    await clock.advance(RETENTION_MS);
+    const left = (await memory.list('claims/'))._unsafeUnwrap().entries;
+    expect(left).toHaveLength(1);
+    expect(left[0]?.value).not.toContain('outcome');
+  });
+
+  it('does not overwrite what has happened to the claim meanwhile', async () => {
+    const {memory} = setup();
+    const key = {account: 'band', idempotencyKey: 'k'};
+    const claim = {attempt: 'one', requestDigest: 'd', claimedAtMs: 0};
+    const outcome = {status: 200, headers: {}, body: ''};
+    await memory.write('claims/other', '{}', {ifRevision: 0});
+    await recordOutcome(memory, key, {revision: 1, claim}, outcome);
+    expect((await memory.list('claims/band/'))._unsafeUnwrap().entries).toHaveLength(0);
+  });
+});
--- a/packages/agent/src/callRunner.ts
+++ b/packages/agent/src/callRunner.ts
@@ -1,17 +1,23 @@
 /** Runs calls to a plain service, those that may not be repeated under a claim. */
 import {randomUUID} from 'node:crypto';
-import type {Clock, Logger} from '@marigoldfold/runtime';
-import {type Call, type Failure, refusal, type Work} from '@marigoldfold/protocol';
+import {type Clock, type Logger, sleep} from '@marigoldfold/runtime';
+import {type Call, type Failure, failureWith, refusal, type Work} from '@marigoldfold/protocol';
 import {
   callDigest,
   type CallOutcome,
+  type Claim,
   claimCall,
+  type ClaimError,
   type ClaimKey,
+  type ClaimResult,
+  type HeldClaim,
   type KeyValue,
   recordOutcome,
   releaseClaim,
+  takeOverClaim,
 } from '@marigoldfold/state';
 import {err, ok, type Result} from 'neverthrow';
+import {ClaimLease} from './claimLease.js';
 import type {CallFailure, PlainService} from './plainService.js';
 
 /** What the runner needs. */
@@ -20,70 +26,181 @@
   readonly store: KeyValue;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** How long a recorded outcome is kept at least. */
+  readonly claimRetentionMs: number;
 }
 
+/** A claim older than this is not acted on: its holder was paused, and an operator may settle it. */
+export const claimSendLimitMs = 60_000;
+const RECORD_RETRY_MS = 500;
+const RECORD_TRIES = 240;
+const REMEMBERED_RELEASES = 1000;
+
 /** Runs calls. */
-export interface CallRunner {
-  run(work: Work, call: Call, signal: AbortSignal): Promise<Result<CallOutcome, Failure>>;
-}
+export class CallRunner implements Disposable {
+  readonly #options: CallRunnerOptions;
+  readonly #lease: ClaimLease;
+  /** Attempts of this process that never sent a byte, whose claims may stand all the same. */
+  readonly #neverSent = new Set<string>();
+  /** Outcomes that the key-value service has not taken yet, by attempt. */
+  readonly #unrecorded = new Map<string, CallOutcome>();
+  readonly #stopped = new AbortController();
+  #notifyRecorded: (() => void) | undefined;
 
-/** Creates a runner. */
-export function createCallRunner(options: CallRunnerOptions): CallRunner {
-  return {
-    run: (work, call, signal) =>
-      call.idempotencyKey === undefined
-        ? runOnce(options, work, call, signal)
-        : runClaimed(options, work, call, call.idempotencyKey),
-  };
-}
+  constructor(options: CallRunnerOptions) {
+    this.#options = options;
+    this.#lease = new ClaimLease(options.store, options.clock, options.claimRetentionMs);
+  }
 
-async function runOnce(
-  {service}: CallRunnerOptions,
-  work: Work,
-  call: Call,
-  signal: AbortSignal,
-): Promise<Result<CallOutcome, Failure>> {
-  const outcome = await service(work.id, call, signal);
-  return outcome.mapErr(describeCallFailure);
-}
+  /** Number of outcomes that wait for the key-value service. */
+  get unrecordedCount(): number {
+    return this.#unrecorded.size;
+  }
 
-async function runClaimed(
-  options: CallRunnerOptions,
-  work: Work,
-  call: Call,
-  idempotencyKey: string,
-): Promise<Result<CallOutcome, Failure>> {
-  const {store, clock, service, logger} = options;
-  const key: ClaimKey = {account: work.account, idempotencyKey};
-  const claimed = await claimCall(store, key, {
-    attempt: randomUUID(),
-    requestDigest: callDigest(call.method, call.path, call.body),
-    claimedAtMs: clock.now(),
-  });
-  if (claimed.isErr()) return err(refusal('store_unavailable', claimed.error.message));
-  const claim = claimed.value;
-  if (claim.kind === 'finished') return ok(claim.outcome);
-  if (claim.kind === 'mismatch') {
-    return err(refusal('idempotency_key_reused', 'the key was used for another request'));
+  /** Runs a call; one with an idempotency key runs at most once. */
+  async run(work: Work, call: Call, signal: AbortSignal): Promise<Result<CallOutcome, Failure>> {
+    if (call.idempotencyKey !== undefined) return this.#runClaimed(work, call, call.idempotencyKey);
+    const outcome = await this.#options.service(work.id, call, signal);
+    return outcome.mapErr(describeCallFailure);
   }
-  if (claim.kind === 'pending') {
-    const message = 'an earlier attempt with this key has no recorded outcome';
-    return err({code: 'call_outcome_unknown', message, ran: 'unknown'});
+
+  /** Resolves when every outcome is recorded or given up. */
+  async drain(): Promise<void> {
+    while (this.#unrecorded.size > 0) {
+      await new Promise<void>((resolve) => {
+        this.#notifyRecorded = resolve;
+      });
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.#stopped.abort();
   }
-  // Once the claim is held the call is not aborted: a caller that has gone may ask again by its key.
-  const outcome = await service(work.id, call, new AbortController().signal);
-  if (outcome.isErr()) {
-    if (!outcome.error.maySent) await releaseClaim(store, key, claim.revision);
-    return err(describeCallFailure(outcome.error));
+
+  async #runClaimed(
+    work: Work,
+    call: Call,
+    idempotencyKey: string,
+  ): Promise<Result<CallOutcome, Failure>> {
+    const {clock, service} = this.#options;
+    const key: ClaimKey = {account: work.account, idempotencyKey};
+    const claim: Claim = {
+      attempt: randomUUID(),
+      requestDigest: callDigest(call.method, call.path, call.body),
+      claimedAtMs: clock.now(),
+    };
+    const claimed = await this.#claim(key, claim);
+    if (claimed.isErr()) {
+      // The claim may stand or take effect later, so that nothing was sent is remembered.
+      this.#rememberNeverSent(claim.attempt);
+      return err(refusal('store_unavailable', claimed.error.message));
+    }
+    if (claimed.value.kind !== 'held') return this.#answerUnclaimed(claimed.value);
+    const held = claimed.value;
+    if (clock.now() - claim.claimedAtMs > claimSendLimitMs) {
+      await this.#release(key, held);
+      return err(refusal('store_unavailable', 'the claim took too long to be made'));
+    }
+    // Once the claim is held the call is not aborted: a caller that has gone may ask again by its key.
+    const outcome = await service(work.id, call, new AbortController().signal);
+    if (outcome.isErr()) {
+      if (!outcome.error.maySent) await this.#release(key, held);
+      return err(describeCallFailure(outcome.error));
+    }
+    await this.#record(work.id, key, held, outcome.value);
+    return ok(outcome.value);
+  }
+
+  async #claim(key: ClaimKey, claim: Claim): Promise<Result<ClaimResult, ClaimError>> {
+    const {store} = this.#options;
+    const claimed = await claimCall(store, key, claim);
+    if (claimed.isErr() || claimed.value.kind !== 'pending') return claimed;
+    if (!this.#neverSent.has(claimed.value.claim.attempt)) return claimed;
+    // The claim that stands is of this process, which never sent a byte under it.
+    return takeOverClaim(store, key, claimed.value, claim);
   }
-  const recorded = await recordOutcome(store, key, claim, outcome.value);
-  if (recorded.isErr()) {
-    logger.warn('outcome not recorded', {request: work.id, reason: recorded.error.message});
+
+  #answerUnclaimed(claim: Exclude<ClaimResult, {kind: 'held'}>): Result<CallOutcome, Failure> {
+    switch (claim.kind) {
+      case 'finished':
+        return ok(claim.outcome);
+      case 'mismatch':
+        return err(refusal('idempotency_key_reused', 'the key was used for another request'));
+      case 'settled': {
+        const {operator, reason} = claim.settlement;
+        const message = `an operator has settled that the call was run (${operator}: ${reason})`;
+        return err(failureWith('started', 'call_outcome_unknown', message));
+      }
+      case 'pending': {
+        const outcome = this.#unrecorded.get(claim.claim.attempt);
+        if (outcome !== undefined) return ok(outcome);
+        const message = 'an earlier attempt with this key has no recorded outcome';
+        return err(failureWith('no-answer', 'call_outcome_unknown', message));
+      }
+    }
+  }
+
+  async #release(key: ClaimKey, held: HeldClaim): Promise<void> {
+    const {store, logger} = this.#options;
+    this.#rememberNeverSent(held.claim.attempt);
+    const released = await releaseClaim(store, key, held.revision);
+    if (released.isErr()) logger.warn('claim not released', {reason: released.error.message});
+  }
+
+  #rememberNeverSent(attempt: string): void {
+    this.#neverSent.add(attempt);
+    if (this.#neverSent.size <= REMEMBERED_RELEASES) return;
+    for (const oldest of this.#neverSent) {
+      this.#neverSent.delete(oldest);
+      return;
+    }
+  }
+
+  /** Records an outcome; when the service does not take it now, goes on trying beside the answer. */
+  async #record(
+    request: string,
+    key: ClaimKey,
+    held: HeldClaim,
+    outcome: CallOutcome,
+  ): Promise<void> {
+    const {store, logger} = this.#options;
+    this.#unrecorded.set(held.claim.attempt, outcome);
+    const recorded = await recordOutcome(store, key, held, outcome, await this.#lease.current());
+    if (recorded.isOk()) {
+      this.#finishRecord(held);
+      return;
+    }
+    logger.warn('outcome not recorded yet', {request, reason: recorded.error.message});
+    void this.#recordLater(request, key, held, outcome);
+  }
+
+  async #recordLater(
+    request: string,
+    key: ClaimKey,
+    held: HeldClaim,
+    outcome: CallOutcome,
+  ): Promise<void> {
+    const {store, clock, logger} = this.#options;
+    for (let tries = 0; tries < RECORD_TRIES; tries += 1) {
+      await sleep(clock, RECORD_RETRY_MS, this.#stopped.signal);
+      if (this.#stopped.signal.aborted) return;
+      const recorded = await recordOutcome(store, key, held, outcome, await this.#lease.current());
+      if (recorded.isErr()) continue;
+      this.#finishRecord(held);
+      return;
+    }
+    logger.error('outcome not recorded; an operator has to settle the claim', {request});
+    this.#finishRecord(held);
+  }
+
+  #finishRecord(held: HeldClaim): void {
+    this.#unrecorded.delete(held.claim.attempt);
+    this.#notifyRecorded?.();
   }
-  return ok(outcome.value);
 }
 
 function describeCallFailure({message, maySent}: CallFailure): Failure {
-  if (maySent) return {code: 'endpoint_failed', message, ran: 'unknown'};
-  return {code: 'endpoint_unreachable', message, ran: 'no'};
+  return maySent
+    ? failureWith('no-answer', 'endpoint_failed', message)
+    : failureWith('not-sent', 'endpoint_unreachable', message);
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -24,6 +24,12 @@
     /** Requests that may wait. */
     queueCapacity: z.int().min(1).default(1000),
   }),
+  claims: z
+    .strictObject({
+      /** Hours for which the recorded outcome of a call that may run at most once is kept. */
+      retentionHours: z.number().min(1).max(480).default(72),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- /dev/null
+++ b/packages/cli/src/commands/claim.ts
@@ -0,0 +1,116 @@
+/** `marigoldfold claim list`, `claim show` and `claim settle`. */
+import {Args, Flags} from '@oclif/core';
+import type {ClaimView} from '@marigoldfold/entry';
+import {digestText} from '@marigoldfold/state';
+import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
+import {formatTable} from '../table.js';
+
+const callArgs = {
+  account: Args.string({description: 'client account that made the call', required: true}),
+  key: Args.string({description: "the caller's idempotency key", required: true}),
+};
+
+const keyFlags = {
+  ...operatorFlags,
+  digest: Flags.boolean({description: 'the key is given as its SHA-256 digest'}),
+};
+
+function toDigest(key: string, isDigest: boolean): string {
+  return isDigest ? key : digestText(key);
+}
+
+function formatClaims(claims: readonly ClaimView[]): string {
+  const rows = claims.map(({account, keyDigest, state, claimedAtMs, status, settlements}) => [
+    account,
+    keyDigest,
+    state,
+    new Date(claimedAtMs).toISOString(),
+    status,
+    settlements.map(({operator, reason}) => `${operator}: ${reason}`).join('; '),
+  ]);
+  return formatTable(['ACCOUNT', 'KEY DIGEST', 'STATE', 'CLAIMED', 'STATUS', 'SETTLED BY'], rows);
+}
+
+/** Lists claims. */
+export class ClaimList extends OperatorCommand {
+  static override readonly description =
+    'Lists calls that may run at most once; by default those whose outcome is not known.';
+  static override readonly examples = [
+    'marigoldfold claim list',
+    'marigoldfold claim list --account parish-choir --all',
+  ];
+  static override readonly flags = {
+    ...operatorFlags,
+    account: Flags.string({description: 'only calls of this client account'}),
+    all: Flags.boolean({description: 'recorded and settled calls as well'}),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(ClaimList);
+    using client = this.connect(flags);
+    const claims: ClaimView[] = [];
+    let after: string | undefined;
+    do {
+      const page = this.require(
+        await client.listClaims({
+          onlyPending: !flags.all,
+          ...(flags.account === undefined ? {} : {account: flags.account}),
+          ...(after === undefined ? {} : {after}),
+        }),
+      );
+      claims.push(...page.claims);
+      after = page.next;
+    } while (after !== undefined);
+    this.log(flags.json ? JSON.stringify(claims) : formatClaims(claims));
+  }
+}
+
+/** Shows one claim. */
+export class ClaimShow extends OperatorCommand {
+  static override readonly description = 'Shows what is known of one call.';
+  static override readonly examples = ['marigoldfold claim show parish-choir order-17'];
+  static override readonly args = callArgs;
+  static override readonly flags = keyFlags;
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(ClaimShow);
+    using client = this.connect(flags);
+    const claim = this.require(
+      await client.showClaim(args.account, toDigest(args.key, flags.digest)),
+    );
+    this.log(JSON.stringify(claim, undefined, flags.json ? undefined : 2));
+  }
+}
+
+/** Settles a call whose outcome is not known. */
+export class ClaimSettle extends OperatorCommand {
+  static override readonly description =
+    'Records whether a call was run, after looking at the service itself. A call settled as not run may run again under its key.';
+  static override readonly examples = [
+    'marigoldfold claim settle parish-choir order-17 --ran no --reason "not in the ledger of 4 May"',
+  ];
+  static override readonly args = callArgs;
+  static override readonly flags = {
+    ...keyFlags,
+    ran: Flags.option({
+      description: 'whether the call was run',
+      options: ['yes', 'no'] as const,
+      required: true,
+    })(),
+    reason: Flags.string({description: 'what it was seen from; kept on record', required: true}),
+  };
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(ClaimSettle);
+    using client = this.connect(flags);
+    const claim = this.require(
+      await client.settleClaim({
+        account: args.account,
+        keyDigest: toDigest(args.key, flags.digest),
+        ran: flags.ran,
+        reason: flags.reason,
+      }),
+    );
+    this.log(flags.json ? JSON.stringify(claim) : formatClaims([claim]));
+  }
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of `marigoldfold` by name. */
+import {ClaimList, ClaimSettle, ClaimShow} from './claim.js';
 import {Dev} from './dev.js';
 import {KeyGenerate} from './keyGenerate.js';
 import {SettingsCheck} from './settingsCheck.js';
@@ -9,6 +10,9 @@
 
 /** Commands by id. */
 export const commands = {
+  'claim:list': ClaimList,
+  'claim:settle': ClaimSettle,
+  'claim:show': ClaimShow,
   dev: Dev,
   'key:generate': KeyGenerate,
   'settings:check': SettingsCheck,
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -1,10 +1,16 @@
 /** Calls the operators' API of an entry. */
 import {
+  type ClaimPage,
+  claimPageSchema,
+  type ClaimQuery,
+  type ClaimView,
+  claimViewSchema,
   type OperatorError,
   operatorErrorSchema,
   proposalAnswerSchema,
   type Proposal,
   recordAnswerSchema,
+  type SettlementRequest,
   type Status,
   statusSchema,
 } from '@marigoldfold/entry';
@@ -32,6 +38,9 @@
   decide(decision: Decision): Promise<Result<void, OperatorError>>;
   read(after: number): Promise<Result<RecordAnswer, OperatorError>>;
   status(): Promise<Result<Status, OperatorError>>;
+  listClaims(query: ClaimQuery): Promise<Result<ClaimPage, OperatorError>>;
+  showClaim(account: string, keyDigest: string): Promise<Result<ClaimView, OperatorError>>;
+  settleClaim(request: SettlementRequest): Promise<Result<ClaimView, OperatorError>>;
 }
 
 const TIMEOUT_MS = 10_000;
@@ -58,6 +67,20 @@
     },
     read: (after) => call(client, options, 'GET', `/tickets?after=${after}`, recordAnswerSchema),
     status: () => call(client, options, 'GET', '/status', statusSchema),
+    listClaims: ({account, onlyPending, after}) => {
+      const query = new URLSearchParams({
+        pending: String(onlyPending),
+        ...(account === undefined ? {} : {account}),
+        ...(after === undefined ? {} : {after}),
+      });
+      return call(client, options, 'GET', `/claims?${query.toString()}`, claimPageSchema);
+    },
+    showClaim: (account, key) => {
+      const query = new URLSearchParams({account, key});
+      return call(client, options, 'GET', `/claims?${query.toString()}`, claimViewSchema);
+    },
+    settleClaim: (request) =>
+      call(client, options, 'POST', '/claims/settle', claimViewSchema, request),
     [Symbol.dispose]() {
       client[Symbol.dispose]();
     },
--- /dev/null
+++ b/packages/entry/src/__tests__/claimDesk.test.ts
@@ -0,0 +1,89 @@
+import {VirtualClock} from '@marigoldfold/runtime';
+import {MemoryKeyValue} from '@marigoldfold/standin';
+import {claimCall, digestText, recordOutcome} from '@marigoldfold/state';
+import {describe, expect, it} from 'vitest';
+import {openClaimDesk} from '../claimDesk.js';
+
+const key = {account: 'parish-choir', idempotencyKey: 'order-17'};
+const keyDigest = digestText('order-17');
+const settlement = {account: 'parish-choir', keyDigest, reason: 'looked in the ledger'};
+
+async function pendingClaim() {
+  const clock = new VirtualClock(1000);
+  const store = new MemoryKeyValue(clock);
+  const claim = {attempt: 'one', requestDigest: 'd', claimedAtMs: clock.now()};
+  const held = (await claimCall(store, key, claim))._unsafeUnwrap();
+  if (held.kind !== 'held') throw new Error('the claim is not held');
+  return {clock, store, claim, held, desk: openClaimDesk({store, clock})};
+}
+
+const again = {attempt: 'two', requestDigest: 'd', claimedAtMs: 0};
+
+describe('an operator', () => {
+  it('sees claims without an outcome, by pages', async () => {
+    const {desk, store, held} = await pendingClaim();
+    const page = (await desk.list({onlyPending: true}))._unsafeUnwrap();
+    expect(page.claims).toMatchObject([{account: 'parish-choir', keyDigest, state: 'unknown'}]);
+    expect(page.next).toBeUndefined();
+    await recordOutcome(store, key, held, {status: 201, headers: {}, body: ''});
+    expect((await desk.list({onlyPending: true}))._unsafeUnwrap().claims).toEqual([]);
+    const all = (await desk.list({onlyPending: false, account: 'parish-choir'}))._unsafeUnwrap();
+    expect(all.claims).toMatchObject([{state: 'recorded', status: 201}]);
+  });
+
+  it('reads every claim of many pages once', async () => {
+    const {desk, store} = await pendingClaim();
+    for (let index = 0; index < 1100; index += 1) {
+      const many = {account: 'band', idempotencyKey: String(index)};
+      await claimCall(store, many, {attempt: `a${index}`, requestDigest: 'd', claimedAtMs: 0});
+    }
+    const paths: string[] = [];
+    let after: string | undefined;
+    do {
+      const query = {onlyPending: true, ...(after === undefined ? {} : {after})};
+      const page = (await desk.list(query))._unsafeUnwrap();
+      paths.push(...page.claims.map(({path}) => path));
+      after = page.next;
+    } while (after !== undefined);
+    expect(new Set(paths).size).toBe(1101);
+    expect(paths).toHaveLength(1101);
+  });
+
+  it('settles a call as not run, which may then run, and the settlement stays on record', async () => {
+    const {desk, clock, store} = await pendingClaim();
+    await clock.advance(700_000);
+    const settled = await desk.settle('ines', {...settlement, ran: 'no'});
+    expect(settled._unsafeUnwrap()).toMatchObject({
+      state: 'settled-not-run',
+      settlements: [{operator: 'ines', reason: 'looked in the ledger', settledAtMs: 701_000}],
+    });
+    expect((await claimCall(store, key, again))._unsafeUnwrap().kind).toBe('held');
+    const shown = (await desk.show('parish-choir', keyDigest))._unsafeUnwrap();
+    expect(shown.settlements).toHaveLength(1);
+  });
+
+  it('settles a call as run, which never runs again', async () => {
+    const {desk, clock, store} = await pendingClaim();
+    await clock.advance(700_000);
+    await desk.settle('ines', {...settlement, ran: 'yes'});
+    expect((await claimCall(store, key, again))._unsafeUnwrap()).toMatchObject({
+      kind: 'settled',
+      settlement: {operator: 'ines'},
+    });
+  });
+
+  it('cannot settle a call that may still be on its way, nor one that is on record', async () => {
+    const {desk, clock, store, held} = await pendingClaim();
+    const early = await desk.settle('ines', {...settlement, ran: 'no'});
+    expect(early._unsafeUnwrapErr().message).toContain('settle it in 600 s');
+    await recordOutcome(store, key, held, {status: 201, headers: {}, body: ''});
+    await clock.advance(700_000);
+    const late = await desk.settle('ines', {...settlement, ran: 'no'});
+    expect(late._unsafeUnwrapErr().code).toBe('conflict');
+  });
+
+  it('is told of a claim that does not exist', async () => {
+    const {desk} = await pendingClaim();
+    expect((await desk.show('band', keyDigest))._unsafeUnwrapErr().code).toBe('not_found');
+  });
+});
--- /dev/null
+++ b/packages/entry/src/__tests__/servicePath.test.ts
@@ -0,0 +1,85 @@
+import type {EndpointSet} from '@marigoldfold/state';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {isNonIdempotent} from '../serviceCall.js';
+
+function ledgerSet(path: string): EndpointSet {
+  return {
+    type: 'service',
+    models: [],
+    service: 'ledger',
+    nonIdempotent: [{method: 'POST', path}],
+    slots: 1,
+    checksFencing: false,
+    minimumReady: 0,
+  };
+}
+
+const sets = [ledgerSet('/postings')];
+const needsKey = (path: string) => isNonIdempotent(sets, 'ledger', 'POST', path);
+
+describe('a call that may run at most once is known by its path', () => {
+  it.each([
+    '/postings',
+    '/postings/',
+    '//postings',
+    '/./postings',
+    '/x/../postings',
+    '/x/%2e%2E/postings',
+    '/%70ostings',
+    '/%2570ostings',
+    '/%2Fpostings',
+    '/x\\..\\postings',
+    '/POSTINGS',
+    '/postings;v=1',
+    '/postings?dry=1',
+    '/postings#top',
+    '/../postings',
+    '/%zzpostings',
+    '/postings%00',
+  ])('%s', (path) => {
+    expect(needsKey(path)).toBe(true);
+  });
+
+  it.each(['/', '/balances/a', '/posting', '/postings/1', '/postings/../balances'])(
+    'and %s is another',
+    (path) => {
+      expect(needsKey(path)).toBe(false);
+    },
+  );
+
+  it('in every set of the service, whichever set is chosen', () => {
+    const both = [ledgerSet('/other'), ledgerSet('/postings')];
+    expect(isNonIdempotent(both, 'ledger', 'POST', '/postings')).toBe(true);
+    expect(isNonIdempotent(both, 'balances', 'POST', '/postings')).toBe(false);
+    expect(isNonIdempotent(both, 'ledger', 'GET', '/postings')).toBe(false);
+  });
+
+  it('below a prefix', () => {
+    const prefixed = [ledgerSet('/orders/*')];
+    expect(isNonIdempotent(prefixed, 'ledger', 'POST', '/orders/7')).toBe(true);
+    expect(isNonIdempotent(prefixed, 'ledger', 'POST', '/x/..//orders/7/lines')).toBe(true);
+    expect(isNonIdempotent(prefixed, 'ledger', 'POST', '/ordersheet')).toBe(false);
+  });
+
+  it('with any characters encoded, any number of slashes and any detour', () => {
+    const spelling = fc
+      .tuple(
+        fc.array(fc.constantFrom('/', '/./', '/a/../', '//', '/a/b/../../'), {maxLength: 4}),
+        fc.array(fc.boolean(), {minLength: 8, maxLength: 8}),
+        fc.constantFrom('', '/', '//', '/.'),
+      )
+      .map(([detours, encoded, tail]) => {
+        const name = 'postings'
+          .split('')
+          .map((letter, index) =>
+            encoded[index] === true ? `%${letter.charCodeAt(0).toString(16)}` : letter,
+          );
+        return `/${detours.join('')}${name.join('')}${tail}`;
+      });
+    fc.assert(
+      fc.property(spelling, (path) => needsKey(path)),
+      {seed: 6, numRuns: 500},
+    );
+  });
+});
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -29,6 +29,7 @@
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
 import {gatherStatus} from './status.js';
+import {openClaimDesk} from './claimDesk.js';
 import {openTicketDesk} from './ticketDesk.js';
 
 /** What an entry needs. */
@@ -101,6 +102,7 @@
       operators: settings.operators,
       limits: settings.limits,
       desk: openTicketDesk({record: parts.record, head: () => feed.head, clock}),
+      claims: openClaimDesk({store: parts.store, clock}),
       status: () => gatherStatus({instance: settings.process.name, feed, instances, linkTo}),
       isReady,
       registry,
@@ -175,7 +177,7 @@
   );
   const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
   const choice = new EndpointChoice({clock, random, self: process.name});
-  return {record, feed, instances, links, choice};
+  return {store, record, feed, instances, links, choice};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/entry/src/operatorMessages.ts
+++ b/packages/entry/src/operatorMessages.ts
@@ -1,5 +1,5 @@
 /** Messages of the operators' API. */
-import {decisionSchema, draftSchema, ticketSchema} from '@marigoldfold/state';
+import {decisionSchema, draftSchema, settlementSchema, ticketSchema} from '@marigoldfold/state';
 import {z} from 'zod';
 
 /** Checks a proposal: a draft with an id that a repeated submission keeps. */
@@ -59,3 +59,43 @@
 
 /** Why an operator's request was refused. */
 export type OperatorError = Readonly<z.infer<typeof operatorErrorSchema>['error']>;
+
+const accountNameSchema = z.string().min(1).max(63);
+const keyDigestSchema = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest in hexadecimal');
+
+/** Checks what an operator settles about a call whose outcome is not known. */
+export const settlementRequestSchema = z.strictObject({
+  account: accountNameSchema,
+  /** SHA-256 digest of the caller's idempotency key. */
+  keyDigest: keyDigestSchema,
+  ran: z.enum(['yes', 'no']),
+  reason: z.string().min(1).max(500),
+});
+
+/** What an operator settles about a call whose outcome is not known. */
+export type SettlementRequest = Readonly<z.infer<typeof settlementRequestSchema>>;
+
+/** Checks a claim as operators see it. */
+export const claimViewSchema = z.object({
+  path: z.string(),
+  account: z.string(),
+  keyDigest: z.string(),
+  state: z.enum(['recorded', 'unknown', 'settled-run', 'settled-not-run']),
+  claimedAtMs: z.number(),
+  settlements: z.array(settlementSchema),
+  /** HTTP status of the recorded outcome. */
+  status: z.number().optional(),
+});
+
+/** A claim as operators see it. */
+export type ClaimView = Readonly<z.infer<typeof claimViewSchema>>;
+
+/** Checks a page of claims. */
+export const claimPageSchema = z.object({
+  claims: z.array(claimViewSchema),
+  /** Where the next page begins; absent on the last one. */
+  next: z.string().optional(),
+});
+
+/** A page of claims. */
+export type ClaimPage = Readonly<z.infer<typeof claimPageSchema>>;
--- a/packages/entry/src/operatorsApi.ts
+++ b/packages/entry/src/operatorsApi.ts
@@ -7,7 +7,13 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Registry} from 'prom-client';
 import type {z} from 'zod';
-import {type OperatorError, proposalSchema, type Status} from './operatorMessages.js';
+import type {ClaimDesk} from './claimDesk.js';
+import {
+  type OperatorError,
+  proposalSchema,
+  settlementRequestSchema,
+  type Status,
+} from './operatorMessages.js';
 import type {EntrySettings} from './settings.js';
 import type {TicketDesk} from './ticketDesk.js';
 
@@ -16,6 +22,7 @@
   readonly operators: EntrySettings['operators'];
   readonly limits: ServerLimits;
   readonly desk: TicketDesk;
+  readonly claims: ClaimDesk;
   readonly status: () => Promise<Status>;
   readonly isReady: () => boolean;
   readonly registry: Registry;
@@ -36,6 +43,7 @@
   number_taken: STATUS.conflict,
   already_decided: STATUS.conflict,
   conflict: STATUS.conflict,
+  not_found: STATUS.notFound,
 };
 
 /** Handles requests of operators. */
@@ -81,7 +89,7 @@
 }
 
 async function serveOperator(
-  {desk, status, limits}: OperatorsApiOptions,
+  {desk, claims, status, limits}: OperatorsApiOptions,
   operator: string,
   url: URL,
   request: IncomingMessage,
@@ -101,11 +109,31 @@
       if (decision.isErr()) return err(decision.error);
       return (await desk.decide(decision.value)).map(() => ({number: decision.value.number}));
     }
+    case 'GET /claims':
+      return readClaims(claims, url);
+    case 'POST /claims/settle': {
+      const settlement = await readDocument(settlementRequestSchema, request, limits);
+      if (settlement.isErr()) return err(settlement.error);
+      return claims.settle(operator, settlement.value);
+    }
     default:
       return err(refused('not_found', `${request.method ?? ''} ${url.pathname} does not exist`));
   }
 }
 
+/** One claim when its key's digest is given, else a page of claims. */
+function readClaims(claims: ClaimDesk, url: URL): Promise<Result<unknown, OperatorError>> {
+  const account = url.searchParams.get('account') ?? undefined;
+  const keyDigest = url.searchParams.get('key') ?? undefined;
+  const after = url.searchParams.get('after') ?? undefined;
+  if (keyDigest !== undefined) return claims.show(account ?? '', keyDigest);
+  return claims.list({
+    onlyPending: url.searchParams.get('pending') === 'true',
+    ...(account === undefined ? {} : {account}),
+    ...(after === undefined ? {} : {after}),
+  });
+}
+
 async function readDocument<T>(
   schema: z.ZodType<T>,
   request: IncomingMessage,
--- a/packages/entry/src/serviceCall.ts
+++ b/packages/entry/src/serviceCall.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Call} from '@marigoldfold/protocol';
 import type {EndpointSet} from '@marigoldfold/state';
+import {comparablePath, coversPath} from './servicePath.js';
 
 /** Headers of the caller that are not the service's business. */
 const privateHeaders = new Set([
@@ -15,6 +16,10 @@
   'trailer',
   'transfer-encoding',
   'upgrade',
+  // A service that honours these would run another method than the one that was checked.
+  'x-http-method',
+  'x-http-method-override',
+  'x-method-override',
 ]);
 
 /** The set that serves a service. */
@@ -25,13 +30,21 @@
   return sets.find((set) => set.service === service);
 }
 
-/** Whether the configuration marks a call as one that may run at most once. */
-export function isNonIdempotent(set: EndpointSet, method: string, path: string): boolean {
-  const pathname = path.split('?')[0] ?? '';
-  for (const rule of set.nonIdempotent) {
-    if (rule.method !== method) continue;
-    if (rule.path === pathname) return true;
-    if (rule.path.endsWith('*') && pathname.startsWith(rule.path.slice(0, -1))) return true;
+/** Whether any set of a service marks a call as one that may run at most once. */
+export function isNonIdempotent(
+  sets: Iterable<EndpointSet>,
+  service: string,
+  method: string,
+  path: string,
+): boolean {
+  const comparable = comparablePath(path);
+  for (const set of sets) {
+    if (set.service !== service) continue;
+    for (const rule of set.nonIdempotent) {
+      // A path that cannot be decoded might be read by the service as any path.
+      if (rule.method !== method) continue;
+      if (comparable === undefined || coversPath(rule.path, comparable)) return true;
+    }
   }
   return false;
 }
--- /dev/null
+++ b/packages/standin/src/faultyKeyValue.ts
@@ -0,0 +1,88 @@
+/** Puts faults between a process and the key-value service; what happens to each call is a function's choice. */
+import {type Clock, sleep} from '@marigoldfold/runtime';
+import type {KeyValue, StoreError} from '@marigoldfold/state';
+import {err, type Result} from 'neverthrow';
+
+/** A call as the function that chooses its fault sees it. */
+export interface StoreCall {
+  readonly method: keyof KeyValue;
+  /** Key or prefix; empty for leases, which have none. */
+  readonly key: string;
+  /** Number of the call, from 1. */
+  readonly number: number;
+}
+
+/** What happens to a call. */
+export type StoreFault =
+  | 'none'
+  /** The service says that it is down; nothing takes effect. */
+  | 'refused'
+  /** The call never arrives, and the caller cannot know that. */
+  | 'request-lost'
+  /** The call takes effect, and its answer is lost. */
+  | 'answer-lost'
+  /** The caller sees a timeout, and the call takes effect later. */
+  | {readonly lateByMs: number}
+  /** The call takes this long and then succeeds. */
+  | {readonly slowByMs: number};
+
+/** Options of the faults. */
+export interface FaultyKeyValueOptions {
+  readonly clock: Clock;
+  readonly store: KeyValue;
+  readonly chooseFault: (call: StoreCall) => StoreFault;
+}
+
+const writes: ReadonlySet<keyof KeyValue> = new Set([
+  'write',
+  'remove',
+  'grantLease',
+  'renewLease',
+  'revokeLease',
+]);
+
+/** Wraps a service. */
+export function faultyKeyValue(options: FaultyKeyValueOptions): KeyValue {
+  const {clock, store, chooseFault} = options;
+  let number = 0;
+  const call = async <T>(
+    method: keyof KeyValue,
+    key: string,
+    run: () => Promise<Result<T, StoreError>>,
+  ): Promise<Result<T, StoreError>> => {
+    number += 1;
+    const fault = chooseFault({method, key, number});
+    if (fault === 'none') return run();
+    if (fault === 'refused') return err(unavailable(false));
+    if (fault === 'request-lost') return err(timedOut(method));
+    if (fault === 'answer-lost') {
+      await run();
+      return err(timedOut(method));
+    }
+    if ('slowByMs' in fault) {
+      await sleep(clock, fault.slowByMs);
+      return run();
+    }
+    clock.schedule(fault.lateByMs, () => void run());
+    return err(timedOut(method));
+  };
+  return {
+    get: (key) => call('get', key, () => store.get(key)),
+    list: (prefix, listing) => call('list', prefix, () => store.list(prefix, listing)),
+    write: (key, value, write) => call('write', key, () => store.write(key, value, write)),
+    remove: (key, ifRevision) => call('remove', key, () => store.remove(key, ifRevision)),
+    watch: (prefix, watch) => call('watch', prefix, () => store.watch(prefix, watch)),
+    grantLease: (ttlSeconds) => call('grantLease', '', () => store.grantLease(ttlSeconds)),
+    renewLease: (lease) => call('renewLease', '', () => store.renewLease(lease)),
+    revokeLease: (lease) => call('revokeLease', '', () => store.revokeLease(lease)),
+  };
+}
+
+function timedOut(method: keyof KeyValue): StoreError {
+  const message = 'key-value service: no answer in time';
+  return {code: 'timed_out', message, mayHaveTakenEffect: writes.has(method)};
+}
+
+function unavailable(mayHaveTakenEffect: boolean): StoreError {
+  return {code: 'unavailable', message: 'key-value service: it is down', mayHaveTakenEffect};
+}
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,5 +1,11 @@
 /** Stand-ins of the platform and of the served systems, for tests, benchmarks and local use. */
 export {answerText, serveEngine} from './engineServer.js';
+export {
+  type FaultyKeyValueOptions,
+  type StoreCall,
+  type StoreFault,
+  faultyKeyValue,
+} from './faultyKeyValue.js';
 export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
 export {serveKeyValue} from './keyValueServer.js';
 export {Ledger, type Posting, serveLedger} from './ledgerService.js';
--- a/packages/state/src/claims.ts
+++ b/packages/state/src/claims.ts
@@ -2,7 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {type Digest, digestText} from './digest.js';
-import type {KeyValue, KeyValueEntry} from './keyValue.js';
+import type {KeyValue, KeyValueEntry, StoreError} from './keyValue.js';
 
 const outcomeSchema = z.strictObject({
   status: z.number(),
@@ -11,12 +11,23 @@
   body: z.string(),
 });
 
+/** Checks what an operator has found out about a call without a recorded outcome. */
+export const settlementSchema = z.strictObject({
+  /** Whether the call was run. */
+  ran: z.enum(['yes', 'no']),
+  operator: z.string(),
+  reason: z.string(),
+  settledAtMs: z.number(),
+});
+
 /** Checks a claim in the service. */
 export const claimSchema = z.strictObject({
   attempt: z.string(),
   requestDigest: z.string(),
   claimedAtMs: z.number(),
   outcome: outcomeSchema.optional(),
+  /** What operators have settled, oldest first. */
+  settlements: z.array(settlementSchema).optional(),
 });
 
 /** A claim. */
@@ -25,14 +36,25 @@
 /** The recorded answer of a call that has run. */
 export type CallOutcome = Readonly<z.infer<typeof outcomeSchema>>;
 
+/** What an operator has found out about a call. */
+export type Settlement = Readonly<z.infer<typeof settlementSchema>>;
+
+/** A claim that an attempt holds. */
+export interface HeldClaim {
+  readonly revision: number;
+  readonly claim: Claim;
+}
+
 /** What a claim attempt found. */
 export type ClaimResult =
   /** This attempt holds the claim, and nobody else can hold it. */
-  | {readonly kind: 'held'; readonly revision: number; readonly claim: Claim}
+  | ({readonly kind: 'held'} & HeldClaim)
   /** The call has run before; this is its answer. */
   | {readonly kind: 'finished'; readonly outcome: CallOutcome}
   /** An earlier attempt holds the claim, and whether it ran is not known. */
-  | {readonly kind: 'pending'}
+  | ({readonly kind: 'pending'} & HeldClaim)
+  /** An operator has settled that the call was run; its answer is not known. */
+  | {readonly kind: 'settled'; readonly settlement: Settlement}
   /** The key was used for another request. */
   | {readonly kind: 'mismatch'};
 
@@ -47,11 +69,13 @@
   readonly message: string;
 }
 
-const CLAIM_PREFIX = 'claims/';
+/** Prefix of all claims. */
+export const claimPrefix = 'claims/';
+const WRITE_TRIES = 3;
 
 /** Path of a claim; the caller's key is hashed, since it may hold any text. */
 export function claimPath({account, idempotencyKey}: ClaimKey): string {
-  return `${CLAIM_PREFIX}${account}/${digestText(idempotencyKey)}`;
+  return `${claimPrefix}${account}/${digestText(idempotencyKey)}`;
 }
 
 /** Claims a call for an attempt. */
@@ -60,54 +84,98 @@
   key: ClaimKey,
   claim: Claim,
 ): Promise<Result<ClaimResult, ClaimError>> {
-  const path = claimPath(key);
-  const answer = await store.write(path, JSON.stringify(claim), {ifRevision: 0});
-  if (answer.isOk()) {
-    if (answer.value.kind === 'written') {
-      return ok({kind: 'held', revision: answer.value.revision, claim});
-    }
-    return judgeClaim(answer.value.current, claim);
+  const found = await createClaim(store, key, claim, 0);
+  if (found.isErr() || found.value.kind !== 'pending') return found;
+  const last = found.value.claim.settlements?.at(-1);
+  if (last === undefined) return found;
+  if (last.ran === 'yes') return ok({kind: 'settled', settlement: last});
+  // An operator has found that the call was not run, so it may run now; the finding stays on record.
+  return takeOverClaim(store, key, found.value, claim);
+}
+
+/** Puts an attempt's claim in the place of one that is known not to have run. */
+export function takeOverClaim(
+  store: KeyValue,
+  key: ClaimKey,
+  found: HeldClaim,
+  claim: Claim,
+): Promise<Result<ClaimResult, ClaimError>> {
+  const {settlements} = found.claim;
+  const next = settlements === undefined ? claim : {...claim, settlements};
+  return createClaim(store, key, next, found.revision);
+}
+
+/**
+ * Writes a claim over a revision. A lost answer is met by the same write again, never by a read: when
+ * it succeeds, the lost one can no longer take effect later and leave a claim that nobody knows of.
+ */
+async function createClaim(
+  store: KeyValue,
+  key: ClaimKey,
+  claim: Claim,
+  ifRevision: number,
+): Promise<Result<ClaimResult, ClaimError>> {
+  const answer = await writeSurely(store, claimPath(key), JSON.stringify(claim), {ifRevision});
+  if (answer.isErr()) return err({message: answer.error.message});
+  if (answer.value.kind === 'written') {
+    return ok({kind: 'held', revision: answer.value.revision, claim});
+  }
+  return judgeClaim(answer.value.current, claim);
+}
+
+async function writeSurely(
+  store: KeyValue,
+  path: string,
+  value: string,
+  options: {readonly ifRevision: number; readonly lease?: string},
+) {
+  let answer = await store.write(path, value, options);
+  for (let tries = 1; tries < WRITE_TRIES; tries += 1) {
+    if (answer.isOk() || !answer.error.mayHaveTakenEffect) break;
+    answer = await store.write(path, value, options);
   }
-  if (!answer.error.mayHaveTakenEffect) return err({message: answer.error.message});
-  // The answer was lost: reading back tells whether this attempt holds the claim.
-  const existing = await store.get(path);
-  if (existing.isErr()) return err({message: existing.error.message});
-  if (existing.value === undefined) return err({message: answer.error.message});
-  return judgeClaim(existing.value, claim);
+  return answer;
 }
 
 function judgeClaim(
   entry: KeyValueEntry | undefined,
   claim: Claim,
 ): Result<ClaimResult, ClaimError> {
-  const existing = claimSchema.safeParse(parseClaim(entry));
-  if (!existing.success || entry === undefined) return err({message: 'the claim cannot be read'});
-  const {attempt, requestDigest, outcome} = existing.data;
+  const existing = readClaim(entry);
+  if (existing === undefined || entry === undefined) {
+    return err({message: 'the claim cannot be read'});
+  }
+  const {attempt, requestDigest, outcome} = existing;
   if (attempt === claim.attempt) return ok({kind: 'held', revision: entry.revision, claim});
   if (requestDigest !== claim.requestDigest) return ok({kind: 'mismatch'});
   if (outcome !== undefined) return ok({kind: 'finished', outcome});
-  return ok({kind: 'pending'});
+  return ok({kind: 'pending', revision: entry.revision, claim: existing});
 }
 
-function parseClaim(entry: KeyValueEntry | undefined): unknown {
+/** Reads a claim; undefined when it cannot be read. */
+export function readClaim(entry: KeyValueEntry | undefined): Claim | undefined {
   if (entry === undefined) return undefined;
   try {
-    return JSON.parse(entry.value) as unknown;
+    return claimSchema.safeParse(JSON.parse(entry.value)).data;
   } catch {
     return undefined;
   }
 }
 
-/** Records the answer of a call under its claim. */
+/** Records the answer of a call under its claim; the lease lets the record lapse after the retention. */
 export async function recordOutcome(
   store: KeyValue,
   key: ClaimKey,
-  held: {readonly revision: number; readonly claim: Claim},
+  {revision, claim}: HeldClaim,
   outcome: CallOutcome,
-): Promise<Result<void, ClaimError>> {
-  const value = JSON.stringify({...held.claim, outcome});
-  const answer = await store.write(claimPath(key), value, {ifRevision: held.revision});
-  return answer.map(() => undefined).mapErr(({message}) => ({message}));
+  lease?: string,
+): Promise<Result<void, StoreError>> {
+  const answer = await writeSurely(store, claimPath(key), JSON.stringify({...claim, outcome}), {
+    ifRevision: revision,
+    ...(lease === undefined ? {} : {lease}),
+  });
+  // A conflict means that a write whose answer was lost has taken effect, or that an operator has settled.
+  return answer.map(() => undefined);
 }
 
 /** Releases a claim whose call was never sent. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -15,11 +15,18 @@
   type ClaimError,
   type ClaimKey,
   type ClaimResult,
+  type HeldClaim,
+  type Settlement,
   callDigest,
   claimCall,
   claimPath,
+  claimPrefix,
+  claimSchema,
+  readClaim,
   recordOutcome,
   releaseClaim,
+  settlementSchema,
+  takeOverClaim,
 } from './claims.js';
 export {
   type Change,
