--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -15,7 +15,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
 import {type Caller, type NamedClass} from './callerRequest.js';
-import type {RoutedEnd, Router} from './router.js';
+import type {RoutedEnd} from './attempt.js';
+import type {Router} from './router.js';
 
 /** What the API needs. */
 export interface CallersApiOptions {
