--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -6,6 +6,7 @@
 import {TicketApprove, TicketReject} from './ticketDecide.js';
 import {TicketPropose} from './ticketPropose.js';
 import {TicketList, TicketShow} from './ticketRead.js';
+import {Verify} from './verify.js';
 
 /** Commands by id. */
 export const commands = {
@@ -18,4 +19,5 @@
   'ticket:propose': TicketPropose,
   'ticket:reject': TicketReject,
   'ticket:show': TicketShow,
+  verify: Verify,
 };
--- a/packages/cli/src/commands/ticketDecide.ts
+++ b/packages/cli/src/commands/ticketDecide.ts
@@ -3,7 +3,8 @@
 import {systemClock} from '@marigoldfold/runtime';
 import type {Decision} from '@marigoldfold/state';
 import {Args, Flags} from '@oclif/core';
-import {signOnRecord} from '../decide.js';
+import {replay, signOnRecord} from '../decide.js';
+import type {RecordAnswer} from '../operatorClient.js';
 import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
 
 const decideArgs = {number: Args.integer({description: 'number of the ticket', required: true})};
@@ -39,6 +40,11 @@
     const privateKeyPem = this.readFile(flags['monitor-key']);
     using client = this.connect(flags);
     const record = this.require(await client.read(0));
+    const earlier = this.#findSameVerdict(record, verdict, number, flags, privateKeyPem);
+    if (earlier !== undefined) {
+      this.#report(earlier, flags);
+      return;
+    }
     const decision = signOnRecord(record, {
       number,
       verdict,
@@ -49,8 +55,27 @@
     });
     if (decision.isErr()) this.error(decision.error, {exit: 1});
     this.require(await client.decide(decision.value));
-    if (flags.json) this.log(JSON.stringify(decision.value));
-    else this.log(`ticket ${number} ${verdict}, state digest ${decision.value.stateDigest}`);
+    this.#report(decision.value, flags);
+  }
+
+  #report(decision: Decision, {json}: DecideFlags): void {
+    const {number, verdict, stateDigest} = decision;
+    if (json) this.log(JSON.stringify(decision));
+    else this.log(`ticket ${number} ${verdict}, state digest ${stateDigest}`);
+  }
+
+  /** The decision that an earlier run of the same command wrote, if its answer was lost. */
+  #findSameVerdict(
+    record: RecordAnswer,
+    verdict: Decision['verdict'],
+    number: number,
+    flags: DecideFlags,
+    privateKeyPem: string,
+  ): Decision | undefined {
+    const firstPublicKey = flags['first-public-key'] ?? this.#publicKeyOf(privateKeyPem);
+    const head = replay(record, firstPublicKey);
+    if (head.isErr() || head.value.number < number) return undefined;
+    return record.decisions.find((found) => found.number === number && found.verdict === verdict);
   }
 
   #publicKeyOf(privateKeyPem: string): string {
--- a/packages/cli/src/commands/ticketPropose.ts
+++ b/packages/cli/src/commands/ticketPropose.ts
@@ -1,20 +1,28 @@
 /** `marigoldfold ticket propose`. */
 import {randomUUID} from 'node:crypto';
 import {checkDocument, formatProblem, parseSettings} from '@marigoldfold/runtime';
+import type {Preview} from '@marigoldfold/entry';
 import {draftSchema} from '@marigoldfold/state';
 import {Args, Flags} from '@oclif/core';
 import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
+import {formatTable} from '../table.js';
 
 /** Proposes a ticket. */
 export class TicketPropose extends OperatorCommand {
   static override readonly description = 'Proposes a ticket from a TOML or JSON file.';
-  static override readonly examples = ['marigoldfold ticket propose raise-limit.toml'];
+  static override readonly examples = [
+    'marigoldfold ticket propose raise-limit.toml --dry-run',
+    'marigoldfold ticket propose raise-limit.toml',
+  ];
   static override readonly args = {
     file: Args.string({description: 'ticket file (.toml or .json)', required: true}),
   };
   static override readonly flags = {
     ...operatorFlags,
     id: Flags.string({description: 'id of the submission; repeat it to submit again safely'}),
+    'dry-run': Flags.boolean({
+      description: 'show every field that would change and every check that fails; write nothing',
+    }),
   };
 
   override async run(): Promise<void> {
@@ -22,6 +30,10 @@
     const draft = this.#readDraft(args.file);
     const id = flags.id ?? randomUUID();
     using client = this.connect(flags);
+    if (flags['dry-run']) {
+      this.#showPreview(this.require(await client.preview({id, draft})), flags.json);
+      return;
+    }
     const proposed = await client.propose({id, draft});
     if (proposed.isErr() && proposed.error.mayHaveTakenEffect) {
       this.logToStderr(`Submit again with --id ${id}`);
@@ -32,6 +44,13 @@
       this.log(`ticket ${ticket.number} proposed, based on ${ticket.base}; it awaits the monitor`);
   }
 
+  #showPreview(preview: Preview, isJson: boolean): void {
+    const isRefused = preview.failures.some(({severity}) => severity === 'error');
+    if (isJson) this.log(JSON.stringify(preview));
+    else this.log(formatPreview(preview));
+    if (isRefused) this.exit(1);
+  }
+
   #readDraft(file: string) {
     const text = this.readFile(file);
     const draft = file.endsWith('.json')
@@ -52,3 +71,13 @@
     return undefined;
   }
 }
+
+function formatPreview({number, base, bytes, differences, failures}: Preview): string {
+  const rows = differences.map(({object, field, before, after}) => [object, field, before, after]);
+  const lines = failures.map(({severity, message}) => `${severity}: ${message}`);
+  return [
+    `would be ticket ${number}, based on ${base}, ${bytes} bytes; nothing was written`,
+    formatTable(['OBJECT', 'FIELD', 'BEFORE', 'AFTER'], rows),
+    ...(lines.length === 0 ? ['all checks pass'] : lines),
+  ].join('\n');
+}
--- a/packages/cli/src/decide.ts
+++ b/packages/cli/src/decide.ts
@@ -1,12 +1,11 @@
 /** The monitor's decision: replays the record, checks the whole chain, and signs the result. */
 import {
-  advance,
   configurationAfter,
-  decidedTickets,
   type Decision,
   findConflict,
   genesis,
   type Head,
+  replayRecord,
   signDecision,
   type Ticket,
   ticketDigest,
@@ -27,13 +26,11 @@
 
 /** Replays all decided tickets. */
 export function replay(record: RecordAnswer, firstPublicKey: string): Result<Head, string> {
-  let head = genesis(firstPublicKey);
-  for (const decided of decidedTickets({...record, revision: 0})) {
-    const next = advance(head, decided);
-    if (next.isErr()) return err(`the record is broken: ${next.error.message}`);
-    head = next.value;
-  }
-  return ok(head);
+  const {head, firstBreak} = replayRecord(genesis(firstPublicKey), record);
+  // A decision that is not valid stands for none, and a new one replaces it.
+  const isPastHead = firstBreak?.number === head.number + 1;
+  if (firstBreak === undefined || isPastHead) return ok(head);
+  return err(`the record is broken: ${firstBreak.message}`);
 }
 
 /** Signs a decision on the first undecided ticket. */
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -2,6 +2,8 @@
 import {
   type OperatorError,
   operatorErrorSchema,
+  type Preview,
+  previewSchema,
   proposalAnswerSchema,
   type Proposal,
   recordAnswerSchema,
@@ -24,11 +26,14 @@
 export interface RecordAnswer {
   readonly tickets: readonly Ticket[];
   readonly decisions: readonly Decision[];
+  readonly unreadable?: readonly {readonly key: string; readonly message: string}[];
 }
 
 /** The operators' API. */
 export interface OperatorClient extends Disposable {
   propose(proposal: Proposal): Promise<Result<Ticket, OperatorError>>;
+  /** What a proposal would change, with nothing written. */
+  preview(proposal: Proposal): Promise<Result<Preview, OperatorError>>;
   decide(decision: Decision): Promise<Result<void, OperatorError>>;
   read(after: number): Promise<Result<RecordAnswer, OperatorError>>;
   status(): Promise<Result<Status, OperatorError>>;
@@ -52,6 +57,7 @@
       );
       return answer.map(({ticket}) => ticket);
     },
+    preview: (proposal) => call(client, options, 'POST', '/previews', previewSchema, proposal),
     decide: async (decision) => {
       const answer = await call(client, options, 'POST', '/decisions', z.unknown(), decision);
       return answer.map(() => undefined);
@@ -72,6 +78,7 @@
   schema: z.ZodType<T>,
   body?: unknown,
 ): Promise<Result<T, OperatorError>> {
+  const mayWrite = method === 'POST' && path !== '/previews';
   const answer = await client.fetch({
     address,
     method,
@@ -82,7 +89,7 @@
   });
   if (answer.isErr()) {
     const {message, maySent} = answer.error;
-    const mayHaveTakenEffect = method === 'POST' && maySent;
+    const mayHaveTakenEffect = mayWrite && maySent;
     return err({code: 'unreachable', message, mayHaveTakenEffect, problems: []});
   }
   const document = parseJson(answer.value.body.toString());
@@ -93,7 +100,7 @@
   const refused = operatorErrorSchema.safeParse(document);
   if (refused.success) return err(refused.data.error);
   const message = `${address} gave an answer that cannot be read (status ${answer.value.status})`;
-  return err({code: 'unreadable', message, mayHaveTakenEffect: method === 'POST', problems: []});
+  return err({code: 'unreadable', message, mayHaveTakenEffect: mayWrite, problems: []});
 }
 
 function parseJson(text: string): unknown {
--- /dev/null
+++ b/packages/cli/src/verifyRecord.ts
@@ -0,0 +1,34 @@
+/** Replays a whole record, as the monitor does to trust it. */
+import {genesis, replayRecord} from '@marigoldfold/state';
+import type {RecordAnswer} from './operatorClient.js';
+
+/** What a replay of the record found. */
+export interface Verification {
+  readonly isWhole: boolean;
+  /** Number of the last decided ticket that follows by the rules. */
+  readonly number: number;
+  readonly stateDigest: string;
+  readonly undecided: readonly number[];
+  /** The first break, and values that cannot be read. */
+  readonly problems: readonly string[];
+}
+
+/** Replays a record from its first ticket. */
+export function verifyRecord(record: RecordAnswer, firstPublicKey: string): Verification {
+  const {head, undecided, firstBreak} = replayRecord(genesis(firstPublicKey), record);
+  const problems = (record.unreadable ?? []).map(({message}) => message);
+  if (firstBreak !== undefined)
+    problems.unshift(`ticket ${firstBreak.number}: ${firstBreak.message}`);
+  const next = head.number + undecided.length + 1;
+  const beyond = record.decisions.find(({number}) => number >= next);
+  if (firstBreak === undefined && beyond !== undefined) {
+    problems.unshift(`ticket ${next} is missing, and ${beyond.number} is decided`);
+  }
+  return {
+    isWhole: problems.length === 0,
+    number: head.number,
+    stateDigest: head.configuration.digest,
+    undecided: undecided.map(({number}) => number),
+    problems,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/__tests__/ticketDesk.test.ts
@@ -0,0 +1,427 @@
+import {VirtualClock} from '@marigoldfold/runtime';
+import {FaultyKeyValue, MemoryKeyValue, type WriteFault} from '@marigoldfold/standin';
+import {
+  advance,
+  configurationAfter,
+  type Decision,
+  decisionKey,
+  type Draft,
+  generateMonitorKey,
+  genesis,
+  type Head,
+  openRecord,
+  replayRecord,
+  signDecision,
+  type Ticket,
+  ticketDigest,
+  ticketKey,
+} from '@marigoldfold/state';
+import {describe, expect, it} from 'vitest';
+import {openTicketDesk} from '../ticketDesk.js';
+
+const monitor = generateMonitorKey();
+
+function createSite() {
+  const clock = new VirtualClock();
+  const memory = new MemoryKeyValue(clock);
+  return {clock, memory, record: openRecord(memory)};
+}
+
+type Site = ReturnType<typeof createSite>;
+
+/** An entry with its own view of the service; `catchUp` brings what is decided into force there. */
+function createEntry({clock, memory}: Site) {
+  const faults = new FaultyKeyValue(memory, clock);
+  const record = openRecord(faults);
+  let head: Head = genesis(monitor.publicKey);
+  const desk = openTicketDesk({record, head: () => head, clock});
+  return {
+    faults,
+    desk,
+    head: () => head,
+    async catchUp() {
+      const page = (await record.read(head.number))._unsafeUnwrap();
+      head = replayRecord(head, page).head;
+    },
+  };
+}
+
+const setsDraft: Draft = {
+  reason: 'sets',
+  changes: [
+    {kind: 'endpointSet', name: 'engines', state: {type: 'engine', models: ['m'], slots: 10}},
+    {kind: 'endpoint', name: 'engine-1', state: {set: 'engines'}},
+  ],
+};
+const classDraft: Draft = {
+  reason: 'classes',
+  changes: [
+    {kind: 'class', name: 'urgent', state: {tier: 0, endpointSets: ['engines']}},
+    {
+      kind: 'class',
+      name: 'bulk',
+      state: {tier: 6, guaranteedShare: 0.2, endpointSets: ['engines']},
+    },
+  ],
+};
+
+function accountDraft(name: string, concurrency = 4, base?: number): Draft {
+  const state = {
+    keyDigests: ['0'.repeat(64)],
+    classes: ['urgent'],
+    defaultClass: 'urgent',
+    requestsPerSecond: 1,
+    burst: 1,
+    concurrency,
+  };
+  const changes: Draft['changes'] = [{kind: 'account', name, state}];
+  return {reason: `account ${name}`, changes, ...(base === undefined ? {} : {base})};
+}
+
+function sign(head: Head, ticket: Ticket, verdict: Decision['verdict'] = 'approved', at = 0) {
+  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
+  return signDecision(
+    {
+      number: ticket.number,
+      verdict,
+      ticketDigest: ticketDigest(ticket),
+      stateDigest: after.digest,
+      note: '',
+      decidedAtMs: at,
+    },
+    monitor.privateKeyPem,
+  )._unsafeUnwrap();
+}
+
+type Entry = ReturnType<typeof createEntry>;
+
+async function approve(entry: Entry, id: string, draft: Draft): Promise<Ticket> {
+  const ticket = (await entry.desk.propose('ada', {id, draft}))._unsafeUnwrap();
+  (await entry.desk.decide(sign(entry.head(), ticket)))._unsafeUnwrap();
+  await entry.catchUp();
+  return ticket;
+}
+
+async function createReadyEntry(site = createSite()) {
+  const entry = createEntry(site);
+  await approve(entry, 'sets', setsDraft);
+  await approve(entry, 'classes', classDraft);
+  return {site, entry};
+}
+
+describe('two operators', () => {
+  it('race for a number: one wins and the other is told who', async () => {
+    const {site, entry} = await createReadyEntry();
+    const other = createEntry(site);
+    await other.catchUp();
+    const answers = await Promise.all([
+      entry.desk.propose('ada', {id: 'one', draft: accountDraft('a')}),
+      other.desk.propose('bob', {id: 'two', draft: accountDraft('b')}),
+    ]);
+    const lost = answers.filter((answer) => answer.isErr());
+    expect(lost).toHaveLength(1);
+    const winner = answers[0].isOk() ? 'ada' : 'bob';
+    expect(lost[0]?._unsafeUnwrapErr()).toMatchObject({
+      code: 'number_taken',
+      message: expect.stringContaining(`taken by ${winner}`) as string,
+      mayHaveTakenEffect: false,
+    });
+  });
+
+  it('touch one object: the second is refused with the ticket and author that it meets', async () => {
+    const {site, entry} = await createReadyEntry();
+    const other = createEntry(site);
+    await other.catchUp();
+    await entry.desk.propose('ada', {id: 'one', draft: accountDraft('a')});
+    const second = await other.desk.propose('bob', {id: 'two', draft: accountDraft('a', 9)});
+    expect(second._unsafeUnwrapErr()).toMatchObject({
+      code: 'conflict',
+      message: 'account a is touched by ticket 3 of ada, not yet decided',
+    });
+  });
+
+  it('touch one object from an older base: refused also when the first was approved meanwhile', async () => {
+    const {site, entry} = await createReadyEntry();
+    const other = createEntry(site);
+    await other.catchUp();
+    await approve(entry, 'one', accountDraft('a'));
+    const late = await other.desk.propose('bob', {id: 'two', draft: accountDraft('a', 9, 2)});
+    expect(late._unsafeUnwrapErr().message).toMatch(/account a was changed by ticket 3, after/);
+  });
+
+  it('may stand on one another while nothing is decided, and a rejection keeps the numbering', async () => {
+    const {entry} = await createReadyEntry();
+    const first = (
+      await entry.desk.propose('ada', {id: 'one', draft: accountDraft('a')})
+    )._unsafeUnwrap();
+    const second = (
+      await entry.desk.propose('bob', {id: 'two', draft: accountDraft('b')})
+    )._unsafeUnwrap();
+    expect([first.number, second.number]).toEqual([3, 4]);
+    const early = await entry.desk.decide(sign(entry.head(), second));
+    expect(early._unsafeUnwrapErr().message).toMatch(/ticket 3 has to be decided first/);
+    (await entry.desk.decide(sign(entry.head(), first, 'rejected')))._unsafeUnwrap();
+    await entry.catchUp();
+    (await entry.desk.decide(sign(entry.head(), second)))._unsafeUnwrap();
+    await entry.catchUp();
+    expect(entry.head().number).toBe(4);
+    expect([...entry.head().configuration.all('account').keys()]).toEqual(['b']);
+  });
+});
+
+describe('a lost answer', () => {
+  it.each<[WriteFault, boolean]>([
+    ['lost_answer', true],
+    ['lost_request', false],
+    ['late', false],
+  ])('of a proposal (%s) leaves one ticket after a repetition', async (fault, isSettled) => {
+    const {site, entry} = await createReadyEntry();
+    entry.faults.failWrites(fault);
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const first = await entry.desk.propose('ada', proposal);
+    expect(first.isOk()).toBe(isSettled);
+    if (first.isErr()) expect(first.error.mayHaveTakenEffect).toBe(true);
+    const again = await entry.desk.propose('ada', proposal);
+    await entry.faults.releaseLateWrites();
+    const third = await entry.desk.propose('ada', proposal);
+    expect([again._unsafeUnwrap().number, third._unsafeUnwrap().number]).toEqual([3, 3]);
+    expect((await site.record.read(2))._unsafeUnwrap().tickets).toHaveLength(1);
+  });
+
+  it('of a proposal that takes effect after the read-back and before the repetition', async () => {
+    const {site, entry} = await createReadyEntry();
+    entry.faults.failWrites('late');
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    expect((await entry.desk.propose('ada', proposal)).isErr()).toBe(true);
+    await entry.faults.releaseLateWrites();
+    expect((await entry.desk.propose('ada', proposal))._unsafeUnwrap().number).toBe(3);
+    expect((await site.record.read(2))._unsafeUnwrap().tickets).toHaveLength(1);
+  });
+
+  it('is recognized after the ticket has been approved, through any entry', async () => {
+    const {site, entry} = await createReadyEntry();
+    await approve(entry, 'one', accountDraft('a'));
+    const other = createEntry(site);
+    const again = await other.desk.propose('ada', {id: 'one', draft: accountDraft('a')});
+    expect(again._unsafeUnwrap().number).toBe(3);
+    const reused = await other.desk.propose('ada', {id: 'one', draft: accountDraft('z')});
+    expect(reused._unsafeUnwrapErr().message).toMatch(/id one was used for ticket 3/);
+  });
+
+  it.each<WriteFault>(['lost_answer', 'lost_request', 'late'])(
+    'of a decision (%s) leaves one decision after a repetition',
+    async (fault) => {
+      const {site, entry} = await createReadyEntry();
+      const proposal = {id: 'one', draft: accountDraft('a')};
+      const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+      entry.faults.failWrites(fault);
+      const first = await entry.desk.decide(sign(entry.head(), ticket, 'approved', 1));
+      if (first.isErr()) expect(first.error.mayHaveTakenEffect).toBe(true);
+      (await entry.desk.decide(sign(entry.head(), ticket, 'approved', 2)))._unsafeUnwrap();
+      await entry.faults.releaseLateWrites();
+      await entry.catchUp();
+      (await entry.desk.decide(sign(entry.head(), ticket, 'approved', 3)))._unsafeUnwrap();
+      const {decisions} = (await site.record.read(2))._unsafeUnwrap();
+      expect(decisions.map(({verdict}) => verdict)).toEqual(['approved']);
+    },
+  );
+
+  it('of an approval, taking effect after a rejection was written, changes nothing', async () => {
+    const {entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    entry.faults.failWrites('late');
+    const head = entry.head();
+    expect((await entry.desk.decide(sign(head, ticket))).isErr()).toBe(true);
+    (await entry.desk.decide(sign(head, ticket, 'rejected')))._unsafeUnwrap();
+    await entry.faults.releaseLateWrites();
+    const approved = await entry.desk.decide(sign(head, ticket));
+    expect(approved._unsafeUnwrapErr()).toMatchObject({
+      code: 'already_decided',
+      mayHaveTakenEffect: false,
+    });
+    await entry.catchUp();
+    expect(entry.head().configuration.get('account', 'a')).toBeUndefined();
+  });
+});
+
+describe('a decision that is not valid', () => {
+  it.each([
+    ['a bad signature', (d: Decision) => ({...d, note: 'altered'}), /not the monitor's/],
+    [
+      'the digest of another ticket',
+      (d: Decision) => ({...d, ticketDigest: 'x'}),
+      /another ticket/,
+    ],
+    ['another state digest', (d: Decision) => ({...d, stateDigest: 'x'}), /not the monitor's/],
+  ])('with %s is refused and not written', async (_, alter, message) => {
+    const {site, entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    const answer = await entry.desk.decide(alter(sign(entry.head(), ticket)));
+    expect(answer._unsafeUnwrapErr().code).toBe('invalid_decision');
+    expect(answer._unsafeUnwrapErr().message).toMatch(message);
+    expect((await site.record.read(2))._unsafeUnwrap().decisions).toEqual([]);
+  });
+
+  it.each([
+    ['is not JSON', () => 'garbage'],
+    ['was altered', (d: Decision) => JSON.stringify({...d, note: 'altered'})],
+    ['has another number', (d: Decision) => JSON.stringify({...d, number: 9})],
+  ])('in the record that %s does not block its number', async (_, write) => {
+    const {site, entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    const decision = sign(entry.head(), ticket);
+    await site.memory.write(decisionKey(3), write(decision), {ifRevision: 0});
+    await entry.catchUp();
+    expect(entry.head().number).toBe(2);
+    (await entry.desk.decide(decision))._unsafeUnwrap();
+    await entry.catchUp();
+    expect(entry.head().number).toBe(3);
+  });
+
+  it('is never put in place of a valid one', async () => {
+    const {entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    (await entry.desk.decide(sign(entry.head(), ticket)))._unsafeUnwrap();
+    const rejection = await entry.desk.decide(sign(entry.head(), ticket, 'rejected'));
+    expect(rejection._unsafeUnwrapErr().code).toBe('already_decided');
+  });
+
+  it('two entries replace it at the same time: one of the two verdicts stands', async () => {
+    const {site, entry} = await createReadyEntry();
+    const other = createEntry(site);
+    await other.catchUp();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    await site.memory.write(decisionKey(3), 'garbage', {ifRevision: 0});
+    const answers = await Promise.all([
+      entry.desk.decide(sign(entry.head(), ticket)),
+      other.desk.decide(sign(other.head(), ticket, 'rejected')),
+    ]);
+    expect(answers.filter((answer) => answer.isOk())).toHaveLength(1);
+    await Promise.all([entry.catchUp(), other.catchUp()]);
+    expect(entry.head().digest).toBe(other.head().digest);
+    expect(entry.head().configuration.digest).toBe(other.head().configuration.digest);
+  });
+});
+
+describe('a ticket in the record that cannot follow', () => {
+  it.each([
+    ['is not JSON', () => 'garbage'],
+    ['follows another ticket', (t: Ticket) => JSON.stringify({...t, previousDigest: 'x'})],
+  ])('because it %s does not block its number', async (_, write) => {
+    const {site, entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const preview = createEntry(createSite());
+    await approve(preview, 'sets', setsDraft);
+    await approve(preview, 'classes', classDraft);
+    const model = (await preview.desk.propose('eve', proposal))._unsafeUnwrap();
+    await site.memory.write(ticketKey(3), write(model), {ifRevision: 0});
+    const ticket = await approve(entry, 'two', accountDraft('b'));
+    expect(ticket.number).toBe(3);
+    expect(entry.head().number).toBe(3);
+  });
+});
+
+describe('an outage of the service', () => {
+  it('fails ticket commands at once with an error that says nothing was taken', async () => {
+    const {entry} = await createReadyEntry();
+    const proposal = {id: 'one', draft: accountDraft('a')};
+    const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
+    entry.faults.isDown = true;
+    const failed = await Promise.all([
+      entry.desk.propose('ada', {id: 'two', draft: accountDraft('b')}),
+      entry.desk.decide(sign(entry.head(), ticket)),
+      entry.desk.read(0),
+      entry.desk.preview('ada', proposal),
+    ]);
+    for (const answer of failed) {
+      const error = answer._unsafeUnwrapErr();
+      expect(error).toMatchObject({code: 'store', mayHaveTakenEffect: false});
+    }
+    entry.faults.isDown = false;
+    (await entry.desk.decide(sign(entry.head(), ticket)))._unsafeUnwrap();
+  });
+});
+
+describe('a preview', () => {
+  it('shows each field that changes and writes nothing', async () => {
+    const {site, entry} = await createReadyEntry();
+    await approve(entry, 'one', accountDraft('a', 4));
+    const preview = await entry.desk.preview('ada', {id: 'p', draft: accountDraft('a', 5)});
+    expect(preview._unsafeUnwrap()).toMatchObject({
+      number: 4,
+      differences: [{object: 'account/a', field: 'concurrency', before: '4', after: '5'}],
+      failures: [],
+    });
+    expect((await site.record.read(3))._unsafeUnwrap().tickets).toEqual([]);
+  });
+
+  it('names every check that fails', async () => {
+    const {entry} = await createReadyEntry();
+    const draft: Draft = {
+      reason: 'all wrong',
+      changes: [
+        ...accountDraft('a', 40).changes,
+        {kind: 'class', name: 'empty', state: {tier: 3, endpointSets: ['none']}},
+        {kind: 'endpointSet', name: 'spare', state: {type: 'engine', slots: 1}},
+        {kind: 'class', name: 'idle', state: {tier: 3, endpointSets: ['spare']}},
+      ],
+    };
+    const preview = await entry.desk.preview('ada', {id: 'p', draft});
+    expect(preview._unsafeUnwrap().failures).toEqual([
+      {
+        severity: 'error',
+        message: 'class/empty refers to endpointSet/none, which does not exist',
+      },
+      {severity: 'warning', message: 'no endpoint can serve class/empty'},
+      {severity: 'warning', message: 'no endpoint can serve class/idle'},
+      {
+        severity: 'warning',
+        message:
+          'accounts may have 40 urgent requests in flight, but endpoints serve 8.0 of them beside the guaranteed shares of lower tiers',
+      },
+    ]);
+    const refusal = (await entry.desk.propose('ada', {id: 'p', draft}))._unsafeUnwrapErr();
+    expect(refusal).toMatchObject({code: 'invalid_configuration', mayHaveTakenEffect: false});
+    expect(refusal.problems).toHaveLength(1);
+  });
+
+  it('refuses the removal of what is still referenced', async () => {
+    const {entry} = await createReadyEntry();
+    const draft: Draft = {
+      reason: 'remove',
+      changes: [{kind: 'endpointSet', name: 'engines', state: null}],
+    };
+    const {failures} = (await entry.desk.preview('ada', {id: 'p', draft}))._unsafeUnwrap();
+    const errors = failures.filter(({severity}) => severity === 'error');
+    expect(errors.map(({message}) => message)).toEqual([
+      'class/bulk refers to endpointSet/engines, which does not exist',
+      'class/urgent refers to endpointSet/engines, which does not exist',
+      'endpoint/engine-1 refers to endpointSet/engines, which does not exist',
+    ]);
+  });
+
+  it('shows a conflict and a base that does not exist yet', async () => {
+    const {entry} = await createReadyEntry();
+    await approve(entry, 'one', accountDraft('a'));
+    const stale = await entry.desk.preview('ada', {id: 'p', draft: accountDraft('a', 5, 1)});
+    expect(stale._unsafeUnwrap().failures[0]?.message).toMatch(/changed by ticket 3/);
+    const early = await entry.desk.preview('ada', {id: 'p', draft: accountDraft('a', 5, 8)});
+    expect(early._unsafeUnwrap().failures[0]?.message).toMatch(/base 8 is above/);
+  });
+});
+
+it('steps a second head through the same record to the same digest', async () => {
+  const {site, entry} = await createReadyEntry();
+  const page = (await site.record.read(0))._unsafeUnwrap();
+  let head = genesis(monitor.publicKey);
+  for (const [index, ticket] of page.tickets.entries()) {
+    const decision = page.decisions[index]!;
+    head = advance(head, {ticket, decision})._unsafeUnwrap();
+  }
+  expect(head.configuration.digest).toBe(entry.head().configuration.digest);
+});
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,9 +6,11 @@
 export {
   type InstanceStatus,
   type OperatorError,
+  type Preview,
   type Proposal,
   type Status,
   operatorErrorSchema,
+  previewSchema,
   proposalAnswerSchema,
   recordAnswerSchema,
   statusSchema,
@@ -22,4 +24,4 @@
   type RouterOptions,
 } from './router.js';
 export {type EntrySettings, entrySettingsSchema} from './settings.js';
-export {type TicketDesk, openTicketDesk} from './ticketDesk.js';
+export {type TicketDesk, type TicketDeskOptions, openTicketDesk} from './ticketDesk.js';
--- a/packages/entry/src/operatorMessages.ts
+++ b/packages/entry/src/operatorMessages.ts
@@ -12,11 +12,34 @@
 export const recordAnswerSchema = z.object({
   tickets: z.array(ticketSchema),
   decisions: z.array(decisionSchema),
+  /** Values that cannot be read; they count as absent. */
+  unreadable: z.array(z.object({key: z.string(), message: z.string()})).default([]),
 });
 
 /** Checks the answer to a proposal. */
 export const proposalAnswerSchema = z.object({ticket: ticketSchema});
 
+/** Checks a preview of a ticket. */
+export const previewSchema = z.object({
+  /** Number that the ticket would get. */
+  number: z.number(),
+  base: z.number(),
+  bytes: z.number(),
+  differences: z.array(
+    z.object({
+      object: z.string(),
+      field: z.string(),
+      before: z.string().optional(),
+      after: z.string().optional(),
+    }),
+  ),
+  /** Checks that fail; an error refuses the ticket. */
+  failures: z.array(z.object({severity: z.enum(['error', 'warning']), message: z.string()})),
+});
+
+/** What a ticket would change, and the checks that it fails. */
+export type Preview = Readonly<z.infer<typeof previewSchema>>;
+
 /** Checks one instance's line of a status. */
 export const instanceStatusSchema = z.object({
   name: z.string(),
--- a/packages/entry/src/operatorsApi.ts
+++ b/packages/entry/src/operatorsApi.ts
@@ -36,6 +36,7 @@
   number_taken: STATUS.conflict,
   already_decided: STATUS.conflict,
   conflict: STATUS.conflict,
+  not_found: STATUS.notFound,
 };
 
 /** Handles requests of operators. */
@@ -96,6 +97,11 @@
       if (proposal.isErr()) return err(proposal.error);
       return (await desk.propose(operator, proposal.value)).map((ticket) => ({ticket}));
     }
+    case 'POST /previews': {
+      const proposal = await readDocument(proposalSchema, request, limits);
+      if (proposal.isErr()) return err(proposal.error);
+      return desk.preview(operator, proposal.value);
+    }
     case 'POST /decisions': {
       const decision = await readDocument(decisionSchema, request, limits);
       if (decision.isErr()) return err(decision.error);
--- a/packages/entry/src/ticketDesk.ts
+++ b/packages/entry/src/ticketDesk.ts
@@ -1,21 +1,23 @@
-/** Turns operators' drafts into tickets of the record. */
+/** Turns operators' drafts into tickets of the record, and lets only valid decisions into it. */
+import type {Clock} from '@marigoldfold/runtime';
 import {
+  advance,
   type Decision,
-  decidedTickets,
-  type Draft,
-  findConflict,
   type Head,
-  maxTicketBytes,
+  isLinked,
+  isSameSubmission,
+  isSameVerdict,
   type RecordError,
   type RecordPage,
+  replayRecord,
   type Ticket,
-  ticketBytes,
   ticketDigest,
   type TicketRecord,
 } from '@marigoldfold/state';
-import type {Clock} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
-import type {OperatorError, Proposal} from './operatorMessages.js';
+import type {OperatorError, Preview, Proposal} from './operatorMessages.js';
+import {findRefusal, previewTicket, refused} from './ticketChecks.js';
+import type {TicketPlace} from './ticketPlace.js';
 
 /** What the desk needs. */
 export interface TicketDeskOptions {
@@ -26,81 +28,130 @@
 
 /** Takes proposals and decisions. */
 export interface TicketDesk {
+  /** Writes a ticket; the same submission may be repeated. */
   propose(author: string, proposal: Proposal): Promise<Result<Ticket, OperatorError>>;
+  /** Says what a proposal would change and which checks it fails, and writes nothing. */
+  preview(author: string, proposal: Proposal): Promise<Result<Preview, OperatorError>>;
+  /** Writes a decision after checking it against the whole chain. */
   decide(decision: Decision): Promise<Result<void, OperatorError>>;
   read(after: number): Promise<Result<RecordPage, OperatorError>>;
 }
 
+/** Tickets before the head among which a repeated submission is recognized. */
+const RECENT_TICKETS = 256;
+
 /** Opens the desk. */
 export function openTicketDesk(options: TicketDeskOptions): TicketDesk {
-  const {record} = options;
   return {
     propose: (author, proposal) => propose(options, author, proposal),
-    decide: async (decision) => (await record.decide(decision)).mapErr(toOperatorError),
-    read: async (after) => (await record.read(after)).mapErr(toOperatorError),
+    preview: async (author, proposal) => {
+      const place = await findPlace(options);
+      return place.map((found) =>
+        previewTicket(found, draftTicket(options, found, author, proposal)),
+      );
+    },
+    decide: (decision) => decide(options, decision),
+    read: async (after) => (await options.record.read(after)).mapErr(toOperatorError),
   };
 }
 
-async function propose(
-  {record, head, clock}: TicketDeskOptions,
+async function findPlace({
+  record,
+  head: headOf,
+}: TicketDeskOptions): Promise<Result<TicketPlace, OperatorError>> {
+  const own = headOf();
+  const after = Math.max(0, own.number - RECENT_TICKETS);
+  const page = await record.read(after);
+  if (page.isErr()) return err(toOperatorError(page.error));
+  const {tickets, decisions} = page.value;
+  const later = tickets.filter(({number}) => number > own.number);
+  const {head, undecided} = replayRecord(own, {tickets: later, decisions});
+  return ok({head, undecided, recent: tickets});
+}
+
+function draftTicket(
+  {clock}: TicketDeskOptions,
+  {head, undecided}: TicketPlace,
   author: string,
   {id, draft}: Proposal,
-): Promise<Result<Ticket, OperatorError>> {
-  const current = head();
-  const page = await record.read(current.number);
-  if (page.isErr()) return err(toOperatorError(page.error));
-  const repeated = page.value.tickets.find((ticket) => ticket.id === id);
-  if (repeated !== undefined) return ok(repeated);
-  if (decidedTickets(page.value).length > 0) {
-    return err(refused('stale', 'this entry is catching up with the record; try again'));
-  }
-  const last = page.value.tickets.at(-1);
-  const ticket: Ticket = {
-    number: (last?.number ?? current.number) + 1,
+): Ticket {
+  const last = undecided.at(-1);
+  return {
+    number: (last?.number ?? head.number) + 1,
     id,
-    previousDigest: last === undefined ? current.digest : ticketDigest(last),
-    base: draft.base ?? current.number,
+    previousDigest: last === undefined ? head.digest : ticketDigest(last),
+    base: draft.base ?? head.number,
     author,
     reason: draft.reason,
     proposedAtMs: clock.now(),
     changes: draft.changes,
   };
-  const problem = findProposalProblem(ticket, current, page.value.tickets);
+}
+
+async function propose(
+  options: TicketDeskOptions,
+  author: string,
+  proposal: Proposal,
+): Promise<Result<Ticket, OperatorError>> {
+  const place = await findPlace(options);
+  if (place.isErr()) return err(place.error);
+  const ticket = draftTicket(options, place.value, author, proposal);
+  const earlier = place.value.recent.find(({id}) => id === ticket.id);
+  if (earlier !== undefined) return acceptRepeated(earlier, ticket);
+  const problem = findRefusal(place.value, ticket);
   if (problem !== undefined) return err(problem);
-  const written = await record.propose(ticket);
+  const {number, previousDigest} = ticket;
+  const written = await options.record.propose(ticket, (found) =>
+    isLinked(found, number - 1, previousDigest),
+  );
   return written.map(() => ticket).mapErr(toOperatorError);
 }
 
-function findProposalProblem(
-  ticket: Ticket,
-  head: Head,
-  undecided: readonly Ticket[],
-): OperatorError | undefined {
-  const bytes = ticketBytes(ticket);
-  if (bytes > maxTicketBytes) {
-    return refused('too_large', `the ticket has ${bytes} bytes, over ${maxTicketBytes}`);
-  }
-  const conflict = findConflict(head.configuration, ticket) ?? findOverlap(ticket, undecided);
-  return conflict === undefined ? undefined : refused('conflict', conflict);
+function acceptRepeated(earlier: Ticket, ticket: Ticket): Result<Ticket, OperatorError> {
+  if (isSameSubmission(earlier, ticket)) return ok(earlier);
+  const message = `id ${ticket.id} was used for ticket ${earlier.number}, which has other contents`;
+  return err(refused('conflict', message));
 }
 
-/** Names an object that an undecided ticket touches as well. */
-function findOverlap(ticket: Ticket, undecided: readonly Ticket[]): string | undefined {
-  const touched = new Set(
-    ticket.changes.map(({kind, name}: Draft['changes'][number]) => `${kind} ${name}`),
-  );
-  for (const other of undecided) {
-    for (const {kind, name} of other.changes) {
-      const label = `${kind} ${name}`;
-      if (touched.has(label))
-        return `${label} is touched by ticket ${other.number}, not yet decided`;
-    }
+async function decide(
+  {record, head: headOf}: TicketDeskOptions,
+  decision: Decision,
+): Promise<Result<void, OperatorError>> {
+  const own = headOf();
+  if (decision.number <= own.number) return confirmDecided(record, decision);
+  const page = await record.read(own.number);
+  if (page.isErr()) return err(toOperatorError(page.error));
+  const {head, undecided} = replayRecord(own, page.value);
+  if (decision.number <= head.number) return confirmDecided(record, decision);
+  const ticket = undecided[0];
+  if (ticket === undefined) {
+    return err(refused('not_found', `there is no ticket ${decision.number} to decide`));
+  }
+  if (ticket.number !== decision.number) {
+    return err(refused('conflict', `ticket ${ticket.number} has to be decided first`));
   }
-  return undefined;
+  const step = advance(head, {ticket, decision});
+  if (step.isErr()) {
+    const message = `the decision is not valid and was not written: ${step.error.message}`;
+    return err(refused('invalid_decision', message));
+  }
+  const written = await record.decide(decision, (found) =>
+    advance(head, {ticket, decision: found}).isOk(),
+  );
+  return written.mapErr(toOperatorError);
 }
 
-function refused(code: string, message: string): OperatorError {
-  return {code, message, mayHaveTakenEffect: false, problems: []};
+/** A decision on a ticket that is decided: fine if it says the same. */
+async function confirmDecided(
+  record: TicketRecord,
+  decision: Decision,
+): Promise<Result<void, OperatorError>> {
+  const page = await record.read(decision.number - 1, 1);
+  if (page.isErr()) return err(toOperatorError(page.error));
+  const found = page.value.decisions.find(({number}) => number === decision.number);
+  if (found !== undefined && isSameVerdict(found, decision)) return ok(undefined);
+  const verdict = found?.verdict ?? 'decided';
+  return err(refused('already_decided', `ticket ${decision.number} was ${verdict} already`));
 }
 
 function toOperatorError({code, message, mayHaveTakenEffect}: RecordError): OperatorError {
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,6 +1,7 @@
 /** Stand-ins of the platform and of the served systems, for tests, benchmarks and local use. */
 export {answerText, serveEngine} from './engineServer.js';
 export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
+export {FaultyKeyValue, type WriteFault} from './faultyKeyValue.js';
 export {serveKeyValue} from './keyValueServer.js';
 export {Ledger, type Posting, serveLedger} from './ledgerService.js';
 export {MemoryKeyValue} from './memoryKeyValue.js';
@@ -11,6 +12,7 @@
   type Token,
 } from './simulatedEngine.js';
 export {
+  type KeyValueStandIn,
   type StandIn,
   batchingSpeed,
   startEngine,
--- a/packages/standin/src/keyValueServer.ts
+++ b/packages/standin/src/keyValueServer.ts
@@ -1,9 +1,16 @@
 /** Serves the in-memory key-value service by etcd's v3 JSON gateway. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {decodeText, encodeText, etcdPaths, type KeyValueEntry} from '@marigoldfold/state';
+import {
+  decodeText,
+  encodeText,
+  etcdPaths,
+  type KeyValue,
+  type KeyValueEntry,
+  type StoreError,
+} from '@marigoldfold/state';
 import {readBody, sendJson, serverLimitsSchema} from '@marigoldfold/transport';
+import type {Result} from 'neverthrow';
 import {z} from 'zod';
-import type {MemoryKeyValue} from './memoryKeyValue.js';
 
 const limits = serverLimitsSchema.parse({});
 
@@ -37,7 +44,7 @@
 const OK = 200;
 const WATCH_LIMIT_MS = 600_000;
 
-type Handle = (store: MemoryKeyValue, body: unknown, response: ServerResponse) => Promise<void>;
+type Handle = (store: KeyValue, body: unknown, response: ServerResponse) => Promise<void>;
 
 const handlers: Readonly<Record<string, Handle>> = {
   [etcdPaths.range]: range,
@@ -48,8 +55,16 @@
   [etcdPaths.leaseRevoke]: revokeLease,
 };
 
-/** Handles a request of the gateway. */
-export function serveKeyValue(store: MemoryKeyValue) {
+/** The service behind the gateway does not answer. */
+class Unavailable extends Error {}
+
+function answerOf<T>(answer: Result<T, StoreError>): T {
+  if (answer.isErr()) throw new Unavailable(answer.error.message);
+  return answer.value;
+}
+
+/** Handles a request of the gateway; connections break while the service is down. */
+export function serveKeyValue(store: KeyValue) {
   return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const body = await readBody(request, limits);
     const handle = handlers[request.url ?? ''];
@@ -64,6 +79,10 @@
     try {
       await handle(store, JSON.parse(body.value.toString()), response);
     } catch (error) {
+      if (error instanceof Unavailable) {
+        response.destroy();
+        return;
+      }
       sendJson(response, BAD_REQUEST, {code: 3, message: String(error)});
     }
   };
@@ -73,18 +92,18 @@
   return {key: encodeText(key), value: encodeText(value), mod_revision: String(revision)};
 }
 
-async function range(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+async function range(store: KeyValue, body: unknown, response: ServerResponse) {
   const request = rangeSchema.parse(body);
   const key = decodeText(request.key);
   if (request.range_end === undefined) {
-    const entry = (await store.get(key)).unwrapOr(undefined);
+    const entry = answerOf(await store.get(key));
     const kvs = entry === undefined ? [] : [toPair(entry)];
     sendJson(response, OK, {header: {revision: '0'}, kvs});
     return;
   }
   const prefix = commonPrefix(key, decodeText(request.range_end));
   const listing = await store.list(prefix, {from: key, limit: Number(request.limit)});
-  const {entries, revision} = listing._unsafeUnwrap();
+  const {entries, revision} = answerOf(listing);
   sendJson(response, OK, {header: {revision: String(revision)}, kvs: entries.map(toPair)});
 }
 
@@ -93,7 +112,7 @@
   return key.slice(0, end.length - 1) + String.fromCharCode(end.charCodeAt(end.length - 1) - 1);
 }
 
-async function txn(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+async function txn(store: KeyValue, body: unknown, response: ServerResponse) {
   const {compare, success} = txnSchema.parse(body);
   const key = decodeText(compare[0].key);
   const ifRevision = Number(compare[0].mod_revision);
@@ -105,7 +124,7 @@
           ifRevision,
           ...(put.lease === undefined ? {} : {lease: put.lease}),
         });
-  const outcome = answer._unsafeUnwrap();
+  const outcome = answerOf(answer);
   if (outcome.kind === 'written') {
     sendJson(response, OK, {header: {revision: String(outcome.revision)}, succeeded: true});
     return;
@@ -114,7 +133,7 @@
   sendJson(response, OK, {header: {revision: '0'}, responses: [{response_range: {kvs}}]});
 }
 
-async function watch(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+async function watch(store: KeyValue, body: unknown, response: ServerResponse) {
   const {create_request: create} = watchSchema.parse(body);
   const controller = new AbortController();
   response.once('close', () => {
@@ -130,7 +149,7 @@
       timeoutMs: WATCH_LIMIT_MS,
       signal: controller.signal,
     });
-    const {entries, revision} = listing._unsafeUnwrap();
+    const {entries, revision} = answerOf(listing);
     afterRevision = revision;
     if (entries.length === 0) continue;
     const events = entries.map((entry) => ({kv: toPair(entry)}));
@@ -138,19 +157,19 @@
   }
 }
 
-async function grantLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+async function grantLease(store: KeyValue, body: unknown, response: ServerResponse) {
   const {TTL} = grantSchema.parse(body);
   const id = await store.grantLease(Number(TTL));
-  sendJson(response, OK, {ID: id._unsafeUnwrap(), TTL});
+  sendJson(response, OK, {ID: answerOf(id), TTL});
 }
 
-async function renewLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
+async function renewLease(store: KeyValue, body: unknown, response: ServerResponse) {
   const {ID} = leaseSchema.parse(body);
-  const isAlive = (await store.renewLease(ID))._unsafeUnwrap();
+  const isAlive = answerOf(await store.renewLease(ID));
   sendJson(response, OK, {result: {ID, TTL: isAlive ? '1' : '0'}});
 }
 
-async function revokeLease(store: MemoryKeyValue, body: unknown, response: ServerResponse) {
-  await store.revokeLease(leaseSchema.parse(body).ID);
+async function revokeLease(store: KeyValue, body: unknown, response: ServerResponse) {
+  answerOf(await store.revokeLease(leaseSchema.parse(body).ID));
   sendJson(response, OK, {});
 }
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -8,6 +8,7 @@
 } from '@marigoldfold/transport';
 import type {Result} from 'neverthrow';
 import {serveEngine} from './engineServer.js';
+import {FaultyKeyValue} from './faultyKeyValue.js';
 import {LaggingInstanceList, serveInstanceList} from './instanceListServer.js';
 import {serveKeyValue} from './keyValueServer.js';
 import {Ledger, serveLedger} from './ledgerService.js';
@@ -44,13 +45,20 @@
   }));
 }
 
+/** The key-value service on loopback, with the faults that all its clients meet. */
+export interface KeyValueStandIn extends StandIn<MemoryKeyValue> {
+  readonly faults: FaultyKeyValue;
+}
+
 /** Starts the key-value service. */
-export function startKeyValue(
+export async function startKeyValue(
   clock: Clock,
   port = 0,
-): Promise<Result<StandIn<MemoryKeyValue>, ListenError>> {
+): Promise<Result<KeyValueStandIn, ListenError>> {
   const store = new MemoryKeyValue(clock);
-  return serve(store, serveKeyValue(store), port);
+  const faults = new FaultyKeyValue(store, clock);
+  const server = await serve(store, serveKeyValue(faults), port);
+  return server.map((standIn) => ({...standIn, faults}));
 }
 
 /** Starts the list of instances. */
--- /dev/null
+++ b/packages/state/src/__tests__/chain.test.ts
@@ -0,0 +1,222 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+  advance,
+  type Change,
+  Configuration,
+  configurationAfter,
+  type Decision,
+  digestValue,
+  findConflict,
+  generateMonitorKey,
+  genesis,
+  type Head,
+  type MonitorKey,
+  removalMemory,
+  shardCount,
+  signDecision,
+  type Ticket,
+  ticketDigest,
+} from '../index.js';
+
+const monitor = generateMonitorKey();
+
+function ticketAfter(head: Head, changes: readonly Change[], base = head.number): Ticket {
+  return {
+    number: head.number + 1,
+    id: `id-${head.number + 1}`,
+    previousDigest: head.digest,
+    base,
+    author: 'ada',
+    reason: 'test',
+    proposedAtMs: 0,
+    changes: [...changes],
+  };
+}
+
+function decide(
+  head: Head,
+  ticket: Ticket,
+  verdict: Decision['verdict'] = 'approved',
+  key: MonitorKey = monitor,
+): Decision {
+  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
+  return signDecision(
+    {
+      number: ticket.number,
+      verdict,
+      ticketDigest: ticketDigest(ticket),
+      stateDigest: after.digest,
+      note: '',
+      decidedAtMs: 0,
+    },
+    key.privateKeyPem,
+  )._unsafeUnwrap();
+}
+
+function step(head: Head, changes: readonly Change[], key = monitor): Head {
+  const ticket = ticketAfter(head, changes);
+  return advance(head, {
+    ticket,
+    decision: decide(head, ticket, 'approved', key),
+  })._unsafeUnwrap();
+}
+
+function account(name: string, requestsPerSecond = 1): Change {
+  const state = {
+    keyDigests: ['0'.repeat(64)],
+    classes: ['standard'],
+    defaultClass: 'standard',
+    requestsPerSecond,
+    burst: 1,
+    concurrency: 1,
+  };
+  return {kind: 'account', name, state};
+}
+
+interface NaiveObject {
+  readonly state: unknown;
+  readonly number: number;
+}
+
+/** The configuration as a plain fold: the newest state of each object, digested afresh. */
+function naiveDigest(objects: ReadonlyMap<string, NaiveObject>): string {
+  const keys = [...objects.keys()].sort();
+  return digestValue(keys.map((key) => [key, objects.get(key)]));
+}
+
+const changeArbitrary = fc.record({
+  name: fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'),
+  rate: fc.integer({min: 1, max: 5}),
+  isRemoval: fc.boolean(),
+  lag: fc.integer({min: 0, max: 3}),
+  verdict: fc.constantFrom<Decision['verdict']>('approved', 'approved', 'rejected'),
+});
+
+describe('fold and chain', () => {
+  it('agree with a plain fold, whatever the tickets are', () => {
+    fc.assert(
+      fc.property(fc.array(changeArbitrary, {maxLength: 25}), (steps) => {
+        let head = genesis(monitor.publicKey);
+        const objects = new Map<string, NaiveObject>();
+        const lastChange = new Map<string, number>();
+        const digests = new Map<string, string>();
+        for (const {name, rate, isRemoval, lag, verdict} of steps) {
+          const change = isRemoval ? {...account(name), state: null} : account(name, rate);
+          const base = Math.max(0, head.number - lag);
+          const ticket = ticketAfter(head, [change], base);
+          const isStale = (lastChange.get(name) ?? 0) > base;
+          expect(findConflict(head.configuration, ticket) !== undefined).toBe(isStale);
+          const next = advance(head, {ticket, decision: decide(head, ticket, verdict)});
+          expect(next.isErr()).toBe(isStale && verdict === 'approved');
+          if (next.isErr()) continue;
+          head = next.value;
+          if (verdict === 'rejected') continue;
+          if (isRemoval) {
+            if (objects.delete(name)) lastChange.set(name, ticket.number);
+          } else {
+            objects.set(name, {state: change.state, number: ticket.number});
+            lastChange.set(name, ticket.number);
+          }
+          // Equal digests of the fold must mean equal digests of the plain fold and the reverse,
+          // but for removals, which the fold remembers.
+          const removed = [...lastChange].filter(([key]) => !objects.has(key));
+          const naive = digestValue([naiveDigest(objects), removed.sort()]);
+          const known = digests.get(head.configuration.digest);
+          expect(known === undefined || known === naive).toBe(true);
+          digests.set(head.configuration.digest, naive);
+        }
+        const folded = [...head.configuration.all('account').keys()].sort();
+        expect(folded).toEqual([...objects.keys()].sort());
+        for (const [name, {state, number}] of objects) {
+          expect(head.configuration.find('account', name)).toMatchObject({written: state, number});
+        }
+      }),
+      {seed: 5, numRuns: 200},
+    );
+  });
+
+  it('loads a snapshot to the digest that was signed, and to another one when it was altered', () => {
+    let head = genesis(monitor.publicKey);
+    for (const name of ['a', 'b', 'c', 'd']) head = step(head, [account(name)]);
+    head = step(head, [{...account('b'), state: null}]);
+    const shards = Array.from({length: shardCount}, (_, index) => head.configuration.shard(index));
+    expect(Configuration.load(shards).digest).toBe(head.configuration.digest);
+    const withoutRemovals = shards.map((shard) => ({...shard, removals: []}));
+    expect(Configuration.load(withoutRemovals).digest).not.toBe(head.configuration.digest);
+  });
+});
+
+describe('a ticket', () => {
+  it('conflicts with a removal after its base', () => {
+    let head = step(genesis(monitor.publicKey), [account('a')]);
+    const base = head.number;
+    head = step(head, [{...account('a'), state: null}]);
+    const ticket = ticketAfter(head, [account('a')], base);
+    expect(findConflict(head.configuration, ticket)).toMatch(/changed by ticket 2/);
+  });
+
+  it('is refused when its base is older than removals are remembered', () => {
+    const head = {...genesis(monitor.publicKey), number: removalMemory + 5};
+    expect(findConflict(head.configuration, ticketAfter(head, [account('a')], 1))).toMatch(
+      /authored on ticket 1/,
+    );
+  });
+
+  it.each([
+    ['another number', (d: Decision) => ({...d, number: d.number + 1}), 'wrong_number'],
+    ['a changed verdict', (d: Decision) => ({...d, verdict: 'rejected' as const}), 'bad_signature'],
+    ['a changed state digest', (d: Decision) => ({...d, stateDigest: 'x'}), 'bad_signature'],
+    ['another ticket', (d: Decision) => ({...d, ticketDigest: 'x'}), 'wrong_digest'],
+  ])('does not come into force by a decision with %s', (_, alter, code) => {
+    const head = step(genesis(monitor.publicKey), [account('a')]);
+    const ticket = ticketAfter(head, [account('b')]);
+    const next = advance(head, {ticket, decision: alter(decide(head, ticket))});
+    expect(next._unsafeUnwrapErr().code).toBe(code);
+  });
+
+  it('does not come into force with a wrong state digest that the monitor signed', () => {
+    const head = step(genesis(monitor.publicKey), [account('a')]);
+    const ticket = ticketAfter(head, [account('b')]);
+    const {signature, ...unsigned} = decide(head, ticket);
+    expect(signature).not.toBe('');
+    const forged = signDecision({...unsigned, stateDigest: 'x'}, monitor.privateKeyPem);
+    const next = advance(head, {ticket, decision: forged._unsafeUnwrap()});
+    expect(next._unsafeUnwrapErr().code).toBe('wrong_state');
+  });
+});
+
+describe('rotation of the monitor key', () => {
+  it('is signed with the old key, and from the next ticket on only the new key counts', () => {
+    const next = generateMonitorKey();
+    const change = {kind: 'monitor' as const, name: 'key', state: {publicKey: next.publicKey}};
+    const first = genesis(monitor.publicKey);
+    const rotation = ticketAfter(first, [change]);
+    const bySelf = advance(first, {
+      ticket: rotation,
+      decision: decide(first, rotation, 'approved', next),
+    });
+    expect(bySelf._unsafeUnwrapErr().code).toBe('bad_signature');
+    const rotated = step(first, [change]);
+    const ticket = ticketAfter(rotated, [account('a')]);
+    const byOld = advance(rotated, {ticket, decision: decide(rotated, ticket)});
+    expect(byOld._unsafeUnwrapErr().code).toBe('bad_signature');
+    expect(step(rotated, [account('a')], next).number).toBe(2);
+  });
+
+  it('refuses a key that nobody could sign with', () => {
+    const head = genesis(monitor.publicKey);
+    const change = {kind: 'monitor' as const, name: 'key', state: {publicKey: 'bm90IGEga2V5'}};
+    const ticket = ticketAfter(head, [change]);
+    const unchecked = {
+      number: 1,
+      verdict: 'approved' as const,
+      ticketDigest: ticketDigest(ticket),
+      stateDigest: head.configuration.digest,
+      note: '',
+      decidedAtMs: 0,
+    };
+    const decision = signDecision(unchecked, monitor.privateKeyPem)._unsafeUnwrap();
+    expect(advance(head, {ticket, decision})._unsafeUnwrapErr().code).toBe('invalid');
+  });
+});
--- a/packages/state/src/approval.ts
+++ b/packages/state/src/approval.ts
@@ -1,14 +1,8 @@
 /** The monitor's Ed25519 key and its signatures. */
-import {
-  createPrivateKey,
-  createPublicKey,
-  generateKeyPairSync,
-  type KeyObject,
-  sign,
-  verify,
-} from 'node:crypto';
+import {createPrivateKey, generateKeyPairSync, type KeyObject, sign, verify} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {canonicalJson} from './digest.js';
+import {readPublicKey} from './publicKey.js';
 import type {Decision, UnsignedDecision} from './ticket.js';
 
 /** A key pair as it is kept in files: PKCS#8 PEM and SPKI in base64. */
@@ -45,15 +39,8 @@
 /** Whether a decision was signed with the private part of a public key. */
 export function isSignedBy(decision: Decision, publicKey: string): boolean {
   const {signature, ...unsigned} = decision;
-  try {
-    const key = createPublicKey({
-      key: Buffer.from(publicKey, 'base64'),
-      type: 'spki',
-      format: 'der',
-    });
-    const message = Buffer.from(canonicalJson(unsigned));
-    return verify(null, message, key, Buffer.from(signature, 'base64'));
-  } catch {
-    return false;
-  }
+  const key = readPublicKey(publicKey);
+  if (key === undefined) return false;
+  const message = Buffer.from(canonicalJson(unsigned));
+  return verify(null, message, key, Buffer.from(signature, 'base64'));
 }
--- a/packages/state/src/chain.ts
+++ b/packages/state/src/chain.ts
@@ -1,7 +1,7 @@
 /** The chain of decided tickets: the only way for a configuration to come into force. */
 import {err, ok, type Result} from 'neverthrow';
 import {isSignedBy} from './approval.js';
-import {Configuration} from './configuration.js';
+import {Configuration, removalMemory} from './configuration.js';
 import {type Digest, zeroDigest} from './digest.js';
 import {objectSchemas} from './objects.js';
 import {type DecidedTicket, type Ticket, ticketDigest} from './ticket.js';
@@ -59,10 +59,13 @@
 
 /** Names the object that changed after the state that the ticket was authored on, if any did. */
 export function findConflict(configuration: Configuration, ticket: Ticket): string | undefined {
+  if (ticket.base < ticket.number - removalMemory) {
+    return `ticket ${ticket.number} was authored on ticket ${ticket.base}, more than ${removalMemory} before it`;
+  }
   for (const {kind, name} of ticket.changes) {
-    const current = configuration.find(kind, name);
-    if (current !== undefined && current.number > ticket.base) {
-      return `${kind} ${name} was changed by ticket ${current.number}, after ticket ${ticket.base} that this one was authored on`;
+    const changed = configuration.lastChange(kind, name);
+    if (changed > ticket.base) {
+      return `${kind} ${name} was changed by ticket ${changed}, after ticket ${ticket.base} that this one was authored on`;
     }
   }
   return undefined;
--- a/packages/state/src/configuration.ts
+++ b/packages/state/src/configuration.ts
@@ -5,6 +5,9 @@
 /** Number of shards; a shard is the unit of hashing and of snapshots. */
 export const shardCount = 256;
 
+/** Tickets for which the removal of an object is remembered, so that an older base still conflicts. */
+export const removalMemory = 10_000;
+
 const SHARD_PREFIX_HEX = 2;
 const HEX = 16;
 
@@ -28,12 +31,34 @@
   readonly number: number;
 }
 
+/** A removed object, remembered for the sake of conflicts. */
+export interface Removal {
+  readonly key: string;
+  /** Number of the ticket that removed the object. */
+  readonly number: number;
+}
+
+/** One shard as a snapshot carries it. */
+export interface ShardContent {
+  readonly objects: readonly Change[];
+  /** Ticket numbers of the objects, in their order. */
+  readonly numbers: readonly number[];
+  readonly removals: readonly Removal[];
+}
+
 interface Shard {
   readonly objects: ReadonlyMap<string, StoredObject>;
+  /** Ticket number of each remembered removal, by object key. */
+  readonly removals: ReadonlyMap<string, number>;
   readonly digest: Digest;
 }
 
-const emptyShard: Shard = {objects: new Map(), digest: digestText('')};
+interface OpenShard {
+  readonly objects: Map<string, StoredObject>;
+  readonly removals: Map<string, number>;
+}
+
+const emptyShard: Shard = {objects: new Map(), removals: new Map(), digest: digestText('')};
 
 /** An immutable configuration; applying changes costs in proportion to them. */
 export class Configuration {
@@ -50,19 +75,28 @@
   /** The configuration before the first ticket. */
   static readonly empty = new Configuration(Array<Shard>(shardCount).fill(emptyShard));
 
+  /** The configuration in a snapshot; the caller compares its digest with the one that was signed. */
+  static load(shards: readonly ShardContent[]): Configuration {
+    return new Configuration(shards.map(loadShard));
+  }
+
   /** The configuration after changes made by a ticket; the states must have been checked. */
   apply(changes: readonly Change[], number: number): Configuration {
-    const touched = new Map<number, Map<string, StoredObject>>();
+    const touched = new Map<number, OpenShard>();
     for (const change of changes) {
       const key = objectKey(change.kind, change.name);
       const index = shardOf(key);
-      const objects = touched.get(index) ?? new Map(this.#shards[index]?.objects);
-      touched.set(index, objects);
-      if (change.state === null) objects.delete(key);
-      else objects.set(key, store(change, number));
+      const shard = touched.get(index) ?? this.#open(index, number);
+      touched.set(index, shard);
+      if (change.state === null) {
+        if (shard.objects.delete(key)) shard.removals.set(key, number);
+      } else {
+        shard.objects.set(key, store(change, number));
+        shard.removals.delete(key);
+      }
     }
     const shards = [...this.#shards];
-    for (const [index, objects] of touched) shards[index] = {objects, digest: digestShard(objects)};
+    for (const [index, shard] of touched) shards[index] = {...shard, digest: digestShard(shard)};
     return new Configuration(shards);
   }
 
@@ -91,10 +125,39 @@
     return found;
   }
 
-  /** The objects of one shard. */
-  shard(index: number): readonly StoredObject[] {
-    return [...(this.#shards[index]?.objects.values() ?? [])];
+  /** Number of the ticket that last changed or removed an object; 0 when none is remembered. */
+  lastChange(kind: Kind, name: string): number {
+    const key = objectKey(kind, name);
+    const shard = this.#shards[shardOf(key)];
+    return shard?.objects.get(key)?.number ?? shard?.removals.get(key) ?? 0;
+  }
+
+  /** One shard as a snapshot carries it. */
+  shard(index: number): ShardContent {
+    const {objects, removals} = this.#shards[index] ?? emptyShard;
+    const stored = [...objects.values()];
+    return {
+      objects: stored.map(({kind, name, written}) => ({kind, name, state: written})),
+      numbers: stored.map(({number}) => number),
+      removals: [...removals].map(([key, number]) => ({key, number})),
+    };
+  }
+
+  #open(index: number, number: number): OpenShard {
+    const {objects, removals} = this.#shards[index] ?? emptyShard;
+    const remembered = [...removals].filter(([, removed]) => removed >= number - removalMemory);
+    return {objects: new Map(objects), removals: new Map(remembered)};
+  }
+}
+
+function loadShard({objects, numbers, removals}: ShardContent): Shard {
+  const loaded: OpenShard = {objects: new Map(), removals: new Map()};
+  for (const [index, change] of objects.entries()) {
+    const object = store(change, numbers[index] ?? 0);
+    loaded.objects.set(objectKey(change.kind, change.name), object);
   }
+  for (const {key, number} of removals) loaded.removals.set(key, number);
+  return {...loaded, digest: digestShard(loaded)};
 }
 
 function store(change: Change, number: number): StoredObject {
@@ -103,9 +166,10 @@
   return {kind, name, written, state: objectSchemas[kind].parse(written), number, digest};
 }
 
-function digestShard(objects: ReadonlyMap<string, StoredObject>): Digest {
+function digestShard({objects, removals}: OpenShard): Digest {
   const lines: string[] = [];
   for (const [key, object] of objects) lines.push(`${key} ${object.digest}`);
+  for (const [key, number] of removals) lines.push(`${key} removed ${number}`);
   return digestText(lines.sort().join('\n'));
 }
 
--- /dev/null
+++ b/packages/state/src/configurationCheck.ts
@@ -0,0 +1,195 @@
+/** What a change would bring about: the difference field by field, and what is wrong with it. */
+import {tierCount} from '@marigoldfold/protocol';
+import type {Change, Configuration} from './configuration.js';
+import {canonicalJson} from './digest.js';
+import type {EndpointSet, RequestClass} from './objects.js';
+
+/** One field that a ticket changes. */
+export interface FieldDifference {
+  /** Kind and name of the object, such as `account/civic-band`. */
+  readonly object: string;
+  /** Dotted path of the field; empty for the whole object. */
+  readonly field: string;
+  /** JSON before the change; absent when the field is new. */
+  readonly before?: string;
+  /** JSON after the change; absent when the field is removed. */
+  readonly after?: string;
+}
+
+/** A check that a configuration fails. */
+export interface CheckFailure {
+  /** An `error` refuses the ticket; a `warning` is for its author and the monitor to weigh. */
+  readonly severity: 'error' | 'warning';
+  readonly check: 'reference' | 'unserved_class' | 'urgent_capacity' | 'minimum_ready';
+  readonly object: string;
+  readonly message: string;
+}
+
+const URGENT_TIER = 0;
+
+/** The fields that changes alter, in the order of the changes. */
+export function compareFields(
+  before: Configuration,
+  changes: readonly Change[],
+): readonly FieldDifference[] {
+  const differences: FieldDifference[] = [];
+  for (const {kind, name, state} of changes) {
+    const object = `${kind}/${name}`;
+    const earlier = flatten(before.find(kind, name)?.written);
+    const later = state === null ? new Map<string, string>() : flatten(state);
+    for (const field of [...new Set([...earlier.keys(), ...later.keys()])].sort()) {
+      const [was, is] = [earlier.get(field), later.get(field)];
+      if (was === is) continue;
+      differences.push({
+        object,
+        field,
+        ...(was === undefined ? {} : {before: was}),
+        ...(is === undefined ? {} : {after: is}),
+      });
+    }
+  }
+  return differences;
+}
+
+function flatten(value: unknown, path = ''): Map<string, string> {
+  const fields = new Map<string, string>();
+  if (value === undefined) return fields;
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    fields.set(path, canonicalJson(value));
+    return fields;
+  }
+  for (const [key, item] of Object.entries(value)) {
+    const inner = flatten(item, path === '' ? key : `${path}.${key}`);
+    for (const [field, text] of inner) fields.set(field, text);
+  }
+  return fields;
+}
+
+/** Every check that a configuration fails. */
+export function checkConfiguration(configuration: Configuration): readonly CheckFailure[] {
+  return [
+    ...checkReferences(configuration),
+    ...checkServedClasses(configuration),
+    ...checkUrgentCapacity(configuration),
+    ...checkMinimumReady(configuration),
+  ];
+}
+
+/** The checks that fail after a change and did not fail in the same way before it. */
+export function findNewFailures(
+  before: Configuration,
+  after: Configuration,
+): readonly CheckFailure[] {
+  const known = new Set(checkConfiguration(before).map(canonicalJson));
+  return checkConfiguration(after).filter((failure) => !known.has(canonicalJson(failure)));
+}
+
+function* checkReferences(configuration: Configuration): Generator<CheckFailure> {
+  const classes = configuration.all('class');
+  const sets = configuration.all('endpointSet');
+  for (const [name, {classes: used, defaultClass}] of configuration.all('account')) {
+    const object = `account/${name}`;
+    for (const item of used) {
+      if (!classes.has(item)) yield missing(object, 'class', item);
+    }
+    if (!used.includes(defaultClass)) {
+      const message = `the default class ${defaultClass} is not among the classes of ${object}`;
+      yield {severity: 'error', check: 'reference', object, message};
+    }
+  }
+  for (const [name, {endpointSets}] of classes) {
+    for (const item of endpointSets) {
+      if (!sets.has(item)) yield missing(`class/${name}`, 'endpointSet', item);
+    }
+  }
+  for (const [name, {set}] of configuration.all('endpoint')) {
+    if (!sets.has(set)) yield missing(`endpoint/${name}`, 'endpointSet', set);
+  }
+}
+
+function missing(object: string, kind: string, name: string): CheckFailure {
+  const message = `${object} refers to ${kind}/${name}, which does not exist`;
+  return {severity: 'error', check: 'reference', object, message};
+}
+
+function* checkServedClasses(configuration: Configuration): Generator<CheckFailure> {
+  const staffed = countEndpoints(configuration);
+  for (const [name, {endpointSets}] of configuration.all('class')) {
+    if (endpointSets.some((set) => (staffed.get(set) ?? 0) > 0)) continue;
+    const message = `no endpoint can serve class/${name}`;
+    yield {severity: 'warning', check: 'unserved_class', object: `class/${name}`, message};
+  }
+}
+
+function countEndpoints(configuration: Configuration): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const {set} of configuration.all('endpoint').values()) {
+    counts.set(set, (counts.get(set) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** Urgent requests that accounts may have in flight, against the slots that serve them. */
+function* checkUrgentCapacity(configuration: Configuration): Generator<CheckFailure> {
+  const urgent = [...configuration.all('class')].filter(([, {tier}]) => tier === URGENT_TIER);
+  if (urgent.length === 0) return;
+  const names = new Set(urgent.map(([name]) => name));
+  const demand = sumUrgentDemand(configuration, names);
+  const capacity = sumUrgentCapacity(
+    configuration,
+    urgent.map(([, state]) => state),
+  );
+  if (demand <= capacity) return;
+  const message = `accounts may have ${demand} urgent requests in flight, but endpoints serve ${capacity.toFixed(1)} of them beside the guaranteed shares of lower tiers`;
+  yield {
+    severity: 'warning',
+    check: 'urgent_capacity',
+    object: `class/${[...names].sort().join(',')}`,
+    message,
+  };
+}
+
+function sumUrgentDemand(configuration: Configuration, urgent: ReadonlySet<string>): number {
+  let demand = 0;
+  for (const {classes, concurrency} of configuration.all('account').values()) {
+    if (classes.some((name) => urgent.has(name))) demand += concurrency;
+  }
+  return demand;
+}
+
+function sumUrgentCapacity(configuration: Configuration, urgent: readonly RequestClass[]): number {
+  const usable = new Set(urgent.flatMap(({endpointSets}) => endpointSets));
+  const counts = countEndpoints(configuration);
+  let capacity = 0;
+  for (const [name, set] of configuration.all('endpointSet')) {
+    if (!usable.has(name)) continue;
+    capacity += (counts.get(name) ?? 0) * set.slots * (1 - lowerShares(configuration, name));
+  }
+  return capacity;
+}
+
+/** Guaranteed shares of the tiers below the urgent one at a set; a tier's share is its largest. */
+function lowerShares(configuration: Configuration, set: string): number {
+  const shares = Array<number>(tierCount).fill(0);
+  for (const {tier, endpointSets, guaranteedShare} of configuration.all('class').values()) {
+    if (tier === URGENT_TIER || !endpointSets.includes(set)) continue;
+    shares[tier] = Math.max(shares[tier] ?? 0, guaranteedShare);
+  }
+  return Math.min(
+    1,
+    shares.reduce((total, share) => total + share, 0),
+  );
+}
+
+function* checkMinimumReady(configuration: Configuration): Generator<CheckFailure> {
+  const counts = countEndpoints(configuration);
+  for (const [name, {minimumReady}] of configuration.all('endpointSet') as ReadonlyMap<
+    string,
+    EndpointSet
+  >) {
+    const count = counts.get(name) ?? 0;
+    if (count >= minimumReady || count === 0) continue;
+    const message = `endpointSet/${name} keeps ${minimumReady} endpoints ready but has ${count}`;
+    yield {severity: 'warning', check: 'minimum_ready', object: `endpointSet/${name}`, message};
+  }
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -23,9 +23,12 @@
 } from './claims.js';
 export {
   type Change,
+  type Removal,
+  type ShardContent,
   type StoredObject,
   Configuration,
   objectKey,
+  removalMemory,
   shardCount,
 } from './configuration.js';
 export {type Digest, canonicalJson, digestText, digestValue, zeroDigest} from './digest.js';
@@ -51,14 +54,28 @@
   kinds,
   objectSchemas,
 } from './objects.js';
+export type {RecordError} from './createOnce.js';
+export {
+  type CheckFailure,
+  type FieldDifference,
+  checkConfiguration,
+  compareFields,
+  findNewFailures,
+} from './configurationCheck.js';
 export {
-  type RecordError,
   type RecordPage,
   type TicketRecord,
+  type UnreadableEntry,
+  type Validity,
   decidedTickets,
+  decisionKey,
   decisionPrefix,
+  isSameSubmission,
+  isSameVerdict,
   openRecord,
+  ticketKey,
 } from './record.js';
+export {type RecordBreak, type Replay, isLinked, linkedTickets, replayRecord} from './replay.js';
 export {
   type DecidedTicket,
   type Decision,
--- a/packages/state/src/objects.ts
+++ b/packages/state/src/objects.ts
@@ -1,6 +1,7 @@
 /** The objects that operators define by tickets. */
 import {tierSchema} from '@marigoldfold/protocol';
 import {z} from 'zod';
+import {isMonitorPublicKey} from './publicKey.js';
 
 const MAX_NAME_LENGTH = 63;
 const SHA256_HEX_LENGTH = 64;
@@ -88,8 +89,10 @@
 
 /** Checks the monitor's public key; a change of it is signed with the key before. */
 export const monitorSchema = z.strictObject({
-  /** Ed25519 public key, SPKI in base64. */
-  publicKey: z.string().min(1),
+  /** Ed25519 public key, SPKI in base64. A key that nobody can sign with would end the record. */
+  publicKey: z
+    .string()
+    .refine(isMonitorPublicKey, {error: 'an Ed25519 public key, SPKI in base64'}),
 });
 
 /** Schema of each kind of object. */
--- a/packages/state/src/record.ts
+++ b/packages/state/src/record.ts
@@ -1,7 +1,15 @@
 /** The record of tickets and decisions in the key-value service. */
 import {err, ok, type Result} from 'neverthrow';
-import {digestValue} from './digest.js';
-import type {KeyValue, KeyValueEntry, StoreError} from './keyValue.js';
+import type {z} from 'zod';
+import {
+  createOnce,
+  parseEntry,
+  type RecordError,
+  toRecordError,
+  type Verdict,
+} from './createOnce.js';
+import {canonicalJson} from './digest.js';
+import type {KeyValue, KeyValueEntry} from './keyValue.js';
 import {
   type DecidedTicket,
   type Decision,
@@ -17,29 +25,39 @@
 /** Prefix of all decisions, for watches. */
 export const decisionPrefix = DECISION_PREFIX;
 
-/** Why a record operation failed. */
-export interface RecordError {
-  readonly code: 'store' | 'number_taken' | 'already_decided' | 'corrupt';
+/** A value in the record that cannot be read; it counts as absent. */
+export interface UnreadableEntry {
+  readonly key: string;
   readonly message: string;
-  /** Whether the write may have taken effect all the same. */
-  readonly mayHaveTakenEffect: boolean;
 }
 
 /** Tickets and decisions above a number, in order, and the revision at which they were read. */
 export interface RecordPage {
   readonly tickets: readonly Ticket[];
   readonly decisions: readonly Decision[];
+  readonly unreadable: readonly UnreadableEntry[];
   readonly revision: number;
 }
 
+/** Whether what stands under a number may stay there; it is replaced when not. */
+export type Validity<T> = (found: T) => boolean;
+
 /** Reads and writes the record. */
 export interface TicketRecord {
-  /** Creates a ticket under its number; a repeated submission of the same id succeeds. */
-  propose(ticket: Ticket): Promise<Result<void, RecordError>>;
-  /** Creates the decision on a ticket. */
-  decide(decision: Decision): Promise<Result<void, RecordError>>;
-  /** Tickets and decisions with numbers above `after`. */
-  read(after: number): Promise<Result<RecordPage, RecordError>>;
+  /**
+   * Creates a ticket under its number; a repeated submission of the same id succeeds.
+   * A ticket for which `isValid` is false is replaced: it could never be decided.
+   */
+  propose(ticket: Ticket, isValid: Validity<Ticket>): Promise<Result<void, RecordError>>;
+  /**
+   * Creates the decision on a ticket; repeating the same verdict succeeds.
+   * A decision for which `isValid` is false is replaced, so that it cannot block the number.
+   */
+  decide(decision: Decision, isValid: Validity<Decision>): Promise<Result<void, RecordError>>;
+  /** Tickets and decisions with numbers above `after`, at most `limit` of each; one call when there is no new decision and none is wanted. */
+  read(after: number, limit?: number): Promise<Result<RecordPage, RecordError>>;
+  /** Decided tickets with numbers above `after`; a single call when there are none. */
+  readDecided(after: number): Promise<Result<RecordPage, RecordError>>;
   /** Waits for a decision after a revision; resolves as well when the time is over. */
   waitForDecision(
     afterRevision: number,
@@ -51,20 +69,35 @@
 /** Opens the record in a key-value service. */
 export function openRecord(store: KeyValue): TicketRecord {
   return {
-    propose: (ticket) => createOnce(store, ticketKey(ticket.number), ticket, 'number_taken'),
-    decide: (decision) =>
-      createOnce(store, decisionKey(decision.number), decision, 'already_decided'),
-    read: (after) => read(store, after),
+    propose: (ticket, isValid) =>
+      createOnce(store, {
+        key: ticketKey(ticket.number),
+        value: ticket,
+        judge: (entry) => judgeTicket(entry, ticket, isValid),
+        takenError: (entry) => describeTaken(entry, ticket.number),
+      }),
+    decide: (decision, isValid) =>
+      createOnce(store, {
+        key: decisionKey(decision.number),
+        value: decision,
+        judge: (entry) => judgeDecision(entry, decision, isValid),
+        takenError: (entry) => describeDecided(entry, decision.number),
+      }),
+    read: (after, limit) => read(store, after, limit),
+    readDecided: (after) => readDecided(store, after),
     async waitForDecision(afterRevision, timeoutMs, signal) {
       const options = {afterRevision, timeoutMs, ...(signal === undefined ? {} : {signal})};
       const answer = await store.watch(DECISION_PREFIX, options);
-      return answer.map(() => undefined).mapErr(fromStore);
+      return answer.map(() => undefined).mapErr(toRecordError);
     },
   };
 }
 
 /** Pairs tickets with their decisions, up to the first undecided one. */
-export function decidedTickets(page: RecordPage): readonly DecidedTicket[] {
+export function decidedTickets(page: {
+  readonly tickets: readonly Ticket[];
+  readonly decisions: readonly Decision[];
+}): readonly DecidedTicket[] {
   const decisions = new Map(page.decisions.map((decision) => [decision.number, decision]));
   const pairs: DecidedTicket[] = [];
   for (const ticket of page.tickets) {
@@ -75,11 +108,13 @@
   return pairs;
 }
 
-function ticketKey(number: number): string {
+/** Key of a ticket in the service. */
+export function ticketKey(number: number): string {
   return TICKET_PREFIX + padded(number);
 }
 
-function decisionKey(number: number): string {
+/** Key of a decision in the service. */
+export function decisionKey(number: number): string {
   return DECISION_PREFIX + padded(number);
 }
 
@@ -87,75 +122,126 @@
   return String(number).padStart(NUMBER_DIGITS, '0');
 }
 
-async function createOnce(
-  store: KeyValue,
-  key: string,
-  value: Ticket | Decision,
-  takenCode: 'number_taken' | 'already_decided',
-): Promise<Result<void, RecordError>> {
-  const answer = await store.write(key, JSON.stringify(value), {ifRevision: 0});
-  if (answer.isOk()) {
-    if (answer.value.kind === 'written') return ok(undefined);
-    return judgeExisting(answer.value.current, value, takenCode);
-  }
-  if (!answer.error.mayHaveTakenEffect) return err(fromStore(answer.error));
-  // The answer was lost: what stands under the key tells whether the write took effect.
-  const existing = await store.get(key);
-  if (existing.isErr()) return err(fromStore(answer.error));
-  if (existing.value === undefined) return err(fromStore(answer.error));
-  return judgeExisting(existing.value, value, takenCode);
-}
-
-function judgeExisting(
-  existing: KeyValueEntry | undefined,
-  value: Ticket | Decision,
-  code: 'number_taken' | 'already_decided',
-): Result<void, RecordError> {
-  if (existing !== undefined) {
-    const found = JSON.parse(existing.value) as {readonly author?: string; readonly id?: string};
-    if (digestValue(found) === digestValue(value)) return ok(undefined);
-    const by = found.author === undefined ? '' : ` by ${found.author}`;
-    const message = `number ${value.number} was taken${by} (${found.id ?? 'another decision'})`;
-    return err({code, message, mayHaveTakenEffect: false});
-  }
-  const message = `number ${value.number} was taken`;
-  return err({code, message, mayHaveTakenEffect: false});
+function judgeTicket(entry: KeyValueEntry, ticket: Ticket, isValid: Validity<Ticket>): Verdict {
+  const found = readEntry(entry, ticketSchema, ticketKey);
+  if (found === undefined || !isValid(found)) return 'invalid';
+  if (found.id !== ticket.id) return 'taken';
+  return isSameSubmission(found, ticket) ? 'same' : 'taken';
+}
+
+/** Whether two tickets come from one submission; number and time may differ between its tries. */
+export function isSameSubmission(a: Ticket, b: Ticket): boolean {
+  return a.id === b.id && contentOf(a) === contentOf(b);
+}
+
+function contentOf({author, reason, changes}: Ticket): string {
+  return canonicalJson({author, reason, changes});
+}
+
+function judgeDecision(
+  entry: KeyValueEntry,
+  decision: Decision,
+  isValid: Validity<Decision>,
+): Verdict {
+  const found = readEntry(entry, decisionSchema, decisionKey);
+  if (found === undefined || !isValid(found)) return 'invalid';
+  return isSameVerdict(found, decision) ? 'same' : 'taken';
+}
+
+/** Whether two decisions say the same of the same ticket; their times and notes may differ. */
+export function isSameVerdict(a: Decision, b: Decision): boolean {
+  return (
+    a.verdict === b.verdict && a.ticketDigest === b.ticketDigest && a.stateDigest === b.stateDigest
+  );
 }
 
-async function read(store: KeyValue, after: number): Promise<Result<RecordPage, RecordError>> {
+function describeTaken(entry: KeyValueEntry, number: number): RecordError {
+  const winner = readEntry(entry, ticketSchema, ticketKey);
+  const by = winner === undefined ? '' : ` by ${winner.author}: "${winner.reason}"`;
+  const message = `number ${number} was taken${by} (${winner?.id ?? 'another submission'})`;
+  return {code: 'number_taken', message, mayHaveTakenEffect: false};
+}
+
+function describeDecided(entry: KeyValueEntry, number: number): RecordError {
+  const verdict = readEntry(entry, decisionSchema, decisionKey)?.verdict ?? 'decided';
+  const message = `ticket ${number} was ${verdict} by another decision`;
+  return {code: 'already_decided', message, mayHaveTakenEffect: false};
+}
+
+function readEntry<T extends {readonly number: number}>(
+  entry: KeyValueEntry,
+  schema: z.ZodType<T>,
+  keyOf: (number: number) => string,
+): T | undefined {
+  const checked = schema.safeParse(parseEntry(entry));
+  if (!checked.success || keyOf(checked.data.number) !== entry.key) return undefined;
+  return checked.data;
+}
+
+async function read(
+  store: KeyValue,
+  after: number,
+  limit?: number,
+): Promise<Result<RecordPage, RecordError>> {
   // Decisions first: a ticket always exists before its decision, so no decision lacks its ticket.
+  const decisions = await store.list(DECISION_PREFIX, listOptions(decisionKey(after + 1), limit));
+  if (decisions.isErr()) return err(toRecordError(decisions.error));
+  const tickets = await store.list(TICKET_PREFIX, listOptions(ticketKey(after + 1), limit));
+  if (tickets.isErr()) return err(toRecordError(tickets.error));
+  return ok(
+    buildPage(tickets.value.entries, decisions.value.entries, decisions.value.revision, after),
+  );
+}
+
+async function readDecided(
+  store: KeyValue,
+  after: number,
+): Promise<Result<RecordPage, RecordError>> {
   const decisions = await store.list(DECISION_PREFIX, {from: decisionKey(after + 1)});
-  if (decisions.isErr()) return err(fromStore(decisions.error));
+  if (decisions.isErr()) return err(toRecordError(decisions.error));
+  const {entries, revision} = decisions.value;
+  if (entries.length === 0) return ok({tickets: [], decisions: [], unreadable: [], revision});
   const tickets = await store.list(TICKET_PREFIX, {from: ticketKey(after + 1)});
-  if (tickets.isErr()) return err(fromStore(tickets.error));
-  const page: {tickets: Ticket[]; decisions: Decision[]} = {tickets: [], decisions: []};
-  for (const entry of tickets.value.entries) {
-    const checked = ticketSchema.safeParse(parseEntry(entry));
-    if (!checked.success) return err(corrupt(entry));
-    page.tickets.push(checked.data);
-  }
-  for (const entry of decisions.value.entries) {
-    const checked = decisionSchema.safeParse(parseEntry(entry));
-    if (!checked.success) return err(corrupt(entry));
-    page.decisions.push(checked.data);
-  }
-  return ok({...page, revision: decisions.value.revision});
+  if (tickets.isErr()) return err(toRecordError(tickets.error));
+  return ok(buildPage(tickets.value.entries, entries, revision, after));
 }
 
-function parseEntry(entry: KeyValueEntry): unknown {
-  try {
-    return JSON.parse(entry.value) as unknown;
-  } catch {
-    return undefined;
+function listOptions(from: string, limit: number | undefined) {
+  return limit === undefined ? {from} : {from, limit};
+}
+
+function buildPage(
+  ticketEntries: readonly KeyValueEntry[],
+  decisionEntries: readonly KeyValueEntry[],
+  revision: number,
+  after: number,
+): RecordPage {
+  const unreadable: UnreadableEntry[] = [];
+  const tickets: Ticket[] = [];
+  for (const entry of ticketEntries) {
+    const ticket = readEntry(entry, ticketSchema, ticketKey);
+    if (ticket === undefined) unreadable.push(describeUnreadable(entry));
+    else tickets.push(ticket);
+  }
+  const decisions: Decision[] = [];
+  for (const entry of decisionEntries) {
+    const decision = readEntry(entry, decisionSchema, decisionKey);
+    if (decision === undefined) unreadable.push(describeUnreadable(entry));
+    else decisions.push(decision);
   }
+  return {tickets: withoutGaps(tickets, after), decisions, unreadable, revision};
 }
 
-function corrupt(entry: KeyValueEntry): RecordError {
-  const message = `the record under ${entry.key} cannot be read`;
-  return {code: 'corrupt', message, mayHaveTakenEffect: false};
+/** The tickets that follow one another; what stands behind a gap has no place in the chain yet. */
+function withoutGaps(tickets: readonly Ticket[], after: number): readonly Ticket[] {
+  const followed: Ticket[] = [];
+  for (const ticket of tickets) {
+    if (ticket.number !== after + followed.length + 1) break;
+    followed.push(ticket);
+  }
+  return followed;
 }
 
-function fromStore(error: StoreError): RecordError {
-  const {message, mayHaveTakenEffect} = error;
-  return {code: 'store', message, mayHaveTakenEffect};
+function describeUnreadable({key}: KeyValueEntry): UnreadableEntry {
+  return {key, message: `the record under ${key} cannot be read`};
 }
