--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -7,6 +7,7 @@
 import {TicketApprove, TicketReject} from './ticketDecide.js';
 import {TicketPropose} from './ticketPropose.js';
 import {TicketList, TicketShow} from './ticketRead.js';
+import {Verify} from './verify.js';
 
 /** Commands by id. */
 export const commands = {
@@ -22,4 +23,5 @@
   'ticket:propose': TicketPropose,
   'ticket:reject': TicketReject,
   'ticket:show': TicketShow,
+  verify: Verify,
 };
--- a/packages/entry/src/__fixtures__/scriptedApi.ts
+++ b/packages/entry/src/__fixtures__/scriptedApi.ts
@@ -7,7 +7,7 @@
 import {Registry} from 'prom-client';
 import {RequestMetrics} from '../attainment.js';
 import {createCallersApi} from '../callersApi.js';
-import type {RoutedAnswer} from '../router.js';
+import type {RoutedAnswer} from '../attempt.js';
 
 /** Bearer key of the only account. */
 export const scriptedKey = 'mf.choir.AAAA';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -12,14 +12,16 @@
   claimViewSchema,
   type InstanceStatus,
   type OperatorError,
+  type Preview,
   type Proposal,
   type SettlementRequest,
   type Status,
   operatorErrorSchema,
+  previewSchema,
   proposalAnswerSchema,
   recordAnswerSchema,
   statusSchema,
 } from './operatorMessages.js';
 export {type RoutedRequest, Router, type RouterOptions} from './router.js';
 export {type EntrySettings, entrySettingsSchema} from './settings.js';
-export {type TicketDesk, openTicketDesk} from './ticketDesk.js';
+export {type TicketDesk, type TicketDeskOptions, openTicketDesk} from './ticketDesk.js';
--- a/packages/entry/src/operatorsApi.ts
+++ b/packages/entry/src/operatorsApi.ts
@@ -104,6 +104,11 @@
       if (proposal.isErr()) return err(proposal.error);
       return (await desk.propose(operator, proposal.value)).map((ticket) => ({ticket}));
     }
+    case 'POST /previews': {
+      const proposal = await readDocument(proposalSchema, request, limits);
+      if (proposal.isErr()) return err(proposal.error);
+      return desk.preview(operator, proposal.value);
+    }
     case 'POST /decisions': {
       const decision = await readDocument(decisionSchema, request, limits);
       if (decision.isErr()) return err(decision.error);
