Choose endpoints by subset, fresh state, speed and affinity

Cause: the choice looked at every endpoint, trusted reports of any age, sent a burst to whichever endpoint looked best, barred a crashed one for a fixed time and never refused early. Change: a subset per model by rendezvous hashing, state with own requests since the last report, coalesced probes on demand with a time limit, a hot/cold split by time between tokens, prefix affinity with a bound, trial traffic for slowed endpoints, exponential backoff with jitter, early refusal with a computed time.

--- /dev/null
+++ b/packages/coordination/src/__tests__/endpointChoice.test.ts
@@ -0,0 +1,209 @@
+import {seededRandom, VirtualClock} from '@marigoldfold/runtime';
+import type {Load} from '@marigoldfold/protocol';
+import {describe, expect, it} from 'vitest';
+import {agents, demand, engineConfiguration, load, requestClass} from '../__fixtures__/fleet.js';
+import {EndpointChoice, type EndpointChoiceOptions} from '../endpointChoice.js';
+
+const FULL_LOAD = load({running: [0, 0, 0, 4], waitMs: [0, 0, 0, 3000]});
+
+function create(count: number, options: Partial<EndpointChoiceOptions> = {}) {
+  const clock = new VirtualClock();
+  const choice = new EndpointChoice({clock, random: seededRandom(7), self: 'entry-1', ...options});
+  choice.update(engineConfiguration(count), agents(count));
+  return {clock, choice};
+}
+
+function countChoices(
+  choice: EndpointChoice,
+  times: number,
+  tier = 3,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (let turn = 0; turn < times; turn += 1) {
+    const {name} = choice.choose(demand(tier))._unsafeUnwrap().instance;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
+describe('a burst between two reports', () => {
+  it('does not herd on the endpoint that looked best', () => {
+    const {choice} = create(8);
+    for (const {name} of agents(8)) choice.observe(name, load({running: [0, 0, 0, 2]}));
+    choice.observe('agent-3', load());
+    const counts = new Map<string, number>();
+    for (let turn = 0; turn < 32; turn += 1) {
+      const chosen = choice.choose(demand(3))._unsafeUnwrap();
+      choice.send(chosen, 3);
+      const {name} = chosen.instance;
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    // An even spread is 4 each; two more fit the endpoint that was idle.
+    expect(Math.max(...counts.values())).toBeLessThanOrEqual(8);
+    expect(counts.size).toBe(8);
+  });
+});
+
+describe('endpoints that must not be used', () => {
+  it('are those that leave, are barred, or were tried', () => {
+    const {choice} = create(4);
+    choice.observe('agent-1', load({isLeaving: true}));
+    choice.bar('agent-2');
+    const excluded = new Set(['agent-3']);
+    for (let turn = 0; turn < 50; turn += 1) {
+      const chosen = choice.choose(demand(0, {excluded}))._unsafeUnwrap();
+      expect(chosen.instance.name).toBe('agent-4');
+    }
+  });
+
+  it('make a refusal that says when the first is to be tried again', () => {
+    const {choice} = create(2);
+    choice.bar('agent-1');
+    choice.bar('agent-2');
+    const refused = choice.choose(demand(0))._unsafeUnwrapErr();
+    expect(refused).toMatchObject({code: 'no_endpoint', ran: 'no'});
+    expect(refused.retryAfterMs).toBeGreaterThanOrEqual(500);
+    expect(refused.retryAfterMs).toBeLessThanOrEqual(1000);
+  });
+
+  it('come back with a new incarnation', async () => {
+    const {clock, choice} = create(1);
+    choice.observe('agent-1', load({incarnation: 'a-1'}));
+    choice.bar('agent-1');
+    expect(choice.choose(demand(0)).isErr()).toBe(true);
+    await clock.advance(10);
+    choice.observe('agent-1', load({incarnation: 'b-1'}));
+    expect(choice.choose(demand(0)).isOk()).toBe(true);
+  });
+});
+
+describe('a slowed endpoint', () => {
+  it('gets only trial traffic, none of it of the top tier, and recovers', async () => {
+    const {clock, choice} = create(8);
+    const report = (slow: number) => {
+      for (const {name} of agents(8)) {
+        choice.observe(name, load({interTokenMs: name === 'agent-5' ? slow : 20}));
+      }
+    };
+    report(100);
+    expect(countChoices(choice, 2000, 0).get('agent-5') ?? 0).toBe(0);
+    const trials = countChoices(choice, 4000).get('agent-5') ?? 0;
+    expect(trials).toBeGreaterThan(0);
+    expect(trials).toBeLessThan(4000 * 0.02);
+    report(20);
+    await clock.advance(12_000);
+    report(20);
+    choice.choose(demand(0));
+    expect(countChoices(choice, 4000, 0).get('agent-5') ?? 0).toBeGreaterThan(0);
+  });
+});
+
+describe('early refusal', () => {
+  it('comes with the time after which the target can be met again', () => {
+    const {choice} = create(3);
+    for (const {name} of agents(3)) choice.observe(name, FULL_LOAD);
+    choice.observe('agent-2', {...FULL_LOAD, waitMs: [0, 0, 0, 2600]});
+    const refused = choice.choose(demand(3, {requestClass: requestClass(3, 1800)}));
+    expect(refused._unsafeUnwrapErr()).toMatchObject({
+      code: 'target_unreachable',
+      ran: 'no',
+      retryAfterMs: 800,
+    });
+  });
+
+  it('never meets the top tier while lower-tier work could be displaced', () => {
+    const {choice} = create(2);
+    choice.observe('agent-1', load({running: [4], waitMs: [9000]}));
+    choice.observe('agent-2', load({running: [3, 0, 1], waitMs: [9500]}));
+    const top = demand(0, {requestClass: requestClass(0, 1800)});
+    expect(choice.choose(top)._unsafeUnwrap().instance.name).toBe('agent-2');
+    choice.observe('agent-2', load({running: [4], waitMs: [9500]}));
+    expect(choice.choose(top)._unsafeUnwrapErr().code).toBe('target_unreachable');
+  });
+
+  it('is not made by old reports', async () => {
+    const {clock, choice} = create(2);
+    for (const {name} of agents(2)) choice.observe(name, FULL_LOAD);
+    const late = demand(3, {requestClass: requestClass(3, 1800)});
+    expect(choice.choose(late).isErr()).toBe(true);
+    await clock.advance(1500);
+    expect(choice.choose(late).isOk()).toBe(true);
+  });
+
+  it('does not meet a class without a target', () => {
+    const {choice} = create(2);
+    for (const {name} of agents(2)) choice.observe(name, FULL_LOAD);
+    expect(choice.choose(demand(3)).isOk()).toBe(true);
+  });
+});
+
+describe('prefix affinity', () => {
+  const prefixKey = 'block-1';
+
+  it('keeps prompts that begin alike together while the wait allows it', () => {
+    const {choice} = create(8);
+    for (const {name} of agents(8)) choice.observe(name, load());
+    const home = choice.choose(demand(3, {prefixKey}))._unsafeUnwrap().instance.name;
+    for (let turn = 0; turn < 50; turn += 1) {
+      expect(choice.choose(demand(3, {prefixKey}))._unsafeUnwrap().instance.name).toBe(home);
+    }
+    choice.observe(home, FULL_LOAD);
+    expect(choice.choose(demand(3, {prefixKey}))._unsafeUnwrap().instance.name).not.toBe(home);
+  });
+});
+
+describe('a probe', () => {
+  function probed(answer: () => Promise<Load | undefined>) {
+    let probes = 0;
+    const made = create(3, {
+      probe: () => {
+        probes += 1;
+        return answer();
+      },
+    });
+    return {...made, probes: () => probes};
+  }
+
+  it('is shared by requests that wait for it, and made only when the state is too old', async () => {
+    const {clock, choice, probes} = probed(() => Promise.resolve(load()));
+    await Promise.all(Array.from({length: 20}, () => choice.chooseFresh(demand(3))));
+    expect(probes()).toBe(3);
+    await choice.chooseFresh(demand(3));
+    expect(probes()).toBe(3);
+    await clock.advance(5000);
+    await choice.chooseFresh(demand(3));
+    expect(probes()).toBe(6);
+  });
+
+  it('without an answer holds a choice up for a bounded time only', async () => {
+    const {clock, choice} = probed(() => new Promise(() => undefined));
+    let isChosen = false;
+    const chosen = choice.chooseFresh(demand(3)).then(() => {
+      isChosen = true;
+    });
+    await clock.advance(49);
+    expect(isChosen).toBe(false);
+    await clock.advance(1);
+    await chosen;
+    expect(isChosen).toBe(true);
+  });
+
+  it('shows that an endpoint leaves', async () => {
+    const {choice} = probed(() => Promise.resolve(load({isLeaving: true})));
+    const refused = await choice.chooseFresh(demand(3));
+    expect(refused._unsafeUnwrapErr().code).toBe('no_endpoint');
+  });
+});
+
+describe('a queued request', () => {
+  it('has a better place only where the wait is clearly shorter and known', () => {
+    const {choice} = create(3);
+    choice.observe('agent-1', FULL_LOAD);
+    expect(choice.findBetter('agent-1', demand(3))).toBeUndefined();
+    choice.observe('agent-2', {...FULL_LOAD, waitMs: [0, 0, 0, 2900]});
+    expect(choice.findBetter('agent-1', demand(3))).toBeUndefined();
+    choice.observe('agent-3', {...FULL_LOAD, waitMs: [0, 0, 0, 200]});
+    expect(choice.findBetter('agent-1', demand(3))?.instance.name).toBe('agent-3');
+    expect(choice.findBetter('agent-1', demand(0))).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/__tests__/endpointState.test.ts
@@ -0,0 +1,116 @@
+import {seededRandom, VirtualClock} from '@marigoldfold/runtime';
+import {describe, expect, it} from 'vitest';
+import {load} from '../__fixtures__/fleet.js';
+import {EndpointState} from '../endpointState.js';
+import {FailureBackoff} from '../failureBackoff.js';
+import {TrafficWeight} from '../trialTraffic.js';
+
+function create() {
+  const clock = new VirtualClock();
+  return {clock, state: new EndpointState(clock, seededRandom(1), 4)};
+}
+
+describe('the estimated wait', () => {
+  it('counts own requests that the last report cannot contain', async () => {
+    const {clock, state} = create();
+    state.observe(load({running: [4], waitMs: [500, 500]}), clock.now());
+    await clock.advance(1);
+    const before = state.waitMs(1);
+    state.send(1);
+    state.send(3);
+    expect(state.waitMs(1)).toBeGreaterThan(before);
+    expect(state.waitMs(3)).toBeGreaterThan(state.waitMs(1));
+  });
+
+  it('keeps requests that were on their way when a late report was made', async () => {
+    const {clock, state} = create();
+    await clock.advance(100);
+    state.observe(load({running: [4], waitMs: [500]}), 50);
+    state.send(0);
+    const withOne = state.waitMs(0);
+    await clock.advance(10);
+    state.observe(load({running: [4], waitMs: [500]}), 90);
+    expect(state.waitMs(0)).toBe(withOne);
+    state.observe(load({running: [4], waitMs: [500]}), 100);
+    expect(state.waitMs(0)).toBeLessThan(withOne);
+  });
+
+  it('is no longer than reported while there are free slots', () => {
+    const {state} = create();
+    state.observe(load({running: [1]}), 0);
+    state.send(0);
+    state.send(0);
+    expect(state.waitMs(0)).toBe(0);
+  });
+
+  it('forgets a request that has left', () => {
+    const {state} = create();
+    const sent = [0, 0, 0, 0, 0].map((tier) => state.send(tier));
+    expect(state.pressure).toBe(1.25);
+    for (const request of [...sent, ...sent]) request[Symbol.dispose]();
+    expect(state.pressure).toBe(0);
+  });
+});
+
+describe('a report', () => {
+  it('of an earlier incarnation is ignored', () => {
+    const {state} = create();
+    state.observe(load({incarnation: 'b0-new', waitMs: [5]}), 0);
+    state.observe(load({incarnation: 'a0-old', waitMs: [900]}), 0);
+    expect(state.waitMs(0)).toBe(5);
+  });
+
+  it('grows stale sooner at a busy endpoint', async () => {
+    const {clock, state} = create();
+    expect(state.isStale).toBe(true);
+    state.observe(load({running: [4]}), 0);
+    await clock.advance(1000);
+    expect(state.isStale).toBe(true);
+    state.observe(load(), clock.now());
+    await clock.advance(1000);
+    expect(state.isStale).toBe(false);
+  });
+});
+
+describe('backoff', () => {
+  it('doubles with each failure up to a limit, and starts anew after a success', async () => {
+    const clock = new VirtualClock();
+    const backoff = new FailureBackoff(clock, () => 0);
+    const times: number[] = [];
+    for (let failure = 0; failure < 8; failure += 1) {
+      backoff.fail();
+      backoff.fail();
+      times.push(backoff.remainingMs);
+      await clock.advance(backoff.remainingMs);
+      expect(backoff.isBarred).toBe(false);
+    }
+    expect(times).toEqual([500, 1000, 2000, 4000, 8000, 16_000, 30_000, 30_000]);
+    backoff.succeed();
+    backoff.fail();
+    expect(backoff.remainingMs).toBe(500);
+  });
+
+  it('is not ended by a late answer from before the failure', () => {
+    const clock = new VirtualClock();
+    const backoff = new FailureBackoff(clock, () => 0);
+    backoff.fail();
+    backoff.succeed();
+    expect(backoff.isBarred).toBe(true);
+  });
+});
+
+describe('the share of a slowed endpoint', () => {
+  it('falls at once and recovers over seconds', async () => {
+    const clock = new VirtualClock();
+    const weight = new TrafficWeight(clock);
+    weight.update(5);
+    expect(weight.value).toBeLessThan(0.05);
+    await clock.advance(5000);
+    weight.update(1);
+    expect(weight.value).toBeGreaterThan(0.4);
+    expect(weight.isReduced).toBe(true);
+    await clock.advance(5000);
+    weight.update(1);
+    expect(weight.isReduced).toBe(false);
+  });
+});
--- a/packages/coordination/src/endpointChoice.ts
+++ b/packages/coordination/src/endpointChoice.ts
@@ -1,28 +1,24 @@
 /** Chooses the endpoint for a request among those that its class may use. */
 import type {Clock, Random} from '@marigoldfold/runtime';
 import {type Failure, type Instance, type Load, refusal, type Tier} from '@marigoldfold/protocol';
-import type {Configuration, EndpointSet, RequestClass} from '@marigoldfold/state';
+import type {Configuration, RequestClass} from '@marigoldfold/state';
 import {err, ok, type Result} from 'neverthrow';
+import type {Candidate, Demand} from './candidates.js';
+import {EndpointDirectory} from './endpointDirectory.js';
+import type {EndpointState, SentRequest} from './endpointState.js';
+import {preferCold} from './hotColdSplit.js';
+import {LoadProbes, type Probe} from './loadProbes.js';
+import {AFFINITY_MAX_PRESSURE, AFFINITY_WAIT_BOUND_MS} from './prefixAffinity.js';
 import {rankMembers} from './rendezvous.js';
+import {slowdowns} from './trialTraffic.js';
 
-/** What a request needs of its endpoint. */
-export interface Demand {
-  readonly requestClass: RequestClass;
-  readonly tier: Tier;
-  /** The model of a generation, or the service of a call. */
-  readonly target:
-    | {readonly kind: 'model'; readonly model: string}
-    | {readonly kind: 'service'; readonly service: string; readonly affinityKey?: string};
-  /** Instances that were tried already. */
-  readonly excluded: ReadonlySet<string>;
-}
-
-/** An endpoint with the instance of its agent. */
-export interface Candidate {
-  readonly instance: Instance;
-  readonly endpoint: string;
-  readonly setName: string;
-  readonly set: EndpointSet;
+/** Mechanisms that an experiment may switch off. */
+export interface ChoiceMechanisms {
+  /** Decides by the state of endpoints; else at random. */
+  readonly state: boolean;
+  readonly hotColdSplit: boolean;
+  readonly prefixAffinity: boolean;
+  readonly trialTraffic: boolean;
 }
 
 /** What the choice needs. */
@@ -31,110 +27,250 @@
   readonly random: Random;
   /** Name of the choosing instance, for its subset. */
   readonly self: string;
+  readonly failureDomain?: string;
+  readonly region?: string;
+  /** Endpoints of each model that are used. */
+  readonly subsetSize?: number;
+  /** Without it, choices go by what answers have told. */
+  readonly probe?: Probe;
+  readonly mechanisms?: Partial<ChoiceMechanisms>;
 }
 
-interface Observation {
-  readonly load: Load;
-  readonly atMs: number;
-}
-
-const FAILURE_BACKOFF_MS = 1000;
 const SAMPLE_SIZE = 3;
-const RETRY_AFTER_MS = 1000;
+const PROBE_TIME_LIMIT_MS = 50;
+const PROBES_PER_SECOND = 8;
+const MIN_RETRY_AFTER_MS = 100;
+/** A request is refused early only by reports that are younger than this. */
+const REFUSAL_REPORT_AGE_MS = 1000;
+/** A move must save at least this much wait, in milliseconds, and half of it. */
+const MIN_MOVE_GAIN_MS = 200;
+const MOVE_WAIT_RATIO = 0.5;
+const allMechanisms: ChoiceMechanisms = {
+  state: true,
+  hotColdSplit: true,
+  prefixAffinity: true,
+  trialTraffic: true,
+};
 
 /** Keeps what is known of each endpoint and chooses by it. */
 export class EndpointChoice {
-  readonly #options: EndpointChoiceOptions;
-  readonly #observations = new Map<string, Observation>();
-  readonly #barredUntilMs = new Map<string, number>();
-  #candidates: readonly Candidate[] = [];
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #mechanisms: ChoiceMechanisms;
+  readonly #directory: EndpointDirectory;
+  readonly #probes: LoadProbes | undefined;
 
   constructor(options: EndpointChoiceOptions) {
-    this.#options = options;
+    const {clock, random, self, failureDomain = '', region = '', subsetSize, probe} = options;
+    this.#clock = clock;
+    this.#random = random;
+    this.#mechanisms = {...allMechanisms, ...options.mechanisms};
+    const place = {self, failureDomain, region};
+    this.#directory = new EndpointDirectory({clock, random, place, subsetSize});
+    if (probe === undefined) return;
+    this.#probes = new LoadProbes({
+      clock,
+      probe,
+      observe: (instance, load, askedAtMs) => {
+        this.observe(instance, load, askedAtMs);
+      },
+      timeLimitMs: PROBE_TIME_LIMIT_MS,
+      ratePerSecond: PROBES_PER_SECOND,
+    });
   }
 
   /** Takes a new configuration or list of instances. */
   update(configuration: Configuration, instances: readonly Instance[]): void {
-    const candidates: Candidate[] = [];
-    for (const instance of instances) {
-      if (instance.role !== 'agent' || instance.endpoint === undefined) continue;
-      const endpoint = configuration.get('endpoint', instance.endpoint);
-      if (endpoint === undefined) continue;
-      const set = configuration.get('endpointSet', endpoint.set);
-      if (set === undefined) continue;
-      candidates.push({instance, endpoint: instance.endpoint, setName: endpoint.set, set});
-    }
-    this.#candidates = candidates;
+    this.#directory.update(configuration, instances);
   }
 
-  /** Takes a load report of an instance. */
-  observe(instance: string, load: Load): void {
-    this.#observations.set(instance, {load, atMs: this.#options.clock.now()});
+  /** Takes a load report; requests sent up to `asOfMs` had arrived when it was made. */
+  observe(instance: string, load: Load, asOfMs = this.#clock.now()): void {
+    this.#directory.observe(instance, load, asOfMs);
   }
 
   /** Keeps an instance out of the choice for a while after a failure. */
   bar(instance: string): void {
-    const jitter = 1 + this.#options.random();
-    this.#barredUntilMs.set(instance, this.#options.clock.now() + FAILURE_BACKOFF_MS * jitter);
+    this.#directory.find(instance)?.backoff.fail();
   }
 
-  /** Chooses an endpoint, or says why there is none. */
+  /** Notes a request that goes to an endpoint. */
+  send(candidate: Candidate, tier: Tier): SentRequest {
+    return this.#state(candidate).send(tier);
+  }
+
+  /** Chooses an endpoint by what is known, or says why there is none. */
   choose(demand: Demand): Result<Candidate, Failure> {
-    const serving = this.#candidates.filter((candidate) => serves(candidate, demand));
-    if (serving.length === 0) return err(noEndpoint(demand));
-    const usable = serving.filter((candidate) => this.#isUsable(candidate, demand));
-    if (usable.length === 0) {
-      return err(refusal('no_endpoint', 'no endpoint is available now', RETRY_AFTER_MS));
-    }
-    const {target} = demand;
-    if (target.kind === 'service' && target.affinityKey !== undefined) {
-      const ranked = rankMembers(target.affinityKey, usable, (candidate) => candidate.endpoint);
-      if (ranked[0] !== undefined) return ok(ranked[0]);
-    }
-    return ok(this.#leastWait(this.#sample(usable), demand.tier));
+    return this.#chooseAmong(demand, []);
   }
 
-  #isUsable(candidate: Candidate, demand: Demand): boolean {
-    const {name, state} = candidate.instance;
-    if (state === 'leaving' || demand.excluded.has(name)) return false;
-    if (this.#observations.get(name)?.load.isLeaving === true) return false;
-    return (this.#barredUntilMs.get(name) ?? 0) <= this.#options.clock.now();
+  /** Chooses an endpoint after asking those whose state is needed and too old. */
+  async chooseFresh(demand: Demand): Promise<Result<Candidate, Failure>> {
+    const usable = this.#directory.usable(demand);
+    if (usable.isErr() || this.#probes === undefined) return this.choose(demand);
+    const sample = this.#sample(usable.value, demand);
+    await this.#refresh(sample);
+    const chosen = this.#chooseAmong(demand, sample);
+    if (chosen.isOk() || chosen.error.code !== 'target_unreachable') return chosen;
+    // Before a refusal, the others are asked as well.
+    await this.#refresh(usable.value);
+    return this.choose(demand);
   }
 
-  #sample(candidates: readonly Candidate[]): readonly Candidate[] {
-    const rest = [...candidates];
+  /** An endpoint where a request that waits at another would start clearly earlier. */
+  findBetter(current: string, demand: Demand): Candidate | undefined {
+    const waitMs = this.#directory.find(current)?.waitMs(demand.tier) ?? 0;
+    const limitMs = Math.min(waitMs * MOVE_WAIT_RATIO, waitMs - MIN_MOVE_GAIN_MS);
+    if (limitMs < 0) return undefined;
+    const excluded = new Set([...demand.excluded, current]);
+    const usable = this.#directory.usable({...demand, excluded});
+    if (usable.isErr()) return undefined;
+    const known = usable.value.filter((candidate) => {
+      const {isKnown, weight} = this.#state(candidate);
+      return isKnown && !weight.isReduced;
+    });
+    if (known.length === 0) return undefined;
+    const best = this.#leastWait(known, demand.tier);
+    return this.#state(best).waitMs(demand.tier) <= limitMs ? best : undefined;
+  }
+
+  /** Chooses among a sample, of which some may have turned out to be unusable; else among a new one. */
+  #chooseAmong(demand: Demand, sample: readonly Candidate[]): Result<Candidate, Failure> {
+    const usable = this.#directory.usable(demand);
+    if (usable.isErr()) return err(usable.error);
+    const left = sample.filter((candidate) => usable.value.includes(candidate));
+    const among = left.length > 0 ? left : this.#sample(usable.value, demand);
+    return this.#decide(demand, usable.value, among);
+  }
+
+  /** A few candidates at random, and the one whose cache should hold the prompt's beginning. */
+  #sample(usable: readonly Candidate[], demand: Demand): readonly Candidate[] {
+    const rest = [...this.#steady(usable, demand.tier)];
     const sample: Candidate[] = [];
-    while (sample.length < SAMPLE_SIZE && rest.length > 0) {
-      const index = Math.floor(this.#options.random() * rest.length);
+    const affine = this.#affine(rest, demand);
+    if (affine !== undefined) sample.push(...rest.splice(rest.indexOf(affine), 1));
+    const size = affine === undefined ? SAMPLE_SIZE : SAMPLE_SIZE + 1;
+    while (sample.length < size && rest.length > 0) {
+      const index = Math.floor(this.#random() * rest.length);
       sample.push(...rest.splice(index, 1));
     }
     return sample;
   }
 
+  /** Leaves slowed endpoints out but for their trial traffic, which never is of the top tier. */
+  #steady(usable: readonly Candidate[], tier: Tier): readonly Candidate[] {
+    if (!this.#mechanisms.trialTraffic) return usable;
+    this.#weigh(usable);
+    const steady: Candidate[] = [];
+    for (const candidate of usable) {
+      const {weight} = this.#state(candidate);
+      if (!weight.isReduced) steady.push(candidate);
+      else if (tier > 0 && this.#random() < weight.value / usable.length) return [candidate];
+    }
+    return steady.length > 0 ? steady : usable;
+  }
+
+  #weigh(usable: readonly Candidate[]): void {
+    const states = usable.map((candidate) => this.#state(candidate));
+    const first = slowdowns(states.map(({speed}) => speed.firstTokenRatio));
+    const inter = slowdowns(states.map(({speed}) => speed.interTokenMs));
+    for (const [index, {weight}] of states.entries()) {
+      weight.update(Math.max(first[index] ?? 1, inter[index] ?? 1));
+    }
+  }
+
+  #affine(members: readonly Candidate[], {prefixKey, target}: Demand): Candidate | undefined {
+    if (target.kind === 'service') {
+      if (target.affinityKey === undefined) return undefined;
+      return rankMembers(target.affinityKey, members, ({endpoint}) => endpoint)[0];
+    }
+    if (prefixKey === undefined || !this.#mechanisms.prefixAffinity) return undefined;
+    return rankMembers(prefixKey, members, ({instance}) => instance.name)[0];
+  }
+
+  #decide(
+    demand: Demand,
+    usable: readonly Candidate[],
+    sample: readonly Candidate[],
+  ): Result<Candidate, Failure> {
+    const {tier, target} = demand;
+    if (target.kind === 'service' && target.affinityKey !== undefined) {
+      const affine = this.#affine(usable, demand);
+      if (affine !== undefined) return ok(affine);
+    }
+    if (!this.#mechanisms.state) return ok(firstOf(sample));
+    const best = this.#best(sample, usable, tier);
+    const affine = this.#affine(sample, demand);
+    const preferred = affine !== undefined && this.#isNear(affine, best, tier) ? affine : best;
+    if (this.#canMeet(preferred, demand)) return ok(preferred);
+    const steady = usable.filter((candidate) => !this.#state(candidate).weight.isReduced);
+    const least = this.#leastWait(steady.length > 0 ? steady : usable, tier);
+    return this.#canMeet(least, demand) ? ok(least) : this.#refuse(least, usable, demand);
+  }
+
+  #best(sample: readonly Candidate[], usable: readonly Candidate[], tier: Tier): Candidate {
+    const latencyMs = (candidate: Candidate) => this.#state(candidate).speed.interTokenMs;
+    const cold = this.#mechanisms.hotColdSplit ? preferCold(sample, usable, latencyMs) : sample;
+    return this.#leastWait(cold, tier);
+  }
+
+  #isNear(affine: Candidate, best: Candidate, tier: Tier): boolean {
+    const state = this.#state(affine);
+    if (state.pressure > AFFINITY_MAX_PRESSURE) return affine === best;
+    return state.waitMs(tier) <= this.#state(best).waitMs(tier) + AFFINITY_WAIT_BOUND_MS;
+  }
+
+  #canMeet(candidate: Candidate, {requestClass, tier}: Demand): boolean {
+    const state = this.#state(candidate);
+    if (state.ageMs > REFUSAL_REPORT_AGE_MS) return true;
+    return state.waitMs(tier) <= budgetMs(requestClass);
+  }
+
+  #refuse(
+    least: Candidate,
+    usable: readonly Candidate[],
+    {requestClass, tier}: Demand,
+  ): Result<Candidate, Failure> {
+    const displaceable = usable.filter((candidate) => this.#state(candidate).hasLowerTier(tier));
+    if (tier === 0 && displaceable.length > 0) return ok(this.#leastWait(displaceable, tier));
+    const waitMs = this.#state(least).waitMs(tier);
+    const overMs = Math.ceil(waitMs - budgetMs(requestClass));
+    const message = `the shortest wait of any endpoint is ${Math.round(waitMs)} ms, over the target of the class`;
+    return err(refusal('target_unreachable', message, Math.max(MIN_RETRY_AFTER_MS, overMs)));
+  }
+
   #leastWait(candidates: readonly Candidate[], tier: Tier): Candidate {
-    const [first, ...others] = candidates;
-    if (first === undefined) throw new Error('a choice among no candidates');
-    let best = first;
-    for (const candidate of others) {
-      if (this.#waitMs(candidate, tier) < this.#waitMs(best, tier)) best = candidate;
+    let best = firstOf(candidates);
+    for (const candidate of candidates.slice(1)) {
+      if (isBefore(this.#state(candidate), this.#state(best), tier)) best = candidate;
     }
     return best;
   }
 
-  #waitMs(candidate: Candidate, tier: Tier): number {
-    return this.#observations.get(candidate.instance.name)?.load.waitMs[tier] ?? 0;
+  async #refresh(candidates: readonly Candidate[]): Promise<void> {
+    const stale = candidates.filter((candidate) => this.#state(candidate).isStale);
+    await this.#probes?.refresh(stale.map(({instance}) => instance));
+  }
+
+  #state(candidate: Candidate): EndpointState {
+    return this.#directory.state(candidate);
   }
 }
 
-function serves({set, setName}: Candidate, {target, requestClass}: Demand): boolean {
-  if (!requestClass.endpointSets.includes(setName)) return false;
-  if (target.kind === 'service') return set.service === target.service;
-  return set.type === 'engine' && set.models.includes(target.model);
+/** Milliseconds that a request of a class may wait. */
+function budgetMs({firstTokenMs, completionMs}: RequestClass): number {
+  return firstTokenMs ?? completionMs ?? Number.POSITIVE_INFINITY;
 }
 
-function noEndpoint({target}: Demand): Failure {
-  if (target.kind === 'model') {
-    return refusal('unknown_model', `no endpoint serves model ${target.model} for this class`);
-  }
-  return refusal('unknown_service', `no endpoint serves ${target.service} for this class`);
+/** Among endpoints with equal waits, the one with the most room comes first. */
+function isBefore(a: EndpointState, b: EndpointState, tier: Tier): boolean {
+  const waitA = a.waitMs(tier);
+  const waitB = b.waitMs(tier);
+  return waitA === waitB ? a.pressure < b.pressure : waitA < waitB;
+}
+
+function firstOf(candidates: readonly Candidate[]): Candidate {
+  const [candidate] = candidates;
+  if (candidate === undefined) throw new Error('a choice among no candidates');
+  return candidate;
 }
--- /dev/null
+++ b/packages/coordination/src/endpointState.ts
@@ -0,0 +1,195 @@
+/** What an entry knows of one endpoint: the last report, its age, and its own requests since. */
+import type {Clock, Random} from '@marigoldfold/runtime';
+import type {Load, Tier} from '@marigoldfold/protocol';
+import {FailureBackoff} from './failureBackoff.js';
+import {TrafficWeight} from './trialTraffic.js';
+
+/** A request of this entry at an endpoint; disposed of when the request has left it. */
+export interface SentRequest extends Disposable {
+  readonly sentAtMs: number;
+  /** Notes that the endpoint has begun the work. */
+  start(): void;
+  /** Notes the first part of the answer, in proportion to what is usual for the class. */
+  observeFirstToken(ratio: number): void;
+  /** Notes the mean time between parts of an answer, in milliseconds. */
+  observeInterToken(ms: number): void;
+}
+
+/** Recent speed of an endpoint; undefined when nothing was measured. */
+export interface Speed {
+  /** Time to the first token in proportion to what is usual for the class. */
+  readonly firstTokenRatio: number | undefined;
+  readonly interTokenMs: number | undefined;
+}
+
+interface Unreported {
+  readonly tier: Tier;
+  readonly sentAtMs: number;
+}
+
+const INITIAL_SERVICE_MS = 1000;
+const SMOOTHING = 0.3;
+/** A busy endpoint's report is trusted for this long. */
+const BUSY_REPORT_AGE_MS = 250;
+/** The report of an endpoint with free slots is trusted for this long. */
+const IDLE_REPORT_AGE_MS = 4000;
+const BUSY_PRESSURE = 0.7;
+const SPEED_AGE_MS = 10_000;
+
+/** The state of one endpoint at this entry. */
+export class EndpointState {
+  readonly backoff: FailureBackoff;
+  readonly weight: TrafficWeight;
+  readonly #clock: Clock;
+  readonly #unreported = new Set<Unreported>();
+  #load: Load | undefined;
+  #loadAtMs = Number.NEGATIVE_INFINITY;
+  #ownInFlight = 0;
+  #serviceMs = INITIAL_SERVICE_MS;
+  #firstTokenRatio: number | undefined;
+  #interTokenMs: number | undefined;
+  #speedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    clock: Clock,
+    random: Random,
+    private readonly slots: number,
+  ) {
+    this.#clock = clock;
+    this.backoff = new FailureBackoff(clock, random);
+    this.weight = new TrafficWeight(clock);
+  }
+
+  /** Whether a report has come. */
+  get isKnown(): boolean {
+    return this.#load !== undefined;
+  }
+
+  /** Whether the agent has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.#load?.isLeaving === true;
+  }
+
+  /** Milliseconds since the last report. */
+  get ageMs(): number {
+    return this.#clock.now() - this.#loadAtMs;
+  }
+
+  /** Whether the report is too old to decide by; a busy endpoint's state changes faster. */
+  get isStale(): boolean {
+    const boundMs = this.pressure >= BUSY_PRESSURE ? BUSY_REPORT_AGE_MS : IDLE_REPORT_AGE_MS;
+    return this.ageMs > boundMs;
+  }
+
+  /** Requests at the endpoint in proportion to what it can run at once. */
+  get pressure(): number {
+    const known = this.#reported() + this.#unreported.size;
+    return Math.max(this.#ownInFlight, known) / this.#window();
+  }
+
+  /** The recent speed as this entry saw it, else the time between tokens that the agent reports. */
+  get speed(): Speed {
+    const isFresh = this.#clock.now() - this.#speedAtMs <= SPEED_AGE_MS;
+    const reportedMs = this.#load?.interTokenMs ?? 0;
+    return {
+      firstTokenRatio: isFresh ? this.#firstTokenRatio : undefined,
+      interTokenMs: (isFresh ? this.#interTokenMs : undefined) ?? (reportedMs || undefined),
+    };
+  }
+
+  /**
+   * Takes a report that was made after requests sent by a time had arrived. A report of an earlier
+   * incarnation is ignored.
+   */
+  observe(load: Load, asOfMs: number): void {
+    if (this.#load !== undefined && this.#load.incarnation !== load.incarnation) {
+      if (startOf(load.incarnation) < startOf(this.#load.incarnation)) return;
+      this.backoff.reset();
+      this.#speedAtMs = Number.NEGATIVE_INFINITY;
+    }
+    this.backoff.succeed();
+    this.#load = load;
+    this.#loadAtMs = this.#clock.now();
+    for (const request of this.#unreported) {
+      if (request.sentAtMs <= asOfMs) this.#unreported.delete(request);
+    }
+  }
+
+  /** Notes a request that goes to the endpoint. */
+  send(tier: Tier): SentRequest {
+    const sentAtMs = this.#clock.now();
+    const request: Unreported = {tier, sentAtMs};
+    let startedAtMs: number | undefined;
+    let isOpen = true;
+    this.#unreported.add(request);
+    this.#ownInFlight += 1;
+    return {
+      sentAtMs,
+      start: () => {
+        startedAtMs ??= this.#clock.now();
+      },
+      observeFirstToken: (ratio) => {
+        this.#firstTokenRatio = this.#smoothSpeed(this.#firstTokenRatio, ratio);
+      },
+      observeInterToken: (ms) => {
+        this.#interTokenMs = this.#smoothSpeed(this.#interTokenMs, ms);
+      },
+      [Symbol.dispose]: () => {
+        if (!isOpen) return;
+        isOpen = false;
+        this.#ownInFlight -= 1;
+        this.#unreported.delete(request);
+        if (startedAtMs === undefined) return;
+        this.#serviceMs += SMOOTHING * (this.#clock.now() - startedAtMs - this.#serviceMs);
+      },
+    };
+  }
+
+  /** Estimated wait of a new request of a tier, in milliseconds. */
+  waitMs(tier: Tier): number {
+    const waits = this.#load?.waitMs ?? [];
+    // A report may leave out the last tiers when their wait is that of the tier before.
+    const reportedMs = waits[tier] ?? waits.at(-1) ?? 0;
+    let ahead = 0;
+    for (const request of this.#unreported) {
+      if (request.tier <= tier) ahead += 1;
+    }
+    const free = Math.max(0, this.#window() - this.#reported());
+    const waiting = Math.max(0, ahead + 1 - Math.max(1, free));
+    return reportedMs + (waiting * this.#serviceMs) / this.#window();
+  }
+
+  /** Whether work of a lower tier runs or waits there, which urgent work can displace. */
+  hasLowerTier(tier: Tier): boolean {
+    const {running = [], queued = []} = this.#load ?? {};
+    return sum(running.slice(tier + 1)) + sum(queued.slice(tier + 1)) > 0;
+  }
+
+  #smoothSpeed(before: number | undefined, value: number): number {
+    const now = this.#clock.now();
+    const isFresh = now - this.#speedAtMs <= SPEED_AGE_MS;
+    this.#speedAtMs = now;
+    return before === undefined || !isFresh ? value : before + SMOOTHING * (value - before);
+  }
+
+  #window(): number {
+    return Math.max(1, this.#load?.window ?? this.slots);
+  }
+
+  #reported(): number {
+    return sum(this.#load?.running ?? []) + sum(this.#load?.queued ?? []);
+  }
+}
+
+const INCARNATION_RADIX = 36;
+
+/** The start time that an incarnation begins with. */
+function startOf(incarnation: string): number {
+  return Number.parseInt(incarnation.split('-')[0] ?? '', INCARNATION_RADIX) || 0;
+}
+
+function sum(values: readonly number[]): number {
+  let total = 0;
+  for (const value of values) total += value;
+  return total;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,12 +1,17 @@
 /** How the processes act together: configuration, membership, choice of endpoint, limits. */
 export {AccountLimits} from './accountLimits.js';
 export {ConfigurationFeed, type ConfigurationFeedOptions} from './configurationFeed.js';
+export {type Candidate, type Demand, type Target} from './candidates.js';
+export {ClassBaseline} from './classBaseline.js';
 export {
-  type Candidate,
-  type Demand,
+  type ChoiceMechanisms,
   EndpointChoice,
   type EndpointChoiceOptions,
 } from './endpointChoice.js';
+export type {SentRequest} from './endpointState.js';
+export type {Probe} from './loadProbes.js';
+export {prefixKeyOf} from './prefixAffinity.js';
+export {type Place, chooseSubset, DEFAULT_SUBSET_SIZE} from './subset.js';
 export {hash64} from './hash.js';
 export {
   InstanceFeed,
--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -1,6 +1,7 @@
 /** Reads and checks what callers send: key, class, and body. */
 import {createHash, timingSafeEqual} from 'node:crypto';
 import type {IncomingHttpHeaders} from 'node:http';
+import {prefixKeyOf} from '@marigoldfold/coordination';
 import {type Failure, type Generation, refusal} from '@marigoldfold/protocol';
 import type {Account, Configuration, RequestClass} from '@marigoldfold/state';
 import {err, ok, type Result} from 'neverthrow';
@@ -79,6 +80,8 @@
   readonly isStreamed: boolean;
   readonly isChat: boolean;
   readonly promptTokens: number;
+  /** Names the first block of a long prompt. */
+  readonly prefixKey: string | undefined;
 }
 
 /** Path of chat completions. */
@@ -108,6 +111,7 @@
     isStreamed: checked.data.stream === true,
     isChat,
     promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
+    prefixKey: prefixKeyOf(checked.data.model, JSON.stringify(checked.data[required])),
   });
 }
 
--- a/packages/entry/src/callersApi.ts
+++ b/packages/entry/src/callersApi.ts
@@ -161,6 +161,7 @@
         requestClass: named.value.requestClass,
         tier: named.value.requestClass.tier,
         target: {kind: 'model', model},
+        prefixKey: generation.prefixKey,
       },
     };
     const answer = options.router.route(routed, signal);
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -174,7 +174,10 @@
     }),
   );
   const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
-  const choice = new EndpointChoice({clock, random, self: process.name});
+  const {name: self, failureDomain, region} = process;
+  const probe = async (instance: Instance) =>
+    (await links.get(instance).probe()).unwrapOr(undefined);
+  const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
   return {record, feed, instances, links, choice};
 }
 
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -68,7 +68,7 @@
     const excluded = new Set<string>();
     let failure: Failure | undefined;
     while (true) {
-      const chosen = choice.choose({...request.demand, excluded});
+      const chosen = await choice.chooseFresh({...request.demand, excluded});
       if (chosen.isErr()) return {kind: 'failed', failure: failure ?? chosen.error};
       const {instance} = chosen.value;
       const attempt: Attempt = {
