Add experiments on a virtual clock, with the queue as it is

Cause: the policy cannot be judged without a measurement of it. Change: marigoldfold-bench run takes an experiment and compares policies on the same requests; the product's queue, choice of endpoint and account limits decide, engines and network are simulated.

--- /dev/null
+++ b/packages/bench/src/agentModel.ts
@@ -0,0 +1,214 @@
+/** An agent with its endpoint: the product's queue before a simulated backend. */
+import type {Directive} from '@marigoldfold/agent';
+import {type Failure, type Load, refusal, type Tier, type Withdrawal} from '@marigoldfold/protocol';
+import type {Clock} from '@marigoldfold/runtime';
+import {err, ok, type Result} from 'neverthrow';
+import type {Arrival} from './arrivals.js';
+import type {Backend} from './backend.js';
+import type {RequestQueue} from './firstComeQueue.js';
+import type {InvariantChecker} from './invariants.js';
+
+/** Receives what becomes of a request at an agent. */
+export interface AttemptListener {
+  readonly onToken: (number: number) => void;
+  readonly onRefused: (failure: Failure) => void;
+  /** The agent was lost with the request. */
+  readonly onLost: () => void;
+}
+
+/** What an agent model needs. */
+export interface AgentModelOptions {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly backend: Backend;
+  readonly createQueue: () => RequestQueue;
+  readonly setsPriority: boolean;
+  readonly checker: InvariantChecker;
+}
+
+/** A request at an agent. */
+export interface Attempt {
+  readonly arrival: Arrival;
+  readonly tier: Tier;
+  readonly state: 'queued' | 'running' | 'paused';
+  readonly generated: number;
+}
+
+interface MutableAttempt extends Attempt {
+  readonly listener: AttemptListener;
+  state: Attempt['state'];
+  generated: number;
+}
+
+/** What a class without a target for the first token waits at most. */
+const UNTARGETED_BUDGET_MS = 600_000;
+
+/** The agent. */
+export class AgentModel {
+  readonly #options: AgentModelOptions;
+  readonly #attempts = new Map<string, MutableAttempt>();
+  #queue: RequestQueue;
+  #incarnation = 1;
+  #isUp = true;
+
+  constructor(options: AgentModelOptions) {
+    this.#options = options;
+    this.#queue = options.createQueue();
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  get backend(): Backend {
+    return this.#options.backend;
+  }
+
+  /** Whether the agent can be reached. */
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
+  /** The requests that are here. */
+  get attempts(): Iterable<Attempt> {
+    return this.#attempts.values();
+  }
+
+  /** Takes a request in, or refuses it. */
+  submit(arrival: Arrival, listener: AttemptListener): Result<void, Failure> {
+    const {requestClass, atMs} = arrival;
+    const {tier, firstTokenMs, completionMs, interTokenMs, typicalOutputTokens} = requestClass;
+    const dueAtMs = atMs + (firstTokenMs ?? completionMs ?? UNTARGETED_BUDGET_MS);
+    const item = {
+      id: arrival.id,
+      tier,
+      dueAtMs,
+      interTokenTargetMs: interTokenMs,
+      typicalOutputTokens,
+    };
+    const offered = this.#queue.offer(item);
+    if (offered.isErr()) {
+      this.#options.checker.onShed(this, arrival, offered.error);
+      return err(offered.error);
+    }
+    this.#note(arrival.id, `queued in tier ${tier}`);
+    this.#attempts.set(arrival.id, {arrival, tier, listener, state: 'queued', generated: 0});
+    this.#dispatch();
+    return ok(undefined);
+  }
+
+  /** Takes back a request that has not been started. */
+  withdraw(id: string): Withdrawal {
+    const attempt = this.#attempts.get(id);
+    if (attempt === undefined) return 'finished';
+    if (attempt.state !== 'queued' || !this.#queue.remove(id)) return 'started';
+    this.#attempts.delete(id);
+    this.#note(id, 'withdrawn');
+    return 'never-started';
+  }
+
+  /** The state of the endpoint. */
+  load(): Load {
+    const {running, queued, waitMs, window} = this.#queue.load();
+    return {
+      incarnation: `${this.name}.${this.#incarnation}`,
+      configuration: 1,
+      running: [...running],
+      queued: [...queued],
+      waitMs: [...waitMs],
+      window,
+      interTokenMs: 0,
+      firstTokenMs: 0,
+      isLeaving: false,
+    };
+  }
+
+  /** Loses everything. */
+  crash(): void {
+    this.#isUp = false;
+    this.backend.crash();
+    const lost = [...this.#attempts.values()];
+    this.#attempts.clear();
+    for (const {arrival, listener} of lost) {
+      this.#note(arrival.id, 'lost in a crash');
+      listener.onLost();
+    }
+  }
+
+  /** Comes back empty. */
+  restart(): void {
+    this.#incarnation += 1;
+    this.#queue = this.#options.createQueue();
+    this.#isUp = true;
+  }
+
+  #dispatch(): void {
+    for (const directive of this.#queue.next()) this.#follow(directive);
+  }
+
+  #follow(directive: Directive): void {
+    const attempt = this.#attempts.get(directive.id);
+    if (attempt === undefined) throw new Error(`a directive for ${directive.id}, not known here`);
+    switch (directive.kind) {
+      case 'start':
+        this.#start(attempt);
+        break;
+      case 'preempt':
+        this.#preempt(attempt, directive.for);
+        break;
+      case 'shed':
+        this.#attempts.delete(directive.id);
+        this.#options.checker.onShed(this, attempt.arrival, directive.failure);
+        attempt.listener.onRefused(directive.failure);
+        break;
+    }
+  }
+
+  #start(attempt: MutableAttempt): void {
+    const {arrival, tier} = attempt;
+    const isResumed = attempt.state === 'paused';
+    attempt.state = 'running';
+    this.#note(arrival.id, isResumed ? 'resumed' : 'started');
+    if (isResumed) {
+      this.backend.resume(arrival.id);
+      return;
+    }
+    const priority = this.#options.setsPriority ? tier : 0;
+    this.backend.begin({...arrival, priority}, (number) => {
+      this.#onToken(attempt, number);
+    });
+  }
+
+  #preempt(victim: MutableAttempt, beneficiary: string): void {
+    const {id} = victim.arrival;
+    const attempt = this.#attempts.get(beneficiary);
+    this.#note(id, `preempted for ${beneficiary} after ${victim.generated} tokens`);
+    this.#options.checker.onPreempted(this, victim, attempt);
+    this.backend.pause(id);
+    victim.state = 'paused';
+    this.#queue.requeue(id);
+    this.#dispatch();
+  }
+
+  #onToken(attempt: MutableAttempt, number: number): void {
+    attempt.generated = number;
+    const {arrival, listener} = attempt;
+    const isLast = number === arrival.outputTokens;
+    if (isLast) {
+      this.#attempts.delete(arrival.id);
+      this.#queue.finish(arrival.id);
+      this.#note(arrival.id, 'finished');
+    }
+    listener.onToken(number);
+    if (isLast) this.#dispatch();
+  }
+
+  #note(id: string, event: string): void {
+    this.#options.checker.note(id, `${this.name}: ${event}`);
+  }
+}
+
+/** The refusal of a request whose agent cannot be reached. */
+export function unreachable(agent: AgentModel): Failure {
+  return refusal('endpoint_unreachable', `${agent.name} cannot be reached`);
+}
--- /dev/null
+++ b/packages/bench/src/arrivals.ts
@@ -0,0 +1,84 @@
+/** The requests of an experiment; they depend on the seed alone, so every policy gets the same. */
+import {hash64} from '@marigoldfold/coordination';
+import {type Random, seededRandom} from '@marigoldfold/runtime';
+import {sample, sampleExponential} from './distribution.js';
+import type {Experiment, ExperimentClass} from './experiment.js';
+
+/** A request of an experiment. */
+export interface Arrival {
+  readonly id: string;
+  readonly requestClass: ExperimentClass;
+  readonly account: string;
+  /** Index of the entry that the balancer sends it to. */
+  readonly entry: number;
+  readonly atMs: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly callMs: number;
+}
+
+const MS_PER_SECOND = 1000;
+const SEED_MASK = 0x7fff_ffffn;
+
+/** A reproducible source for one purpose; the sources of different purposes are independent. */
+export function randomFor(seed: number, purpose: string): Random {
+  return seededRandom(Number(hash64(`${seed}\n${purpose}`) & SEED_MASK));
+}
+
+/** All requests in the order of their arrival. */
+export function createArrivals(experiment: Experiment, seed: number): readonly Arrival[] {
+  const arrivals: Arrival[] = [];
+  for (const requestClass of experiment.classes) {
+    const random = randomFor(seed, `arrivals of ${requestClass.name}`);
+    arrivals.push(...createClassArrivals(experiment, requestClass, random));
+  }
+  return arrivals.sort((a, b) => a.atMs - b.atMs || (a.id < b.id ? -1 : 1));
+}
+
+/** A Poisson process whose rate varies, by thinning one at the highest rate. */
+function createClassArrivals(
+  {durationS, entries, accounts}: Experiment,
+  requestClass: ExperimentClass,
+  random: Random,
+): readonly Arrival[] {
+  const {arrivals: pattern, promptTokens, outputTokens, callMs} = requestClass;
+  const highest = highestRate(pattern);
+  const arrivals: Arrival[] = [];
+  let atS = 0;
+  while (true) {
+    atS += sampleExponential(1 / highest, random);
+    if (atS >= durationS) return arrivals;
+    if (random() * highest >= rateAt(pattern, atS)) continue;
+    const isLargest = random() < pattern.largestAccountShare;
+    const account = isLargest ? 0 : Math.floor(random() * accounts);
+    arrivals.push({
+      id: `${requestClass.name}-${arrivals.length + 1}`,
+      requestClass,
+      account: `account-${account + 1}`,
+      entry: Math.floor(random() * entries),
+      atMs: atS * MS_PER_SECOND,
+      promptTokens: Math.ceil(sample(promptTokens, random)),
+      outputTokens: Math.ceil(sample(outputTokens, random)),
+      callMs: sample(callMs, random),
+    });
+  }
+}
+
+type Pattern = ExperimentClass['arrivals'];
+
+function highestRate({requestsPerSecond, swing, bursts}: Pattern): number {
+  const crest = 1 + (swing?.amplitude ?? 0);
+  const burst = bursts.reduce((product, {factor}) => product * Math.max(1, factor), 1);
+  return requestsPerSecond * crest * burst;
+}
+
+function rateAt({requestsPerSecond, swing, bursts}: Pattern, atS: number): number {
+  let rate = requestsPerSecond;
+  if (swing !== undefined) {
+    rate *= 1 + swing.amplitude * Math.sin((2 * Math.PI * atS) / swing.periodS);
+  }
+  for (const burst of bursts) {
+    if (atS >= burst.atS && atS < burst.atS + burst.durationS) rate *= burst.factor;
+  }
+  return rate;
+}
--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of `marigoldfold-bench` by name. */
+import {Run} from './run.js';
 
 /** Commands by id. */
-export const commands = {};
+export const commands = {run: Run};
--- /dev/null
+++ b/packages/bench/src/commands/run.ts
@@ -0,0 +1,65 @@
+/** `marigoldfold-bench run`. */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {formatProblem} from '@marigoldfold/runtime';
+import {Args, Command, Flags} from '@oclif/core';
+import {type Experiment, parseExperiment} from '../experiment.js';
+import {ProgressBar} from '../progressBar.js';
+import {formatOutcome} from '../report.js';
+import {runExperiment} from '../runExperiment.js';
+
+const EXIT_USAGE = 2;
+
+/** Runs an experiment. */
+export class Run extends Command {
+  static override readonly description =
+    'Runs an experiment: the same requests under each of its policies, on a virtual clock.';
+  static override readonly examples = [
+    'marigoldfold-bench run experiments/brescia-head-of-line.toml',
+    'marigoldfold-bench run experiments/authority-slowed.toml --seed 7 --json result.json',
+  ];
+  static override readonly args = {
+    file: Args.string({description: 'experiment (TOML)', required: true}),
+  };
+  static override readonly flags = {
+    seed: Flags.integer({description: 'seed of the requests; the experiment’s when absent'}),
+    json: Flags.string({description: 'file that the result is written to as JSON'}),
+    strict: Flags.boolean({description: 'also fail when an expectation is not held'}),
+  };
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(Run);
+    const experiment = this.#read(args.file);
+    using bar = new ProgressBar(process.stderr);
+    const outcome = runExperiment({
+      experiment,
+      seed: flags.seed ?? experiment.seed,
+      onProgress: (part, policy) => {
+        bar.show(part, policy);
+      },
+    });
+    bar[Symbol.dispose]();
+    // The type of oclif's own boolean flag of this name hides ours.
+    const json: unknown = flags.json;
+    if (typeof json === 'string') {
+      writeFileSync(json, `${JSON.stringify(outcome.result, undefined, 2)}\n`);
+    }
+    this.log(formatOutcome(outcome));
+    const isMissed = outcome.judgements.some(({holds}) => !holds);
+    if (outcome.violations.length > 0 || (flags.strict && isMissed)) this.exit(1);
+  }
+
+  #read(file: string): Experiment {
+    let text: string;
+    try {
+      text = readFileSync(file, 'utf8');
+    } catch {
+      this.error(`${file} cannot be read`, {exit: EXIT_USAGE});
+    }
+    const experiment = parseExperiment(text);
+    if (experiment.isOk()) return experiment.value;
+    const lines = experiment.error.map((problem) => `  ${formatProblem(problem)}`);
+    this.error([`${file} has ${lines.length} problem(s):`, ...lines].join('\n'), {
+      exit: EXIT_USAGE,
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/distribution.ts
@@ -0,0 +1,50 @@
+/** Distributions that experiments draw from. */
+import type {Random} from '@marigoldfold/runtime';
+import {z} from 'zod';
+
+const positive = z.number().positive();
+
+/** Checks a distribution. */
+export const distributionSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('fixed'), value: positive}),
+  z
+    .strictObject({kind: z.literal('uniform'), min: positive, max: positive})
+    .refine(({min, max}) => min <= max, {error: 'min is above max', path: ['min']}),
+  /** Log-normal: half of the values are below the median, 95 in 100 below `p95`. */
+  z
+    .strictObject({kind: z.literal('lognormal'), median: positive, p95: positive, max: positive})
+    .refine(({median, p95}) => median <= p95, {error: 'median is above p95', path: ['median']})
+    .refine(({p95, max}) => p95 <= max, {error: 'p95 is above max', path: ['p95']}),
+]);
+
+/** A distribution of positive numbers. */
+export type Distribution = Readonly<z.infer<typeof distributionSchema>>;
+
+/** The 95th percentile of the standard normal distribution. */
+const NORMAL_P95 = 1.6449;
+
+/** Draws one value. */
+export function sample(distribution: Distribution, random: Random): number {
+  switch (distribution.kind) {
+    case 'fixed':
+      return distribution.value;
+    case 'uniform':
+      return distribution.min + random() * (distribution.max - distribution.min);
+    case 'lognormal': {
+      const {median, p95, max} = distribution;
+      const deviation = Math.log(p95 / median) / NORMAL_P95;
+      return Math.min(max, median * Math.exp(deviation * sampleNormal(random)));
+    }
+  }
+}
+
+/** Draws an exponentially distributed value with a mean. */
+export function sampleExponential(mean: number, random: Random): number {
+  return -Math.log(1 - random()) * mean;
+}
+
+/** Box-Muller transform. */
+function sampleNormal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  return radius * Math.cos(2 * Math.PI * random());
+}
--- /dev/null
+++ b/packages/bench/src/firstComeQueue.ts
@@ -0,0 +1,53 @@
+/** First come, first served, without limits: the queue of the naive policy. */
+import type {Directive, QueueItem, QueueLoad, WorkQueue} from '@marigoldfold/agent';
+import type {Failure} from '@marigoldfold/protocol';
+import {ok, type Result} from 'neverthrow';
+
+/** What an agent asks of its queue. */
+export type RequestQueue = Pick<
+  WorkQueue,
+  'offer' | 'remove' | 'next' | 'requeue' | 'finish' | 'load'
+>;
+
+/** The queue. */
+export class FirstComeQueue implements RequestQueue {
+  readonly #slots: number;
+  readonly #waiting = new Set<string>();
+  readonly #running = new Set<string>();
+
+  constructor(slots: number) {
+    this.#slots = slots;
+  }
+
+  offer({id}: QueueItem): Result<void, Failure> {
+    this.#waiting.add(id);
+    return ok(undefined);
+  }
+
+  remove(id: string): boolean {
+    return this.#waiting.delete(id);
+  }
+
+  next(): readonly Directive[] {
+    const directives: Directive[] = [];
+    for (const id of this.#waiting) {
+      if (this.#running.size >= this.#slots) break;
+      this.#waiting.delete(id);
+      this.#running.add(id);
+      directives.push({kind: 'start', id});
+    }
+    return directives;
+  }
+
+  requeue(id: string): void {
+    throw new Error(`request ${id} was preempted by a queue that never preempts`);
+  }
+
+  finish(id: string): void {
+    this.#running.delete(id);
+  }
+
+  load(): QueueLoad {
+    return {running: [], queued: [], waitMs: [], window: this.#slots};
+  }
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,20 @@
 /** Load and experiments. */
-export {};
+export {type Arrival, createArrivals, randomFor} from './arrivals.js';
+export {
+  type Experiment,
+  type ExperimentClass,
+  experimentSchema,
+  parseExperiment,
+} from './experiment.js';
+export type {Judgement} from './expectations.js';
+export type {Violation} from './invariants.js';
+export type {ClassResult, PolicyResult, Quantiles} from './measures.js';
+export {type Policy, type PolicyName, findPolicy, policyNames} from './policies.js';
+export {formatOutcome} from './report.js';
+export {
+  type ExperimentOptions,
+  type ExperimentOutcome,
+  type ExperimentResult,
+  runExperiment,
+} from './runExperiment.js';
+export {simulate, type SimulationOptions, type SimulationOutcome} from './simulation.js';
--- /dev/null
+++ b/packages/bench/src/invariants.ts
@@ -0,0 +1,109 @@
+/** What must hold in every run, checked while it goes on. */
+import type {Failure} from '@marigoldfold/protocol';
+import type {Clock} from '@marigoldfold/runtime';
+import type {AgentModel, Attempt} from './agentModel.js';
+import type {Arrival} from './arrivals.js';
+
+/** Something that must hold and did not, with what had happened to the request. */
+export interface Violation {
+  readonly rule: 'urgent-first' | 'admitted-finishes' | 'not-run-did-no-work' | 'answers-whole';
+  readonly request: string;
+  readonly message: string;
+  readonly trace: readonly string[];
+}
+
+/** Tiers below this are urgent: they are never shed while a lower tier is served in their place. */
+export const urgentTierCount = 2;
+
+const MAX_VIOLATIONS = 20;
+
+/** Checks one run. */
+export class InvariantChecker {
+  readonly #clock: Clock;
+  readonly #traces = new Map<string, string[]>();
+  readonly #violations: Violation[] = [];
+  readonly #worked = new Map<string, number>();
+  readonly #finished = new Set<string>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** The violations so far. */
+  get violations(): readonly Violation[] {
+    return this.#violations;
+  }
+
+  /** Keeps an event of a request for its trace. */
+  note(request: string, event: string): void {
+    const line = `${this.#clock.now().toFixed(1)} ms ${event}`;
+    const trace = this.#traces.get(request);
+    if (trace === undefined) this.#traces.set(request, [line]);
+    else trace.push(line);
+  }
+
+  /** An agent refuses a request, or sheds it from its queue. */
+  onShed(agent: AgentModel, {id, requestClass}: Arrival, failure: Failure): void {
+    this.note(id, `${agent.name}: refused, ${failure.code}`);
+    if (failure.ran !== 'no') return;
+    if (requestClass.tier >= urgentTierCount) return;
+    for (const other of agent.attempts) {
+      if (other.tier <= requestClass.tier || other.arrival.id === id) continue;
+      const message = `refused by ${agent.name} in tier ${requestClass.tier} while ${other.arrival.id} of tier ${other.tier} is ${other.state}`;
+      this.#violate('urgent-first', id, message);
+      return;
+    }
+  }
+
+  /** An agent preempts a request for another. */
+  onPreempted(agent: AgentModel, victim: Attempt, beneficiary: Attempt | undefined): void {
+    const {id} = victim.arrival;
+    if (beneficiary === undefined) {
+      this.#violate('urgent-first', id, `preempted by ${agent.name} for a request that is gone`);
+      return;
+    }
+    if (beneficiary.tier <= victim.tier) return;
+    const message = `preempted by ${agent.name} for ${beneficiary.arrival.id} of lower tier ${beneficiary.tier}`;
+    this.#violate('urgent-first', id, message);
+  }
+
+  /** A token reaches an entry. */
+  onToken({id, outputTokens}: Arrival, number: number): void {
+    const before = this.#worked.get(id) ?? 0;
+    if (number !== before + 1 || number > outputTokens) {
+      this.#violate('answers-whole', id, `token ${number} came after ${before} of ${outputTokens}`);
+    }
+    this.#worked.set(id, number);
+  }
+
+  /** A caller got its whole answer. */
+  onFinished({id, outputTokens}: Arrival): void {
+    const got = this.#worked.get(id) ?? 0;
+    if (got !== outputTokens || this.#finished.has(id)) {
+      this.#violate('answers-whole', id, `finished with ${got} of ${outputTokens} tokens`);
+    }
+    this.#finished.add(id);
+  }
+
+  /** A caller got a failure. */
+  onFailed({id}: Arrival, failure: Failure): void {
+    this.note(id, `failed: ${failure.code}, ran ${failure.ran}`);
+    const got = this.#worked.get(id) ?? 0;
+    if (failure.ran === 'no' && got > 0) {
+      this.#violate('not-run-did-no-work', id, `${failure.code} says not run after ${got} tokens`);
+    }
+    this.#finished.add(id);
+  }
+
+  /** The run is over. */
+  onEnd(arrivals: readonly Arrival[]): void {
+    for (const {id} of arrivals) {
+      if (!this.#finished.has(id)) this.#violate('admitted-finishes', id, 'never ended');
+    }
+  }
+
+  #violate(rule: Violation['rule'], request: string, message: string): void {
+    if (this.#violations.length >= MAX_VIOLATIONS) return;
+    this.#violations.push({rule, request, message, trace: this.#traces.get(request) ?? []});
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measures.ts
@@ -0,0 +1,228 @@
+/** Counts and distributions of one run. */
+import {build, type Histogram} from 'hdr-histogram-js';
+import type {Arrival} from './arrivals.js';
+import type {ExperimentClass} from './experiment.js';
+
+/** Quantiles in milliseconds. */
+export interface Quantiles {
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+}
+
+/** The result of a class. */
+export interface ClassResult {
+  readonly offered: number;
+  /** Whole answers within all targets of the class. */
+  readonly attained: number;
+  /** Whole answers outside of a target. */
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Attained of offered. */
+  readonly attainment: number;
+  readonly firstTokenMs: Quantiles;
+  readonly interTokenMs: Quantiles;
+  readonly completionMs: Quantiles;
+}
+
+/** The result of a policy. */
+export interface PolicyResult {
+  /** Tokens of attained answers for each second of the experiment. */
+  readonly goodputTokensPerSecond: number;
+  /** Tokens of answers that never became whole, and tokens that were computed again. */
+  readonly wastedTokens: number;
+  readonly classes: Readonly<Record<string, ClassResult>>;
+}
+
+/** Figures for expectations that the result does not list. */
+export interface ClassDetail {
+  readonly servedTokens: number;
+  /** Part of the first tokens that came within the class's target. */
+  readonly firstTokenShare: number;
+  /** Part of the gaps between tokens that were within the class's target. */
+  readonly interTokenShare: number;
+}
+
+/** Figures for expectations that the result does not list, by class. */
+export type Details = Readonly<Record<string, ClassDetail>>;
+
+const UNITS_PER_MS = 100;
+const MS_PER_SECOND = 1000;
+
+/** Follows one request from its arrival to its end. */
+export class RequestRecord {
+  #firstTokenAtMs: number | undefined;
+  #lastTokenAtMs = 0;
+  #tokens = 0;
+
+  constructor(
+    readonly arrival: Arrival,
+    private readonly measure: ClassMeasure,
+  ) {
+    measure.offered += 1;
+  }
+
+  /** Tokens so far. */
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  onToken(atMs: number): void {
+    if (this.#firstTokenAtMs === undefined) {
+      this.#firstTokenAtMs = atMs;
+      this.measure.recordFirstToken(atMs - this.arrival.atMs);
+    } else this.measure.recordGap(atMs - this.#lastTokenAtMs);
+    this.#lastTokenAtMs = atMs;
+    this.#tokens += 1;
+  }
+
+  onFinished(): void {
+    const {measure, arrival} = this;
+    const {firstTokenMs, interTokenMs, completionMs} = arrival.requestClass;
+    const firstTokenAtMs = this.#firstTokenAtMs ?? 0;
+    const tookMs = this.#lastTokenAtMs - arrival.atMs;
+    const meanGapMs = (this.#lastTokenAtMs - firstTokenAtMs) / Math.max(1, this.#tokens - 1);
+    const isAttained =
+      firstTokenAtMs - arrival.atMs <= (firstTokenMs ?? Number.POSITIVE_INFINITY) &&
+      meanGapMs <= (interTokenMs ?? Number.POSITIVE_INFINITY) &&
+      tookMs <= (completionMs ?? Number.POSITIVE_INFINITY);
+    measure.recordCompletion(tookMs);
+    measure.servedTokens += this.#tokens;
+    if (!isAttained) {
+      measure.late += 1;
+      return;
+    }
+    measure.attained += 1;
+    measure.goodTokens += this.#tokens;
+  }
+
+  onRefused(): void {
+    this.measure.refused += 1;
+  }
+
+  onFailed(): void {
+    this.measure.failed += 1;
+    this.measure.wastedTokens += this.#tokens;
+  }
+}
+
+/** What is counted of a class. */
+export class ClassMeasure {
+  readonly #targets: ExperimentClass;
+  readonly #firstToken = createHistogram();
+  readonly #gap = createHistogram();
+  readonly #completion = createHistogram();
+  #firstTokensInTime = 0;
+  #gapsInTime = 0;
+  offered = 0;
+  attained = 0;
+  late = 0;
+  refused = 0;
+  failed = 0;
+  servedTokens = 0;
+  goodTokens = 0;
+  wastedTokens = 0;
+
+  constructor(targets: ExperimentClass) {
+    this.#targets = targets;
+  }
+
+  recordFirstToken(durationMs: number): void {
+    record(this.#firstToken, durationMs);
+    if (durationMs <= (this.#targets.firstTokenMs ?? Number.POSITIVE_INFINITY)) {
+      this.#firstTokensInTime += 1;
+    }
+  }
+
+  recordGap(durationMs: number): void {
+    record(this.#gap, durationMs);
+    if (durationMs <= (this.#targets.interTokenMs ?? Number.POSITIVE_INFINITY)) {
+      this.#gapsInTime += 1;
+    }
+  }
+
+  recordCompletion(durationMs: number): void {
+    record(this.#completion, durationMs);
+  }
+
+  result(): ClassResult {
+    const {offered, attained, late, refused, failed} = this;
+    return {
+      offered,
+      attained,
+      late,
+      refused,
+      failed,
+      attainment: offered === 0 ? 1 : attained / offered,
+      firstTokenMs: quantiles(this.#firstToken),
+      interTokenMs: quantiles(this.#gap),
+      completionMs: quantiles(this.#completion),
+    };
+  }
+
+  detail(): ClassDetail {
+    return {
+      servedTokens: this.servedTokens,
+      firstTokenShare: ratio(this.#firstTokensInTime, this.#firstToken.totalCount),
+      interTokenShare: ratio(this.#gapsInTime, this.#gap.totalCount),
+    };
+  }
+}
+
+/** The measures of all classes. */
+export class Measures {
+  readonly #classes = new Map<string, ClassMeasure>();
+  recomputedTokens = 0;
+
+  /** Begins the record of a request. */
+  open(arrival: Arrival): RequestRecord {
+    const {requestClass} = arrival;
+    const known = this.#classes.get(requestClass.name);
+    const measure = known ?? new ClassMeasure(requestClass);
+    if (known === undefined) this.#classes.set(requestClass.name, measure);
+    return new RequestRecord(arrival, measure);
+  }
+
+  /** The result after a duration. */
+  result(durationMs: number): PolicyResult {
+    const classes: Record<string, ClassResult> = {};
+    let goodTokens = 0;
+    let wastedTokens = this.recomputedTokens;
+    for (const [name, measure] of this.#sorted()) {
+      classes[name] = measure.result();
+      goodTokens += measure.goodTokens;
+      wastedTokens += measure.wastedTokens;
+    }
+    const goodputTokensPerSecond = goodTokens / (durationMs / MS_PER_SECOND);
+    return {goodputTokensPerSecond, wastedTokens: Math.round(wastedTokens), classes};
+  }
+
+  /** Further figures by class. */
+  details(): Details {
+    const details: Record<string, ClassDetail> = {};
+    for (const [name, measure] of this.#sorted()) details[name] = measure.detail();
+    return details;
+  }
+
+  #sorted(): readonly (readonly [string, ClassMeasure])[] {
+    return [...this.#classes].sort(([a], [b]) => (a < b ? -1 : 1));
+  }
+}
+
+function createHistogram(): Histogram {
+  return build({bitBucketSize: 64, autoResize: true, numberOfSignificantValueDigits: 3});
+}
+
+function record(histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(Math.round(durationMs * UNITS_PER_MS));
+}
+
+function quantiles(histogram: Histogram): Quantiles {
+  const at = (percentile: number) => histogram.getValueAtPercentile(percentile) / UNITS_PER_MS;
+  return {p50: at(50), p95: at(95), p99: at(99)};
+}
+
+function ratio(part: number, whole: number): number {
+  return whole === 0 ? 1 : part / whole;
+}
--- /dev/null
+++ b/packages/bench/src/policies.ts
@@ -0,0 +1,57 @@
+/** The policies that an experiment compares. */
+
+/** Names of the policies. */
+export const policyNames = [
+  'marigoldfold',
+  'naive',
+  'without-moves',
+  'without-subset-state',
+] as const;
+
+/** Name of a policy. */
+export type PolicyName = (typeof policyNames)[number];
+
+/** How the simulated system decides. */
+export interface Policy {
+  readonly name: PolicyName;
+  /** The queue of an agent: the product's, or first come first served without limits. */
+  readonly queue: 'product' | 'first-come';
+  /** How an entry chooses: the product's way, or each endpoint in turn. */
+  readonly choice: 'product' | 'round-robin';
+  /** Whether entries learn from the loads that agents report. */
+  readonly usesLoads: boolean;
+  /** Whether a request that was refused without work goes to another endpoint. */
+  readonly moves: boolean;
+  /** Whether account limits apply. */
+  readonly limitsAccounts: boolean;
+  /** Whether the engine is told the priority of a request. */
+  readonly setsPriority: boolean;
+}
+
+const product: Omit<Policy, 'name'> = {
+  queue: 'product',
+  choice: 'product',
+  usesLoads: true,
+  moves: true,
+  limitsAccounts: true,
+  setsPriority: true,
+};
+
+const policies: Readonly<Record<PolicyName, Omit<Policy, 'name'>>> = {
+  marigoldfold: product,
+  naive: {
+    queue: 'first-come',
+    choice: 'round-robin',
+    usesLoads: false,
+    moves: false,
+    limitsAccounts: false,
+    setsPriority: false,
+  },
+  'without-moves': {...product, moves: false},
+  'without-subset-state': {...product, usesLoads: false},
+};
+
+/** The policy of a name. */
+export function findPolicy(name: PolicyName): Policy {
+  return {name, ...policies[name]};
+}
--- /dev/null
+++ b/packages/bench/src/report.ts
@@ -0,0 +1,72 @@
+/** Shows the outcome of an experiment as text. */
+import {formatTable} from '@marigoldfold/cli';
+import type {Judgement} from './expectations.js';
+import type {PolicyResult, Quantiles} from './measures.js';
+import type {ExperimentOutcome, PolicyViolation} from './runExperiment.js';
+
+const PERCENT = 100;
+
+/** The whole report. */
+export function formatOutcome({result, judgements, violations}: ExperimentOutcome): string {
+  const parts = [
+    `${result.experiment}, seed ${result.seed}`,
+    formatPolicies(result.policies),
+    formatClasses(result.policies),
+  ];
+  if (judgements.length > 0) parts.push(formatJudgements(judgements));
+  if (violations.length > 0) parts.push(violations.map(formatViolation).join('\n'));
+  return parts.join('\n\n');
+}
+
+function formatPolicies(policies: Readonly<Record<string, PolicyResult>>): string {
+  const rows = Object.entries(policies).map(([name, policy]) => [
+    name,
+    policy.goodputTokensPerSecond.toFixed(0),
+    policy.wastedTokens,
+  ]);
+  return formatTable(['POLICY', 'GOODPUT TOKENS/S', 'WASTED TOKENS'], rows);
+}
+
+function formatClasses(policies: Readonly<Record<string, PolicyResult>>): string {
+  const rows: (readonly (string | number)[])[] = [];
+  for (const [policy, {classes}] of Object.entries(policies)) {
+    for (const [name, one] of Object.entries(classes)) {
+      rows.push([
+        name,
+        policy,
+        one.offered,
+        one.attained,
+        one.late,
+        one.refused,
+        one.failed,
+        `${(one.attainment * PERCENT).toFixed(2)}%`,
+        formatQuantiles(one.firstTokenMs),
+        formatQuantiles(one.interTokenMs),
+        formatQuantiles(one.completionMs),
+      ]);
+    }
+  }
+  rows.sort((a, b) => String(a[0]).localeCompare(String(b[0])));
+  const heading = ['CLASS', 'POLICY', 'OFFERED', 'ATTAINED', 'LATE', 'REFUSED', 'FAILED'];
+  const quantiles = ['FIRST TOKEN MS', 'BETWEEN TOKENS MS', 'COMPLETION MS'];
+  const table = formatTable([...heading, 'ATTAINMENT', ...quantiles], rows);
+  return `${table}\nDurations are the 50th, 95th and 99th percentiles.`;
+}
+
+function formatQuantiles({p50, p95, p99}: Quantiles): string {
+  return [p50, p95, p99].map((value) => value.toFixed(value < PERCENT ? 1 : 0)).join(' ');
+}
+
+function formatJudgements(judgements: readonly Judgement[]): string {
+  const rows = judgements.map(({text, measured, holds}) => [
+    holds ? 'held' : 'NOT HELD',
+    measured.toPrecision(5),
+    text,
+  ]);
+  return formatTable(['', 'MEASURED', 'EXPECTED'], rows);
+}
+
+function formatViolation({policy, rule, request, message, trace}: PolicyViolation): string {
+  const lines = trace.map((line) => `    ${line}`);
+  return [`VIOLATION ${rule} under ${policy}: ${request} ${message}`, ...lines].join('\n');
+}
--- /dev/null
+++ b/packages/bench/src/simulation.ts
@@ -0,0 +1,219 @@
+/** Runs the requests of an experiment through simulated entries and agents on a virtual clock. */
+import {WorkQueue} from '@marigoldfold/agent';
+import {AccountLimits} from '@marigoldfold/coordination';
+import type {Instance} from '@marigoldfold/protocol';
+import {VirtualClock} from '@marigoldfold/runtime';
+import {type Change, Configuration} from '@marigoldfold/state';
+import {AgentModel} from './agentModel.js';
+import {type Arrival, randomFor} from './arrivals.js';
+import {EngineModel} from './engineModel.js';
+import {EntryModel} from './entryModel.js';
+import {type EndpointGroup, endpointNames, type Experiment} from './experiment.js';
+import {FirstComeQueue} from './firstComeQueue.js';
+import {InvariantChecker, type Violation} from './invariants.js';
+import {type Details, Measures, type PolicyResult} from './measures.js';
+import type {Policy} from './policies.js';
+import {ServiceModel} from './serviceModel.js';
+
+/** What a run needs. */
+export interface SimulationOptions {
+  readonly experiment: Experiment;
+  readonly seed: number;
+  readonly policy: Policy;
+  readonly arrivals: readonly Arrival[];
+  /** Called now and then with the part of the experiment's time that is over. */
+  readonly onProgress?: (part: number) => void;
+}
+
+/** What a run gives. */
+export interface SimulationOutcome {
+  readonly result: PolicyResult;
+  readonly details: Details;
+  readonly violations: readonly Violation[];
+}
+
+const MS_PER_SECOND = 1000;
+/** Requests that have not ended this long after the last arrival never will. */
+const DRAIN_LIMIT_MS = 3_600_000;
+const PROGRESS_STEPS = 50;
+
+/** Runs one policy. */
+export function simulate(options: SimulationOptions): SimulationOutcome {
+  const {experiment, arrivals, onProgress} = options;
+  const clock = new VirtualClock();
+  const checker = new InvariantChecker(clock);
+  const measures = new Measures();
+  const agents = createAgents(options, clock, checker);
+  const entries = createEntries(options, {clock, checker, measures, agents});
+  scheduleFaults(experiment, clock, agents);
+  for (const arrival of arrivals) {
+    clock.schedule(arrival.atMs, () => entries[arrival.entry]?.accept(arrival));
+  }
+  const durationMs = experiment.durationS * MS_PER_SECOND;
+  for (let step = 1; step <= PROGRESS_STEPS; step += 1) {
+    runUntil(clock, (durationMs * step) / PROGRESS_STEPS);
+    onProgress?.(step / PROGRESS_STEPS);
+  }
+  runUntil(clock, durationMs + DRAIN_LIMIT_MS);
+  for (const agent of agents.values()) measures.recomputedTokens += agent.backend.recomputedTokens;
+  checker.onEnd(arrivals);
+  return {
+    result: measures.result(durationMs),
+    details: measures.details(),
+    violations: checker.violations,
+  };
+}
+
+function runUntil(clock: VirtualClock, limitMs: number): void {
+  while (clock.step(limitMs));
+}
+
+function createAgents(
+  {experiment, policy}: SimulationOptions,
+  clock: VirtualClock,
+  checker: InvariantChecker,
+): ReadonlyMap<string, AgentModel> {
+  const agents = new Map<string, AgentModel>();
+  for (const group of experiment.endpoints) {
+    for (const name of endpointNames(group)) {
+      const agent = new AgentModel({
+        name,
+        clock,
+        checker,
+        backend:
+          group.type === 'engine' ? new EngineModel({clock, ...group}) : new ServiceModel(clock),
+        createQueue: () =>
+          policy.queue === 'product'
+            ? new WorkQueue({clock, slots: group.slots, capacity: group.queueCapacity})
+            : new FirstComeQueue(group.slots),
+        setsPriority: policy.setsPriority,
+      });
+      agents.set(name, agent);
+    }
+  }
+  return agents;
+}
+
+interface Parts {
+  readonly clock: VirtualClock;
+  readonly checker: InvariantChecker;
+  readonly measures: Measures;
+  readonly agents: ReadonlyMap<string, AgentModel>;
+}
+
+function createEntries(
+  {experiment, policy, seed}: SimulationOptions,
+  parts: Parts,
+): readonly EntryModel[] {
+  const configuration = createConfiguration(experiment);
+  const instances = createInstances(experiment);
+  const limits = new AccountLimits(parts.clock);
+  return Array.from({length: experiment.entries}, (_, index) => {
+    const name = `entry-${index + 1}`;
+    return new EntryModel({
+      ...parts,
+      name,
+      random: randomFor(seed, `choices of ${name}`),
+      policy,
+      configuration,
+      instances,
+      limits,
+      networkMs: experiment.networkMs,
+      reportLagMs: (agent) => reportLagMs(experiment, agent, parts.clock.now()),
+    });
+  });
+}
+
+function createInstances({endpoints, failureDomains}: Experiment): readonly Instance[] {
+  return endpoints.flatMap(endpointNames).map((endpoint, index) => ({
+    name: endpoint,
+    role: 'agent',
+    address: `${endpoint}:1`,
+    failureDomain: failureDomains[index % failureDomains.length] ?? '',
+    region: 'region',
+    endpoint,
+    state: 'live',
+  }));
+}
+
+function createConfiguration(experiment: Experiment): Configuration {
+  const changes: Change[] = [];
+  for (const group of experiment.endpoints) {
+    changes.push({kind: 'endpointSet', name: group.set, state: endpointSet(group)});
+    for (const name of endpointNames(group)) {
+      changes.push({kind: 'endpoint', name, state: {set: group.set}});
+    }
+  }
+  for (const one of experiment.classes) {
+    const {name, tier, firstTokenMs, interTokenMs, completionMs} = one;
+    const {guaranteedShare, typicalOutputTokens, endpointSet: set} = one;
+    const state = {
+      tier,
+      firstTokenMs,
+      interTokenMs,
+      completionMs,
+      guaranteedShare,
+      typicalOutputTokens,
+      endpointSets: [set],
+    };
+    changes.push({kind: 'class', name, state: JSON.parse(JSON.stringify(state))});
+  }
+  if (experiment.accountLimits !== undefined) {
+    for (let index = 1; index <= experiment.accounts; index += 1) {
+      const state = {
+        keyDigests: ['0'.repeat(64)],
+        classes: experiment.classes.map(({name}) => name),
+        defaultClass: experiment.classes[0]?.name,
+        ...experiment.accountLimits,
+      };
+      changes.push({kind: 'account', name: `account-${index}`, state});
+    }
+  }
+  return Configuration.empty.apply(changes, 1);
+}
+
+function endpointSet({set, type, slots}: EndpointGroup) {
+  if (type === 'service') return {type, service: set, slots};
+  return {type, models: ['model'], slots};
+}
+
+function scheduleFaults(
+  {faults}: Experiment,
+  clock: VirtualClock,
+  agents: ReadonlyMap<string, AgentModel>,
+): void {
+  for (const fault of faults) {
+    const startMs = fault.atS * MS_PER_SECOND;
+    const endMs = startMs + fault.durationS * MS_PER_SECOND;
+    for (const name of fault.endpoints) {
+      const agent = agents.get(name);
+      if (agent === undefined || fault.kind === 'late-reports') continue;
+      if (fault.kind === 'crash') {
+        clock.schedule(startMs, () => {
+          agent.crash();
+        });
+        clock.schedule(endMs, () => {
+          agent.restart();
+        });
+        continue;
+      }
+      clock.schedule(startMs, () => {
+        agent.backend.setSlowdown(fault.factor);
+      });
+      clock.schedule(endMs, () => {
+        agent.backend.setSlowdown(1);
+      });
+    }
+  }
+}
+
+function reportLagMs({faults}: Experiment, agent: string, nowMs: number): number {
+  let lagMs = 0;
+  for (const fault of faults) {
+    if (fault.kind !== 'late-reports' || !fault.endpoints.includes(agent)) continue;
+    const startMs = fault.atS * MS_PER_SECOND;
+    if (nowMs < startMs || nowMs >= startMs + fault.durationS * MS_PER_SECOND) continue;
+    lagMs = Math.max(lagMs, fault.lagMs);
+  }
+  return lagMs;
+}
