Decide in the queue by tier, deadline, window, shares and preemption

Change: the queue is split into decision modules: adaptive window, preemption with a bound, long-work share, guaranteed shares by deficit, shedding from the lowest tier up, early refusal, wait estimate. The worker measures tokens.

--- /dev/null
+++ b/packages/agent/src/__tests__/workQueue.test.ts
@@ -0,0 +1,237 @@
+import {VirtualClock} from '@marigoldfold/runtime';
+import {describe, expect, it} from 'vitest';
+import {type Directive, type QueueItem, WorkQueue, type WorkQueueOptions} from '../index.js';
+
+const MINUTE_MS = 60_000;
+
+function createQueue(options: Partial<WorkQueueOptions> = {}) {
+  const clock = new VirtualClock();
+  const queue = new WorkQueue({clock, slots: 2, capacity: 10, canPause: true, ...options});
+  return {clock, queue};
+}
+
+function item(id: string, tier: number, more: Partial<QueueItem> = {}): QueueItem {
+  return {id, tier, dueAtMs: MINUTE_MS, ...more};
+}
+
+function describeDirectives(directives: readonly Directive[]): readonly string[] {
+  return directives.map((one) =>
+    one.kind === 'preempt' ? `preempt ${one.id} for ${one.for}` : `${one.kind} ${one.id}`,
+  );
+}
+
+/** Moves time forward by letting it pass without timers. */
+function pass(clock: VirtualClock, durationMs: number): void {
+  clock.schedule(durationMs, () => undefined);
+  clock.step();
+}
+
+function offerAll(queue: WorkQueue, items: readonly QueueItem[]): void {
+  for (const one of items) expect(queue.offer(one).isOk()).toBe(true);
+}
+
+function generate(queue: WorkQueue, id: string, tokens: number): void {
+  for (let number = 0; number < tokens; number += 1) queue.observeToken(id);
+}
+
+describe('WorkQueue', () => {
+  it('starts by tier, then by deadline, then by arrival', () => {
+    const {queue} = createQueue({slots: 4});
+    offerAll(queue, [
+      item('late', 3, {dueAtMs: 50_000}),
+      item('first', 3, {dueAtMs: 20_000}),
+      item('second', 3, {dueAtMs: 20_000}),
+      item('top', 2),
+      item('bottom', 6),
+    ]);
+    expect(describeDirectives(queue.next())).toEqual([
+      'start top',
+      'start first',
+      'start second',
+      'start late',
+    ]);
+  });
+
+  it('pauses the lowest tier for urgent work and goes on with it afterwards', () => {
+    const {queue} = createQueue();
+    offerAll(queue, [item('a', 3), item('b', 6)]);
+    queue.next();
+    offerAll(queue, [item('urgent', 0)]);
+    expect(describeDirectives(queue.next())).toEqual(['preempt b for urgent']);
+    expect(describeDirectives(queue.next())).toEqual([]);
+    queue.requeue('b');
+    expect(describeDirectives(queue.next())).toEqual(['start urgent']);
+    queue.finish('urgent');
+    expect(describeDirectives(queue.next())).toEqual(['start b']);
+  });
+
+  it('pauses for other work only when its deadline is at risk', () => {
+    const {clock, queue} = createQueue();
+    offerAll(queue, [item('a', 5), item('b', 5)]);
+    queue.next();
+    offerAll(queue, [item('interactive', 2, {dueAtMs: 3000})]);
+    expect(queue.next()).toEqual([]);
+    pass(clock, 2900);
+    expect(describeDirectives(queue.next())).toEqual(['preempt a for interactive']);
+  });
+
+  it('asks for as many pauses as urgent requests wait', () => {
+    const {queue} = createQueue({slots: 3});
+    offerAll(queue, [item('a', 5), item('b', 5), item('c', 5)]);
+    queue.next();
+    offerAll(queue, [item('x', 0), item('y', 1)]);
+    expect(queue.next()).toHaveLength(2);
+  });
+
+  it('takes a request that was paused often as a victim of urgent work only', () => {
+    const {clock, queue} = createQueue({slots: 1, tuning: {maxPreemptions: 1}});
+    offerAll(queue, [item('bulk', 6)]);
+    queue.next();
+    offerAll(queue, [item('urgent', 0)]);
+    queue.next();
+    queue.requeue('bulk');
+    queue.next();
+    queue.finish('urgent');
+    expect(describeDirectives(queue.next())).toEqual(['start bulk']);
+    offerAll(queue, [item('standard', 3, {dueAtMs: 1500})]);
+    pass(clock, 1400);
+    expect(queue.next()).toEqual([]);
+    offerAll(queue, [item('urgent-2', 1)]);
+    expect(describeDirectives(queue.next())).toEqual(['preempt bulk for urgent-2']);
+  });
+
+  it('asks again for a pause that has not come', () => {
+    const {clock, queue} = createQueue({slots: 1});
+    offerAll(queue, [item('bulk', 6)]);
+    queue.next();
+    offerAll(queue, [item('urgent', 0)]);
+    expect(queue.next()).toHaveLength(1);
+    pass(clock, 2500);
+    expect(describeDirectives(queue.next())).toEqual(['preempt bulk for urgent']);
+  });
+
+  it('never asks an endpoint to pause that cannot', () => {
+    const {queue} = createQueue({canPause: false});
+    offerAll(queue, [item('a', 6), item('b', 6), item('urgent', 0)]);
+    expect(describeDirectives(queue.next())).toEqual(['start urgent', 'start a']);
+    offerAll(queue, [item('urgent-2', 0)]);
+    expect(queue.next()).toEqual([]);
+  });
+
+  it('lets short work of a class pass what has outlived the class', () => {
+    const {queue} = createQueue({tuning: {longWorkShare: 0.5}});
+    const typical = {typicalOutputTokens: 10};
+    offerAll(queue, [item('long-1', 4, typical), item('long-2', 4, typical)]);
+    queue.next();
+    generate(queue, 'long-1', 30);
+    generate(queue, 'long-2', 90);
+    offerAll(queue, [item('short', 4, typical)]);
+    expect(describeDirectives(queue.next())).toEqual(['preempt long-2 for short']);
+    queue.requeue('long-2');
+    expect(describeDirectives(queue.next())).toEqual(['start short']);
+    queue.finish('short');
+    expect(describeDirectives(queue.next())).toEqual(['start long-2']);
+  });
+
+  it('sheds from the lowest tier when it is full, and never for an equal', () => {
+    const {queue} = createQueue({slots: 1, capacity: 2});
+    offerAll(queue, [item('running', 4)]);
+    queue.next();
+    offerAll(queue, [item('bulk', 6), item('standard', 4)]);
+    expect(queue.offer(item('more-bulk', 6))._unsafeUnwrapErr().code).toBe('overloaded');
+    offerAll(queue, [item('better', 3)]);
+    const [first] = queue.next();
+    expect(first).toMatchObject({kind: 'shed', id: 'bulk'});
+    if (first?.kind !== 'shed') return;
+    expect(first.failure.ran).toBe('no');
+    expect(first.failure.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('refuses what cannot be in time, and says when another try makes sense', () => {
+    const {clock, queue} = createQueue({slots: 1, canPause: false});
+    offerAll(queue, [item('a', 2)]);
+    queue.next();
+    pass(clock, 4000);
+    queue.finish('a');
+    offerAll(queue, [item('b', 2)]);
+    queue.next();
+    offerAll(queue, [item('c', 1)]);
+    const failure = queue.offer(item('d', 2, {dueAtMs: 7000}))._unsafeUnwrapErr();
+    // Two requests of about 4 s stand before it and 3 s are left.
+    expect(failure).toMatchObject({code: 'target_unreachable', ran: 'no', retryAfterMs: 5000});
+    expect(queue.offer(item('e', 2, {dueAtMs: 20_000})).isOk()).toBe(true);
+  });
+
+  it('takes urgent work in while anything of a lower tier is there', () => {
+    const {queue} = createQueue({slots: 1, capacity: 1});
+    offerAll(queue, [item('bulk', 6)]);
+    queue.next();
+    offerAll(queue, [item('u1', 0, {dueAtMs: 10}), item('u2', 0, {dueAtMs: 10})]);
+    queue.next();
+    queue.requeue('bulk');
+    queue.next();
+    offerAll(queue, [item('u3', 1, {dueAtMs: 10})]);
+  });
+
+  it('gives a tier its guaranteed share while other work is never short', () => {
+    const shares = [0, 0, 0, 0, 0, 0, 0.25];
+    const {clock, queue} = createQueue({slots: 4, guaranteedShares: () => shares});
+    let sequence = 0;
+    const served = {standard: 0, bulk: 0};
+    const running = new Set<string>();
+    const fill = (name: 'standard' | 'bulk', tier: number) => {
+      sequence += 1;
+      offerAll(queue, [item(`${name}.${sequence}`, tier, {dueAtMs: 3_600_000})]);
+    };
+    for (let index = 0; index < 4; index += 1) fill('standard', 3);
+    fill('bulk', 6);
+    for (let turn = 0; turn < 200; turn += 1) {
+      for (const directive of queue.next()) running.add(directive.id);
+      pass(clock, 250);
+      const [oldest] = running;
+      if (oldest === undefined) break;
+      running.delete(oldest);
+      queue.finish(oldest);
+      const name = oldest.startsWith('bulk') ? 'bulk' : 'standard';
+      served[name] += 1;
+      fill(name, name === 'bulk' ? 6 : 3);
+    }
+    const share = served.bulk / (served.bulk + served.standard);
+    expect(share).toBeGreaterThan(0.22);
+    expect(share).toBeLessThan(0.32);
+  });
+
+  it('shrinks the window beyond the target between tokens and grows it again inside', () => {
+    const {clock, queue} = createQueue({slots: 16, capacity: 16});
+    const items = Array.from({length: 16}, (_, index) =>
+      item(`r${index}`, 2, {interTokenTargetMs: 26}),
+    );
+    offerAll(queue, items);
+    queue.next();
+    const run = (gapMs: number, steps: number) => {
+      for (let step = 0; step < steps; step += 1) {
+        pass(clock, gapMs);
+        for (const {id} of items) queue.observeToken(id);
+      }
+    };
+    run(40, 30);
+    const shrunk = queue.load().window;
+    expect(shrunk).toBeLessThan(12);
+    expect(queue.load().interTokenMs).toBe(40);
+    run(15, 200);
+    expect(queue.load().window).toBe(16);
+    run(200, 200);
+    expect(queue.load().window).toBe(4);
+  });
+
+  it('reports no wait where urgent work would take a slot at once', () => {
+    const {queue} = createQueue();
+    offerAll(queue, [item('a', 5), item('b', 5), item('c', 5)]);
+    queue.next();
+    const {waitMs, running, queued} = queue.load();
+    expect(waitMs[0]).toBe(0);
+    expect(waitMs[5]).toBeGreaterThan(0);
+    expect(running[5]).toBe(2);
+    expect(queued[5]).toBe(1);
+  });
+});
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -14,6 +14,7 @@
 import {Gauge, Registry} from 'prom-client';
 import {createCallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
+import {type TierShares, tierShares} from './minimumShares.js';
 import {createHttpService} from './plainService.js';
 import {startAgentServer} from './server.js';
 import type {AgentSettings} from './settings.js';
@@ -69,7 +70,13 @@
       incarnation: createIncarnation(clock.now()),
       clock,
       logger,
-      queue: new WorkQueue({clock, slots: endpoint.slots, capacity: endpoint.queueCapacity}),
+      queue: new WorkQueue({
+        clock,
+        slots: endpoint.slots,
+        capacity: endpoint.queueCapacity,
+        canPause: endpoint.type === 'engine',
+        guaranteedShares: sharesInForce(feed, endpoint.name),
+      }),
       ...(endpoint.type === 'engine'
         ? {engine: createHttpEngine(client, endpoint.address)}
         : {
@@ -117,6 +124,20 @@
   });
 }
 
+/** The shares that the configuration in force gives the tiers at an endpoint. */
+function sharesInForce(feed: ConfigurationFeed, endpoint: string): () => TierShares {
+  let number = feed.head.number;
+  let shares: TierShares = [];
+  return () => {
+    const {head} = feed;
+    if (head.number === number) return shares;
+    number = head.number;
+    const set = head.configuration.get('endpoint', endpoint)?.set;
+    shares = set === undefined ? [] : tierShares(head.configuration, set);
+    return shares;
+  };
+}
+
 function createRegistry(worker: Worker, feed: ConfigurationFeed): Registry {
   const registry = new Registry();
   const registers = [registry];
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -12,10 +12,7 @@
 } from './plainService.js';
 export {type AgentSettings, agentSettingsSchema} from './settings.js';
 export {Worker, type WorkerOptions, type WorkerTiming, defaultWorkerTiming} from './worker.js';
-export {
-  type Directive,
-  type QueueItem,
-  type QueueLoad,
-  WorkQueue,
-  type WorkQueueOptions,
-} from './workQueue.js';
+export {type TierShares, tierShares} from './minimumShares.js';
+export type {QueueItem} from './queueEntry.js';
+export {type QueueTuning, defaultQueueTuning} from './queueTuning.js';
+export {type Directive, type QueueLoad, WorkQueue, type WorkQueueOptions} from './workQueue.js';
--- /dev/null
+++ b/packages/agent/src/shedding.ts
@@ -0,0 +1,35 @@
+/** Decides which request is refused when not all can be served. */
+import {type Failure, refusal} from '@marigoldfold/protocol';
+import type {QueueEntry} from './queueEntry.js';
+import type {TierQueues} from './tierQueues.js';
+
+/** The shortest time after which another try is suggested. */
+const MIN_RETRY_AFTER_MS = 100;
+
+/** The request that makes room for one of a tier: the latest of the lowest tier below it that has not run. */
+export function chooseShed<E extends QueueEntry>(
+  queues: TierQueues<E>,
+  tier: number,
+  lowestTier: number,
+): E | undefined {
+  for (let lower = lowestTier; lower > tier; lower -= 1) {
+    const entry = queues.tier(lower).findLast(({pausedAtMs}) => pausedAtMs === undefined);
+    if (entry !== undefined) return entry;
+  }
+  return undefined;
+}
+
+/** The refusal of a request for which there is no room. */
+export function queueFull(waitMs: number): Failure {
+  return refusal('overloaded', 'the queue of the endpoint is full', retryAfter(waitMs));
+}
+
+/** The refusal of a request whose deadline cannot be met. */
+export function deadlineUnreachable(waitMs: number, budgetMs: number): Failure {
+  const message = `the wait of about ${Math.ceil(waitMs)} ms exceeds the ${Math.ceil(Math.max(0, budgetMs))} ms that are left`;
+  return refusal('target_unreachable', message, retryAfter(waitMs - budgetMs));
+}
+
+function retryAfter(durationMs: number): number {
+  return Math.ceil(Math.max(MIN_RETRY_AFTER_MS, durationMs));
+}
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -161,16 +161,14 @@
   /** The state of the endpoint. */
   load(): Load {
     const {queue, incarnation, configurationNumber} = this.#options;
-    const {running, queued, waitMs, window} = queue.load();
+    const {running, queued, waitMs, ...measured} = queue.load();
     return {
       incarnation,
       configuration: configurationNumber(),
       running: [...running],
       queued: [...queued],
       waitMs: [...waitMs],
-      window,
-      interTokenMs: 0,
-      firstTokenMs: 0,
+      ...measured,
       isLeaving: this.#isLeaving,
     };
   }
@@ -314,7 +312,8 @@
     return {code: 'endpoint_failed', message: 'the engine stopped in mid-answer', ran: 'yes'};
   }
 
-  async #copy({answer, controller}: Job, stream: EngineStream): Promise<EngineEnd> {
+  async #copy({work, answer, controller}: Job, stream: EngineStream): Promise<EngineEnd> {
+    const {clock, queue} = this.#options;
     while (true) {
       const {done, value} = await stream.next();
       if (done === true) return value;
@@ -324,7 +323,11 @@
         await stream.return({kind: 'broken'});
         return {kind: 'broken'};
       }
+      if (queue.observeToken(work.id)) this.#dispatch();
+      const publishedAtMs = clock.now();
       await answer.publishChunk(value.data, controller.signal);
+      // A wait for a slow reader is not the engine's.
+      if (clock.now() > publishedAtMs) queue.skipGap(work.id);
     }
   }
 
--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -109,16 +109,14 @@
 
   /** The state of the endpoint. */
   load(): Load {
-    const {running, queued, waitMs, window} = this.#queue.load();
+    const {running, queued, waitMs, ...measured} = this.#queue.load();
     return {
       incarnation: `${this.name}.${this.#incarnation}`,
       configuration: 1,
       running: [...running],
       queued: [...queued],
       waitMs: [...waitMs],
-      window,
-      interTokenMs: 0,
-      firstTokenMs: 0,
+      ...measured,
       isLeaving: false,
     };
   }
@@ -194,13 +192,14 @@
     attempt.generated = number;
     const {arrival, listener} = attempt;
     const isLast = number === arrival.outputTokens;
+    const isChanged = this.#queue.observeToken(arrival.id);
     if (isLast) {
       this.#attempts.delete(arrival.id);
       this.#queue.finish(arrival.id);
       this.#note(arrival.id, 'finished');
     }
     listener.onToken(number);
-    if (isLast) this.#dispatch();
+    if (isLast || isChanged) this.#dispatch();
   }
 
   #note(id: string, event: string): void {
--- a/packages/bench/src/firstComeQueue.ts
+++ b/packages/bench/src/firstComeQueue.ts
@@ -6,7 +6,7 @@
 /** What an agent asks of its queue. */
 export type RequestQueue = Pick<
   WorkQueue,
-  'offer' | 'remove' | 'next' | 'requeue' | 'finish' | 'load'
+  'offer' | 'remove' | 'next' | 'requeue' | 'finish' | 'observeToken' | 'load'
 >;
 
 /** The queue. */
@@ -47,7 +47,12 @@
     this.#running.delete(id);
   }
 
+  observeToken(): boolean {
+    return false;
+  }
+
   load(): QueueLoad {
-    return {running: [], queued: [], waitMs: [], window: this.#slots};
+    const counts = {running: [], queued: [], waitMs: []};
+    return {...counts, window: this.#slots, interTokenMs: 0, firstTokenMs: 0};
   }
 }
--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -1,10 +1,16 @@
 /** The policies that an experiment compares. */
+import type {QueueTuning} from '@marigoldfold/agent';
 
 /** Names of the policies. */
 export const policyNames = [
   'marigoldfold',
   'naive',
+  'without-adaptive-window',
+  'without-early-refusal',
+  'without-long-work-share',
+  'without-minimum-shares',
   'without-moves',
+  'without-preemption',
   'without-subset-state',
 ] as const;
 
@@ -26,6 +32,10 @@
   readonly limitsAccounts: boolean;
   /** Whether the engine is told the priority of a request. */
   readonly setsPriority: boolean;
+  /** Whether tiers have guaranteed shares. */
+  readonly guaranteesShares: boolean;
+  /** Parameters of the product's queue that differ from the usual ones. */
+  readonly tuning: Partial<QueueTuning>;
 }
 
 const product: Omit<Policy, 'name'> = {
@@ -35,6 +45,8 @@
   moves: true,
   limitsAccounts: true,
   setsPriority: true,
+  guaranteesShares: true,
+  tuning: {},
 };
 
 const policies: Readonly<Record<PolicyName, Omit<Policy, 'name'>>> = {
@@ -46,7 +58,14 @@
     moves: false,
     limitsAccounts: false,
     setsPriority: false,
+    guaranteesShares: false,
+    tuning: {},
   },
+  'without-adaptive-window': {...product, tuning: {adaptsWindow: false}},
+  'without-early-refusal': {...product, tuning: {refusesEarly: false}},
+  'without-long-work-share': {...product, tuning: {longWorkShare: 1}},
+  'without-minimum-shares': {...product, guaranteesShares: false},
+  'without-preemption': {...product, tuning: {preempts: false}},
   'without-moves': {...product, moves: false},
   'without-subset-state': {...product, usesLoads: false},
 };
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -1,5 +1,5 @@
 /** Runs the requests of an experiment through simulated entries and agents on a virtual clock. */
-import {WorkQueue} from '@marigoldfold/agent';
+import {type TierShares, tierShares, WorkQueue} from '@marigoldfold/agent';
 import {AccountLimits} from '@marigoldfold/coordination';
 import type {Instance} from '@marigoldfold/protocol';
 import {VirtualClock} from '@marigoldfold/runtime';
@@ -9,7 +9,7 @@
 import {EngineModel} from './engineModel.js';
 import {EntryModel} from './entryModel.js';
 import {type EndpointGroup, endpointNames, type Experiment} from './experiment.js';
-import {FirstComeQueue} from './firstComeQueue.js';
+import {FirstComeQueue, type RequestQueue} from './firstComeQueue.js';
 import {InvariantChecker, type Violation} from './invariants.js';
 import {type Details, Measures, type PolicyResult} from './measures.js';
 import type {Policy} from './policies.js';
@@ -74,7 +74,9 @@
   checker: InvariantChecker,
 ): ReadonlyMap<string, AgentModel> {
   const agents = new Map<string, AgentModel>();
+  const configuration = createConfiguration(experiment);
   for (const group of experiment.endpoints) {
+    const shares = tierShares(configuration, group.set);
     for (const name of endpointNames(group)) {
       const agent = new AgentModel({
         name,
@@ -82,10 +84,7 @@
         checker,
         backend:
           group.type === 'engine' ? new EngineModel({clock, ...group}) : new ServiceModel(clock),
-        createQueue: () =>
-          policy.queue === 'product'
-            ? new WorkQueue({clock, slots: group.slots, capacity: group.queueCapacity})
-            : new FirstComeQueue(group.slots),
+        createQueue: () => createQueue(group, policy, clock, shares),
         setsPriority: policy.setsPriority,
       });
       agents.set(name, agent);
@@ -94,6 +93,23 @@
   return agents;
 }
 
+function createQueue(
+  {type, slots, queueCapacity}: EndpointGroup,
+  {queue, tuning, guaranteesShares}: Policy,
+  clock: VirtualClock,
+  shares: TierShares,
+): RequestQueue {
+  if (queue === 'first-come') return new FirstComeQueue(slots);
+  return new WorkQueue({
+    clock,
+    slots,
+    capacity: queueCapacity,
+    canPause: type === 'engine',
+    guaranteedShares: () => (guaranteesShares ? shares : []),
+    tuning,
+  });
+}
+
 interface Parts {
   readonly clock: VirtualClock;
   readonly checker: InvariantChecker;
