--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -179,16 +179,14 @@
   /** The state of the endpoint. */
   load(): Load {
     const {queue, incarnation, configurationNumber} = this.#options;
-    const {running, queued, waitMs, window} = queue.load();
+    const {running, queued, waitMs, ...measured} = queue.load();
     return {
       incarnation,
       configuration: configurationNumber(),
       running: [...running],
       queued: [...queued],
       waitMs: [...waitMs],
-      window,
-      interTokenMs: 0,
-      firstTokenMs: 0,
+      ...measured,
       isLeaving: this.#isLeaving,
     };
   }
@@ -316,6 +314,12 @@
       setPause: (pause) => {
         job.pause = pause;
       },
+      observeChunk: () => {
+        if (queue.observeToken(work.id)) this.#dispatch();
+      },
+      skipGap: () => {
+        queue.skipGap(work.id);
+      },
       waitForTurn: () => {
         queue.requeue(work.id);
         const turn = this.#turn(job);
