--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -18,8 +18,9 @@
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge, type Registry} from 'prom-client';
-import {createCallRunner} from './callRunner.js';
+import {CallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
+import {type TierShares, tierShares} from './minimumShares.js';
 import {createHttpService} from './plainService.js';
 import {startAgentServer} from './server.js';
 import type {AgentSettings} from './settings.js';
@@ -48,6 +49,7 @@
 
 const WATCH_TIMEOUT_MS = 30_000;
 const RETRY_DELAY_MS = 500;
+const MS_PER_HOUR = 3_600_000;
 
 /** Starts an agent. */
 export async function startAgent(
@@ -77,15 +79,22 @@
       incarnation: createIncarnation(clock.now()),
       clock,
       logger,
-      queue: new WorkQueue({clock, slots: endpoint.slots, capacity: endpoint.queueCapacity}),
+      queue: new WorkQueue({
+        clock,
+        slots: endpoint.slots,
+        capacity: endpoint.queueCapacity,
+        canPause: endpoint.type === 'engine',
+        guaranteedShares: sharesInForce(feed, endpoint.name),
+      }),
       ...(endpoint.type === 'engine'
         ? {engine: createHttpEngine(client, endpoint.address)}
         : {
-            calls: createCallRunner({
+            calls: new CallRunner({
               service: createHttpService(client, endpoint.address),
               store,
               clock,
               logger,
+              claimRetentionMs: settings.claims.retentionHours * MS_PER_HOUR,
             }),
           }),
       configurationNumber: () => feed.head.number,
@@ -103,6 +112,7 @@
     limits: settings.limits,
     clusterKey: createClusterKey(secrets.clusterKey),
     worker,
+    clock,
     registry,
     isReady: () => feed.head.number > 0,
     logger,
@@ -130,6 +140,20 @@
   });
 }
 
+/** The shares that the configuration in force gives the tiers at an endpoint. */
+function sharesInForce(feed: ConfigurationFeed, endpoint: string): () => TierShares {
+  let number = feed.head.number;
+  let shares: TierShares = [];
+  return () => {
+    const {head} = feed;
+    if (head.number === number) return shares;
+    number = head.number;
+    const set = head.configuration.get('endpoint', endpoint)?.set;
+    shares = set === undefined ? [] : tierShares(head.configuration, set);
+    return shares;
+  };
+}
+
 function createRegistry(worker: Worker, options: ProcessMetricsOptions): Registry {
   const registry = createProcessRegistry(options);
   const registers = [registry];
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,8 +1,10 @@
 /** The process beside each endpoint. */
 export {type AgentProcess, type AgentProcessOptions, startAgent} from './agentProcess.js';
 export {Answer} from './answer.js';
-export {type CallRunner, createCallRunner} from './callRunner.js';
+export {CallRunner, type CallRunnerOptions, claimSendLimitMs} from './callRunner.js';
 export type {Engine, EngineChunk, EngineEnd, EngineJob, EngineStream} from './engine.js';
+export {EndedRequests, type EndedRequest} from './endedRequests.js';
+export {type GenerationTiming} from './generationRun.js';
 export {createHttpEngine} from './httpEngine.js';
 export {
   type CallFailure,
@@ -12,10 +14,7 @@
 } from './plainService.js';
 export {type AgentSettings, agentSettingsSchema} from './settings.js';
 export {Worker, type WorkerOptions, type WorkerTiming, defaultWorkerTiming} from './worker.js';
-export {
-  type Directive,
-  type QueueItem,
-  type QueueLoad,
-  WorkQueue,
-  type WorkQueueOptions,
-} from './workQueue.js';
+export {type TierShares, tierShares} from './minimumShares.js';
+export type {QueueItem} from './queueEntry.js';
+export {type QueueTuning, defaultQueueTuning} from './queueTuning.js';
+export {type Directive, type QueueLoad, WorkQueue, type WorkQueueOptions} from './workQueue.js';
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -20,6 +20,16 @@
     slots: z.int().min(1).max(4096).describe('Requests that the endpoint can run at once.'),
     queueCapacity: z.int().min(1).max(1_000_000).default(1000).describe('Requests that may wait.'),
   }),
+  claims: z
+    .strictObject({
+      retentionHours: z
+        .number()
+        .min(1)
+        .max(480)
+        .default(72)
+        .describe('Hours for which the outcome of a call that may run at most once is kept.'),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -1,10 +1,18 @@
 /** Calls the operators' API of an entry. */
 import {
+  type ClaimPage,
+  claimPageSchema,
+  type ClaimQuery,
+  type ClaimView,
+  claimViewSchema,
   type OperatorError,
   operatorErrorSchema,
+  type Preview,
+  previewSchema,
   proposalAnswerSchema,
   type Proposal,
   recordAnswerSchema,
+  type SettlementRequest,
   type Status,
   statusSchema,
 } from '@marigoldfold/entry';
@@ -24,14 +32,20 @@
 export interface RecordAnswer {
   readonly tickets: readonly Ticket[];
   readonly decisions: readonly Decision[];
+  readonly unreadable?: readonly {readonly key: string; readonly message: string}[];
 }
 
 /** The operators' API. */
 export interface OperatorClient extends Disposable {
   propose(proposal: Proposal): Promise<Result<Ticket, OperatorError>>;
+  /** What a proposal would change, with nothing written. */
+  preview(proposal: Proposal): Promise<Result<Preview, OperatorError>>;
   decide(decision: Decision): Promise<Result<void, OperatorError>>;
   read(after: number): Promise<Result<RecordAnswer, OperatorError>>;
   status(): Promise<Result<Status, OperatorError>>;
+  listClaims(query: ClaimQuery): Promise<Result<ClaimPage, OperatorError>>;
+  showClaim(account: string, keyDigest: string): Promise<Result<ClaimView, OperatorError>>;
+  settleClaim(request: SettlementRequest): Promise<Result<ClaimView, OperatorError>>;
 }
 
 const TIMEOUT_MS = 10_000;
@@ -52,12 +66,27 @@
       );
       return answer.map(({ticket}) => ticket);
     },
+    preview: (proposal) => call(client, options, 'POST', '/previews', previewSchema, proposal),
     decide: async (decision) => {
       const answer = await call(client, options, 'POST', '/decisions', z.unknown(), decision);
       return answer.map(() => undefined);
     },
     read: (after) => call(client, options, 'GET', `/tickets?after=${after}`, recordAnswerSchema),
     status: () => call(client, options, 'GET', '/status', statusSchema),
+    listClaims: ({account, onlyPending, after}) => {
+      const query = new URLSearchParams({
+        pending: String(onlyPending),
+        ...(account === undefined ? {} : {account}),
+        ...(after === undefined ? {} : {after}),
+      });
+      return call(client, options, 'GET', `/claims?${query.toString()}`, claimPageSchema);
+    },
+    showClaim: (account, key) => {
+      const query = new URLSearchParams({account, key});
+      return call(client, options, 'GET', `/claims?${query.toString()}`, claimViewSchema);
+    },
+    settleClaim: (request) =>
+      call(client, options, 'POST', '/claims/settle', claimViewSchema, request),
     [Symbol.dispose]() {
       client[Symbol.dispose]();
     },
@@ -72,6 +101,7 @@
   schema: z.ZodType<T>,
   body?: unknown,
 ): Promise<Result<T, OperatorError>> {
+  const mayWrite = method === 'POST' && path !== '/previews';
   const answer = await client.fetch({
     address,
     method,
@@ -82,7 +112,7 @@
   });
   if (answer.isErr()) {
     const {message, maySent} = answer.error;
-    const mayHaveTakenEffect = method === 'POST' && maySent;
+    const mayHaveTakenEffect = mayWrite && maySent;
     return err({code: 'unreachable', message, mayHaveTakenEffect, problems: []});
   }
   const document = parseJson(answer.value.body.toString());
@@ -93,7 +123,7 @@
   const refused = operatorErrorSchema.safeParse(document);
   if (refused.success) return err(refused.data.error);
   const message = `${address} gave an answer that cannot be read (status ${answer.value.status})`;
-  return err({code: 'unreadable', message, mayHaveTakenEffect: method === 'POST', problems: []});
+  return err({code: 'unreadable', message, mayHaveTakenEffect: mayWrite, problems: []});
 }
 
 function parseJson(text: string): unknown {
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -30,6 +30,7 @@
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
 import {gatherStatus} from './status.js';
+import {openClaimDesk} from './claimDesk.js';
 import {openTicketDesk} from './ticketDesk.js';
 
 /** What an entry needs. */
@@ -105,6 +106,7 @@
       operators: settings.operators,
       limits: settings.limits,
       desk: openTicketDesk({record: parts.record, head: () => feed.head, clock}),
+      claims: openClaimDesk({store: parts.store, clock}),
       status: () => gatherStatus({instance: settings.process.name, feed, instances, linkTo}),
       isReady,
       registry,
@@ -182,8 +184,11 @@
     }),
   );
   const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
-  const choice = new EndpointChoice({clock, random, self: process.name});
-  return {record, feed, instances, links, choice};
+  const {name: self, failureDomain, region} = process;
+  const probe = async (instance: Instance) =>
+    (await links.get(instance).probe()).unwrapOr(undefined);
+  const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
+  return {store, record, feed, instances, links, choice};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/entry/src/serviceApi.ts
+++ b/packages/entry/src/serviceApi.ts
@@ -10,7 +10,8 @@
   usableSets,
 } from './callerExchange.js';
 import {resolveClass} from './callerRequest.js';
-import type {RoutedAnswer, RoutedEnd, RoutedRequest} from './router.js';
+import type {RoutedAnswer, RoutedEnd} from './attempt.js';
+import type {RoutedRequest} from './router.js';
 import {findServiceSet, isNonIdempotent, readServiceCall} from './serviceCall.js';
 
 /** Characters of an idempotency key; it becomes a part of a key in the platform's service. */
@@ -32,7 +33,8 @@
     const message = `class ${named.value.name} has no endpoints of service ${service}`;
     return refusal('unknown_service', message);
   }
-  const needsKey = isNonIdempotent(set, request.method ?? '', path);
+  const allSets = head.configuration.all('endpointSet').values();
+  const needsKey = isNonIdempotent(allSets, service, request.method ?? '', path);
   const key = request.headers['idempotency-key'];
   const problem = needsKey ? findKeyProblem(key, `${request.method ?? ''} ${path}`) : undefined;
   if (problem !== undefined) return problem;
