Stop entries and agents without cutting anything

Cause: a drain of an agent did not end while entries held control connections, and dropped finished answers whose reader had to come back; a drain of an entry hung on connections that became idle after it began; the callers' port closed before the balancer could know; moves away from a leaving agent took from the retry budget.

--- /dev/null
+++ b/packages/agent/src/__tests__/drain.test.ts
@@ -0,0 +1,129 @@
+import {settle, silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {MemoryKeyValue} from '@marigoldfold/standin';
+import {ok} from 'neverthrow';
+import {describe, expect, it} from 'vitest';
+import {
+  callWork,
+  chunks,
+  generationWork,
+  readAll,
+  scriptedEngine,
+  testWorker,
+} from '../__fixtures__/scriptedWork.js';
+import type {EngineChunk, EngineEnd} from '../engine.js';
+import {CallRunner} from '../callRunner.js';
+
+const GRACE_MS = 2000;
+
+/** An engine that gives its first chunk at once and the rest when told to. */
+function gatedEngine() {
+  let open: () => void = () => undefined;
+  const gate = new Promise<void>((resolve) => {
+    open = resolve;
+  });
+  const scripted = scriptedEngine(async function* (): AsyncGenerator<EngineChunk, EngineEnd> {
+    yield {number: 1, data: 'part 1'};
+    await gate;
+    return yield* chunks(2, 3, {kind: 'whole'});
+  });
+  return {
+    ...scripted,
+    open: () => {
+      open();
+    },
+  };
+}
+
+async function ends(promise: Promise<void>): Promise<() => boolean> {
+  let isOver = false;
+  void promise.then(() => {
+    isOver = true;
+  });
+  await settle();
+  return () => isOver;
+}
+
+describe('a leaving agent', () => {
+  it('says so at once, takes work during the grace and refuses it afterwards', async () => {
+    const {engine, open} = gatedEngine();
+    const {worker, clock} = testWorker({engine, slots: 4});
+    void worker.drain();
+    expect(worker.load().isLeaving).toBe(true);
+    expect(worker.submit(generationWork('a.1')).isOk()).toBe(true);
+    await clock.advance(GRACE_MS + 1);
+    const refused = worker.submit(generationWork('a.2'))._unsafeUnwrapErr();
+    expect(refused).toMatchObject({code: 'leaving', ran: 'no'});
+    open();
+  });
+
+  it('gives queued work back as not run, and lets running work end whole', async () => {
+    const {engine, open} = gatedEngine();
+    const {worker, clock} = testWorker({engine});
+    const running = worker.submit(generationWork('a.1'))._unsafeUnwrap();
+    const queued = worker.submit(generationWork('a.2'))._unsafeUnwrap();
+    const events = readAll(running);
+    const isOver = await ends(worker.drain());
+    await clock.advance(GRACE_MS + 1);
+    expect((await readAll(queued)).at(-1)).toMatchObject({failure: {code: 'leaving', ran: 'no'}});
+    await clock.advance(60_000);
+    expect(isOver()).toBe(false);
+    open();
+    await clock.advance(1000);
+    expect((await events).at(-1)).toMatchObject({kind: 'end', chunks: 3});
+    expect(isOver()).toBe(true);
+  });
+
+  it('waits for a reader that has to come back for a finished answer', async () => {
+    const {engine} = scriptedEngine(() => chunks(1, 3, {kind: 'whole'}));
+    const {worker, clock} = testWorker({engine});
+    const answer = worker.submit(generationWork('a.1'))._unsafeUnwrap();
+    const broken = answer.read(0, new AbortController().signal);
+    await broken.next();
+    await broken.return(undefined);
+    const isOver = await ends(worker.drain());
+    await clock.advance(GRACE_MS + 1000);
+    expect(isOver()).toBe(false);
+    await readAll(answer, 1);
+    await clock.advance(1000);
+    expect(isOver()).toBe(true);
+  });
+
+  it('does not wait for ever for a reader that never comes', async () => {
+    const {engine} = scriptedEngine(() => chunks(1, 3, {kind: 'whole'}));
+    const {worker, clock} = testWorker({engine});
+    worker.submit(generationWork('a.1'));
+    const isOver = await ends(worker.drain());
+    await clock.advance(30_000);
+    expect(isOver()).toBe(true);
+  });
+
+  it('waits for the record of a call whose caller has left', async () => {
+    const clock = new VirtualClock();
+    const store = new MemoryKeyValue(clock);
+    let answerCall: () => void = () => undefined;
+    const calls = new CallRunner({
+      service: async () => {
+        await new Promise<void>((resolve) => {
+          answerCall = resolve;
+        });
+        return ok({status: 201, headers: {}, body: ''});
+      },
+      store,
+      clock,
+      logger: silentLogger,
+      claimRetentionMs: 86_400_000,
+    });
+    const {worker} = testWorker({calls, clock});
+    worker.submit(callWork('a.1'));
+    await settle();
+    worker.cancel('a.1');
+    const isOver = await ends(worker.drain());
+    await clock.advance(20_000);
+    expect(isOver()).toBe(false);
+    answerCall();
+    await clock.advance(1000);
+    expect(isOver()).toBe(true);
+    const claims = (await store.list('claims/'))._unsafeUnwrap().entries;
+    expect(claims[0]?.value).toContain('"status":201');
+  });
+});
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -26,7 +26,8 @@
   readonly secrets: Secrets;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly timing?: WorkerTiming;
+  /** Durations that differ from the settings and the usual ones. */
+  readonly timing?: Partial<WorkerTiming>;
 }
 
 /** A running agent. */
@@ -83,7 +84,13 @@
             }),
           }),
       configurationNumber: () => feed.head.number,
-      timing: options.timing ?? defaultWorkerTiming,
+      timing: {
+        ...defaultWorkerTiming,
+        leaveGraceMs: settings.drain.graceMs,
+        firstTokenLimitMs: endpoint.firstTokenLimitMs,
+        silenceLimitMs: endpoint.silenceLimitMs,
+        ...options.timing,
+      },
     }),
   );
   const [host, port] = splitAddress(settings.listen);
@@ -95,7 +102,7 @@
     worker,
     clock,
     registry: createRegistry(worker, feed),
-    isReady: () => feed.head.number > 0,
+    isReady: () => feed.head.number > 0 && !worker.isLeaving,
     logger,
   });
   if (server.isErr()) {
--- a/packages/agent/src/answer.ts
+++ b/packages/agent/src/answer.ts
@@ -20,6 +20,7 @@
   #lastNumber = 0;
   #acknowledged = 0;
   #final: FinalEvent | undefined;
+  #isDelivered = false;
   #reader = 0;
   #detachedAtMs: number | undefined;
   #wakeReader: (() => void) | undefined;
@@ -47,6 +48,11 @@
     return this.#final !== undefined;
   }
 
+  /** Whether a reader has taken the last event. */
+  get isDelivered(): boolean {
+    return this.#isDelivered;
+  }
+
   /** Since when nobody has read, on the clock; undefined while a reader is there. */
   get detachedAtMs(): number | undefined {
     return this.#detachedAtMs;
@@ -132,6 +138,7 @@
       }
       if (this.#final !== undefined) {
         yield this.#final;
+        this.#isDelivered = true;
         return;
       }
       await this.#waitForEvent(signal);
--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -25,7 +25,7 @@
   sendJson,
   type ServerLimits,
 } from '@marigoldfold/transport';
-import {type Clock, type Logger, repeat} from '@marigoldfold/runtime';
+import {type Clock, type Logger, repeat, sleep} from '@marigoldfold/runtime';
 import type {Result} from 'neverthrow';
 import type {Registry} from 'prom-client';
 import type {Answer} from './answer.js';
@@ -44,6 +44,7 @@
   readonly logger: Logger;
 }
 
+const DRAIN_CHECK_MS = 20;
 const workPath = /^\/work\/([^/?]+)(?:\?after=(\d+))?$/;
 const STATUS = {
   ok: 200,
@@ -84,6 +85,12 @@
   });
   return server.map((listening) => ({
     ...listening,
+    async drain() {
+      // Control connections are kept to the last, since entries ask over them what became of requests.
+      while (listening.activeCount() > 0) await sleep(options.clock, DRAIN_CHECK_MS);
+      control[Symbol.dispose]();
+      await listening.drain();
+    },
     [Symbol.dispose]() {
       control[Symbol.dispose]();
       listening[Symbol.dispose]();
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -23,6 +23,10 @@
     slots: z.int().min(1).max(4096),
     /** Requests that may wait. */
     queueCapacity: z.int().min(1).default(1000),
+    /** Milliseconds that an engine may take until the first part of a stream. */
+    firstTokenLimitMs: z.int().min(100).default(120_000),
+    /** Milliseconds that an engine may be silent between two parts. */
+    silenceLimitMs: z.int().min(100).default(30_000),
   }),
   claims: z
     .strictObject({
@@ -30,6 +34,12 @@
       retentionHours: z.number().min(1).max(480).default(72),
     })
     .prefault({}),
+  drain: z
+    .strictObject({
+      /** Milliseconds between the announcement that the endpoint leaves and the refusal of new work. */
+      graceMs: z.int().min(0).max(5000).default(2000),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -65,6 +65,7 @@
 }
 
 const SWEEP_INTERVAL_MS = 1000;
+const DRAIN_CHECK_MS = 20;
 
 /** The only way to an endpoint. */
 export class Worker implements Disposable {
@@ -75,7 +76,6 @@
   readonly #disposables = new DisposableStore();
   #isLeaving = false;
   #refusesWork = false;
-  #notifyIdle: (() => void) | undefined;
 
   constructor(options: WorkerOptions) {
     this.#options = options;
@@ -193,7 +193,12 @@
     };
   }
 
-  /** Lets running work end, gives queued work back, and resolves when nothing is left. */
+  /** Whether the endpoint is leaving. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  /** Lets running work end, gives queued work back, and resolves when every answer was read. */
   async drain(): Promise<void> {
     const {clock, logger, timing, queue} = this.#options;
     this.#isLeaving = true;
@@ -204,14 +209,25 @@
       if (job.hasStarted || !queue.remove(id)) continue;
       job.settleTurn?.(refusal('leaving', 'the endpoint is leaving'));
     }
-    while (this.activeCount > 0) {
-      await new Promise<void>((resolve) => {
-        this.#notifyIdle = resolve;
-      });
-    }
+    while (this.#isOwing()) await sleep(clock, DRAIN_CHECK_MS);
     await this.#options.calls?.drain();
   }
 
+  /** Whether an answer is still being made, or is whole and may still be fetched. */
+  #isOwing(): boolean {
+    const {clock, timing} = this.#options;
+    for (const {answer, controller} of this.#jobs.values()) {
+      if (!answer.isFinished) return true;
+      // Nobody fetches the answer of a cancelled request.
+      if (controller.signal.aborted) continue;
+      const {isDelivered, detachedAtMs} = answer;
+      if (isDelivered) continue;
+      if (detachedAtMs === undefined) return true;
+      if (clock.now() - detachedAtMs <= timing.detachedLimitMs) return true;
+    }
+    return false;
+  }
+
   [Symbol.dispose](): void {
     this.#disposables[Symbol.dispose]();
     this.#options.calls?.[Symbol.dispose]();
@@ -254,7 +270,6 @@
     this.#finishedAtMs.set(work.id, now);
     this.#ended.remember(work.id, job.hasStarted ? 'run' : 'not-run', now);
     this.#dispatch();
-    this.#notifyIdle?.();
   }
 
   #serve(job: Job): Promise<Failure | undefined> {
--- /dev/null
+++ b/packages/bench/src/soak/caller.ts
@@ -0,0 +1,103 @@
+/** A caller that checks what it is told: its own whole answer, or a failure with what became of its work. */
+import {type Ran, ranSchema} from '@marigoldfold/protocol';
+import {answerText} from '@marigoldfold/standin';
+import type {ClientRequest, HttpClient} from '@marigoldfold/transport';
+import {z} from 'zod';
+
+/** What one request came to. */
+export type Told =
+  | {readonly kind: 'whole'}
+  /** The answer was not the one to this request, or not all of it. */
+  | {readonly kind: 'wrong'; readonly text: string}
+  | {readonly kind: 'failed'; readonly ran: Ran; readonly requestId: string; readonly code: string}
+  /** The connection ended without an answer. */
+  | {readonly kind: 'cut'; readonly message: string};
+
+/** Where a request goes, and with which key. */
+export interface CallerTarget {
+  readonly client: HttpClient;
+  readonly address: string;
+  readonly clientKey: string;
+}
+
+const failureSchema = z.object({
+  error: z.object({code: z.string(), request_id: z.string(), ran: ranSchema}),
+});
+const completionSchema = z.object({choices: z.array(z.object({text: z.string()})).min(1)});
+const OK = 200;
+const CREATED = 201;
+const TIMEOUT_MS = 60_000;
+
+/** Asks for a completion and checks its text. */
+export async function complete(
+  target: CallerTarget,
+  prompt: string,
+  tokens: number,
+  isStreamed: boolean,
+): Promise<Told> {
+  const answer = await target.client.fetch({
+    ...requestTo(target, 'POST', '/v1/completions'),
+    body: JSON.stringify({model: 'score-reader', prompt, max_tokens: tokens, stream: isStreamed}),
+  });
+  if (answer.isErr()) return {kind: 'cut', message: answer.error.message};
+  const body = answer.value.body.toString();
+  if (answer.value.status !== OK) return readFailure(body);
+  const failure = isStreamed ? /^data: (\{"error":.*)$/m.exec(body)?.[1] : undefined;
+  if (failure !== undefined) return readFailure(failure);
+  const text = isStreamed ? streamedText(body) : wholeText(body);
+  return text === expectedText(prompt, tokens) ? {kind: 'whole'} : {kind: 'wrong', text: body};
+}
+
+/** Posts to the ledger under a key. */
+export async function post(target: CallerTarget, account: string, key: string): Promise<Told> {
+  const request = requestTo(target, 'POST', '/v1/services/ledger/postings');
+  const answer = await target.client.fetch({
+    ...request,
+    headers: {...request.headers, 'idempotency-key': key},
+    body: JSON.stringify({account, pence: 1}),
+  });
+  if (answer.isErr()) return {kind: 'cut', message: answer.error.message};
+  const body = answer.value.body.toString();
+  return answer.value.status === CREATED ? {kind: 'whole'} : readFailure(body);
+}
+
+function requestTo(
+  {address, clientKey}: CallerTarget,
+  method: string,
+  path: string,
+): ClientRequest {
+  const headers = {authorization: `Bearer ${clientKey}`, 'content-type': 'application/json'};
+  return {address, method, path, headers, timeoutMs: TIMEOUT_MS};
+}
+
+function readFailure(body: string): Told {
+  try {
+    const {error} = failureSchema.parse(JSON.parse(body));
+    return {kind: 'failed', ran: error.ran, requestId: error.request_id, code: error.code};
+  } catch {
+    return {kind: 'wrong', text: body};
+  }
+}
+
+function expectedText(prompt: string, tokens: number): string {
+  const textOf = answerText(JSON.stringify(prompt));
+  return Array.from({length: tokens}, (_, index) => textOf(index + 1)).join('');
+}
+
+function wholeText(body: string): string | undefined {
+  try {
+    return completionSchema.parse(JSON.parse(body)).choices[0]?.text;
+  } catch {
+    return undefined;
+  }
+}
+
+function streamedText(body: string): string | undefined {
+  if (!body.endsWith('data: [DONE]\n\n')) return undefined;
+  let text = '';
+  for (const line of body.split('\n')) {
+    if (!line.startsWith('data: {')) continue;
+    text += wholeText(line.slice('data: '.length)) ?? '';
+  }
+  return text;
+}
--- /dev/null
+++ b/packages/bench/src/soak/fleet.ts
@@ -0,0 +1,287 @@
+/** Several entries, agents and stand-ins in one process, each of which can be stopped or killed and replaced. */
+import {type AgentProcess, agentSettingsSchema, startAgent} from '@marigoldfold/agent';
+import {type LocalSystem, startLocalSystem} from '@marigoldfold/cli';
+import {type EntryProcess, entrySettingsSchema, startEntry} from '@marigoldfold/entry';
+import type {Instance} from '@marigoldfold/protocol';
+import {
+  DisposableStore,
+  type Logger,
+  silentLogger,
+  sleep,
+  systemClock,
+  systemRandom,
+} from '@marigoldfold/runtime';
+import {
+  batchingSpeed,
+  type Ledger,
+  type SimulatedEngine,
+  type StandIn,
+  startEngine,
+  startLedger,
+} from '@marigoldfold/standin';
+import {digestText} from '@marigoldfold/state';
+
+/** How large the fleet is. */
+export interface FleetOptions {
+  readonly entries: number;
+  readonly engines: number;
+  readonly ledgers: number;
+  readonly slots: number;
+  readonly interTokenMs: number;
+  readonly logger?: Logger;
+}
+
+/** An entry of the fleet. */
+export interface FleetEntry {
+  readonly process: EntryProcess;
+  /** Whether the balancer in front sends it requests. */
+  isReady: boolean;
+}
+
+/** An agent of the fleet. */
+export interface FleetAgent {
+  readonly name: string;
+  readonly endpoint: string;
+  readonly process: AgentProcess;
+}
+
+const LOOPBACK = '127.0.0.1';
+const SERVICE_SLOTS = 64;
+const DRAIN_GRACE_MS = 300;
+const INSTANCES_INTERVAL_MS = 200;
+const READY_CHECK_MS = 10;
+const UNLIMITED = 1_000_000;
+
+/** Entries, agents and stand-ins. */
+export class Fleet implements Disposable {
+  readonly entries: FleetEntry[] = [];
+  readonly agents: FleetAgent[] = [];
+  readonly engines = new Map<string, StandIn<SimulatedEngine>>();
+  readonly ledgers = new Map<string, StandIn<Ledger>>();
+  /** Ids of all generations that an engine has begun. */
+  readonly begun = new Set<string>();
+  readonly #options: FleetOptions;
+  readonly #system: LocalSystem;
+  readonly #disposables = new DisposableStore();
+  #sequence = 0;
+
+  private constructor(options: FleetOptions, system: LocalSystem) {
+    this.#options = options;
+    this.#system = this.#disposables.add(system);
+  }
+
+  /** Starts a fleet. */
+  static async start(options: FleetOptions): Promise<Fleet> {
+    const {logger = silentLogger, slots, interTokenMs} = options;
+    const system = await startLocalSystem({
+      port: 0,
+      operatorsPort: 0,
+      engines: 1,
+      slots,
+      interTokenMs,
+      logger,
+    });
+    const fleet = new Fleet(options, system._unsafeUnwrap());
+    await fleet.#configure();
+    for (let index = 1; index <= options.engines; index += 1) {
+      await fleet.startEngine(`fleet-engine-${index}`);
+      await fleet.startAgent(`fleet-engine-${index}`);
+    }
+    for (let index = 1; index <= options.ledgers; index += 1) {
+      await fleet.#startLedger(`fleet-ledger-${index}`);
+      await fleet.startAgent(`fleet-ledger-${index}`);
+    }
+    for (let index = 0; index < options.entries; index += 1) await fleet.startEntry();
+    return fleet;
+  }
+
+  /** The bearer key of the fleet's client account. */
+  get clientKey(): string {
+    return this.#system.keys.client;
+  }
+
+  /** Calls that the key-value service has taken. */
+  get storeCalls(): number {
+    return this.#system.keyValue.subject.callCount;
+  }
+
+  /** Starts an engine for an endpoint, in the place of the one before. */
+  async startEngine(endpoint: string): Promise<void> {
+    const {slots, interTokenMs} = this.#options;
+    const started = await startEngine(systemClock, batchingSpeed(slots, interTokenMs));
+    const engine = this.#disposables.add(started._unsafeUnwrap());
+    engine.subject.onBegin = (id) => {
+      this.begun.add(id);
+    };
+    this.engines.set(endpoint, engine);
+  }
+
+  /** Starts an agent for an endpoint. */
+  async startAgent(endpoint: string): Promise<FleetAgent> {
+    const engine = this.engines.get(endpoint);
+    const address = engine?.address ?? this.ledgers.get(endpoint)?.address;
+    this.#sequence += 1;
+    const name = `agent-${endpoint}-${this.#sequence}`;
+    const started = await startAgent({
+      settings: agentSettingsSchema.parse({
+        process: identity(name),
+        listen: `${LOOPBACK}:0`,
+        endpoint: {
+          type: engine === undefined ? 'service' : 'engine',
+          name: endpoint,
+          address,
+          slots: engine === undefined ? SERVICE_SLOTS : this.#options.slots,
+        },
+        drain: {graceMs: DRAIN_GRACE_MS},
+        platform: this.#platform(),
+      }),
+      ...this.#shared(),
+    });
+    const process = this.#disposables.add(started._unsafeUnwrap());
+    const agent = {name, endpoint, process};
+    this.agents.push(agent);
+    await this.#untilCurrent(() => process.feed.head.number);
+    this.#list(agent, 'live');
+    return agent;
+  }
+
+  /** Starts an entry. */
+  async startEntry(): Promise<FleetEntry> {
+    this.#sequence += 1;
+    const started = await startEntry({
+      settings: entrySettingsSchema.parse({
+        process: identity(`entry-${this.#sequence}`),
+        listen: `${LOOPBACK}:0`,
+        operatorsListen: `${LOOPBACK}:0`,
+        drain: {graceMs: DRAIN_GRACE_MS},
+        platform: this.#platform(),
+      }),
+      random: systemRandom(),
+      ...this.#shared(),
+    });
+    const process = this.#disposables.add(started._unsafeUnwrap());
+    await this.#untilCurrent(() => process.feed.head.number);
+    const entry = {process, isReady: true};
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** Stops an entry without cutting anything. */
+  async drainEntry(entry: FleetEntry): Promise<void> {
+    this.#forgetEntry(entry);
+    await entry.process.drain();
+  }
+
+  /** Ends an entry at once. */
+  killEntry(entry: FleetEntry): void {
+    this.#forgetEntry(entry);
+    entry.process[Symbol.dispose]();
+  }
+
+  /** Stops an agent without cutting anything. */
+  async drainAgent(agent: FleetAgent): Promise<void> {
+    this.#forgetAgent(agent);
+    this.#list(agent, 'leaving');
+    await agent.process.drain();
+    this.#system.instances.subject.remove(agent.name);
+  }
+
+  /** Ends an agent at once; the platform's list goes on naming it for a while. */
+  killAgent(agent: FleetAgent): void {
+    this.#forgetAgent(agent);
+    agent.process[Symbol.dispose]();
+    systemClock.schedule(INSTANCES_INTERVAL_MS * 2, () => {
+      this.#system.instances.subject.remove(agent.name);
+    });
+  }
+
+  /** Ends an engine at once. */
+  killEngine(endpoint: string): void {
+    this.engines.get(endpoint)?.[Symbol.dispose]();
+  }
+
+  [Symbol.dispose](): void {
+    this.#disposables[Symbol.dispose]();
+  }
+
+  async #configure(): Promise<void> {
+    const {engines, ledgers} = this.#options;
+    const endpoint = (name: string, set: string) => ({
+      kind: 'endpoint' as const,
+      name,
+      state: {set},
+    });
+    const changes = [
+      ...numbered('fleet-engine', engines).map((name) => endpoint(name, 'engines')),
+      ...numbered('fleet-ledger', ledgers).map((name) => endpoint(name, 'ledgers')),
+      {
+        kind: 'account' as const,
+        name: 'demo',
+        state: {
+          keyDigests: [digestText(this.clientKey)],
+          classes: ['urgent', 'standard', 'bulk'],
+          defaultClass: 'standard',
+          requestsPerSecond: UNLIMITED,
+          burst: UNLIMITED,
+          concurrency: UNLIMITED,
+        },
+      },
+    ];
+    const changed = await this.#system.change({reason: 'fleet', changes});
+    if (changed.isErr()) throw new Error(changed.error);
+  }
+
+  async #startLedger(endpoint: string): Promise<void> {
+    const started = await startLedger();
+    this.ledgers.set(endpoint, this.#disposables.add(started._unsafeUnwrap()));
+  }
+
+  #platform() {
+    return {
+      keyValue: this.#system.keyValue.address,
+      instances: this.#system.instances.address,
+      instancesIntervalMs: INSTANCES_INTERVAL_MS,
+    };
+  }
+
+  #shared() {
+    const {cluster, monitor} = this.#system.keys;
+    return {
+      secrets: {clusterKey: cluster, monitorKey: monitor.publicKey},
+      clock: systemClock,
+      logger: this.#options.logger ?? silentLogger,
+    };
+  }
+
+  #list({name, endpoint, process}: FleetAgent, state: Instance['state']): void {
+    const {address} = process.server;
+    this.#system.instances.subject.set({
+      ...identity(name),
+      role: 'agent',
+      address,
+      endpoint,
+      state,
+    });
+  }
+
+  #forgetEntry(entry: FleetEntry): void {
+    entry.isReady = false;
+    this.entries.splice(this.entries.indexOf(entry), 1);
+  }
+
+  #forgetAgent(agent: FleetAgent): void {
+    this.agents.splice(this.agents.indexOf(agent), 1);
+  }
+
+  async #untilCurrent(number: () => number): Promise<void> {
+    while (number() < this.#system.entry.feed.head.number) await sleep(systemClock, READY_CHECK_MS);
+  }
+}
+
+function numbered(prefix: string, count: number): string[] {
+  return Array.from({length: count}, (_, index) => `${prefix}-${index + 1}`);
+}
+
+function identity(name: string) {
+  return {name, failureDomain: 'local-a', region: 'local'};
+}
--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -68,6 +68,8 @@
 const DEFAULT_SLOTS = 16;
 const DEFAULT_INTER_TOKEN_MS = 20;
 const KEY_BYTES = 24;
+/** There is no balancer before the local system, so there is little to wait for. */
+const DRAIN_GRACE_MS = 100;
 const WAIT_STEP_MS = 10;
 const WAIT_LIMIT_MS = 10_000;
 
@@ -121,6 +123,7 @@
       process: identity(`agent-${endpoint.name}`),
       listen: `${LOOPBACK}:0`,
       endpoint: {...endpoint, slots: options.slots ?? DEFAULT_SLOTS},
+      drain: {graceMs: DRAIN_GRACE_MS},
       platform,
     });
     const agent = await startAgent({settings, secrets, clock: systemClock, logger});
@@ -134,6 +137,7 @@
     listen: `${LOOPBACK}:${options.port}`,
     operatorsListen: `${LOOPBACK}:${options.operatorsPort}`,
     operators: [{name: 'dev', keySha256: digestText(keys.operator)}],
+    drain: {graceMs: DRAIN_GRACE_MS},
     platform,
   });
   const entry = await startEntry({
--- /dev/null
+++ b/packages/coordination/src/__tests__/drainOnSignal.test.ts
@@ -0,0 +1,41 @@
+import {EventEmitter} from 'node:events';
+import {type LogFields, settle, silentLogger} from '@marigoldfold/runtime';
+import {expect, it} from 'vitest';
+import {drainOnSignal} from '../processCommand.js';
+
+it('a second signal cuts nothing and is logged with what it would have cut', async () => {
+  const signals = new EventEmitter();
+  const warnings: (LogFields | undefined)[] = [];
+  const logger = {
+    ...silentLogger,
+    warn: (_message: string, fields?: LogFields) => {
+      warnings.push(fields);
+    },
+  };
+  let drains = 0;
+  let finish: () => void = () => undefined;
+  const drain = () => {
+    drains += 1;
+    return new Promise<void>((resolve) => {
+      finish = resolve;
+    });
+  };
+  let isOver = false;
+  void drainOnSignal(drain, logger, () => 3, signals).then(() => {
+    isOver = true;
+  });
+  signals.emit('SIGTERM', 'SIGTERM');
+  signals.emit('SIGTERM', 'SIGTERM');
+  signals.emit('SIGINT', 'SIGINT');
+  await settle();
+  expect(drains).toBe(1);
+  expect(isOver).toBe(false);
+  expect(warnings).toEqual([
+    {signal: 'SIGTERM', wouldBeCut: 3},
+    {signal: 'SIGINT', wouldBeCut: 3},
+  ]);
+  finish();
+  await settle();
+  expect(isOver).toBe(true);
+  expect(signals.listenerCount('SIGTERM')).toBe(0);
+});
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -27,4 +27,9 @@
   secretsSchema,
 } from './processSettings.js';
 export {RetryBudget} from './retryBudget.js';
-export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
+export {
+  type LoadedSettings,
+  type SignalSource,
+  drainOnSignal,
+  loadProcessSettings,
+} from './processCommand.js';
--- a/packages/coordination/src/processCommand.ts
+++ b/packages/coordination/src/processCommand.ts
@@ -37,11 +37,18 @@
   ].join('\n');
 }
 
+/** Where signals come from; the process itself unless a test says otherwise. */
+export interface SignalSource {
+  on(signal: 'SIGINT' | 'SIGTERM', handle: (signal: string) => void): unknown;
+  off(signal: 'SIGINT' | 'SIGTERM', handle: (signal: string) => void): unknown;
+}
+
 /** Drains a process on SIGINT or SIGTERM; a further signal is logged and cuts nothing. */
 export function drainOnSignal(
   drain: () => Promise<void>,
   logger: Logger,
   describeActive: () => number,
+  signals: SignalSource = process,
 ): Promise<void> {
   return new Promise((resolve) => {
     let isDraining = false;
@@ -52,9 +59,13 @@
       }
       isDraining = true;
       logger.info('draining', {signal});
-      void drain().then(resolve);
+      void drain().then(() => {
+        signals.off('SIGINT', handle);
+        signals.off('SIGTERM', handle);
+        resolve();
+      });
     };
-    process.on('SIGINT', handle);
-    process.on('SIGTERM', handle);
+    signals.on('SIGINT', handle);
+    signals.on('SIGTERM', handle);
   });
 }
--- a/packages/entry/src/command.ts
+++ b/packages/entry/src/command.ts
@@ -31,7 +31,7 @@
     await drainOnSignal(
       () => entry.value.drain(),
       logger,
-      () => callers.connectionCount(),
+      () => callers.activeCount(),
     );
     this.exit(0);
   }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -9,7 +9,7 @@
   type Secrets,
 } from '@marigoldfold/coordination';
 import {createIncarnation, type Instance, requestIds} from '@marigoldfold/protocol';
-import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
+import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
 import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
 import {
   createClusterKey,
@@ -136,6 +136,9 @@
     async drain() {
       isLeaving = true;
       logger.info('leaving', {connections: callers.value.connectionCount()});
+      // Until the balancer has seen that the entry is not ready, it still sends requests.
+      callers.value.leave();
+      await sleep(clock, settings.drain.graceMs);
       await callers.value.drain();
       disposables[Symbol.dispose]();
     },
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -52,7 +52,8 @@
       const ran = ranByAny(failure?.ran ?? 'no', end.failure.ran);
       failure = {...end.failure, ran};
       if (signal.aborted || !isMovable(request.work, attempt, end.failure)) break;
-      if (!retryBudget.spend()) break;
+      // A planned stop cuts nothing, so a move away from it is not counted as a retry.
+      if (end.failure.code !== 'leaving' && !retryBudget.spend()) break;
       if (end.failure.ran !== 'no') void this.#options.linkTo(instance).cancel(request.work.id);
       this.#logMove(request.work, chosen.value, failure);
       excluded.add(instance.name);
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -25,6 +25,12 @@
       }),
     )
     .default([]),
+  drain: z
+    .strictObject({
+      /** Milliseconds between reporting not ready and closing the callers' port; the balancer's checks fit in. */
+      graceMs: z.int().min(0).max(600_000).default(5000),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- a/packages/standin/src/simulatedEngine.ts
+++ b/packages/standin/src/simulatedEngine.ts
@@ -54,6 +54,8 @@
   #isDisposed = false;
   /** Tokens generated so far. */
   tokensGenerated = 0;
+  /** Called with the id of each generation that is begun. */
+  onBegin: ((id: string) => void) | undefined;
   /** While true, no step is made. */
   isHung = false;
 
@@ -78,6 +80,7 @@
     const prefillLeftMs =
       (request.promptTokens / this.#speed.prefillTokensPerSecond) * MS_PER_SECOND;
     this.#order += 1;
+    this.onBegin?.(request.id);
     this.#generations.set(request.id, {
       request,
       order: this.#order,
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -47,16 +47,23 @@
   readonly address: string;
   /** Number of open connections. */
   readonly connectionCount: () => number;
+  /** Number of requests whose handling has not ended, also of those whose client has gone. */
+  readonly activeCount: () => number;
+  /** Goes on serving, and asks each client to close its connection after its answer. */
+  leave(): void;
   /** Stops accepting, closes idle connections and resolves when the last request has ended. */
   drain(): Promise<void>;
 }
 
 const CONNECTION_CHECK_MS = 1000;
+const DRAIN_CHECK_MS = 20;
 
 /** Starts to listen. */
 export async function listen(options: HttpServerOptions): Promise<Result<HttpServer, ListenError>> {
   const {limits} = options;
   const sockets = new Set<Socket>();
+  const responses = new Set<ServerResponse>();
+  let isLeaving = false;
   const server = createServer(
     {
       maxHeaderSize: limits.maxHeaderBytes,
@@ -67,10 +74,15 @@
       noDelay: true,
     },
     (request, response) => {
-      options.handle(request, response).catch((error: unknown) => {
-        options.onDefect(error);
-        response.destroy();
-      });
+      responses.add(response);
+      if (isLeaving) response.shouldKeepAlive = false;
+      options
+        .handle(request, response)
+        .catch((error: unknown) => {
+          options.onDefect(error);
+          response.destroy();
+        })
+        .finally(() => responses.delete(response));
     },
   );
   server.maxConnections = limits.maxConnections;
@@ -82,17 +94,20 @@
   const failure = await startListening(server, options);
   if (failure !== undefined) return err(failure);
   const {port} = server.address() as AddressInfo;
+  const leave = () => {
+    isLeaving = true;
+    for (const response of responses) response.shouldKeepAlive = false;
+  };
   return ok({
     port,
     address: `${options.host}:${port}`,
     connectionCount: () => sockets.size,
-    drain: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    activeCount: () => responses.size,
+    leave,
+    drain() {
+      leave();
+      return drain(server, () => responses.size + sockets.size);
+    },
     [Symbol.dispose]() {
       server.close();
       for (const socket of sockets) socket.destroy();
@@ -100,6 +115,24 @@
   });
 }
 
+async function drain(server: Server, countOpen: () => number): Promise<void> {
+  // A connection whose stream was begun before the drain is idle only when the stream has ended.
+  const closing = setInterval(() => {
+    server.closeIdleConnections();
+  }, DRAIN_CHECK_MS);
+  await new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+  });
+  clearInterval(closing);
+  while (countOpen() > 0) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_CHECK_MS);
+    });
+  }
+}
+
 function startListening(
   server: Server,
   options: HttpServerOptions,
