--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -7,6 +7,7 @@
   faultyKeyValue,
 } from './faultyKeyValue.js';
 export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
+export {SwitchableKeyValue, type WriteFault} from './switchableKeyValue.js';
 export {serveKeyValue} from './keyValueServer.js';
 export {Ledger, type Posting, serveLedger} from './ledgerService.js';
 export {MemoryKeyValue} from './memoryKeyValue.js';
@@ -17,6 +18,7 @@
   type Token,
 } from './simulatedEngine.js';
 export {
+  type KeyValueStandIn,
   type StandIn,
   batchingSpeed,
   startEngine,
