--- /dev/null
+++ b/packages/agent/src/__tests__/answer.test.ts
@@ -0,0 +1,93 @@
+import type {WorkEvent} from '@marigoldfold/protocol';
+import {settle, VirtualClock} from '@marigoldfold/runtime';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {readAll} from '../__fixtures__/scriptedWork.js';
+import {Answer, windowChunks} from '../answer.js';
+
+const load = {
+  incarnation: 'life-1',
+  configuration: 1,
+  running: [],
+  queued: [],
+  waitMs: [],
+  window: 1,
+  interTokenMs: 0,
+  firstTokenMs: 0,
+  isLeaving: false,
+};
+
+async function write(answer: Answer, count: number, signal = new AbortController().signal) {
+  for (let number = 1; number <= count; number += 1) {
+    await answer.publishChunk(`part ${number}`, signal);
+  }
+  answer.end(load);
+}
+
+function numbersOf(events: readonly WorkEvent[]): number[] {
+  return events.flatMap((event) => (event.kind === 'chunk' ? [event.number] : []));
+}
+
+describe('an answer', () => {
+  it('keeps the writer back and its memory bounded while the reader is far behind', async () => {
+    const answer = new Answer('a.1', new VirtualClock());
+    const writing = write(answer, windowChunks * 3);
+    await settle();
+    expect(answer.chunkCount).toBe(windowChunks);
+    expect(answer.retainedCount).toBe(windowChunks);
+    answer.acknowledge(windowChunks / 2);
+    await settle();
+    expect(answer.chunkCount).toBe(windowChunks * 1.5);
+    expect(answer.retainedCount).toBe(windowChunks);
+    answer.acknowledge(windowChunks * 1.5);
+    await settle();
+    answer.acknowledge(windowChunks * 3);
+    await writing;
+    expect(answer.isFinished).toBe(true);
+  });
+
+  it('lets its writer go when nobody wants it any more', async () => {
+    const answer = new Answer('a.1', new VirtualClock());
+    const controller = new AbortController();
+    const writing = write(answer, windowChunks * 2, controller.signal);
+    await settle();
+    controller.abort();
+    await writing;
+    expect(answer.isFinished).toBe(true);
+  });
+
+  it('goes to the newest reader, and the one before ends without a last event', async () => {
+    const answer = new Answer('a.1', new VirtualClock());
+    const first = readAll(answer);
+    await settle();
+    const second = readAll(answer);
+    await write(answer, 2);
+    expect(await first).toEqual([]);
+    expect((await second).at(-1)).toMatchObject({kind: 'end', chunks: 2});
+  });
+
+  it('is whole for a reader that breaks and comes back anywhere, at any time', async () => {
+    const breaks = fc.array(fc.nat({max: 40}), {maxLength: 10});
+    await fc.assert(
+      fc.asyncProperty(breaks, fc.integer({min: 0, max: 200}), async (steps, count) => {
+        const answer = new Answer('a.1', new VirtualClock());
+        const writing = write(answer, count);
+        const seen: number[] = [];
+        for (const step of steps) {
+          const events = answer.read(seen.length, new AbortController().signal);
+          for (let read = 0; read < step && seen.length < count; read += 1) {
+            const next = await events.next();
+            if (next.value?.kind === 'chunk') seen.push(next.value.number);
+          }
+          await events.return(undefined);
+        }
+        const rest = await readAll(answer, seen.length);
+        await writing;
+        seen.push(...numbersOf(rest));
+        expect(seen).toEqual(Array.from({length: count}, (_, index) => index + 1));
+        expect(rest.at(-1)).toMatchObject({kind: 'end', chunks: count});
+      }),
+      {seed: 17, numRuns: 200},
+    );
+  });
+});
--- a/packages/agent/src/generationRun.ts
+++ b/packages/agent/src/generationRun.ts
@@ -51,7 +51,9 @@
     options.setPause(() => {
       pauser.abort();
     });
+    const chunksBefore = answer.chunkCount;
     const end = await copyOnce(options, progress, pauser.signal);
+    if (answer.chunkCount > chunksBefore) progress.breaks = 0;
     if (end.kind === 'whole') return undefined;
     if (end.kind === 'refused') {
       // After a break the engine may have had the request all along.
--- a/packages/standin/src/engineServer.ts
+++ b/packages/standin/src/engineServer.ts
@@ -9,7 +9,7 @@
   serverLimitsSchema,
 } from '@marigoldfold/transport';
 import {z} from 'zod';
-import type {SimulatedEngine, Token} from './simulatedEngine.js';
+import type {EngineFault, SimulatedEngine, Token} from './simulatedEngine.js';
 
 const completionSchema = z.looseObject({
   model: z.string(),
@@ -139,8 +139,16 @@
   });
   const send = (token: Token) => {
     if (response.destroyed) return;
+    const fault = engine.chooseFault?.(id, token.number);
+    if (fault === 'swallow') return;
+    if (fault !== undefined && fault !== 'repeat') {
+      isOver = fault === 'done-early';
+      showFault(engine, id, fault, response);
+      return;
+    }
     const data = JSON.stringify(toChunk(id, open, token));
-    response.write(formatEvent({data, id: String(token.number)}));
+    const text = formatEvent({data, id: String(token.number)});
+    response.write(fault === 'repeat' ? text + text : text);
     if (!token.isLast) return;
     isOver = true;
     streams.delete(id);
@@ -153,6 +161,26 @@
   return send;
 }
 
+function showFault(
+  engine: SimulatedEngine,
+  id: string,
+  fault: Exclude<EngineFault, 'swallow' | 'repeat'>,
+  response: ServerResponse,
+): void {
+  switch (fault) {
+    case 'cut':
+      response.destroy();
+      return;
+    case 'done-early':
+      engine.cancel(id);
+      response.end(formatEvent({data: '[DONE]'}));
+      return;
+    case 'garbage':
+      response.write(formatEvent({data: '{"choices": [', id: '1'}));
+      return;
+  }
+}
+
 function chunkHead(id: string, open: OpenStream) {
   return {
     id: `${open.isChat ? 'chatcmpl' : 'cmpl'}-${id}`,
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -9,9 +9,10 @@
 export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
 export {SwitchableKeyValue, type WriteFault} from './switchableKeyValue.js';
 export {serveKeyValue} from './keyValueServer.js';
-export {Ledger, type Posting, serveLedger} from './ledgerService.js';
+export {Ledger, type LedgerFault, type Posting, serveLedger} from './ledgerService.js';
 export {MemoryKeyValue} from './memoryKeyValue.js';
 export {
+  type EngineFault,
   type EngineRequest,
   type EngineSpeed,
   SimulatedEngine,
--- a/packages/standin/src/ledgerService.ts
+++ b/packages/standin/src/ledgerService.ts
@@ -16,9 +16,20 @@
   readonly requestId: string;
 }
 
+/** What the ledger does with a posting instead of running and answering it. */
+export type LedgerFault =
+  /** The connection ends before the posting runs. */
+  | 'request-lost'
+  /** The posting runs and the connection ends. */
+  | 'answer-lost'
+  /** The posting runs and nothing is answered. */
+  | 'hang';
+
 /** The ledger; it counts every posting that it runs. */
 export class Ledger {
   readonly postings: Posting[] = [];
+  /** Chooses the fault of a posting; none when absent. */
+  chooseFault: ((posting: Posting) => LedgerFault | undefined) | undefined;
 
   /** Runs a posting. */
   post(posting: Posting): void {
@@ -53,7 +64,12 @@
       return;
     }
     const requestId = String(request.headers['x-request-id'] ?? '');
-    ledger.post({...posting, requestId});
+    const fault = ledger.chooseFault?.({...posting, requestId});
+    if (fault !== 'request-lost') ledger.post({...posting, requestId});
+    if (fault !== undefined) {
+      if (fault !== 'hang') response.destroy();
+      return;
+    }
     const receipt = {number: ledger.postings.length, balance: ledger.balance(posting.account)};
     sendJson(response, STATUS.created, receipt);
   };
--- a/packages/standin/src/simulatedEngine.ts
+++ b/packages/standin/src/simulatedEngine.ts
@@ -29,6 +29,19 @@
   readonly isLast: boolean;
 }
 
+/** What the engine does instead of sending a token. */
+export type EngineFault =
+  /** The connection ends. */
+  | 'cut'
+  /** The engine says that the answer is whole although it is not, and forgets it. */
+  | 'done-early'
+  /** Something that is no part of an answer is sent. */
+  | 'garbage'
+  /** The token is not sent. */
+  | 'swallow'
+  /** The token is sent twice. */
+  | 'repeat';
+
 /** Receives the tokens of one generation. */
 export type Listener = (token: Token) => void;
 
@@ -54,6 +67,8 @@
   #isDisposed = false;
   /** Tokens generated so far. */
   tokensGenerated = 0;
+  /** Chooses the fault of a token that is to be sent; none when absent. */
+  chooseFault: ((id: string, token: number) => EngineFault | undefined) | undefined;
   /** Called with the id of each generation that is begun. */
   onBegin: ((id: string) => void) | undefined;
   /** While true, no step is made. */
