--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -37,4 +37,9 @@
   createProcessRegistry,
 } from './processMetrics.js';
 export {RetryBudget} from './retryBudget.js';
-export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
+export {
+  type LoadedSettings,
+  type SignalSource,
+  drainOnSignal,
+  loadProcessSettings,
+} from './processCommand.js';
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -28,6 +28,16 @@
     )
     .default([])
     .describe('People who may propose tickets.'),
+  drain: z
+    .strictObject({
+      graceMs: z
+        .int()
+        .min(0)
+        .max(600_000)
+        .default(5000)
+        .describe("Milliseconds between reporting not ready and closing the callers' port."),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
