--- a/packages/agent/src/preemption.ts
+++ b/packages/agent/src/preemption.ts
@@ -14,6 +14,9 @@
   /** Whether long work fills more than its share. */
   readonly isLongWorkOverShare: boolean;
   readonly maxPreemptions: number;
+  readonly nowMs: number;
+  /** How long a resumed request runs before it may be paused for work that is not both urgent and at risk. */
+  readonly minRunMs: number;
   /** Whether a tier runs no more than its guaranteed share. */
   readonly isGuaranteed: (tier: number) => boolean;
 }
@@ -33,6 +36,12 @@
 function isVictim(entry: QueueEntry, context: PreemptionContext): boolean {
   const {beneficiary, isUrgent, isAtRisk, isLongWorkOverShare} = context;
   const {tier} = entry.item;
+  if (entry.preemptions > 0) {
+    const ranMs = context.nowMs - (entry.startedAtMs ?? 0);
+    const leastMs = isUrgent && isAtRisk ? 0 : context.minRunMs;
+    // Strictly more, so that no request is resumed and paused again in the same instant.
+    if (ranMs <= leastMs) return false;
+  }
   if (entry.preemptions >= context.maxPreemptions && !isUrgent) return false;
   if (tier === beneficiary.item.tier) {
     // The bound on preemptions holds among equals in any tier, so that long work completes.
--- a/packages/agent/src/queueTuning.ts
+++ b/packages/agent/src/queueTuning.ts
@@ -10,6 +10,8 @@
   readonly maxPreemptions: number;
   /** A paused request goes before other work that is not urgent after this long. */
   readonly maxPauseMs: number;
+  /** A resumed request runs at least this long, unless an urgent deadline is at risk. */
+  readonly minRunMs: number;
   /** Part of the window that work may fill which has outlived its class's typical length. */
   readonly longWorkShare: number;
   /** Whether the number of running requests follows the measured time between tokens. */
@@ -24,6 +26,7 @@
   preempts: true,
   maxPreemptions: 4,
   maxPauseMs: 10_000,
+  minRunMs: 1000,
   longWorkShare: 0.5,
   adaptsWindow: true,
   refusesEarly: true,
--- a/packages/agent/src/workQueue.ts
+++ b/packages/agent/src/workQueue.ts
@@ -262,10 +262,16 @@
       maxPauseMs,
       holdsLongWorkBack: this.#longRunningCount() >= this.#longLimit() && this.#hasShortWaiting(),
       canWait: (entry) => !this.#isAtRisk(entry),
-      isOwed: (tier) => this.#shares.isOwed(tier),
+      isOwed: (tier) => this.#isOwedSlot(tier),
     });
   }
 
+  /** Whether a tier has had less than its share and does not hold the slots for it yet. */
+  #isOwedSlot(tier: number): boolean {
+    const slots = this.#shares.guaranteedSlots(tier, this.#window.size);
+    return this.#shares.isOwed(tier) && (this.#runningByTier[tier] ?? 0) < slots;
+  }
+
   *#preemptForWaiting(): Generator<Directive> {
     let free = this.#window.size - this.#running.size + this.#stoppingCount();
     for (let tier = 0; tier < tierCount; tier += 1) {
@@ -316,6 +322,8 @@
       isAtRisk,
       isLongWorkOverShare: this.#longRunningCount() > this.#longLimit(),
       maxPreemptions: this.#tuning.maxPreemptions,
+      nowMs: this.#options.clock.now(),
+      minRunMs: this.#tuning.minRunMs,
       isGuaranteed: (tier) => {
         const running = this.#runningByTier[tier] ?? 0;
         return running <= this.#shares.guaranteedSlots(tier, window);
@@ -330,10 +338,13 @@
 
   /** Whether a request misses its deadline unless it runs now. */
   #isAtRisk({item, pausedAtMs}: MutableQueueEntry): boolean {
-    if (pausedAtMs !== undefined) return false;
+    if (pausedAtMs !== undefined) return this.#isUrgent(item.tier);
     const before = this.#queues.tier(item.tier).length;
     const waitMs = (before * this.#meanServiceMs()) / this.#window.size;
-    return this.#options.clock.now() + this.#leastFirstTokenMs() + waitMs >= item.dueAtMs;
+    const now = this.#options.clock.now();
+    // A deadline that has passed is not met by anything any more.
+    if (!this.#isUrgent(item.tier) && now > item.dueAtMs) return false;
+    return now + this.#leastFirstTokenMs() + waitMs >= item.dueAtMs;
   }
 
   #leastFirstTokenMs(): number {
--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -7,6 +7,7 @@
 import type {Backend} from './backend.js';
 import type {RequestQueue} from './firstComeQueue.js';
 import type {InvariantChecker} from './invariants.js';
+import type {Measures} from './measures.js';
 
 /** Receives what becomes of a request at an agent. */
 export interface AttemptListener {
@@ -24,6 +25,7 @@
   readonly createQueue: () => RequestQueue;
   readonly setsPriority: boolean;
   readonly checker: InvariantChecker;
+  readonly measures: Measures;
 }
 
 /** A request at an agent. */
@@ -38,6 +40,7 @@
   readonly listener: AttemptListener;
   state: Attempt['state'];
   generated: number;
+  startedAtMs: number;
 }
 
 /** What a class without a target for the first token waits at most. */
@@ -92,7 +95,8 @@
       return err(offered.error);
     }
     this.#note(arrival.id, `queued in tier ${tier}`);
-    this.#attempts.set(arrival.id, {arrival, tier, listener, state: 'queued', generated: 0});
+    const initial = {state: 'queued', generated: 0, startedAtMs: 0} as const;
+    this.#attempts.set(arrival.id, {arrival, tier, listener, ...initial});
     this.#dispatch();
     return ok(undefined);
   }
@@ -166,6 +170,7 @@
     const {arrival, tier} = attempt;
     const isResumed = attempt.state === 'paused';
     attempt.state = 'running';
+    attempt.startedAtMs = this.#options.clock.now();
     this.#note(arrival.id, isResumed ? 'resumed' : 'started');
     if (isResumed) {
       this.backend.resume(arrival.id);
@@ -183,6 +188,7 @@
     this.#note(id, `preempted for ${beneficiary} after ${victim.generated} tokens`);
     this.#options.checker.onPreempted(this, victim, attempt);
     this.backend.pause(id);
+    this.#leaveSlot(victim);
     victim.state = 'paused';
     this.#queue.requeue(id);
     this.#dispatch();
@@ -195,6 +201,7 @@
     const isChanged = this.#queue.observeToken(arrival.id);
     if (isLast) {
       this.#attempts.delete(arrival.id);
+      this.#leaveSlot(attempt);
       this.#queue.finish(arrival.id);
       this.#note(arrival.id, 'finished');
     }
@@ -202,6 +209,10 @@
     if (isLast || isChanged) this.#dispatch();
   }
 
+  #leaveSlot({arrival, startedAtMs}: MutableAttempt): void {
+    this.#options.measures.recordSlot(arrival, startedAtMs, this.#options.clock.now());
+  }
+
   #note(id: string, event: string): void {
     this.#options.checker.note(id, `${this.name}: ${event}`);
   }
--- a/packages/protocol/src/failure.ts
+++ b/packages/protocol/src/failure.ts
@@ -1,5 +1,6 @@
 /** Failures as every caller and process sees them. */
 import {z} from 'zod';
+import {ranBy} from './evidence.js';
 
 /** Whether the work of a failed request was run: certainly not, certainly, or not known. */
 export const ranSchema = z.enum(['no', 'yes', 'unknown']);
@@ -16,9 +17,12 @@
   unknown_model: 404,
   unknown_service: 404,
   not_found: 404,
+  method_not_allowed: 405,
   idempotency_key_missing: 400,
   idempotency_key_reused: 422,
   body_too_large: 413,
+  headers_too_large: 431,
+  too_many_connections: 503,
   request_timeout: 408,
   caller_gone: 499,
   account_limited: 429,
@@ -74,8 +78,8 @@
 /** A request that was refused before any of its work was started. */
 export function refusal(code: FailureCode, message: string, retryAfterMs?: number): Failure {
   return retryAfterMs === undefined
-    ? {code, message, ran: 'no'}
-    : {code, message, ran: 'no', retryAfterMs};
+    ? {code, message, ran: ranBy('refused')}
+    : {code, message, ran: ranBy('refused'), retryAfterMs};
 }
 
 /** The HTTP status for a failure. */
