Keep urgent work's first token and the guaranteed shares where the window is not enough

Cause: with two runners slowed five-fold and late reports, urgent requests waited up to 18 s behind a window that had shrunk for a target that no window met; a guaranteed share came out at 9.97% for 10%; resumed scores could not be paused for a second, which cost questions 400 ms. Change: urgent work at risk goes beyond a window whose target is out of reach, and is refused when only its own tier or higher runs; a tier is served one second ahead of its guarantee; only other work waits for a resumed request.

--- a/packages/agent/src/adaptiveWindow.ts
+++ b/packages/agent/src/adaptiveWindow.ts
@@ -35,6 +35,7 @@
   #ceiling = Number.POSITIVE_INFINITY;
   #ceilingUntilMs = 0;
   #judgedAtMs: number;
+  #isTargetUnreachable = false;
 
   constructor(options: AdaptiveWindowOptions) {
     this.#options = options;
@@ -47,6 +48,18 @@
     return this.#size;
   }
 
+  /**
+   * Number of requests that may run at once when an urgent one would miss its deadline otherwise.
+   * It is larger where even the smallest window does not meet the target between tokens.
+   */
+  get urgentSize(): number {
+    return this.#isTargetUnreachable ? this.#options.slots : this.#size;
+  }
+
+  get #floor(): number {
+    return Math.max(1, Math.ceil(this.#options.slots * FLOOR));
+  }
+
   /** Takes a measured gap between two tokens; true when the window's size has changed. */
   observe(gapMs: number, targetMs: number | undefined, runningCount: number): boolean {
     const {clock, isAdaptive} = this.#options;
@@ -69,13 +82,14 @@
       return;
     }
     const gapMs = this.#gaps.quantile(QUANTILE);
-    if (gapMs > targetMs) {
-      this.#shrink(now, runningCount);
-      return;
-    }
-    if (runningCount < this.#size) return;
-    const isBelowCeiling = this.#size + 1 < this.#ceiling || now >= this.#ceilingUntilMs;
-    if (isBelowCeiling || gapMs < WELL_INSIDE * targetMs) this.#grow();
+    this.#isTargetUnreachable = gapMs > targetMs && runningCount <= this.#floor;
+    if (gapMs > targetMs) this.#shrink(now, runningCount);
+    else if (runningCount >= this.#size && this.#mayGrow(now, gapMs, targetMs)) this.#grow();
+  }
+
+  #mayGrow(now: number, gapMs: number, targetMs: number): boolean {
+    if (this.#size + 1 < this.#ceiling || now >= this.#ceilingUntilMs) return true;
+    return gapMs < WELL_INSIDE * targetMs;
   }
 
   #grow(): void {
@@ -83,10 +97,9 @@
   }
 
   #shrink(now: number, runningCount: number): void {
-    const {slots} = this.#options;
+    const floor = this.#floor;
     // Requests that were started under a larger window may still run.
     const tooLarge = Math.min(this.#size, runningCount);
-    const floor = Math.max(1, Math.ceil(slots * FLOOR));
     if (tooLarge <= floor) return;
     this.#ceiling = tooLarge;
     this.#ceilingUntilMs = now + CEILING_HOLD_MS;
--- a/packages/agent/src/minimumShares.ts
+++ b/packages/agent/src/minimumShares.ts
@@ -15,6 +15,9 @@
 /** A deficit never exceeds what a share gives in this time. */
 const MAX_DEFICIT_MS = 10_000;
 
+/** A tier is served this far ahead, so that its share is a minimum and not a mean. */
+const LEAD_MS = 1000;
+
 /** Keeps account of the slot time that tiers are owed. */
 export class MinimumShares {
   readonly #shares: () => TierShares;
@@ -30,12 +33,14 @@
   advance(nowMs: number, {running, queued, window}: Occupancy): void {
     const elapsedMs = nowMs - this.#updatedAtMs;
     this.#updatedAtMs = nowMs;
+    // More than the window runs while it shrinks.
+    const slots = Math.max(window, sum(running));
     for (const [tier, share] of this.#shares().entries()) {
       const runningCount = running[tier] ?? 0;
       const isIdle = runningCount === 0 && (queued[tier] ?? 0) === 0;
-      const guaranteedMs = share * window * elapsedMs;
+      const guaranteedMs = share * slots * elapsedMs;
       const before = this.#deficits[tier] ?? 0;
-      const limit = share * window * MAX_DEFICIT_MS;
+      const limit = share * slots * MAX_DEFICIT_MS;
       const after = before + guaranteedMs - runningCount * elapsedMs;
       this.#deficits[tier] = isIdle
         ? approachZero(before, guaranteedMs)
@@ -43,18 +48,22 @@
     }
   }
 
-  /** Whether a tier has had less than its share. */
+  /** Whether a tier has had less than its share, or soon will have. */
   isOwed(tier: number): boolean {
-    return (this.#deficits[tier] ?? 0) > 0;
+    return (this.#shares()[tier] ?? 0) > 0 && (this.#deficits[tier] ?? 0) > -LEAD_MS;
   }
 
   /** Number of slots that a tier may hold against preemption; none when it has had its share. */
   guaranteedSlots(tier: number, window: number): number {
-    if ((this.#deficits[tier] ?? 0) < 0) return 0;
+    if (!this.isOwed(tier)) return 0;
     return Math.ceil((this.#shares()[tier] ?? 0) * window);
   }
 }
 
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
+
 /** A tier without work has nothing to be owed, and is forgiven what it had too much. */
 function approachZero(deficit: number, step: number): number {
   return deficit > 0 ? Math.max(0, deficit - step) : Math.min(0, deficit + step);
--- a/packages/agent/src/preemption.ts
+++ b/packages/agent/src/preemption.ts
@@ -15,7 +15,7 @@
   readonly isLongWorkOverShare: boolean;
   readonly maxPreemptions: number;
   readonly nowMs: number;
-  /** How long a resumed request runs before it may be paused for work that is not both urgent and at risk. */
+  /** How long a resumed request runs before it may be paused for work that is not urgent. */
   readonly minRunMs: number;
   /** Whether a tier runs no more than its guaranteed share. */
   readonly isGuaranteed: (tier: number) => boolean;
@@ -38,7 +38,7 @@
   const {tier} = entry.item;
   if (entry.preemptions > 0) {
     const ranMs = context.nowMs - (entry.startedAtMs ?? 0);
-    const leastMs = isUrgent && isAtRisk ? 0 : context.minRunMs;
+    const leastMs = isUrgent ? 0 : context.minRunMs;
     // Strictly more, so that no request is resumed and paused again in the same instant.
     if (ranMs <= leastMs) return false;
   }
--- a/packages/agent/src/queueTuning.ts
+++ b/packages/agent/src/queueTuning.ts
@@ -10,7 +10,7 @@
   readonly maxPreemptions: number;
   /** A paused request goes before other work that is not urgent after this long. */
   readonly maxPauseMs: number;
-  /** A resumed request runs at least this long, unless an urgent deadline is at risk. */
+  /** A resumed request runs at least this long, unless it gives way to urgent work. */
   readonly minRunMs: number;
   /** Part of the window that work may fill which has outlived its class's typical length. */
   readonly longWorkShare: number;
--- a/packages/agent/src/workQueue.ts
+++ b/packages/agent/src/workQueue.ts
@@ -112,7 +112,7 @@
     this.#account();
     this.#shedExpired();
     const directives = this.#shed.splice(0);
-    while (this.#running.size < this.#window.size) {
+    for (;;) {
       const entry = this.#chooseStart();
       if (entry === undefined) break;
       this.#start(entry);
@@ -203,7 +203,7 @@
   #findRefusal(item: QueueItem): Failure | undefined {
     const {tier, dueAtMs} = item;
     // What stands before urgent work is preempted or shed, so it counts for nothing.
-    if (this.#isUrgent(tier) && this.#hasBelow(tier)) {
+    if (this.#isUrgent(tier) && this.#servesBelow(tier)) {
       this.#makeRoom(item);
       return undefined;
     }
@@ -231,7 +231,7 @@
     const now = this.#options.clock.now();
     const leastMs = this.#leastFirstTokenMs();
     for (let tier = 0; tier < tierCount; tier += 1) {
-      if (this.#isUrgent(tier) && this.#hasBelow(tier)) continue;
+      if (this.#isUrgent(tier) && this.#servesBelow(tier)) continue;
       for (const entry of [...this.#queues.tier(tier)]) {
         const {id, dueAtMs} = entry.item;
         if (now + leastMs <= dueAtMs) break;
@@ -244,16 +244,13 @@
     }
   }
 
-  /** Whether anything of a lower tier waits or runs. */
-  #hasBelow(tier: number): boolean {
-    for (let lower = tier + 1; lower < tierCount; lower += 1) {
-      if ((this.#runningByTier[lower] ?? 0) > 0) return true;
-      if (this.#queues.tier(lower).length > 0) return true;
-    }
-    return false;
+  /** Whether anything of a lower tier runs. */
+  #servesBelow(tier: number): boolean {
+    return this.#runningByTier.some((count, other) => other > tier && count > 0);
   }
 
   #chooseStart(): MutableQueueEntry | undefined {
+    if (this.#running.size >= this.#window.size) return this.#chooseBeyondWindow();
     const {urgentTierCount, maxPauseMs} = this.#tuning;
     return chooseStart({
       queues: this.#queues,
@@ -266,6 +263,16 @@
     });
   }
 
+  /** Urgent work that no pause of other work can bring in time. */
+  #chooseBeyondWindow(): MutableQueueEntry | undefined {
+    if (this.#running.size >= this.#window.urgentSize) return undefined;
+    for (let tier = 0; tier < this.#tuning.urgentTierCount; tier += 1) {
+      const [first] = this.#queues.tier(tier);
+      if (first !== undefined && this.#isAtRisk(first)) return first;
+    }
+    return undefined;
+  }
+
   /** Whether a tier has had less than its share and does not hold the slots for it yet. */
   #isOwedSlot(tier: number): boolean {
     const slots = this.#shares.guaranteedSlots(tier, this.#window.size);
@@ -353,7 +360,7 @@
 
   /** What stands before a new request of a tier. */
   #line(tier: number, countsLower: boolean, dueAtMs = Number.POSITIVE_INFINITY): Line {
-    const window = this.#window.size;
+    const window = this.#isUrgent(tier) ? this.#window.urgentSize : this.#window.size;
     let running = 0;
     for (const [other, count] of this.#runningByTier.entries()) {
       if (other <= tier || countsLower) running += count;
--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -49,6 +49,9 @@
     if (requestClass.tier >= urgentTierCount) return;
     for (const other of agent.attempts) {
       if (other.tier <= requestClass.tier || other.arrival.id === id) continue;
+      // What waits behind is not served in its place, but takes room in a full queue.
+      const isInPlace = other.state === (failure.code === 'overloaded' ? 'queued' : 'running');
+      if (!isInPlace && other.state !== 'running') continue;
       const message = `refused by ${agent.name} in tier ${requestClass.tier} while ${other.arrival.id} of tier ${other.tier} is ${other.state}`;
       this.#violate('urgent-first', id, message);
       return;
