--- a/packages/agent/src/generationRun.ts
+++ b/packages/agent/src/generationRun.ts
@@ -24,8 +24,10 @@
   readonly signal: AbortSignal;
   /** Takes the action that pauses the stream. */
   readonly setPause: (pause: (() => void) | undefined) => void;
-  /** Takes the next part of the answer. */
-  readonly publish: (data: string) => Promise<void>;
+  /** Called for each new chunk of the engine. */
+  readonly observeChunk: () => void;
+  /** Called when a wait for a slow reader stands between two chunks. */
+  readonly skipGap: () => void;
   /** Gives the place at the engine up and waits for the next one; a failure when there is none. */
   readonly waitForTurn: () => Promise<Failure | undefined>;
 }
@@ -114,7 +116,7 @@
   stream: EngineStream,
   silence: AbortController,
 ): Promise<EngineEnd> {
-  const {answer, timing} = options;
+  const {answer, signal, timing} = options;
   let limitMs = timing.firstTokenLimitMs;
   while (true) {
     const next = await nextWithin(options.clock, stream, limitMs, silence);
@@ -128,7 +130,10 @@
       await stream.return({kind: 'broken', maySent: true});
       return {kind: 'broken', maySent: true};
     }
-    await options.publish(chunk.data);
+    options.observeChunk();
+    const publishedAtMs = options.clock.now();
+    await answer.publishChunk(chunk.data, signal);
+    if (options.clock.now() > publishedAtMs) options.skipGap();
   }
 }
 
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -314,7 +314,12 @@
       setPause: (pause) => {
         job.pause = pause;
       },
-      publish: (data) => this.#publishToken(job, data),
+      observeChunk: () => {
+        if (queue.observeToken(work.id)) this.#dispatch();
+      },
+      skipGap: () => {
+        queue.skipGap(work.id);
+      },
       waitForTurn: () => {
         queue.requeue(work.id);
         const turn = this.#turn(job);
@@ -324,16 +329,6 @@
     });
   }
 
-  /** Measures a part of an answer and passes it on. */
-  async #publishToken({work, answer, controller}: Job, data: string): Promise<void> {
-    const {clock, queue} = this.#options;
-    if (queue.observeToken(work.id)) this.#dispatch();
-    const receivedAtMs = clock.now();
-    await answer.publishChunk(data, controller.signal);
-    // A wait for a slow reader says nothing about the engine.
-    if (clock.now() > receivedAtMs) queue.skipGap(work.id);
-  }
-
   async #call(job: Job, call: Call): Promise<Failure | undefined> {
     const {calls} = this.#options;
     if (calls === undefined) throw new Error('a call without a plain service');
