--- a/packages/bench/src/arrivals.ts
+++ b/packages/bench/src/arrivals.ts
@@ -50,11 +50,11 @@
     if (atS >= durationS) return arrivals;
     if (random() * highest >= rateAt(pattern, atS)) continue;
     const isLargest = random() < pattern.largestAccountShare;
-    const account = isLargest ? 0 : Math.floor(random() * accounts);
+    const account = Math.floor(random() * (accounts - pattern.firstAccount + 1));
     arrivals.push({
       id: `${requestClass.name}-${arrivals.length + 1}`,
       requestClass,
-      account: `account-${account + 1}`,
+      account: `account-${pattern.firstAccount + (isLargest ? 0 : account)}`,
       entry: Math.floor(random() * entries),
       atMs: atS * MS_PER_SECOND,
       promptTokens: Math.ceil(sample(promptTokens, random)),
--- a/packages/bench/src/experiment.ts
+++ b/packages/bench/src/experiment.ts
@@ -36,7 +36,9 @@
   /** A sine wave on the rate. */
   swing: z.strictObject({periodS: positive, amplitude: share}).optional(),
   bursts: z.array(burstSchema).default([]),
-  /** Part of all requests that come from the first of the client accounts. */
+  /** Number of the first client account that sends requests of the class. */
+  firstAccount: z.int().min(1).default(1),
+  /** Part of all requests that come from that account; the others share the rest. */
   largestAccountShare: share.default(0.3),
 });
 
@@ -104,7 +106,7 @@
   'interTokenMs.p95',
   'completionMs.p95',
   'completionMs.p99',
-  'servedTokenShare',
+  'serviceTimeShare',
   'goodputTokensPerSecond',
   'wastedShare',
 ]);
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -40,16 +40,16 @@
 /** Runs one policy. */
 export function simulate(options: SimulationOptions): SimulationOutcome {
   const {experiment, arrivals, onProgress} = options;
+  const durationMs = experiment.durationS * MS_PER_SECOND;
   const clock = new VirtualClock();
   const checker = new InvariantChecker(clock);
-  const measures = new Measures();
-  const agents = createAgents(options, clock, checker);
+  const measures = new Measures(durationMs);
+  const agents = createAgents(options, {clock, checker, measures});
   const entries = createEntries(options, {clock, checker, measures, agents});
   scheduleFaults(experiment, clock, agents);
   for (const arrival of arrivals) {
     clock.schedule(arrival.atMs, () => entries[arrival.entry]?.accept(arrival));
   }
-  const durationMs = experiment.durationS * MS_PER_SECOND;
   for (let step = 1; step <= PROGRESS_STEPS; step += 1) {
     runUntil(clock, (durationMs * step) / PROGRESS_STEPS);
     onProgress?.(step / PROGRESS_STEPS);
@@ -58,7 +58,7 @@
   for (const agent of agents.values()) measures.recomputedTokens += agent.backend.recomputedTokens;
   checker.onEnd(arrivals);
   return {
-    result: measures.result(durationMs),
+    result: measures.result(),
     details: measures.details(),
     violations: checker.violations,
   };
@@ -70,18 +70,17 @@
 
 function createAgents(
   {experiment, policy}: SimulationOptions,
-  clock: VirtualClock,
-  checker: InvariantChecker,
+  parts: Omit<Parts, 'agents'>,
 ): ReadonlyMap<string, AgentModel> {
+  const {clock} = parts;
   const agents = new Map<string, AgentModel>();
   const configuration = createConfiguration(experiment);
   for (const group of experiment.endpoints) {
     const shares = tierShares(configuration, group.set);
     for (const name of endpointNames(group)) {
       const agent = new AgentModel({
+        ...parts,
         name,
-        clock,
-        checker,
         backend:
           group.type === 'engine' ? new EngineModel({clock, ...group}) : new ServiceModel(clock),
         createQueue: () => createQueue(group, policy, clock, shares),
