Share account limits across entries through a home

Cause: each entry had the whole limit of every account, so N entries admitted N times as much, and accounts were kept for ever. Change: a tenth of each limit is split among the region's entries and used without asking; the rest is held by the account's home entry, which grants it for two seconds, or for thirty while the account is far below its limit. Asks for one home share a message. Without an answer an entry goes by limit / live entries. The top tier is admitted on bounded credit instead of waiting. Entries take control connections on the operators' port, with the cluster key. Proof: fast-check against a plain central bucket, with crashed and paused homes, stale lists, lost and late answers; 18,000 accounts are dropped when at rest. A first try with half of the limit split among entries was not kept: with all traffic at one of three entries the account would get two thirds of its limit.

--- /dev/null
+++ b/packages/coordination/src/__fixtures__/region.ts
@@ -0,0 +1,158 @@
+/** Entries of one region that share an account's limit over a network that loses and delays messages. */
+import type {AccountAsk, AccountGrant, Instance} from '@marigoldfold/protocol';
+import {type Clock, type Random, sleep} from '@marigoldfold/runtime';
+import {type Account, objectSchemas} from '@marigoldfold/state';
+import {AccountHome} from '../accountHome.js';
+import {AccountLimits} from '../accountLimits.js';
+import {EntryRing} from '../entryRing.js';
+
+/** An account with limits for tests. */
+export function limitedAccount(limits: Partial<Account> = {}): Account {
+  return objectSchemas.account.parse({
+    keyDigests: ['0'.repeat(64)],
+    classes: ['standard'],
+    defaultClass: 'standard',
+    requestsPerSecond: 10,
+    burst: 10,
+    concurrency: 1_000_000,
+    ...limits,
+  });
+}
+
+/** Faults of the network between entries. */
+export interface NetworkFaults {
+  /** Part of the asks that never arrive. */
+  readonly lostAsks: number;
+  /** Part of the answers that never arrive. */
+  readonly lostAnswers: number;
+  /** Longest delay each way in milliseconds. */
+  readonly maxDelayMs: number;
+}
+
+/** One entry of the region. */
+export interface RegionEntry {
+  readonly name: string;
+  readonly ring: EntryRing;
+  readonly home: AccountHome;
+  readonly limits: AccountLimits;
+  isDown: boolean;
+  pausedUntilMs: number;
+}
+
+/** A call that ended without an answer. */
+interface UnansweredCall {
+  readonly entry: string;
+  readonly atMs: number;
+  /** Number of entries that the caller knew of. */
+  readonly entries: number;
+}
+
+const TIMEOUT_MS = 500;
+const REGION = 'lombardy';
+
+/** Entries, their network, and a count of messages. */
+export class Region implements Disposable {
+  readonly entries: readonly RegionEntry[];
+  messages = 0;
+  asks = 0;
+  /** When calls ended without an answer. */
+  readonly unanswered: UnansweredCall[] = [];
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #faults: NetworkFaults;
+
+  constructor(
+    clock: Clock,
+    random: Random,
+    size: number,
+    accountOf: (name: string) => Account | undefined,
+    faults: NetworkFaults = {lostAsks: 0, lostAnswers: 0, maxDelayMs: 1},
+  ) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#faults = faults;
+    this.entries = Array.from({length: size}, (_, index) => {
+      const name = `entry-${index + 1}`;
+      const ring = new EntryRing(clock, name, REGION);
+      const home = new AccountHome({clock, ring, accountOf});
+      const limits = new AccountLimits({
+        clock,
+        ring,
+        home,
+        call: (instance, asks) => this.#call(name, instance, asks),
+        accountOf,
+      });
+      return {name, ring, home, limits, isDown: false, pausedUntilMs: 0};
+    });
+    for (const entry of this.entries) this.show(entry, this.entries);
+  }
+
+  /** Gives an entry a list of instances. */
+  show({ring, home}: RegionEntry, listed: readonly RegionEntry[]): void {
+    ring.update(listed.map(({name}) => instanceOf(name)));
+    home.handOver();
+  }
+
+  /** The entry that all with the same list take for the home of an account. */
+  homeOf(account: string): RegionEntry {
+    const first = this.#find('entry-1');
+    return this.#find(first.ring.homeOf(account)?.name ?? first.name);
+  }
+
+  [Symbol.dispose](): void {
+    for (const {limits} of this.entries) limits[Symbol.dispose]();
+  }
+
+  #find(name: string): RegionEntry {
+    const found = this.entries.find((entry) => entry.name === name);
+    if (found === undefined) throw new Error(`no entry ${name}`);
+    return found;
+  }
+
+  async #call(
+    from: string,
+    to: Instance,
+    asks: readonly AccountAsk[],
+  ): Promise<readonly (AccountGrant | null)[] | undefined> {
+    this.messages += 1;
+    this.asks += asks.length;
+    const answer = await Promise.race([
+      this.#carry(from, to, asks),
+      sleep(this.#clock, TIMEOUT_MS).then(() => undefined),
+    ]);
+    if (answer === undefined || answer.includes(null)) {
+      const entries = this.#find(from).ring.size;
+      this.unanswered.push({entry: from, atMs: this.#clock.now(), entries});
+    }
+    return answer;
+  }
+
+  async #carry(
+    from: string,
+    to: Instance,
+    asks: readonly AccountAsk[],
+  ): Promise<readonly (AccountGrant | null)[] | undefined> {
+    const {lostAsks, lostAnswers, maxDelayMs} = this.#faults;
+    const never = () => sleep(this.#clock, TIMEOUT_MS * 2).then(() => undefined);
+    if (this.#random() < lostAsks) return never();
+    await sleep(this.#clock, this.#random() * maxDelayMs);
+    const home = this.#find(to.name);
+    await sleep(this.#clock, home.pausedUntilMs - this.#clock.now());
+    if (home.isDown) return never();
+    const grants = asks.map((ask) => home.home.grant(from, ask) ?? null);
+    if (this.#random() < lostAnswers) return never();
+    await sleep(this.#clock, this.#random() * maxDelayMs);
+    return grants;
+  }
+}
+
+function instanceOf(name: string): Instance {
+  return {
+    name,
+    role: 'entry',
+    address: `${name}:1`,
+    failureDomain: 'north',
+    region: REGION,
+    state: 'live',
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/__tests__/accountLimits.test.ts
@@ -0,0 +1,338 @@
+import {seededRandom, settle, VirtualClock} from '@marigoldfold/runtime';
+import type {Account} from '@marigoldfold/state';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {limitedAccount, type NetworkFaults, Region} from '../__fixtures__/region.js';
+import {AccountUsage} from '../accountUsage.js';
+import {entryShare, fallbackShare, GRANT_PERIOD_MS, homePart} from '../accountShares.js';
+import {TokenBucket} from '../tokenBucket.js';
+
+const NAME = 'conservatory';
+const MS_PER_SECOND = 1000;
+const FALLBACK_MS = 1000;
+
+function createRegion(size: number, limits = {}, faults?: NetworkFaults) {
+  const clock = new VirtualClock();
+  const account = limitedAccount(limits);
+  const region = new Region(clock, seededRandom(3), size, () => account, faults);
+  return {clock, account, region};
+}
+
+interface Step {
+  readonly kind: 'request' | 'crash' | 'pause' | 'show' | 'wait';
+  readonly entry: number;
+  readonly ms: number;
+}
+
+const step = fc.oneof(
+  {
+    weight: 30,
+    arbitrary: fc.record({kind: fc.constant('request' as const), entry: fc.nat(3), ms: fc.nat(40)}),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({kind: fc.constant('wait' as const), entry: fc.nat(3), ms: fc.nat(3000)}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({kind: fc.constant('crash' as const), entry: fc.nat(3), ms: fc.nat(0)}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({kind: fc.constant('pause' as const), entry: fc.nat(3), ms: fc.nat(4000)}),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({kind: fc.constant('show' as const), entry: fc.nat(3), ms: fc.nat(0)}),
+  },
+);
+
+/** Runs steps and returns what was admitted with what the design note allows at most. */
+async function run(steps: readonly Step[], size: number, limits: object, faults: NetworkFaults) {
+  const {clock, account, region} = createRegion(size, limits, faults);
+  const requestsPerSecond = account.requestsPerSecond;
+  let admitted = 0;
+  let nonconforming = 0;
+  let allowed = size * entryShare(account, size).capacity;
+  // What the entries hold at most: a request each, and two grant periods among them.
+  const held = 2 * size + (2 * requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
+  const centralSize = {ratePerSecond: requestsPerSecond, capacity: account.burst + held};
+  const central = new TokenBucket(clock, centralSize.capacity);
+  const pass = async (ms: number) => {
+    const startMs = clock.now();
+    const isHome = region.entries.map(({ring}) => ring.homeOf(NAME) === undefined);
+    const sizes = region.entries.map(({ring}) => ring.size);
+    await clock.advance(ms);
+    const seconds = (clock.now() - startMs) / MS_PER_SECOND;
+    for (const [index, entry] of region.entries.entries()) {
+      if (entry.isDown) continue;
+      const share = entryShare(account, sizes[index]!);
+      allowed += share.ratePerSecond * seconds;
+      if (isHome[index]) allowed += homePart(account).ratePerSecond * seconds;
+    }
+  };
+  for (const {kind, entry: index, ms} of steps) {
+    const entry = region.entries[index % size]!;
+    switch (kind) {
+      case 'request':
+        if (entry.isDown) break;
+        void entry.limits.admit(NAME, account, 3).then((result) => {
+          if (result.isErr()) return;
+          admitted += 1;
+          if (!central.take(centralSize, 1)) nonconforming += 1;
+        });
+        await pass(ms);
+        break;
+      case 'wait':
+        await pass(ms);
+        break;
+      case 'crash':
+        if (region.entries.filter(({isDown}) => !isDown).length > 1) entry.isDown = true;
+        break;
+      case 'pause':
+        entry.pausedUntilMs = clock.now() + ms;
+        break;
+      case 'show': {
+        const live = region.entries.filter(({isDown}) => !isDown);
+        region.show(entry, live);
+        break;
+      }
+    }
+  }
+  await pass(1000);
+  allowed += fallbackAllowance(region, account);
+  region[Symbol.dispose]();
+  return {admitted, allowed, nonconforming};
+}
+
+/** Requests that entries may admit by their fallback share, beyond the one that they always have. */
+function fallbackAllowance({unanswered}: Region, account: Account): number {
+  let allowance = 0;
+  const endMs = new Map<string, number>();
+  for (const {entry, atMs, entries} of unanswered) {
+    const fromMs = Math.max(atMs, endMs.get(entry) ?? 0);
+    const untilMs = atMs + FALLBACK_MS;
+    endMs.set(entry, untilMs);
+    const usual = entryShare(account, entries).ratePerSecond;
+    const extra = fallbackShare(account, entries).ratePerSecond - usual;
+    allowance += (extra * (untilMs - fromMs)) / MS_PER_SECOND;
+  }
+  return allowance;
+}
+
+describe('over-admission', () => {
+  const limits = fc.record({
+    requestsPerSecond: fc.integer({min: 1, max: 20}),
+    burst: fc.integer({min: 1, max: 20}),
+  });
+
+  it('is what entries hold in grants against a central limiter, in any span of time, without faults', async () => {
+    const noFaults = {lostAsks: 0, lostAnswers: 0, maxDelayMs: 1};
+    const calm = fc.array(
+      step.filter(({kind}) => kind === 'request' || kind === 'wait'),
+      {minLength: 50, maxLength: 200},
+    );
+    await fc.assert(
+      fc.asyncProperty(calm, limits, fc.integer({min: 2, max: 4}), async (steps, limit, size) => {
+        const {admitted, allowed, nonconforming} = await run(steps, size, limit, noFaults);
+        expect(nonconforming).toBe(0);
+        expect(admitted).toBeLessThanOrEqual(allowed + 1e-6);
+      }),
+      {seed: 11, numRuns: 40, endOnFailure: true},
+    );
+  });
+
+  it('stays within the stated bound through crashes, pauses, stale lists and lost or late answers', async () => {
+    const faulty = fc.array(step, {minLength: 80, maxLength: 250});
+    const faults = fc.record({
+      lostAsks: fc.constantFrom(0, 0.2),
+      lostAnswers: fc.constantFrom(0, 0.3),
+      maxDelayMs: fc.constantFrom(2, 400),
+    });
+    await fc.assert(
+      fc.asyncProperty(faulty, limits, fc.integer({min: 2, max: 4}), faults, async (...run4) => {
+        const [steps, limit, size, network] = run4;
+        const {admitted, allowed} = await run(steps, size, limit, network);
+        expect(admitted).toBeLessThanOrEqual(allowed + 1e-6);
+      }),
+      {seed: 12, numRuns: 60, endOnFailure: true},
+    );
+  });
+});
+
+describe('a change of home', () => {
+  it('does not give the burst a second time', async () => {
+    const {clock, account, region} = createRegion(3, {requestsPerSecond: 2, burst: 200});
+    const [asker] = region.entries.filter((entry) => entry !== region.homeOf(NAME));
+    const offer = async () => {
+      let admitted = 0;
+      for (let turn = 0; turn < 300; turn += 1) {
+        void asker!.limits.admit(NAME, account, 3).then((result) => {
+          if (result.isOk()) admitted += 1;
+        });
+      }
+      await clock.advance(1000);
+      return admitted;
+    };
+    await clock.advance(200_000);
+    expect(await offer()).toBeGreaterThan(150);
+    const down = region.homeOf(NAME);
+    down.isDown = true;
+    const live = region.entries.filter((entry) => entry !== down);
+    for (const entry of live) region.show(entry, live);
+    await clock.advance(1000);
+    expect(await offer()).toBeLessThanOrEqual(10);
+  });
+
+  it('back to an earlier home does not give what was granted in between again', async () => {
+    const {clock, region} = createRegion(3, {requestsPerSecond: 2, burst: 200});
+    const home = region.homeOf(NAME);
+    const others = region.entries.filter((entry) => entry !== home);
+    const ask = {account: NAME, tokens: 500, permits: 0, held: 0};
+    await clock.advance(200_000);
+    expect(home.home.grant('entry-1', ask)?.tokens).toBeGreaterThan(150);
+    region.show(home, others);
+    await clock.advance(200_000);
+    region.show(home, region.entries);
+    await clock.advance(1000);
+    expect(home.home.grant('entry-1', ask)?.tokens).toBeLessThanOrEqual(2);
+  });
+
+  it('makes an entry with another list refuse to grant', () => {
+    const {region} = createRegion(3);
+    const home = region.homeOf(NAME);
+    const ask = {account: NAME, tokens: 1, permits: 0, held: 0};
+    for (const entry of region.entries) {
+      expect(entry.home.grant('entry-9', ask) === undefined).toBe(entry !== home);
+    }
+  });
+
+  it('leaves no use of a grant that an entry gets after it has run out', async () => {
+    const clock = new VirtualClock();
+    const account = limitedAccount({requestsPerSecond: 1, burst: 1});
+    const usage = new AccountUsage(clock, account, 3);
+    await clock.advance(5000);
+    const grant = {tokens: 9, permits: 9, validMs: GRANT_PERIOD_MS, retryAfterMs: 0};
+    usage.accept(grant, clock.now() - GRANT_PERIOD_MS, account, 3);
+    expect([usage.tryTake(account, 3), usage.tryTake(account, 3)]).toEqual([true, false]);
+    usage.accept(grant, clock.now() - GRANT_PERIOD_MS + 1, account, 3);
+    expect(usage.tryTake(account, 3)).toBe(true);
+  });
+});
+
+describe('an account that uses its whole limit', () => {
+  it('gets most of it through one entry alone', async () => {
+    const {clock, account, region} = createRegion(3, {requestsPerSecond: 20, burst: 20});
+    const entry = region.entries[0]!;
+    let admitted = 0;
+    await clock.advance(5000);
+    for (let turn = 0; turn < 2000; turn += 1) {
+      void entry.limits.admit(NAME, account, 3).then((result) => {
+        if (result.isOk()) admitted += 1;
+      });
+      await clock.advance(10);
+    }
+    // A central limiter admits 20 a second and the burst; nine tenths of it go through the home.
+    expect(admitted).toBeGreaterThan(20 * 20 * 0.9);
+    expect(admitted).toBeLessThanOrEqual(20 * 20 + 20 + 3);
+  });
+});
+
+describe('the top tier', () => {
+  it('never waits for a home', async () => {
+    const {account, region} = createRegion(3, {requestsPerSecond: 10, burst: 20});
+    region.homeOf(NAME).isDown = true;
+    const asker = region.entries.find((entry) => entry !== region.homeOf(NAME))!;
+    const outcomes: boolean[] = [];
+    for (let turn = 0; turn < 5; turn += 1) {
+      void asker.limits.admit(NAME, account, 0).then((result) => outcomes.push(result.isOk()));
+    }
+    await settle();
+    expect(outcomes).toEqual([true, true, true, true, true]);
+  });
+});
+
+describe('a home that cannot be reached', () => {
+  it('leaves each entry its part of the limit until a new home answers', async () => {
+    const {clock, account, region} = createRegion(3, {requestsPerSecond: 30, burst: 3});
+    const down = region.homeOf(NAME);
+    down.isDown = true;
+    const live = region.entries.filter((entry) => entry !== down);
+    let admitted = 0;
+    const offer = async (seconds: number) => {
+      admitted = 0;
+      for (let turn = 0; turn < seconds * 100; turn += 1) {
+        for (const {limits} of live) {
+          void limits.admit(NAME, account, 3).then((result) => {
+            if (result.isOk()) admitted += 1;
+          });
+        }
+        await clock.advance(10);
+      }
+    };
+    await offer(10);
+    // Two of three entries have a third of the limit each, less the time that they try the home.
+    expect(admitted).toBeLessThanOrEqual(10 * 20 + 6);
+    expect(admitted).toBeGreaterThan(10 * 20 * 0.5);
+    for (const entry of live) region.show(entry, live);
+    await offer(10);
+    expect(admitted).toBeGreaterThan(10 * 30 * 0.8);
+    expect(admitted).toBeLessThanOrEqual(10 * 30 + 8);
+  });
+});
+
+describe('requests in flight', () => {
+  it('are held to the limit across entries, and long ones keep their permits', async () => {
+    const {clock, account, region} = createRegion(3, {
+      requestsPerSecond: 1000,
+      burst: 1000,
+      concurrency: 20,
+    });
+    await clock.advance(5000);
+    const open: Disposable[] = [];
+    for (let turn = 0; turn < 30; turn += 1) {
+      for (const {limits} of region.entries) {
+        void limits.admit(NAME, account, 3).then((result) => {
+          if (result.isOk()) open.push(result.value);
+        });
+      }
+      await clock.advance(500);
+    }
+    expect(open.length).toBeGreaterThanOrEqual(18);
+    expect(open.length).toBeLessThanOrEqual(20 + 3);
+    for (const handle of open.splice(0)) handle[Symbol.dispose]();
+    await clock.advance(35_000);
+    void region.entries[1]!.limits.admit(NAME, account, 3).then((result) => {
+      if (result.isOk()) open.push(result.value);
+    });
+    await clock.advance(50);
+    expect(open).toHaveLength(1);
+  });
+});
+
+describe('18,000 accounts', () => {
+  it('are dropped when at rest, and their asks share messages', async () => {
+    const clock = new VirtualClock();
+    const account = limitedAccount({requestsPerSecond: 2, burst: 4});
+    const region = new Region(clock, seededRandom(5), 3, () => account);
+    const entry = region.entries[0]!;
+    await clock.advance(10_000);
+    for (let index = 0; index < 18_000; index += 1) {
+      for (let turn = 0; turn < 2; turn += 1) {
+        void entry.limits.admit(`account-${index}`, account, 3).then((result) => {
+          result._unsafeUnwrap()[Symbol.dispose]();
+        });
+      }
+    }
+    await clock.advance(1000);
+    expect(region.asks).toBeGreaterThan(10_000);
+    expect(region.messages).toBeLessThan(20);
+    expect(entry.limits.size).toBe(18_000);
+    await clock.advance(120_000);
+    for (const {limits, home} of region.entries) {
+      expect(limits.size).toBe(0);
+      expect(home.size).toBe(0);
+    }
+    region[Symbol.dispose]();
+  });
+});
--- /dev/null
+++ b/packages/coordination/src/accountHome.ts
@@ -0,0 +1,152 @@
+/** The home's side of account limits: holds the part of each limit that is granted on demand. */
+import type {Clock} from '@marigoldfold/runtime';
+import type {AccountAsk, AccountGrant} from '@marigoldfold/protocol';
+import type {Account} from '@marigoldfold/state';
+import {type AccountLimit, GRANT_PERIOD_MS, homePart} from './accountShares.js';
+import type {EntryRing} from './entryRing.js';
+import {TokenBucket} from './tokenBucket.js';
+
+/** What a home needs. */
+export interface AccountHomeOptions {
+  readonly clock: Clock;
+  readonly ring: EntryRing;
+  readonly accountOf: (name: string) => Account | undefined;
+}
+
+interface Permits {
+  readonly count: number;
+  readonly expiresAtMs: number;
+}
+
+interface Spare {
+  readonly tokens: number;
+  readonly permits: number;
+}
+
+interface PermitTerms {
+  readonly limit: number;
+  readonly spare: number;
+  readonly validMs: number;
+}
+
+interface HomeState {
+  readonly bucket: TokenBucket;
+  /** By entry. */
+  readonly permits: Map<string, Permits>;
+}
+
+const MS_PER_SECOND = 1000;
+/** With more than this part of its tokens left, an account is far below its limit. */
+const SLACK_PART = 0.5;
+/** Milliseconds that a grant holds for an account far below its limit. */
+const SLACK_PERIOD_MS = 30_000;
+
+/** Grants what entries need beyond their share. */
+export class AccountHome {
+  readonly #options: AccountHomeOptions;
+  readonly #states = new Map<string, HomeState>();
+
+  constructor(options: AccountHomeOptions) {
+    this.#options = options;
+  }
+
+  /** Number of accounts that are kept; those at rest are dropped. */
+  get size(): number {
+    return this.#states.size;
+  }
+
+  /** Forgets accounts that have another home now; who was it in between is not known later. */
+  handOver(): void {
+    for (const name of this.#states.keys()) {
+      if (this.#options.ring.homeOf(name) !== undefined) this.#states.delete(name);
+    }
+  }
+
+  /** Answers an entry; undefined when this is not the account's home or the account is not known. */
+  grant(entry: string, ask: AccountAsk): AccountGrant | undefined {
+    const {ring, accountOf} = this.#options;
+    const account = accountOf(ask.account);
+    if (account === undefined || ring.homeOf(ask.account) !== undefined) return undefined;
+    const state = this.#state(ask.account, account);
+    const limit = homePart(account);
+    const spare = this.#spare(state, account, limit);
+    const available = Math.max(0, Math.floor(state.bucket.level(limit)));
+    const tokens = Math.min(available, Math.max(Math.ceil(ask.tokens), spare.tokens));
+    state.bucket.take(limit, tokens);
+    const isSlack = tokens <= spare.tokens && ask.permits <= spare.permits;
+    const validMs = isSlack ? SLACK_PERIOD_MS : GRANT_PERIOD_MS;
+    const permits = this.#grantPermits(state, entry, ask, {
+      limit: limit.concurrency,
+      spare: spare.permits,
+      validMs,
+    });
+    return {
+      tokens,
+      permits,
+      validMs,
+      retryAfterMs: Math.ceil(state.bucket.timeUntil(limit, 1)),
+    };
+  }
+
+  /** What an entry may hold for long of an account far below its limit: all entries together one grant period. */
+  #spare({bucket}: HomeState, account: Account, limit: AccountLimit): Spare {
+    if (bucket.level(limit) <= limit.capacity * SLACK_PART) return {tokens: 0, permits: 0};
+    const entries = this.#options.ring.size;
+    const perPeriod = (account.requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
+    return {
+      tokens: Math.floor(perPeriod / entries),
+      permits: Math.floor((limit.concurrency * SLACK_PART) / entries),
+    };
+  }
+
+  #grantPermits(state: HomeState, entry: string, ask: AccountAsk, terms: PermitTerms): number {
+    const {clock, ring} = this.#options;
+    const now = clock.now();
+    // Until every entry has told a new home what it holds, nothing more is given out.
+    const isNew = now - ring.changedAtMs < GRANT_PERIOD_MS;
+    const wanted = isNew ? ask.held : Math.max(ask.permits, terms.spare);
+    const count = Math.max(0, Math.min(wanted, terms.limit - permitsOfOthers(state, entry, now)));
+    if (count === 0) state.permits.delete(entry);
+    else state.permits.set(entry, {count, expiresAtMs: now + terms.validMs});
+    return count;
+  }
+
+  #state(name: string, account: Account): HomeState {
+    const known = this.#states.get(name);
+    if (known !== undefined) return known;
+    const {clock, ring} = this.#options;
+    // Another home may have granted everything until the list of entries changed.
+    const limit = homePart(account);
+    const sinceChangeMs = clock.now() - ring.changedAtMs;
+    const earned = (limit.ratePerSecond * sinceChangeMs) / MS_PER_SECOND;
+    const bucket = new TokenBucket(clock, Math.min(limit.capacity, earned));
+    const state = {bucket, permits: new Map<string, Permits>()};
+    this.#states.set(name, state);
+    return state;
+  }
+
+  /** Drops accounts whose state is what a new one would be. */
+  sweep(): void {
+    const {clock, accountOf} = this.#options;
+    const now = clock.now();
+    for (const [name, {bucket, permits}] of this.#states) {
+      for (const [entry, {expiresAtMs}] of permits) {
+        if (expiresAtMs <= now) permits.delete(entry);
+      }
+      const account = accountOf(name);
+      if (account === undefined) this.#states.delete(name);
+      else if (permits.size === 0) {
+        const limit = homePart(account);
+        if (bucket.level(limit) >= limit.capacity) this.#states.delete(name);
+      }
+    }
+  }
+}
+
+function permitsOfOthers({permits}: HomeState, entry: string, now: number): number {
+  let total = 0;
+  for (const [holder, {count, expiresAtMs}] of permits) {
+    if (holder !== entry && expiresAtMs > now) total += count;
+  }
+  return total;
+}
--- /dev/null
+++ b/packages/coordination/src/accountUsage.ts
@@ -0,0 +1,179 @@
+/** What one entry has admitted for one account, and what it may still admit. */
+import type {Clock} from '@marigoldfold/runtime';
+import type {AccountAsk, AccountGrant} from '@marigoldfold/protocol';
+import type {Account} from '@marigoldfold/state';
+import {type AccountLimit, entryShare, fallbackShare, GRANT_PERIOD_MS} from './accountShares.js';
+import {TokenBucket} from './tokenBucket.js';
+
+const MS_PER_SECOND = 1000;
+/** Milliseconds that an entry gets by without the home after it gave no answer. */
+const FALLBACK_MS = 1000;
+
+/** A grant is asked for that lasts this long, in milliseconds. */
+const PREFETCH_MS = GRANT_PERIOD_MS / 2;
+const MIN_RATE_SPAN_MS = 100;
+const PERMIT_RETRY_MS = 100;
+
+interface Grant {
+  tokens: number;
+  readonly size: number;
+  readonly expiresAtMs: number;
+}
+
+interface Permits {
+  readonly count: number;
+  readonly expiresAtMs: number;
+}
+
+const nothing: Grant = {tokens: 0, size: 0, expiresAtMs: Number.NEGATIVE_INFINITY};
+
+/** The state of one account at one entry. */
+export class AccountUsage {
+  readonly #clock: Clock;
+  readonly #share: TokenBucket;
+  #grant: Grant = nothing;
+  #permits: Permits = {count: 0, expiresAtMs: Number.NEGATIVE_INFINITY};
+  #fallbackUntilMs = Number.NEGATIVE_INFINITY;
+  #deniedUntilMs = Number.NEGATIVE_INFINITY;
+  #inFlight = 0;
+  /** Tokens of grants that were used since the last ask. */
+  #spent = 0;
+  #askedAtMs = Number.NEGATIVE_INFINITY;
+  /** Requests that wait for the home. */
+  waiting = 0;
+  /** The ask that is under way. */
+  ask: Promise<void> | undefined;
+
+  constructor(clock: Clock, account: Account, entries: number) {
+    this.#clock = clock;
+    this.#share = new TokenBucket(clock, entryShare(account, entries).capacity);
+  }
+
+  /** Requests in flight. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Milliseconds until the home has more to give, as it said. */
+  get deniedForMs(): number {
+    return Math.max(0, this.#deniedUntilMs - this.#clock.now());
+  }
+
+  /** Whether little is left of a grant, so that the next is to be asked for. */
+  get isRunningLow(): boolean {
+    const {tokens, size, expiresAtMs} = this.#grant;
+    return expiresAtMs > this.#clock.now() && size > 1 && tokens * 4 <= size;
+  }
+
+  /** Admits a request if the share or a grant allows it. */
+  tryTake(account: Account, entries: number): boolean {
+    return this.#take(account, entries);
+  }
+
+  /** Admits an urgent request on credit of up to one grant period of the limit, while the home is asked. */
+  tryTakeOnCredit(account: Account, entries: number): boolean {
+    if (this.deniedForMs > 0 || this.#inFlight >= account.concurrency) return false;
+    const perPeriod = (account.requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
+    const credit = Math.max(1, Math.min(account.burst, perPeriod));
+    if (!this.#share.take(this.#limit(account, entries), 1, -credit)) return false;
+    this.#inFlight += 1;
+    return true;
+  }
+
+  /** Notes the end of an admitted request. */
+  release(): void {
+    this.#inFlight -= 1;
+  }
+
+  /** Whether another request in flight is allowed. */
+  hasPermit(account: Account, entries: number): boolean {
+    const {count, expiresAtMs} = this.#permits;
+    const permits = expiresAtMs > this.#clock.now() ? count : 0;
+    return this.#inFlight < this.#limit(account, entries).concurrency + permits;
+  }
+
+  /** Milliseconds until the share allows another request. */
+  shareWaitMs(account: Account, entries: number): number {
+    return this.#share.timeUntil(this.#limit(account, entries), 1);
+  }
+
+  /** What to ask the home for. */
+  buildAsk(name: string, account: Account, entries: number): AccountAsk {
+    const limit = this.#limit(account, entries);
+    const owed = Math.max(0, -Math.floor(this.#share.level(limit)));
+    const held = Math.max(0, this.#inFlight - limit.concurrency);
+    const permits = this.#wantedPermits(account, entries);
+    const tokens = owed + this.waiting + this.#prefetch(account, entries);
+    return {account: name, tokens, permits, held};
+  }
+
+  /** What the next half of a grant period will need at the present rate, up to the entry's part of one period. */
+  #prefetch(account: Account, entries: number): number {
+    const now = this.#clock.now();
+    const elapsedMs = Math.max(MIN_RATE_SPAN_MS, now - this.#askedAtMs);
+    const perPeriod = (account.requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
+    const next = Math.min((this.#spent / elapsedMs) * PREFETCH_MS, perPeriod / entries);
+    const left = this.#grant.expiresAtMs > now ? this.#grant.tokens : 0;
+    return Math.max(0, Math.ceil(next) - left);
+  }
+
+  /** Notes that the ask that was built has been sent. */
+  noteAsked(): void {
+    this.#askedAtMs = this.#clock.now();
+    this.#spent = 0;
+  }
+
+  /** Takes the home's answer to an ask that was sent at a time. */
+  accept(
+    grant: AccountGrant | undefined,
+    askedAtMs: number,
+    account: Account,
+    entries: number,
+  ): void {
+    const now = this.#clock.now();
+    if (grant === undefined) {
+      this.#fallbackUntilMs = now + FALLBACK_MS;
+      return;
+    }
+    this.#fallbackUntilMs = Number.NEGATIVE_INFINITY;
+    this.#permits = {count: grant.permits, expiresAtMs: askedAtMs + grant.validMs};
+    if (grant.tokens === 0) this.#deniedUntilMs = now + grant.retryAfterMs;
+    if (grant.permits < this.#wantedPermits(account, entries)) {
+      this.#deniedUntilMs = Math.max(this.#deniedUntilMs, now + PERMIT_RETRY_MS);
+    }
+    const expiresAtMs = askedAtMs + grant.validMs;
+    if (expiresAtMs <= now) return;
+    const left = this.#grant.expiresAtMs > now ? this.#grant.tokens : 0;
+    const repaid = this.#share.repay(this.#limit(account, entries), grant.tokens);
+    const tokens = left + grant.tokens - repaid;
+    this.#grant = {tokens, size: tokens, expiresAtMs};
+  }
+
+  /** Whether a new usage would be in the same state. */
+  isAtRest(account: Account, entries: number): boolean {
+    if (this.#inFlight > 0 || this.waiting > 0 || this.ask !== undefined) return false;
+    if (this.#grant.expiresAtMs > this.#clock.now()) return false;
+    const limit = this.#limit(account, entries);
+    return this.#share.level(limit) >= limit.capacity;
+  }
+
+  #take(account: Account, entries: number): boolean {
+    if (!this.hasPermit(account, entries)) return false;
+    if (this.#grant.tokens >= 1 && this.#grant.expiresAtMs > this.#clock.now()) {
+      this.#grant.tokens -= 1;
+      this.#spent += 1;
+    } else if (!this.#share.take(this.#limit(account, entries), 1)) return false;
+    this.#inFlight += 1;
+    return true;
+  }
+
+  #wantedPermits(account: Account, entries: number): number {
+    const {concurrency} = this.#limit(account, entries);
+    return Math.max(0, this.#inFlight + this.waiting - concurrency);
+  }
+
+  #limit(account: Account, entries: number): AccountLimit {
+    const isFallback = this.#fallbackUntilMs > this.#clock.now();
+    return isFallback ? fallbackShare(account, entries) : entryShare(account, entries);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/grantAsks.ts
@@ -0,0 +1,55 @@
+/** Asks homes for grants: the asks of all accounts with one home go in one message at a time. */
+import {type Clock, sleep} from '@marigoldfold/runtime';
+import type {AccountAsk, AccountGrant, Instance} from '@marigoldfold/protocol';
+
+/** Sends asks to a home; undefined when no answer came. An item is null where it is not the home. */
+export type GrantCall = (
+  home: Instance,
+  asks: readonly AccountAsk[],
+) => Promise<readonly (AccountGrant | null)[] | undefined>;
+
+/** Milliseconds in which asks for one home are gathered. */
+const GATHER_MS = 5;
+
+interface PendingAsk {
+  readonly build: () => AccountAsk;
+  readonly settle: (grant: AccountGrant | undefined) => void;
+}
+
+/** The asks of one entry. */
+export class GrantAsks {
+  readonly #clock: Clock;
+  readonly #call: GrantCall;
+  readonly #pending = new Map<string, PendingAsk[]>();
+
+  constructor(clock: Clock, call: GrantCall) {
+    this.#clock = clock;
+    this.#call = call;
+  }
+
+  /** Resolves to the grant; undefined when the home did not answer. The ask is built when the message leaves. */
+  ask(home: Instance, build: () => AccountAsk): Promise<AccountGrant | undefined> {
+    return new Promise((settle) => {
+      const pending = this.#pending.get(home.name);
+      if (pending !== undefined) {
+        pending.push({build, settle});
+        return;
+      }
+      this.#pending.set(home.name, [{build, settle}]);
+      void this.#send(home);
+    });
+  }
+
+  async #send(home: Instance): Promise<void> {
+    while (true) {
+      await sleep(this.#clock, GATHER_MS);
+      const batch = this.#pending.get(home.name) ?? [];
+      if (batch.length === 0) break;
+      this.#pending.set(home.name, []);
+      const asks = batch.map(({build}) => build());
+      const grants = await this.#call(home, asks);
+      for (const [index, {settle}] of batch.entries()) settle(grants?.[index] ?? undefined);
+    }
+    this.#pending.delete(home.name);
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,8 @@
 /** How the processes act together: configuration, membership, choice of endpoint, limits. */
-export {AccountLimits} from './accountLimits.js';
+export {AccountHome, type AccountHomeOptions} from './accountHome.js';
+export {AccountLimits, type AccountLimitsOptions} from './accountLimits.js';
+export {EntryRing} from './entryRing.js';
+export type {GrantCall} from './grantAsks.js';
 export {ConfigurationFeed, type ConfigurationFeedOptions} from './configurationFeed.js';
 export {type Candidate, type Demand, type Target} from './candidates.js';
 export {ClassBaseline} from './classBaseline.js';
--- /dev/null
+++ b/packages/entry/src/__tests__/accountLimiting.test.ts
@@ -0,0 +1,109 @@
+import {type Clock, DisposableStore, systemClock} from '@marigoldfold/runtime';
+import {type Instance} from '@marigoldfold/protocol';
+import {type Account, objectSchemas} from '@marigoldfold/state';
+import {createClusterKey, listen, serverLimitsSchema} from '@marigoldfold/transport';
+import {afterEach, describe, expect, it} from 'vitest';
+import {createAccountLimiting} from '../accountLimiting.js';
+
+const disposables: DisposableStore[] = [];
+let skewMs = 0;
+const clock: Clock = {
+  now: () => systemClock.now() + skewMs,
+  schedule: (delayMs, action) => systemClock.schedule(delayMs, action),
+};
+const account: Account = objectSchemas.account.parse({
+  keyDigests: ['0'.repeat(64)],
+  classes: ['standard'],
+  defaultClass: 'standard',
+  requestsPerSecond: 1000,
+  burst: 1000,
+  concurrency: 10,
+});
+
+afterEach(() => {
+  for (const store of disposables.splice(0)) store[Symbol.dispose]();
+});
+
+async function startEntries(keys: readonly string[]) {
+  const store = new DisposableStore();
+  disposables.push(store);
+  const entries = [];
+  for (const [index, key] of keys.entries()) {
+    const name = `entry-${index + 1}`;
+    const limiting = store.add(
+      createAccountLimiting({
+        clock,
+        self: name,
+        region: 'lombardy',
+        clusterKey: createClusterKey(key),
+        accountOf: () => account,
+      }),
+    );
+    const server = await listen({
+      host: '127.0.0.1',
+      port: 0,
+      limits: serverLimitsSchema.parse({}),
+      handle: (_, response) => {
+        response.end();
+        return Promise.resolve();
+      },
+      upgrade: (request, socket, head) => {
+        limiting.control.upgrade(request, socket, head);
+      },
+      onDefect: () => undefined,
+    });
+    const {address} = store.add(server._unsafeUnwrap());
+    const instance: Instance = {
+      name,
+      role: 'entry',
+      address,
+      failureDomain: 'north',
+      region: 'lombardy',
+      state: 'live',
+    };
+    entries.push({limiting, instance});
+  }
+  const instances = entries.map(({instance}) => instance);
+  for (const {limiting} of entries) limiting.update(instances);
+  return entries.map(({limiting}) => limiting.limits);
+}
+
+/** Admits at every entry until a round brings nothing more, and returns how many are in flight. */
+async function fill(limits: Awaited<ReturnType<typeof startEntries>>): Promise<number> {
+  let open = 0;
+  for (let idleRounds = 0; idleRounds < 3;) {
+    let isIdle = true;
+    for (const entry of limits) {
+      const admitted = await entry.admit('choir', account, 3);
+      if (admitted.isErr()) continue;
+      open += 1;
+      isIdle = false;
+    }
+    idleRounds = isIdle ? idleRounds + 1 : 0;
+  }
+  return open;
+}
+
+describe('entries that share an account', () => {
+  it('grant to each other over their control connections', async () => {
+    const limits = await startEntries([
+      'a cluster key of some length',
+      'a cluster key of some length',
+    ]);
+    // A new home gives no permits out until all entries have told it what they hold.
+    skewMs += 5000;
+    const open = await fill(limits);
+    expect(open).toBeGreaterThanOrEqual(9);
+    expect(open).toBeLessThanOrEqual(12);
+  });
+
+  it('fall back to their parts when the cluster key of the other is not theirs', async () => {
+    const limits = await startEntries([
+      'a cluster key of some length',
+      'another cluster key, longer',
+    ]);
+    const open = await fill(limits);
+    expect(open).toBeGreaterThanOrEqual(2);
+    expect(open).toBeLessThanOrEqual(15);
+  });
+});
--- a/packages/entry/src/callersApi.ts
+++ b/packages/entry/src/callersApi.ts
@@ -239,7 +239,8 @@
 ): Promise<Failure | undefined> {
   const {accountName, account} = exchange.caller;
   const timer = new RequestTimer(options.clock, options.metrics, named.name, named.requestClass);
-  const admitted = options.accountLimits.admit(accountName, account);
+  const {tier} = named.requestClass;
+  const admitted = await options.accountLimits.admit(accountName, account, tier);
   if (admitted.isErr()) {
     timer.finish('refused');
     return admitted.error;
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,6 +1,5 @@
 /** One entry: everything that it owns, wired together. */
 import {
-  AccountLimits,
   ConfigurationFeed,
   createInstanceSource,
   EndpointChoice,
@@ -22,6 +21,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge, Registry} from 'prom-client';
 import {combineLatest} from 'rxjs';
+import {createAccountLimiting} from './accountLimiting.js';
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
@@ -60,7 +60,7 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {feed, instances, links, choice} = parts;
+  const {feed, instances, links, choice, accounts} = parts;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
   const registry = createRegistry(feed);
@@ -81,7 +81,7 @@
       logger,
       limits: settings.limits,
       head: () => feed.head,
-      accountLimits: new AccountLimits(clock),
+      accountLimits: accounts.limits,
       router: new Router({clock, logger, choice, retryBudget: new RetryBudget(), linkTo}),
       metrics: new RequestMetrics(registry),
       nextRequestId: requestIds(incarnation),
@@ -105,6 +105,10 @@
       isReady,
       registry,
     }),
+    // Other entries connect here as well; they show the cluster key.
+    upgrade: (request, socket, head) => {
+      accounts.control.upgrade(request, socket, head);
+    },
     onDefect,
   });
   if (operators.isErr()) {
@@ -116,6 +120,7 @@
   const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
     choice.update(head.configuration, list.instances);
     links.retain(list.instances);
+    accounts.update(list.instances);
   });
   disposables.defer(() => {
     updates.unsubscribe();
@@ -173,12 +178,17 @@
       intervalMs: platform.instancesIntervalMs,
     }),
   );
-  const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const links = disposables.add(new AgentLinks(client, clusterKey));
   const {name: self, failureDomain, region} = process;
   const probe = async (instance: Instance) =>
     (await links.get(instance).probe()).unwrapOr(undefined);
   const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
-  return {record, feed, instances, links, choice};
+  const accountOf = (name: string) => feed.head.configuration.get('account', name);
+  const accounts = disposables.add(
+    createAccountLimiting({clock, self, region, clusterKey, accountOf}),
+  );
+  return {record, feed, instances, links, choice, accounts};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,6 +10,13 @@
   ranSchema,
   refusal,
 } from './failure.js';
+export {
+  type AccountAsk,
+  type AccountGrant,
+  accountAskSchema,
+  accountGrantMethod,
+  accountGrantSchema,
+} from './accountMessages.js';
 export {createIncarnation, requestIds} from './identity.js';
 export {
   type AnswerEvent,
@@ -22,13 +29,13 @@
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
 export {type Load, loadSchema} from './load.js';
 export {
-  type Method,
   type Withdrawal,
   cancelMethod,
   probeMethod,
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
+export type {Method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
--- /dev/null
+++ b/packages/protocol/src/method.ts
@@ -0,0 +1,18 @@
+/** A method of the control connection, with the schemas of its parameters and its result. */
+import type {z} from 'zod';
+
+/** A method with the schemas of its parameters and its result. */
+export interface Method<P, R> {
+  readonly name: string;
+  readonly params: z.ZodType<P>;
+  readonly result: z.ZodType<R>;
+}
+
+/** Defines a method. */
+export function method<P, R>(
+  name: string,
+  params: z.ZodType<P>,
+  result: z.ZodType<R>,
+): Method<P, R> {
+  return {name, params, result};
+}
--- a/packages/protocol/src/rpc.ts
+++ b/packages/protocol/src/rpc.ts
@@ -1,17 +1,7 @@
 /** Methods of the control connection between two processes. */
 import {z} from 'zod';
 import {loadSchema} from './load.js';
-
-/** A method with the schemas of its parameters and its result. */
-export interface Method<P, R> {
-  readonly name: string;
-  readonly params: z.ZodType<P>;
-  readonly result: z.ZodType<R>;
-}
-
-function method<P, R>(name: string, params: z.ZodType<P>, result: z.ZodType<R>): Method<P, R> {
-  return {name, params, result};
-}
+import {method} from './method.js';
 
 /** Asks an agent for its load. */
 export const probeMethod = method('agent.probe', z.object({}), loadSchema);
