--- /dev/null
+++ b/packages/cli/src/burn/__tests__/burnReport.test.ts
@@ -0,0 +1,168 @@
+import {RequestMetrics} from '@marigoldfold/entry';
+import {Registry} from 'prom-client';
+import {describe, expect, it} from 'vitest';
+import {buildBurnPage} from '../burnPage.js';
+import {burnOfClasses, increasesOf} from '../burnRates.js';
+import {formatBurnTable} from '../burnTable.js';
+import {readSamples} from '../metricSamples.js';
+import {readObjectives} from '../objectives.js';
+import {countClasses, formatSample, parseHistory, type Sample} from '../samples.js';
+
+const MINUTE_MS = 60_000;
+const objective95 = () => 0.95;
+
+function sample(minute: number, classes: Sample['classes'], entry = 'a:1'): Sample {
+  return {atMs: minute * MINUTE_MS, entry, classes};
+}
+
+describe('counts of an entry', () => {
+  it('are read from what its metrics registry writes', async () => {
+    const registry = new Registry();
+    const metrics = new RequestMetrics(registry);
+    metrics.requests.inc({class: 'urgent', outcome: 'attained'}, 7);
+    metrics.requests.inc({class: 'urgent', outcome: 'late'}, 2);
+    metrics.requests.inc({class: 'bulk', outcome: 'limited'}, 1);
+    expect(countClasses(await registry.metrics())).toEqual({
+      urgent: {attained: 7, late: 2},
+      bulk: {limited: 1},
+    });
+  });
+
+  it('come with escaped labels, and from no other metric of a like name', () => {
+    const text = 'm{a="x\\"y\\\\z\\n"} 4 1700000\nm_total 3\n# TYPE m counter\nm{a="b"} NaN\n';
+    const samples = readSamples(text, 'm');
+    expect(samples).toHaveLength(1);
+    expect(samples[0]).toMatchObject({value: 4});
+    expect(samples[0]?.labels.get('a')).toBe('x"y\\z\n');
+  });
+});
+
+describe('increases', () => {
+  it('are kept apart by entry and survive a restart', () => {
+    const samples = [
+      sample(0, {urgent: {attained: 100}}),
+      sample(0, {urgent: {attained: 5}}, 'b:1'),
+      sample(1, {urgent: {attained: 110, late: 1}}),
+      sample(1, {urgent: {attained: 9}}, 'b:1'),
+      sample(2, {urgent: {attained: 3, failed: 2}}),
+    ];
+    const tallies = increasesOf(samples).map(({attained, missed}) => [attained, missed]);
+    expect(tallies).toEqual([
+      [10, 1],
+      [4, 0],
+      [3, 2],
+    ]);
+  });
+
+  it('count a class from its first request on, and leave out what is nobody’s miss', () => {
+    const samples = [sample(0, {}), sample(1, {bulk: {attained: 1, limited: 3, cancelled: 4}})];
+    expect(increasesOf(samples)).toEqual([
+      {atMs: MINUTE_MS, class: 'bulk', attained: 1, missed: 0, limited: 3},
+    ]);
+  });
+});
+
+describe('burn', () => {
+  it('is the missed part in proportion to the part that may be missed, by window', () => {
+    const samples = [
+      sample(0, {urgent: {attained: 0, late: 0}}),
+      sample(50, {urgent: {attained: 900, late: 0}}),
+      sample(60, {urgent: {attained: 990, late: 10}}),
+    ];
+    const [burn] = burnOfClasses(samples, objective95);
+    expect(burn?.windows.map(({window}) => window)).toEqual(['5m', '30m', '1h']);
+    const [five, thirty, hour] = burn?.windows ?? [];
+    expect(five?.burnRate).toBeCloseTo(2);
+    expect(thirty?.burnRate).toBeCloseTo(2);
+    expect(hour?.burnRate).toBeCloseTo(0.2);
+    expect(burn?.budgetLeft).toBeCloseTo(0.8);
+  });
+
+  it('ends with the first window that the data does not fill', () => {
+    const [burn] = burnOfClasses([sample(0, {a: {}}), sample(2, {a: {late: 1}})], objective95);
+    expect(burn?.windows).toMatchObject([{window: '5m', coveredMs: 2 * MINUTE_MS}]);
+    expect(burn?.budgetLeft).toBeCloseTo(-19);
+  });
+
+  it('lists the worst class first, and only a lasting burn as urgent', () => {
+    const steady = {attained: 0, failed: 0};
+    const samples = [sample(0, {calm: steady, past: steady, burning: steady, idle: {}})];
+    for (let minute = 1; minute <= 60; minute += 1) {
+      samples.push(
+        sample(minute, {
+          calm: {attained: minute * 10},
+          past: {attained: minute * 10, failed: Math.min(minute, 30) * 30},
+          burning: {attained: minute, failed: minute * 20},
+          idle: {},
+        }),
+      );
+    }
+    const burns = burnOfClasses(samples, objective95);
+    expect(burns.map((burn) => [burn.class, burn.urgency])).toEqual([
+      ['burning', 'now'],
+      ['past', 'watch'],
+      ['calm', 'none'],
+      ['idle', 'none'],
+    ]);
+    expect(burns.at(-1)?.budgetLeft).toBeUndefined();
+    const lines = formatBurnTable(burns).split('\n');
+    expect(lines).toHaveLength(5);
+    expect(lines[4]).toContain('-');
+  });
+});
+
+describe('objectives', () => {
+  it('are for all classes or for one', () => {
+    const of = readObjectives(['95', '90', 'urgent=99.5%'])._unsafeUnwrap();
+    expect([of('urgent'), of('bulk')]).toEqual([0.995, 0.9]);
+  });
+
+  it.each(['100', '0', 'urgent=', 'x', '-5', 'urgent=101'])('refuse %s by name', (text) => {
+    expect(readObjectives([text])._unsafeUnwrapErr()).toContain(`--objective ${text}`);
+  });
+});
+
+describe('a history', () => {
+  it('is read back as it was written, and names lines that it passes over', () => {
+    const kept = [sample(2, {a: {late: 1}}), sample(1, {a: {}})];
+    const text = `${kept.map(formatSample).join('')}{"atMs":1}\n{"atMs":3,"en`;
+    const {samples, problems} = parseHistory(text, 'burn.jsonl');
+    expect(samples).toEqual([kept[1], kept[0]]);
+    expect(problems).toHaveLength(2);
+    expect(problems[0]).toContain('burn.jsonl:3');
+    expect(problems[0]).toContain('entry');
+    expect(problems[1]).toContain('burn.jsonl:4');
+  });
+});
+
+describe('the page', () => {
+  const samples = [
+    sample(0, {'<b>': {}, urgent: {}}),
+    sample(1, {'<b>': {late: 1}, urgent: {attained: 5}}),
+    sample(2, {'<b>': {late: 1}, urgent: {attained: 8, late: 1}}),
+  ];
+  const page = buildBurnPage({
+    burns: burnOfClasses(samples, objective95),
+    increases: increasesOf(samples),
+    fromMs: 0,
+    toMs: 2 * MINUTE_MS,
+    entries: ['a:1'],
+    problems: ['b:1: not reachable'],
+  });
+
+  it('refers to nothing outside itself and escapes names', () => {
+    expect(page).not.toMatch(/https?:|src=|href=|@import|url\(|<script/);
+    expect(page).not.toContain('<b>');
+    expect(page).toContain('&lt;b&gt;');
+    expect(page).toContain('b:1: not reachable');
+  });
+
+  it('has a plot with units, a line for each class, and a dark variant', () => {
+    expect(page).toContain('time (UTC)');
+    expect(page).toContain('burn rate (times the sustainable rate)');
+    expect(page).toContain('prefers-color-scheme: dark');
+    expect(page.match(/<polyline/g)).toHaveLength(1);
+    expect(page.match(/<circle/g)).toHaveLength(1);
+    expect(page).not.toMatch(/NaN|Infinity|undefined/);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/burn/burnTable.ts
@@ -0,0 +1,63 @@
+/** The report on burn as plain text. */
+import {formatTable} from '../table.js';
+import type {ClassBurn, WindowBurn} from './burnRates.js';
+
+const MS_PER_SECOND = 1000;
+const SECONDS_PER_MINUTE = 60;
+const PERCENT = 100;
+
+/** One line for each class; a window with less data than its length shows how much there is. */
+export function formatBurnTable(burns: readonly ClassBurn[]): string {
+  const widest = burns.reduce<readonly WindowBurn[]>(
+    (found, {windows}) => (windows.length > found.length ? windows : found),
+    [],
+  );
+  const heading = [
+    'CLASS',
+    'ACT',
+    'OBJECTIVE',
+    'BUDGET LEFT',
+    ...widest.map((window) => `BURN ${nameOf(window)}`),
+    'ATTAINED',
+    'MISSED',
+    'LIMITED',
+  ];
+  const rows = burns.map((burn) => {
+    const longest = burn.windows.at(-1);
+    return [
+      burn.class,
+      burn.urgency,
+      formatPercent(burn.objective),
+      formatPercent(burn.budgetLeft),
+      ...widest.map((_, index) => formatRate(burn.windows[index]?.burnRate)),
+      longest?.attained,
+      longest?.missed,
+      longest?.limited,
+    ];
+  });
+  return formatTable(heading, rows);
+}
+
+/** The window's name, with the length of its data when that is shorter. */
+export function nameOf({window, lengthMs, coveredMs}: WindowBurn): string {
+  return coveredMs < lengthMs ? `${window} (${formatDuration(coveredMs)})` : window;
+}
+
+/** A burn rate for a person. */
+export function formatRate(rate: number | undefined): string {
+  return rate === undefined ? '-' : rate.toFixed(2);
+}
+
+/** A part of a whole for a person. */
+export function formatPercent(part: number | undefined): string {
+  return part === undefined ? '-' : `${Number((part * PERCENT).toFixed(1))}%`;
+}
+
+function formatDuration(ms: number): string {
+  const seconds = Math.round(ms / MS_PER_SECOND);
+  if (seconds < SECONDS_PER_MINUTE) return `${seconds}s`;
+  const minutes = Math.round(seconds / SECONDS_PER_MINUTE);
+  return minutes < SECONDS_PER_MINUTE
+    ? `${minutes}m`
+    : `${(minutes / SECONDS_PER_MINUTE).toFixed(1)}h`;
+}
--- /dev/null
+++ b/packages/cli/src/burn/samples.ts
@@ -0,0 +1,97 @@
+/** Counts of requests by class and outcome, as they were read from entries, and their history in a file. */
+import {type RequestOutcome, requestOutcomes, requestsMetric} from '@marigoldfold/entry';
+import type {HttpClient} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {readSamples} from './metricSamples.js';
+
+const countsSchema = z.partialRecord(z.enum(requestOutcomes), z.number().min(0));
+
+/** Checks one line of a history. */
+const sampleSchema = z.object({
+  /** When the entry was read, in milliseconds since 1970. */
+  atMs: z.number(),
+  /** Address of the entry. */
+  entry: z.string(),
+  /** Counts since the entry's start by class. */
+  classes: z.record(z.string(), countsSchema),
+});
+
+/** Counts since an entry's start by outcome. */
+export type Counts = Readonly<Partial<Record<RequestOutcome, number>>>;
+
+/** The counts of one entry at one time. */
+export type Sample = Readonly<z.infer<typeof sampleSchema>>;
+
+const READ_TIMEOUT_MS = 5000;
+const OK = 200;
+
+/** Reads the counts of an entry. */
+export async function readEntry(
+  client: HttpClient,
+  entry: string,
+  atMs: number,
+): Promise<Result<Sample, string>> {
+  const request = {
+    address: entry,
+    method: 'GET',
+    path: '/metrics',
+    timeoutMs: READ_TIMEOUT_MS,
+  };
+  const answer = await client.fetch(request);
+  if (answer.isErr()) return err(`${entry}: ${answer.error.message}`);
+  const {status, body} = answer.value;
+  if (status !== OK) return err(`${entry}: /metrics answered with status ${status}`);
+  return ok({atMs, entry, classes: countClasses(body.toString())});
+}
+
+/** The counts in the metrics of an entry. */
+export function countClasses(text: string): Sample['classes'] {
+  const classes: Record<string, Partial<Record<RequestOutcome, number>>> = {};
+  for (const {labels, value} of readSamples(text, requestsMetric)) {
+    const className = labels.get('class');
+    const outcome = requestOutcomes.find((known) => known === labels.get('outcome'));
+    if (className === undefined || outcome === undefined) continue;
+    const counts = (classes[className] ??= {});
+    counts[outcome] = value;
+  }
+  return classes;
+}
+
+/** A history with a message for each line that was passed over. */
+export interface History {
+  readonly samples: readonly Sample[];
+  readonly problems: readonly string[];
+}
+
+/** Reads a history; lines that cannot be read are named and passed over. */
+export function parseHistory(text: string, file: string): History {
+  const samples: Sample[] = [];
+  const problems: string[] = [];
+  for (const [index, line] of text.split('\n').entries()) {
+    if (line.trim() === '') continue;
+    const sample = parseLine(line);
+    if (sample.isOk()) samples.push(sample.value);
+    else problems.push(`${file}:${index + 1}: passed over: ${sample.error}`);
+  }
+  samples.sort((a, b) => a.atMs - b.atMs);
+  return {samples, problems};
+}
+
+/** The line of a history for a sample. */
+export function formatSample(sample: Sample): string {
+  return `${JSON.stringify(sample)}\n`;
+}
+
+function parseLine(line: string): Result<Sample, string> {
+  let document: unknown;
+  try {
+    document = JSON.parse(line);
+  } catch {
+    return err('not JSON');
+  }
+  const checked = sampleSchema.safeParse(document);
+  if (checked.success) return ok(checked.data);
+  const [issue] = checked.error.issues;
+  return err(`${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not a sample'}`);
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,7 @@
 /** The commands of `marigoldfold` by name. */
 import {Dev} from './dev.js';
 import {KeyGenerate} from './keyGenerate.js';
+import {ReportBurn} from './reportBurn.js';
 import {SettingsCheck} from './settingsCheck.js';
 import {Status} from './status.js';
 import {TicketApprove, TicketReject} from './ticketDecide.js';
@@ -11,6 +12,7 @@
 export const commands = {
   dev: Dev,
   'key:generate': KeyGenerate,
+  'report:burn': ReportBurn,
   'settings:check': SettingsCheck,
   status: Status,
   'ticket:approve': TicketApprove,
--- a/packages/entry/src/attainment.ts
+++ b/packages/entry/src/attainment.ts
@@ -3,14 +3,33 @@
 import type {RequestClass} from '@marigoldfold/state';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
-/** How a request ended, as its class's targets see it. */
-export type RequestOutcome = 'attained' | 'late' | 'refused' | 'failed' | 'cancelled';
+/** How a request can end, as its class's targets see it. */
+export const requestOutcomes = [
+  /** Answered whole and within all targets of the class. */
+  'attained',
+  /** Answered whole, but over a target. */
+  'late',
+  /** Not run, because the system could not serve it. */
+  'refused',
+  /** Not run, because the client account was over its own limit. */
+  'limited',
+  /** Ended without a whole answer. */
+  'failed',
+  /** The caller went away. */
+  'cancelled',
+] as const;
+
+/** How a request ended. */
+export type RequestOutcome = (typeof requestOutcomes)[number];
 
 const FIRST_TOKEN_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4, 8, 16, 32, 64];
 const INTER_TOKEN_BUCKETS_S = [0.005, 0.01, 0.015, 0.02, 0.026, 0.035, 0.05, 0.1, 0.25, 1];
 const COMPLETION_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 5, 10, 20, 40, 80, 160, 320];
 const MS_PER_SECOND = 1000;
 
+/** Name of the counter of requests by class and outcome. */
+export const requestsMetric = 'marigoldfold_requests_total';
+
 /** Metrics of requests by class. */
 export class RequestMetrics {
   readonly requests: Counter<'class' | 'outcome'>;
@@ -23,7 +42,7 @@
   constructor(registry: Registry) {
     const registers = [registry];
     this.requests = new Counter({
-      name: 'marigoldfold_requests_total',
+      name: requestsMetric,
       help: 'Requests by class and outcome against the targets of the class.',
       labelNames: ['class', 'outcome'],
       registers,
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -110,7 +110,7 @@
   const {tier} = named.requestClass;
   const admitted = await options.accountLimits.admit(accountName, account, tier);
   if (admitted.isErr()) {
-    timer.finish('refused');
+    timer.finish('limited');
     return admitted.error;
   }
   options.metrics.inFlight.inc();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,6 +1,12 @@
 /** The process that callers and operators connect to. */
 export type {AgentLink, StartError, WorkEvents} from './agentLink.js';
-export {RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
+export {
+  RequestMetrics,
+  type RequestOutcome,
+  RequestTimer,
+  requestOutcomes,
+  requestsMetric,
+} from './attainment.js';
 export {classHeader} from './callerRequest.js';
 export {type EntryProcess, type EntryProcessOptions, startEntry} from './entryProcess.js';
 export {
