--- a/packages/cli/src/burn/__tests__/burnReport.test.ts
+++ b/packages/cli/src/burn/__tests__/burnReport.test.ts
@@ -66,7 +66,7 @@
   it('is the missed part in proportion to the part that may be missed, by window', () => {
     const samples = [
       sample(0, {urgent: {attained: 0, late: 0}}),
-      sample(50, {urgent: {attained: 900, late: 0}}),
+      sample(25, {urgent: {attained: 900, late: 0}}),
       sample(60, {urgent: {attained: 990, late: 10}}),
     ];
     const [burn] = burnOfClasses(samples, objective95);
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of `marigoldfold` by name. */
+import {ClaimList, ClaimSettle, ClaimShow} from './claim.js';
 import {Dev} from './dev.js';
 import {KeyGenerate} from './keyGenerate.js';
 import {ReportBurn} from './reportBurn.js';
@@ -7,9 +8,13 @@
 import {TicketApprove, TicketReject} from './ticketDecide.js';
 import {TicketPropose} from './ticketPropose.js';
 import {TicketList, TicketShow} from './ticketRead.js';
+import {Verify} from './verify.js';
 
 /** Commands by id. */
 export const commands = {
+  'claim:list': ClaimList,
+  'claim:settle': ClaimSettle,
+  'claim:show': ClaimShow,
   dev: Dev,
   'key:generate': KeyGenerate,
   'report:burn': ReportBurn,
@@ -20,4 +25,5 @@
   'ticket:propose': TicketPropose,
   'ticket:reject': TicketReject,
   'ticket:show': TicketShow,
+  verify: Verify,
 };
--- a/packages/coordination/src/accountLimits.ts
+++ b/packages/coordination/src/accountLimits.ts
@@ -57,18 +57,10 @@
 
   /** Admits a request; the handle is disposed of when the request ends. */
   async admit(name: string, account: Account, tier: Tier): Promise<Result<Disposable, Failure>> {
+    const decided = this.admitNow(name, account, tier);
+    if (decided !== undefined) return decided;
     const {ring} = this.#options;
     const usage = this.#usage(name, account);
-    if (usage.tryTake(account, ring.size)) {
-      if (usage.isRunningLow) void this.#ask(name, account, usage);
-      return ok(release(usage));
-    }
-    if (ring.size === 1) return err(this.#refuse(name, account, usage));
-    if (tier === TOP_TIER) {
-      const isAdmitted = usage.tryTakeOnCredit(account, ring.size);
-      void this.#ask(name, account, usage);
-      return isAdmitted ? ok(release(usage)) : err(this.#refuse(name, account, usage));
-    }
     // A request may have come too late to be counted in the ask that it waited for.
     for (let asks = 0; asks < MAX_ASKS && usage.deniedForMs === 0; asks += 1) {
       await this.#waitForHome(name, account, usage);
@@ -77,6 +69,22 @@
     return err(this.#refuse(name, account, usage));
   }
 
+  /** Admits or refuses a request by what is known; undefined when the home must be asked first. */
+  admitNow(name: string, account: Account, tier: Tier): Result<Disposable, Failure> | undefined {
+    const {ring} = this.#options;
+    const usage = this.#usage(name, account);
+    if (usage.tryTake(account, ring.size)) {
+      if (usage.isRunningLow) void this.#ask(name, account, usage);
+      return ok(release(usage));
+    }
+    const isRefused = ring.size === 1 || usage.deniedForMs > 0;
+    if (isRefused) return err(this.#refuse(name, account, usage));
+    if (tier !== TOP_TIER) return undefined;
+    const isAdmitted = usage.tryTakeOnCredit(account, ring.size);
+    void this.#ask(name, account, usage);
+    return isAdmitted ? ok(release(usage)) : err(this.#refuse(name, account, usage));
+  }
+
   [Symbol.dispose](): void {
     this.#disposables[Symbol.dispose]();
   }
--- a/packages/entry/src/generationApi.ts
+++ b/packages/entry/src/generationApi.ts
@@ -1,5 +1,5 @@
 /** Serves generations, streamed and whole. */
-import {type Failure, failureBody, refusal} from '@marigoldfold/protocol';
+import {type Failure, failureBody, failureWith, refusal} from '@marigoldfold/protocol';
 import {drained, formatEvent, openEventStream, sendJson} from '@marigoldfold/transport';
 import type {RequestTimer} from './attainment.js';
 import {
@@ -12,7 +12,8 @@
 } from './callerExchange.js';
 import {type GenerationRequest, readGeneration, resolveClass} from './callerRequest.js';
 import {CompletionAssembly} from './completionAssembly.js';
-import type {RoutedAnswer, RoutedEnd, RoutedRequest} from './router.js';
+import type {RoutedAnswer, RoutedEnd} from './attempt.js';
+import type {RoutedRequest} from './router.js';
 
 const OK = 200;
 
@@ -108,9 +109,9 @@
 
 const unreadable: RoutedEnd = {
   kind: 'failed',
-  failure: {
-    code: 'answer_incomplete',
-    message: 'the engine gave a part of the answer that cannot be read',
-    ran: 'yes',
-  },
+  failure: failureWith(
+    'started',
+    'answer_incomplete',
+    'the engine gave a part of the answer that cannot be read',
+  ),
 };
--- a/packages/entry/src/operatorMessages.ts
+++ b/packages/entry/src/operatorMessages.ts
@@ -1,5 +1,5 @@
 /** Messages of the operators' API. */
-import {decisionSchema, draftSchema, ticketSchema} from '@marigoldfold/state';
+import {decisionSchema, draftSchema, settlementSchema, ticketSchema} from '@marigoldfold/state';
 import {z} from 'zod';
 
 /** Checks a proposal: a draft with an id that a repeated submission keeps. */
@@ -12,11 +12,34 @@
 export const recordAnswerSchema = z.object({
   tickets: z.array(ticketSchema),
   decisions: z.array(decisionSchema),
+  /** Values that cannot be read; they count as absent. */
+  unreadable: z.array(z.object({key: z.string(), message: z.string()})).default([]),
 });
 
 /** Checks the answer to a proposal. */
 export const proposalAnswerSchema = z.object({ticket: ticketSchema});
 
+/** Checks a preview of a ticket. */
+export const previewSchema = z.object({
+  /** Number that the ticket would get. */
+  number: z.number(),
+  base: z.number(),
+  bytes: z.number(),
+  differences: z.array(
+    z.object({
+      object: z.string(),
+      field: z.string(),
+      before: z.string().optional(),
+      after: z.string().optional(),
+    }),
+  ),
+  /** Checks that fail; an error refuses the ticket. */
+  failures: z.array(z.object({severity: z.enum(['error', 'warning']), message: z.string()})),
+});
+
+/** What a ticket would change, and the checks that it fails. */
+export type Preview = Readonly<z.infer<typeof previewSchema>>;
+
 /** Checks one instance's line of a status. */
 export const instanceStatusSchema = z.object({
   name: z.string(),
@@ -59,3 +82,43 @@
 
 /** Why an operator's request was refused. */
 export type OperatorError = Readonly<z.infer<typeof operatorErrorSchema>['error']>;
+
+const accountNameSchema = z.string().min(1).max(63);
+const keyDigestSchema = z.string().regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest in hexadecimal');
+
+/** Checks what an operator settles about a call whose outcome is not known. */
+export const settlementRequestSchema = z.strictObject({
+  account: accountNameSchema,
+  /** SHA-256 digest of the caller's idempotency key. */
+  keyDigest: keyDigestSchema,
+  ran: z.enum(['yes', 'no']),
+  reason: z.string().min(1).max(500),
+});
+
+/** What an operator settles about a call whose outcome is not known. */
+export type SettlementRequest = Readonly<z.infer<typeof settlementRequestSchema>>;
+
+/** Checks a claim as operators see it. */
+export const claimViewSchema = z.object({
+  path: z.string(),
+  account: z.string(),
+  keyDigest: z.string(),
+  state: z.enum(['recorded', 'unknown', 'settled-run', 'settled-not-run']),
+  claimedAtMs: z.number(),
+  settlements: z.array(settlementSchema),
+  /** HTTP status of the recorded outcome. */
+  status: z.number().optional(),
+});
+
+/** A claim as operators see it. */
+export type ClaimView = Readonly<z.infer<typeof claimViewSchema>>;
+
+/** Checks a page of claims. */
+export const claimPageSchema = z.object({
+  claims: z.array(claimViewSchema),
+  /** Where the next page begins; absent on the last one. */
+  next: z.string().optional(),
+});
+
+/** A page of claims. */
+export type ClaimPage = Readonly<z.infer<typeof claimPageSchema>>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Typed messages, identities and failures that the processes share. */
+export {type Evidence, failureWith, ranBy, ranByAny} from './evidence.js';
 export {
   type Failure,
   type FailureBody,
@@ -17,7 +18,7 @@
   accountGrantMethod,
   accountGrantSchema,
 } from './accountMessages.js';
-export {createIncarnation, requestIds} from './identity.js';
+export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
 export {
   type AnswerEvent,
   answerEventName,
@@ -30,6 +31,7 @@
 export {type Load, loadSchema} from './load.js';
 export {
   type Withdrawal,
+  acknowledgeMethod,
   cancelMethod,
   probeMethod,
   withdrawMethod,
