Move queued requests by withdrawal and measure endpoints by their answers

Cause: a request stayed in the queue that it was put into, however the queues developed, and the choice knew of an endpoint's speed only what reports said. Change: while a request waits, its entry compares every 200 ms; when another endpoint would start it clearly earlier it is withdrawn and, if it was never started, sent there under a new id, twice at most. Answers give the time to the first token (in proportion to the class) and between tokens.

--- a/packages/coordination/src/endpointChoice.ts
+++ b/packages/coordination/src/endpointChoice.ts
@@ -119,21 +119,37 @@
 
   /** An endpoint where a request that waits at another would start clearly earlier. */
   findBetter(current: string, demand: Demand): Candidate | undefined {
-    const waitMs = this.#directory.find(current)?.waitMs(demand.tier) ?? 0;
-    const limitMs = Math.min(waitMs * MOVE_WAIT_RATIO, waitMs - MIN_MOVE_GAIN_MS);
+    const limitMs = this.#moveLimitMs(current, demand.tier);
     if (limitMs < 0) return undefined;
-    const excluded = new Set([...demand.excluded, current]);
-    const usable = this.#directory.usable({...demand, excluded});
-    if (usable.isErr()) return undefined;
-    const known = usable.value.filter((candidate) => {
-      const {isKnown, weight} = this.#state(candidate);
-      return isKnown && !weight.isReduced;
-    });
+    const known = this.#elsewhere(current, demand).filter(
+      (candidate) => this.#state(candidate).isKnown,
+    );
     if (known.length === 0) return undefined;
     const best = this.#leastWait(known, demand.tier);
     return this.#state(best).waitMs(demand.tier) <= limitMs ? best : undefined;
   }
 
+  /** As `findBetter`, after asking a few endpoints whose state is too old. */
+  async findBetterFresh(current: string, demand: Demand): Promise<Candidate | undefined> {
+    if (this.#moveLimitMs(current, demand.tier) < 0) return undefined;
+    await this.#refresh(this.#sample(this.#elsewhere(current, demand), demand));
+    return this.findBetter(current, demand);
+  }
+
+  /** The longest wait elsewhere for which a move pays. A queue goes on while its report grows old. */
+  #moveLimitMs(current: string, tier: Tier): number {
+    const state = this.#directory.find(current);
+    if (state === undefined) return -1;
+    const leftMs = state.waitMs(tier) - state.ageMs;
+    return Math.min(leftMs * MOVE_WAIT_RATIO, leftMs - MIN_MOVE_GAIN_MS);
+  }
+
+  #elsewhere(current: string, demand: Demand): readonly Candidate[] {
+    const excluded = new Set([...demand.excluded, current]);
+    const usable = this.#directory.usable({...demand, excluded}).unwrapOr([]);
+    return usable.filter((candidate) => !this.#state(candidate).weight.isReduced);
+  }
+
   /** Chooses among a sample, of which some may have turned out to be unusable; else among a new one. */
   #chooseAmong(demand: Demand, sample: readonly Candidate[]): Result<Candidate, Failure> {
     const usable = this.#directory.usable(demand);
--- a/packages/entry/src/__fixtures__/scriptedLink.ts
+++ b/packages/entry/src/__fixtures__/scriptedLink.ts
@@ -5,7 +5,14 @@
 import type {AgentLink, StartError, WithdrawalAnswer, WorkEvents} from '../agentLink.js';
 
 /** What one connection gives: events and then a break, or an error. */
-export type Opening = readonly WorkEvent[] | StartError | 'hang';
+export type Opening = readonly WorkEvent[] | StartError | 'hang' | Queued;
+
+/** A request that waits until it is taken back or, without a withdrawal, for a time. */
+export interface Queued {
+  readonly queuedWith: Load;
+  /** What comes once the agent was asked to give the request back. */
+  readonly afterWithdrawal: readonly WorkEvent[];
+}
 
 /** The script of a link. */
 export interface LinkScript {
@@ -80,13 +87,18 @@
   readonly cancelled: string[] = [];
   withdrawals = 0;
   probes = 0;
+  #onWithdrawal: () => void = () => undefined;
 
   constructor(private readonly script: LinkScript) {}
 
   start(work: Work, signal: AbortSignal): Promise<Result<WorkEvents, StartError>> {
     this.started.push(work);
     const {start, secondStart} = this.script;
-    return open(this.started.length > 1 ? (secondStart ?? start) : start, signal);
+    const opening = this.started.length > 1 ? (secondStart ?? start) : start;
+    if (typeof opening === 'object' && 'queuedWith' in opening) {
+      return Promise.resolve(ok(this.#queue(opening)));
+    }
+    return open(opening, signal);
   }
 
   resume(
@@ -107,10 +119,19 @@
 
   withdraw(): Promise<Result<WithdrawalAnswer, CallError>> {
     this.withdrawals += 1;
+    this.#onWithdrawal();
     const {withdrawal} = this.script;
     return Promise.resolve(withdrawal === undefined ? err(unreachable) : ok(withdrawal));
   }
 
+  async *#queue({queuedWith, afterWithdrawal}: Queued): AsyncGenerator<WorkEvent, void> {
+    yield {kind: 'queued', load: queuedWith};
+    await new Promise<void>((resolve) => {
+      this.#onWithdrawal = resolve;
+    });
+    yield* afterWithdrawal;
+  }
+
   cancel(id: string): Promise<Result<boolean, CallError>> {
     this.cancelled.push(id);
     return Promise.resolve(ok(true));
@@ -124,6 +145,9 @@
 }
 
 function open(opening: Opening, signal: AbortSignal): Promise<Result<WorkEvents, StartError>> {
+  if (typeof opening === 'object' && 'queuedWith' in opening) {
+    throw new Error('only a start can be queued');
+  }
   if (opening === 'hang') return Promise.resolve(ok(hang(signal)));
   if ('kind' in opening) return Promise.resolve(err(opening));
   return Promise.resolve(ok(replay(opening)));
--- a/packages/entry/src/__tests__/attempt.test.ts
+++ b/packages/entry/src/__tests__/attempt.test.ts
@@ -22,6 +22,7 @@
     work: workOf(),
     signal: new AbortController().signal,
     observe: () => undefined,
+    onEvent: () => undefined,
     onUnreachable: () => {
       unreachable += 1;
     },
--- /dev/null
+++ b/packages/entry/src/__tests__/queuedMove.test.ts
@@ -0,0 +1,138 @@
+import {EndpointChoice, RetryBudget} from '@marigoldfold/coordination';
+import {refusal, type Task} from '@marigoldfold/protocol';
+import {repeat, seededRandom, silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {Configuration, objectSchemas} from '@marigoldfold/state';
+import {describe, expect, it} from 'vitest';
+import {
+  chunkEvents,
+  endEvent,
+  generationTask,
+  type LinkScript,
+  loadOf,
+  type Queued,
+  ScriptedLink,
+  workOf,
+} from '../__fixtures__/scriptedLink.js';
+import type {RoutedEnd} from '../attempt.js';
+import {Router} from '../router.js';
+
+const requestClass = objectSchemas.class.parse({tier: 0, endpointSets: ['set']});
+const busy = {...loadOf(), running: [1], waitMs: [3000]};
+const withdrawn = [
+  {kind: 'failed', failure: refusal('withdrawn', 'taken back'), load: busy},
+] as const;
+const queued: Queued = {queuedWith: busy, afterWithdrawal: withdrawn};
+
+/** Routes a request that two agents may run; the one that does not have it says every 100 ms that it is idle. */
+async function route(scripts: readonly LinkScript[], task: Task = generationTask) {
+  const clock = new VirtualClock();
+  const choice = new EndpointChoice({clock, random: seededRandom(1), self: 'entry'});
+  const set =
+    task.kind === 'generation'
+      ? {type: 'engine', models: ['m'], slots: 1}
+      : {type: 'service', service: 'ledger', slots: 1};
+  const configuration = Configuration.empty.apply(
+    [
+      {kind: 'endpointSet', name: 'set', state: set},
+      {kind: 'endpoint', name: 'a', state: {set: 'set'}},
+      {kind: 'endpoint', name: 'b', state: {set: 'set'}},
+    ],
+    1,
+  );
+  const instances = ['a', 'b'].map((name) => ({
+    name,
+    role: 'agent' as const,
+    address: `${name}:1`,
+    failureDomain: 'd',
+    region: 'r',
+    endpoint: name,
+    state: 'live' as const,
+  }));
+  choice.update(configuration, instances);
+  const links = new Map<string, ScriptedLink>();
+  let current = '';
+  const router = new Router({
+    clock,
+    logger: silentLogger,
+    choice,
+    retryBudget: new RetryBudget(),
+    linkTo: ({name}) => {
+      const known = links.get(name);
+      current = name;
+      if (known !== undefined) return known;
+      const link = new ScriptedLink(scripts[links.size] ?? {start: []});
+      links.set(name, link);
+      return link;
+    },
+  });
+  const reports = repeat(
+    clock,
+    () => 100,
+    () => {
+      for (const {name} of instances) if (name !== current) choice.observe(name, loadOf());
+    },
+  );
+  const target =
+    task.kind === 'generation'
+      ? ({kind: 'model', model: 'm'} as const)
+      : ({kind: 'service', service: 'ledger', affinityKey: 'k'} as const);
+  const answer = router.route(
+    {work: workOf(task), demand: {requestClass, tier: 0, target}},
+    new AbortController().signal,
+  );
+  let end: RoutedEnd | undefined;
+  void (async () => {
+    while (end === undefined) {
+      const next = await answer.next();
+      if (next.done === true) end = next.value;
+    }
+  })();
+  await clock.advance(5000);
+  reports[Symbol.dispose]();
+  return {end, links: [...links.values()]};
+}
+
+describe('a request that waits in a queue', () => {
+  it('is taken back and sent where it starts clearly earlier, under a new id', async () => {
+    const {end, links} = await route([{start: queued}, {start: [endEvent(0)]}]);
+    expect(end).toEqual({kind: 'whole'});
+    expect(links.map(({withdrawals}) => withdrawals)).toEqual([1, 0]);
+    expect(links.map(({started}) => started.map(({id}) => id))).toEqual([['e.1'], ['e.1.1']]);
+  });
+
+  it('stays when it has been started before the withdrawal came', async () => {
+    const started: Queued = {
+      queuedWith: busy,
+      afterWithdrawal: [{kind: 'started'}, ...chunkEvents(1, 2), endEvent(2)],
+    };
+    const {end, links} = await route([{start: started}, {start: [endEvent(0)]}]);
+    expect(end).toEqual({kind: 'whole'});
+    expect(links).toHaveLength(1);
+    expect(links[0]?.withdrawals).toBe(1);
+  });
+
+  it('is moved a bounded number of times', async () => {
+    const {end, links} = await route([
+      {start: queued, secondStart: queued},
+      {start: queued, secondStart: queued},
+    ]);
+    expect(end).toBeUndefined();
+    expect(links.map(({withdrawals}) => withdrawals)).toEqual([1, 1]);
+    expect(links[0]?.started.map(({id}) => id)).toEqual(['e.1', 'e.1.2']);
+  });
+
+  it('stays where its idempotency key leads', async () => {
+    const call: Task = {
+      kind: 'call',
+      service: 'ledger',
+      method: 'POST',
+      path: '/postings',
+      headers: {},
+      body: '',
+      idempotencyKey: 'k',
+    };
+    const {end, links} = await route([{start: queued}], call);
+    expect(end).toBeUndefined();
+    expect(links.map(({withdrawals}) => withdrawals)).toEqual([0]);
+  });
+});
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -28,8 +28,10 @@
   readonly work: Work;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
-  /** Takes each load report. */
+  /** Takes the load report of a refusal. */
   readonly observe: (load: Load) => void;
+  /** Takes each event of the answer, repeated ones left out. */
+  readonly onEvent: (event: WorkEvent) => void;
   /** Notes that the agent could not be reached. */
   readonly onUnreachable: () => void;
 }
@@ -105,16 +107,17 @@
 
   /** Passes events on; resolves to undefined when the connection broke before the end. */
   async *#copy(events: WorkEvents): AsyncGenerator<RoutedEvent, RoutedEnd | undefined> {
-    const {observe} = this.#options;
+    const {onEvent} = this.#options;
     for await (const event of this.#withinLimit(events)) {
       switch (event.kind) {
         case 'queued':
-          observe(event.load);
+          onEvent(event);
           break;
         case 'alive':
           break;
         case 'started':
           this.#hasStarted = true;
+          onEvent(event);
           break;
         case 'head':
           if (this.#lastChunk === 0) yield event;
@@ -123,15 +126,16 @@
           if (event.number <= this.#lastChunk) break;
           if (event.number > this.#lastChunk + 1) return undefined;
           this.#lastChunk = event.number;
+          onEvent(event);
           yield event;
           this.#acknowledge();
           break;
         case 'end':
-          observe(event.load);
           if (event.chunks !== this.#lastChunk) return undefined;
+          onEvent(event);
           return {kind: 'whole'};
         case 'failed':
-          observe(event.load);
+          onEvent(event);
           return {kind: 'failed', failure: event.failure};
       }
     }
--- /dev/null
+++ b/packages/entry/src/attemptObserver.ts
@@ -0,0 +1,129 @@
+/** Tells the choice of endpoints what one attempt shows, and moves the request while it waits in a queue. */
+import type {
+  Candidate,
+  ClassBaseline,
+  Demand,
+  EndpointChoice,
+  SentRequest,
+} from '@marigoldfold/coordination';
+import type {Work, WorkEvent} from '@marigoldfold/protocol';
+import {type Clock, DisposableStore, type Logger, repeat} from '@marigoldfold/runtime';
+import type {AgentLink} from './agentLink.js';
+
+/** What an observer needs. */
+export interface AttemptObserverOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly choice: EndpointChoice;
+  readonly baseline: ClassBaseline;
+  readonly candidate: Candidate;
+  readonly link: AgentLink;
+  readonly work: Work;
+  readonly demand: Demand;
+  /** Whether the request may be taken back from the agent's queue. */
+  readonly canMove: boolean;
+}
+
+/** Milliseconds between comparisons while a request waits. */
+const COMPARE_INTERVAL_MS = 200;
+/** Chunks of an answer that it takes to measure the time between them. */
+const MIN_MEASURED_CHUNKS = 4;
+
+/** Follows one attempt; disposed of when the attempt has ended. */
+export class AttemptObserver implements Disposable {
+  readonly #options: AttemptObserverOptions;
+  readonly #disposables = new DisposableStore();
+  readonly #sent: SentRequest;
+  #startedAtMs: number;
+  #firstChunkAtMs = 0;
+  #hasStarted = false;
+  #watch: Disposable | undefined;
+  #movesTo: Candidate | undefined;
+
+  constructor(options: AttemptObserverOptions) {
+    this.#options = options;
+    const {choice, candidate, work, clock} = options;
+    this.#sent = this.#disposables.add(choice.send(candidate, work.tier));
+    this.#startedAtMs = clock.now();
+  }
+
+  /** Where the request is to go after it was taken back; undefined when it was not. */
+  get movesTo(): Candidate | undefined {
+    return this.#movesTo;
+  }
+
+  /** Takes an event of the answer. */
+  onEvent(event: WorkEvent): void {
+    const {choice, candidate, clock} = this.#options;
+    switch (event.kind) {
+      case 'queued':
+        // Requests that were sent after this one may not be in the report.
+        choice.observe(candidate.instance.name, event.load, this.#sent.sentAtMs);
+        this.#watchQueue();
+        break;
+      case 'started':
+        this.#watch?.[Symbol.dispose]();
+        this.#hasStarted = true;
+        this.#startedAtMs = clock.now();
+        this.#sent.start();
+        break;
+      case 'chunk':
+        if (event.number === 1) this.#measureFirstChunk();
+        break;
+      case 'end':
+        choice.observe(candidate.instance.name, event.load);
+        this.#measureEnd(event.chunks);
+        break;
+      case 'failed':
+        choice.observe(candidate.instance.name, event.load);
+        break;
+      case 'head':
+      case 'alive':
+        break;
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.#disposables[Symbol.dispose]();
+  }
+
+  /** Compares while the request waits; the agent's own answer tells whether it was taken back in time. */
+  #watchQueue(): void {
+    if (this.#watch !== undefined || !this.#options.canMove) return;
+    const {clock} = this.#options;
+    const watch = repeat(
+      clock,
+      () => COMPARE_INTERVAL_MS,
+      () => this.#compare(),
+    );
+    this.#watch = this.#disposables.add(watch);
+  }
+
+  async #compare(): Promise<void> {
+    const {choice, candidate, demand, link, logger, work} = this.#options;
+    const better = await choice.findBetterFresh(candidate.instance.name, demand);
+    if (better === undefined || this.#hasStarted) return;
+    this.#watch?.[Symbol.dispose]();
+    this.#movesTo = better;
+    const withdrawn = await link.withdraw(work.id);
+    logger.debug('withdrawal for a move', {
+      request: work.id,
+      to: better.instance.name,
+      outcome: withdrawn.isOk() ? withdrawn.value.outcome : withdrawn.error.code,
+    });
+  }
+
+  #measureFirstChunk(): void {
+    const {baseline, clock, work} = this.#options;
+    if (work.task.kind === 'call') return;
+    this.#firstChunkAtMs = clock.now();
+    const tookMs = this.#firstChunkAtMs - this.#startedAtMs;
+    this.#sent.observeFirstToken(baseline.ratio(work.class, tookMs));
+  }
+
+  #measureEnd(chunks: number): void {
+    const {clock, work} = this.#options;
+    if (chunks < MIN_MEASURED_CHUNKS || work.task.kind === 'call') return;
+    this.#sent.observeInterToken((clock.now() - this.#firstChunkAtMs) / (chunks - 1));
+  }
+}
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -1,14 +1,17 @@
 /** Carries one request to an agent and its answer back, through breaks and moves. */
 import {
   type Candidate,
+  ClassBaseline,
   type Demand,
   type EndpointChoice,
   type RetryBudget,
 } from '@marigoldfold/coordination';
 import {type Failure, type Instance, ranByAny, type Work} from '@marigoldfold/protocol';
 import type {Clock, Logger} from '@marigoldfold/runtime';
+import {ok} from 'neverthrow';
 import type {AgentLink} from './agentLink.js';
 import {Attempt, type RoutedAnswer} from './attempt.js';
+import {AttemptObserver} from './attemptObserver.js';
 
 /** What a router needs. */
 export interface RouterOptions {
@@ -25,9 +28,13 @@
   readonly demand: Omit<Demand, 'excluded'>;
 }
 
+/** Moves of one request from an agent's queue to a better endpoint. */
+const MAX_MOVES = 2;
+
 /** Routes requests. */
 export class Router {
   readonly #options: RouterOptions;
+  readonly #baseline = new ClassBaseline();
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -38,11 +45,18 @@
     const {choice, retryBudget} = this.#options;
     const excluded = new Set<string>();
     let failure: Failure | undefined;
+    let movesTo: Candidate | undefined;
+    let moves = 0;
     while (true) {
-      const chosen = await choice.chooseFresh({...request.demand, excluded});
+      const demand = {...request.demand, excluded};
+      const chosen = movesTo === undefined ? await choice.chooseFresh(demand) : ok(movesTo);
       if (chosen.isErr()) return {kind: 'failed', failure: failure ?? chosen.error};
       const {instance} = chosen.value;
-      const attempt = this.#attempt(request.work, instance, signal);
+      // An agent remembers the id that was taken back, so a moved request has a new one.
+      const id = moves === 0 ? request.work.id : `${request.work.id}.${moves}`;
+      const work = {...request.work, id};
+      using observer = this.#observe(work, chosen.value, demand, moves < MAX_MOVES);
+      const attempt = this.#attempt(work, instance, signal, observer);
       const end = yield* attempt.run();
       if (end.kind === 'whole') {
         retryBudget.earn();
@@ -51,16 +65,41 @@
       // The caller is told of all attempts: one that may have run outweighs a later refusal.
       const ran = ranByAny(failure?.ran ?? 'no', end.failure.ran);
       failure = {...end.failure, ran};
-      if (signal.aborted || !isMovable(request.work, attempt, end.failure)) break;
-      if (!retryBudget.spend()) break;
-      if (end.failure.ran !== 'no') void this.#options.linkTo(instance).cancel(request.work.id);
-      this.#logMove(request.work, chosen.value, failure);
-      excluded.add(instance.name);
+      if (signal.aborted || !isMovable(work, attempt, end.failure)) break;
+      movesTo = end.failure.code === 'withdrawn' ? observer.movesTo : undefined;
+      if (movesTo !== undefined) moves += 1;
+      else if (!retryBudget.spend()) break;
+      if (end.failure.ran !== 'no') void this.#options.linkTo(instance).cancel(id);
+      this.#logMove(work, chosen.value, failure);
+      if (movesTo === undefined) excluded.add(instance.name);
     }
     return {kind: 'failed', failure};
   }
 
-  #attempt(work: Work, instance: Instance, signal: AbortSignal): Attempt {
+  #observe(work: Work, candidate: Candidate, demand: Demand, mayMove: boolean): AttemptObserver {
+    const {clock, logger, choice, linkTo} = this.#options;
+    const {target} = demand;
+    // A keyed call stays where its key leads.
+    const isBound = target.kind === 'service' && target.affinityKey !== undefined;
+    return new AttemptObserver({
+      clock,
+      logger,
+      choice,
+      baseline: this.#baseline,
+      candidate,
+      link: linkTo(candidate.instance),
+      work,
+      demand,
+      canMove: mayMove && !isBound,
+    });
+  }
+
+  #attempt(
+    work: Work,
+    instance: Instance,
+    signal: AbortSignal,
+    observer: AttemptObserver,
+  ): Attempt {
     const {clock, logger, choice, linkTo} = this.#options;
     return new Attempt({
       clock,
@@ -71,6 +110,9 @@
       observe: (load) => {
         choice.observe(instance.name, load);
       },
+      onEvent: (event) => {
+        observer.onEvent(event);
+      },
       onUnreachable: () => {
         choice.bar(instance.name);
       },
