--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -1,6 +1,6 @@
 /** Runs the requests of an experiment through simulated entries and agents on a virtual clock. */
 import {type TierShares, tierShares, WorkQueue} from '@marigoldfold/agent';
-import {AccountLimits} from '@marigoldfold/coordination';
+import {AccountHome, AccountLimits, EntryRing} from '@marigoldfold/coordination';
 import type {Instance} from '@marigoldfold/protocol';
 import {VirtualClock} from '@marigoldfold/runtime';
 import {type Change, Configuration} from '@marigoldfold/state';
@@ -36,6 +36,7 @@
 /** Requests that have not ended this long after the last arrival never will. */
 const DRAIN_LIMIT_MS = 3_600_000;
 const PROGRESS_STEPS = 50;
+const REGION = 'region';
 
 /** Runs one policy. */
 export function simulate(options: SimulationOptions): SimulationOutcome {
@@ -122,7 +123,7 @@
 ): readonly EntryModel[] {
   const configuration = createConfiguration(experiment);
   const instances = createInstances(experiment);
-  const limits = new AccountLimits(parts.clock);
+  const limits = createAccountLimits(configuration, parts.clock);
   return Array.from({length: experiment.entries}, (_, index) => {
     const name = `entry-${index + 1}`;
     return new EntryModel({
@@ -139,13 +140,22 @@
   });
 }
 
+/** The limits of all entries together, as one entry would hold them. */
+function createAccountLimits(configuration: Configuration, clock: VirtualClock): AccountLimits {
+  const ring = new EntryRing(clock, 'entry-1', REGION);
+  const accountOf = (name: string) => configuration.get('account', name);
+  const home = new AccountHome({clock, ring, accountOf});
+  const call = () => Promise.resolve(undefined);
+  return new AccountLimits({clock, ring, home, call, accountOf});
+}
+
 function createInstances({endpoints, failureDomains}: Experiment): readonly Instance[] {
   return endpoints.flatMap(endpointNames).map((endpoint, index) => ({
     name: endpoint,
     role: 'agent',
     address: `${endpoint}:1`,
     failureDomain: failureDomains[index % failureDomains.length] ?? '',
-    region: 'region',
+    region: REGION,
     endpoint,
     state: 'live',
   }));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,7 +1,13 @@
 /** The process that callers and operators connect to. */
 export type {AgentLink, StartError, WithdrawalAnswer, WorkEvents} from './agentLink.js';
 export type {RoutedAnswer, RoutedEnd, RoutedEvent} from './attempt.js';
-export {RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
+export {
+  RequestMetrics,
+  type RequestOutcome,
+  RequestTimer,
+  requestOutcomes,
+  requestsMetric,
+} from './attainment.js';
 export {classHeader} from './callerRequest.js';
 export {type EntryProcess, type EntryProcessOptions, startEntry} from './entryProcess.js';
 export {type ClaimDesk, type ClaimQuery, openClaimDesk} from './claimDesk.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,6 +11,13 @@
   ranSchema,
   refusal,
 } from './failure.js';
+export {
+  type AccountAsk,
+  type AccountGrant,
+  accountAskSchema,
+  accountGrantMethod,
+  accountGrantSchema,
+} from './accountMessages.js';
 export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
 export {
   type AnswerEvent,
@@ -23,7 +30,6 @@
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
 export {type Load, loadSchema} from './load.js';
 export {
-  type Method,
   type Withdrawal,
   acknowledgeMethod,
   cancelMethod,
@@ -31,6 +37,7 @@
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
+export type {Method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
