--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,5 +1,6 @@
 /** The commands of `marigoldfold-bench` by name. */
+import {OverheadCommand} from './overhead.js';
 import {Run} from './run.js';
 
 /** Commands by id. */
-export const commands = {run: Run};
+export const commands = {run: Run, overhead: OverheadCommand};
--- /dev/null
+++ b/packages/bench/src/commands/overhead.ts
@@ -0,0 +1,64 @@
+/** `marigoldfold-bench overhead`. */
+import {writeFileSync} from 'node:fs';
+import {formatTable} from '@marigoldfold/cli';
+import {Command, Flags} from '@oclif/core';
+import {
+  type Comparison,
+  designOverhead,
+  measureOverhead,
+  type Overhead,
+} from '../overhead/measureOverhead.js';
+
+/** Chunks a second that a node carries at the design size. */
+const DESIGN_CHUNKS_PER_SECOND = 5160;
+const DIGITS = 3;
+
+/** Compares the way through entry and agent with calling the engine directly. */
+export class OverheadCommand extends Command {
+  static override readonly description =
+    'Measures what entry and agent add to a request and to a streamed chunk.';
+  static override readonly examples = ['marigoldfold-bench overhead --json overhead.json'];
+  static override readonly flags = {
+    rounds: Flags.integer({
+      description: 'alternating rounds',
+      default: designOverhead.rounds,
+      min: 1,
+    }),
+    json: Flags.string({description: 'file that the result is written to as JSON'}),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(OverheadCommand);
+    const result = await measureOverhead({...designOverhead, rounds: flags.rounds});
+    // The type of oclif's own boolean flag of this name hides ours.
+    const json: unknown = flags.json;
+    if (typeof json === 'string') writeFileSync(json, `${JSON.stringify(result, undefined, 2)}\n`);
+    this.#print(result);
+    this.exit(result.failures === 0 ? 0 : 1);
+  }
+
+  #print(result: Overhead): void {
+    const heading = ['MS', 'DIRECT', 'ROUTED', 'DIFFERENCE', 'RATIO'];
+    const rows = [
+      ...rowsOf('request to first chunk', result.firstChunk),
+      ...rowsOf(`chunk, ${result.streams} streams`, result.chunk),
+    ];
+    this.log(formatTable(heading, rows));
+    const part = (result.chunksPerCoreSecond / DESIGN_CHUNKS_PER_SECOND).toFixed(DIGITS);
+    this.log(`failures: ${result.failures}`);
+    this.log(
+      `entry: ${result.chunksPerSecond.toFixed(0)} chunks/s took ${result.entryCores.toFixed(DIGITS)} cores`,
+    );
+    this.log(
+      `entry: ${result.chunksPerCoreSecond.toFixed(0)} chunks/s a core, ${part} of ${DESIGN_CHUNKS_PER_SECOND}`,
+    );
+  }
+}
+
+function rowsOf(name: string, {direct, routed}: Comparison): readonly (readonly string[])[] {
+  return (['p50', 'p99'] as const).map((quantile) => {
+    const [a, b] = [direct[quantile], routed[quantile]];
+    const numbers = [a, b, b - a, b / a].map((value) => value.toFixed(DIGITS));
+    return [`${name} ${quantile}`, ...numbers];
+  });
+}
--- /dev/null
+++ b/packages/bench/src/rig/world.ts
@@ -0,0 +1,194 @@
+/** What stands around a measured process: stand-ins of the platform, an engine, and other processes. */
+import {type AgentProcess, agentSettingsSchema, startAgent} from '@marigoldfold/agent';
+import {type Secrets} from '@marigoldfold/coordination';
+import {type EntryProcess, entrySettingsSchema, startEntry} from '@marigoldfold/entry';
+import {probeMethod} from '@marigoldfold/protocol';
+import {DisposableStore, silentLogger, systemClock, systemRandom} from '@marigoldfold/runtime';
+import {
+  type LaggingInstanceList,
+  type StandIn,
+  startInstanceList,
+  startKeyValue,
+} from '@marigoldfold/standin';
+import {digestText, generateMonitorKey, openRecord} from '@marigoldfold/state';
+import {createClusterKey, createPeer, type Peer} from '@marigoldfold/transport';
+import {startStampedEngine} from './stampedEngine.js';
+import {accountChange, classNames, type SiteSize, TicketWriter} from './ticketWriter.js';
+
+/** What a world is made of. */
+export interface WorldOptions extends SiteSize {
+  /** Milliseconds between the chunks of the engine. */
+  readonly intervalMs: number;
+  /** Whether it runs an agent, under the name of each endpoint. */
+  readonly hasAgent: boolean;
+}
+
+/** What a measured process needs to take part. */
+export interface WorldPlaces {
+  readonly keyValue: string;
+  readonly instances: string;
+  readonly engine: string;
+  /** Address of the agent; empty without one. */
+  readonly agent: string;
+  readonly secrets: Secrets;
+  readonly operatorKey: string;
+  /** Number of the last ticket. */
+  readonly ticket: number;
+}
+
+/** Key of the operator of all measured entries. */
+export const operatorKey = 'operator-key-of-the-bench';
+const LOOPBACK_ANY = '127.0.0.1:0';
+const SLOTS = 4096;
+const generousLimits = {maxConnections: 100_000, idleTimeoutMs: 600_000};
+
+/** A running world. */
+export class World implements Disposable {
+  readonly #disposables = new DisposableStore();
+  readonly #peers: Peer[] = [];
+  #places: WorldPlaces | undefined;
+  #writer: TicketWriter | undefined;
+  #list: StandIn<LaggingInstanceList> | undefined;
+  #classes: readonly string[] = [];
+
+  /** Starts everything and writes the site's tickets. */
+  async start(options: WorldOptions): Promise<WorldPlaces> {
+    const monitor = generateMonitorKey();
+    const keyValue = this.#disposables.add((await startKeyValue(systemClock))._unsafeUnwrap());
+    this.#list = this.#disposables.add((await startInstanceList(systemClock, 0))._unsafeUnwrap());
+    const engine = this.#disposables.add(await startStampedEngine(options.intervalMs));
+    this.#writer = new TicketWriter(openRecord(keyValue.subject), monitor);
+    this.#classes = classNames(options.tiers);
+    await this.#writer.writeSite(options);
+    const secrets = {clusterKey: 'cluster-key-of-the-bench', monitorKey: monitor.publicKey};
+    const places = {
+      keyValue: keyValue.address,
+      instances: this.#list.address,
+      engine: engine.address,
+      agent: '',
+      secrets,
+      operatorKey,
+      ticket: this.#writer.number,
+    };
+    this.#places = places;
+    if (!options.hasAgent) return places;
+    const agent = this.#disposables.add(await runAgent(places));
+    this.list(agent.server.address, options.endpoints);
+    return {...places, agent: agent.server.address};
+  }
+
+  /** Lists an agent under the name of each endpoint. */
+  list(address: string, endpoints: number): void {
+    for (let index = 0; index < endpoints; index += 1) {
+      this.#list?.subject.set({
+        name: `agent-${index}`,
+        role: 'agent',
+        address,
+        failureDomain: 'a',
+        region: 'r',
+        endpoint: `engine-${index}`,
+        state: 'live',
+      });
+    }
+  }
+
+  /** Starts an entry of the world, for a measured agent, and returns its callers' address. */
+  async startEntry(): Promise<string> {
+    const entry = this.#disposables.add(await runEntry(this.#requirePlaces()));
+    await untilNumber(entry, this.#writer?.number ?? 0);
+    return entry.callers.address;
+  }
+
+  /** Writes a ticket that touches one account. */
+  async commitTicket(): Promise<number> {
+    if (this.#writer === undefined) throw new Error('the world is not started');
+    await this.#writer.commit([accountChange(0, this.#classes)]);
+    return this.#writer.number;
+  }
+
+  /** Opens control connections to a process until there are so many. */
+  async connectPeers(address: string, count: number): Promise<void> {
+    const clusterKey = createClusterKey(this.#requirePlaces().secrets.clusterKey);
+    while (this.#peers.length < count) {
+      const peer = this.#disposables.add(createPeer(address, clusterKey));
+      (await peer.call(probeMethod, {}))._unsafeUnwrap();
+      this.#peers.push(peer);
+    }
+  }
+
+  /** Probes the connected process, peer by peer. */
+  async probe(count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      const peer = this.#peers[index % this.#peers.length];
+      (await peer?.call(probeMethod, {}))?._unsafeUnwrap();
+    }
+  }
+
+  [Symbol.dispose](): void {
+    this.#disposables[Symbol.dispose]();
+  }
+
+  #requirePlaces(): WorldPlaces {
+    if (this.#places === undefined) throw new Error('the world is not started');
+    return this.#places;
+  }
+}
+
+/** Starts an entry in a world. */
+export async function runEntry(places: WorldPlaces): Promise<EntryProcess> {
+  const settings = entrySettingsSchema.parse({
+    process: {name: 'entry-1', failureDomain: 'a', region: 'r'},
+    listen: LOOPBACK_ANY,
+    operatorsListen: LOOPBACK_ANY,
+    operators: [{name: 'bench', keySha256: digestText(places.operatorKey)}],
+    platform: {keyValue: places.keyValue, instances: places.instances},
+    limits: generousLimits,
+  });
+  const entry = await startEntry({
+    settings,
+    secrets: places.secrets,
+    clock: systemClock,
+    random: systemRandom(),
+    logger: silentLogger,
+  });
+  return entry._unsafeUnwrap();
+}
+
+/** Starts an agent in a world. */
+export async function runAgent(places: WorldPlaces): Promise<AgentProcess> {
+  const settings = agentSettingsSchema.parse({
+    process: {name: 'agent-0', failureDomain: 'a', region: 'r'},
+    listen: LOOPBACK_ANY,
+    endpoint: {
+      name: 'engine-0',
+      type: 'engine',
+      address: places.engine,
+      slots: SLOTS,
+      queueCapacity: SLOTS,
+    },
+    platform: {keyValue: places.keyValue, instances: places.instances},
+    limits: generousLimits,
+  });
+  const {secrets} = places;
+  const agent = await startAgent({settings, secrets, clock: systemClock, logger: silentLogger});
+  const running = agent._unsafeUnwrap();
+  await untilNumber(running, places.ticket);
+  return running;
+}
+
+/** Resolves when a process has a ticket in force. */
+export async function untilNumber(
+  {feed}: Pick<EntryProcess, 'feed'>,
+  number: number,
+): Promise<void> {
+  if (feed.head.number >= number) return;
+  await new Promise<void>((resolve) => {
+    const subscription = feed.heads.subscribe((head) => {
+      if (head.number < number) return;
+      queueMicrotask(() => {
+        subscription.unsubscribe();
+      });
+      resolve();
+    });
+  });
+}
