--- /dev/null
+++ b/packages/bench/src/capacity/figures.ts
@@ -0,0 +1,242 @@
+/** Figures of the capacity page: each is a formula over measured slopes and the design size. */
+import type {SlopeReport} from '../slopes/slope.js';
+import {design, limits, perNode} from './design.js';
+
+/** One line of a table. */
+export interface Figure {
+  readonly item: string;
+  /** The formula, by the ids of slopes. */
+  readonly formula: string;
+  readonly value: number;
+  readonly unit: string;
+}
+
+/** A cost of a role with its parts and its limit. */
+export interface Budget {
+  readonly title: string;
+  readonly parts: readonly Figure[];
+  readonly sum: number;
+  readonly unit: string;
+  readonly limit: number;
+  readonly isHeld: boolean;
+}
+
+const PROBES_PER_SECOND = 8;
+const MEBIBYTE = 1024 * 1024;
+const MS_PER_SECOND = 1000;
+
+/** Reads slopes by id. */
+export class SlopeTable {
+  constructor(private readonly report: SlopeReport) {}
+
+  /** The cost at a size. */
+  at(id: string, size: number): number {
+    const {intercept, slope} = this.#find(id);
+    return intercept + slope * size;
+  }
+
+  /** The cost of so many more. */
+  growth(id: string, size: number): number {
+    return this.#find(id).slope * size;
+  }
+
+  /** Resident memory of a process with an idle entry. */
+  get idleResidentBytes(): number {
+    return this.report.idleResidentBytes;
+  }
+
+  #find(id: string) {
+    const found = this.report.slopes.find((slope) => slope.id === id);
+    if (found === undefined) throw new Error(`slope ${id} was not measured`);
+    return found;
+  }
+}
+
+function budget(title: string, unit: string, limit: number, parts: readonly Figure[]): Budget {
+  const sum = parts.reduce((total, {value}) => total + value, 0);
+  return {title, parts, sum, unit, limit, isHeld: sum <= limit};
+}
+
+function figure(item: string, formula: string, value: number, unit: string): Figure {
+  return {item, formula, value, unit};
+}
+
+/** Budgets of control of one entry. */
+export function entryBudgets(table: SlopeTable): readonly Budget[] {
+  const {peers, streams, requests} = perNode.entry;
+  const {ticketsPerSecond, instances} = perNode;
+  const ms = (item: string, formula: string, value: number) => figure(item, formula, value, 'ms/s');
+  const bytes = (item: string, formula: string, value: number) =>
+    figure(item, formula, value, 'B/s');
+  const envelope =
+    table.at('entry.request.linkBytes/tiers', design.tiers) -
+    table.at('entry.request.callerBytes/tiers', design.tiers);
+  return [
+    budget('processor time', 'ms/s', limits.cpuMsPerSecond, [
+      ms(
+        'at rest',
+        `entry.rest.cpuMsPerSecond/peers at ${peers}`,
+        table.at('entry.rest.cpuMsPerSecond/peers', peers),
+      ),
+      ms(
+        'probes',
+        `${PROBES_PER_SECOND}/s × entry.probe.cpuMs/peers at ${peers}`,
+        PROBES_PER_SECOND * table.at('entry.probe.cpuMs/peers', peers),
+      ),
+      ms(
+        'tickets',
+        `${ticketsPerSecond.toFixed(3)}/s × entry.ticket.cpuMs/accounts at ${design.accounts}`,
+        ticketsPerSecond * table.at('entry.ticket.cpuMs/accounts', design.accounts),
+      ),
+    ]),
+    budget('bytes', 'B/s', limits.bytesPerSecond, [
+      bytes(
+        'at rest, to agents',
+        `entry.rest.agentBytesPerSecond/peers at ${peers}`,
+        table.at('entry.rest.agentBytesPerSecond/peers', peers),
+      ),
+      bytes(
+        'at rest, list of instances and watch',
+        `entry.rest.platformBytesPerSecond/instances at ${instances}`,
+        table.at('entry.rest.platformBytesPerSecond/instances', instances),
+      ),
+      bytes(
+        'probes',
+        `${PROBES_PER_SECOND}/s × entry.probe.bytes/peers at ${peers}`,
+        PROBES_PER_SECOND * table.at('entry.probe.bytes/peers', peers),
+      ),
+      bytes(
+        'tickets',
+        `${ticketsPerSecond.toFixed(3)}/s × entry.ticket.bytes/accounts at ${design.accounts}`,
+        ticketsPerSecond * table.at('entry.ticket.bytes/accounts', design.accounts),
+      ),
+      bytes(
+        'envelopes and load reports of requests',
+        `${requests.toFixed(1)}/s × (entry.request.linkBytes/tiers − entry.request.callerBytes/tiers) at ${design.tiers}`,
+        requests * Math.max(0, envelope),
+      ),
+    ]),
+    memoryBudget(table, 'entry', {peers, streams}),
+  ];
+}
+
+/** Budgets of control of one agent. */
+export function agentBudgets(table: SlopeTable): readonly Budget[] {
+  const {peers, streams} = perNode.agent;
+  const {ticketsPerSecond} = perNode;
+  const probes = (PROBES_PER_SECOND * design.entries) / design.agents;
+  const ms = (item: string, formula: string, value: number) => figure(item, formula, value, 'ms/s');
+  const bytes = (item: string, formula: string, value: number) =>
+    figure(item, formula, value, 'B/s');
+  const at = (id: string, size: number) => `${id} at ${size.toFixed(0)}`;
+  const rate = ticketsPerSecond.toFixed(3);
+  return [
+    budget('processor time', 'ms/s', limits.cpuMsPerSecond, [
+      ms(
+        'at rest',
+        at('agent.rest.cpuMsPerSecond/peers', peers),
+        table.at('agent.rest.cpuMsPerSecond/peers', peers),
+      ),
+      ms(
+        'probes',
+        `${probes.toFixed(2)}/s × ${at('agent.probe.cpuMs/peers', peers)}`,
+        probes * table.at('agent.probe.cpuMs/peers', peers),
+      ),
+      ms(
+        'tickets',
+        `${rate}/s × ${at('agent.ticket.cpuMs/accounts', design.accounts)}`,
+        ticketsPerSecond * table.at('agent.ticket.cpuMs/accounts', design.accounts),
+      ),
+    ]),
+    budget('bytes', 'B/s', limits.bytesPerSecond, [
+      bytes(
+        'at rest, to entries',
+        at('agent.rest.entryBytesPerSecond/peers', peers),
+        table.at('agent.rest.entryBytesPerSecond/peers', peers),
+      ),
+      bytes(
+        'at rest, platform',
+        at('agent.rest.platformBytesPerSecond/peers', peers),
+        table.at('agent.rest.platformBytesPerSecond/peers', peers),
+      ),
+      bytes(
+        'probes',
+        `${probes.toFixed(2)}/s × ${at('agent.probe.bytes/peers', peers)}`,
+        probes * table.at('agent.probe.bytes/peers', peers),
+      ),
+      bytes(
+        'tickets',
+        `${rate}/s × ${at('agent.ticket.bytes/accounts', design.accounts)}`,
+        ticketsPerSecond * table.at('agent.ticket.bytes/accounts', design.accounts),
+      ),
+    ]),
+    memoryBudget(table, 'agent', {peers, streams}),
+  ];
+}
+
+interface NodeSize {
+  readonly peers: number;
+  readonly streams: number;
+}
+
+function memoryBudget(
+  table: SlopeTable,
+  role: 'entry' | 'agent',
+  {peers, streams}: NodeSize,
+): Budget {
+  const part = (item: string, size: string, count: number) => {
+    const id = `${role}.heapBytes/${size}`;
+    const value = table.growth(id, count) / MEBIBYTE;
+    return figure(item, `slope of ${id} × ${count.toFixed(0)}`, value, 'MiB');
+  };
+  return budget('memory', 'MiB', limits.residentBytes / MEBIBYTE, [
+    figure('process at rest', 'idleResidentBytes', table.idleResidentBytes / MEBIBYTE, 'MiB'),
+    part('client accounts', 'accounts', design.accounts),
+    part('connections of peers', 'peers', peers),
+    part('open streams', 'streams', streams),
+  ]);
+}
+
+/** What carrying requests and chunks costs a node; it is not control. */
+export function carriageFigures(table: SlopeTable): readonly Figure[] {
+  const figures: Figure[] = [];
+  for (const role of ['entry', 'agent'] as const) {
+    const {requests, chunks, streams} = perNode[role];
+    const requestId = `${role}.request.cpuMs/tiers`;
+    const chunkId = `${role}.chunk.cpuMs/streams`;
+    figures.push(
+      figure(
+        `${role}: requests`,
+        `${requests.toFixed(2)}/s × ${requestId} at ${design.tiers}`,
+        requests * table.at(requestId, design.tiers),
+        'ms/s',
+      ),
+      figure(
+        `${role}: chunks`,
+        `${chunks.toFixed(0)}/s × ${chunkId} at ${streams.toFixed(0)}`,
+        chunks * table.at(chunkId, streams),
+        'ms/s',
+      ),
+    );
+  }
+  return figures;
+}
+
+/** Calls that the platform's service would see if every process watched it. */
+export function serviceFigures(): readonly Figure[] {
+  const {instances, ticketsPerSecond} = perNode;
+  const callsPerWake = 3;
+  return [
+    figure('waiting watches', 'entries + agents', instances, 'calls'),
+    figure(
+      'calls in the seconds after a ticket',
+      `${callsPerWake} × (entries + agents) ÷ ${limits.ticketSeconds} s`,
+      (callsPerWake * instances) / limits.ticketSeconds,
+      'calls/s',
+    ),
+    figure('writes of tickets', '2 × tickets a second', 2 * ticketsPerSecond, 'writes/s'),
+  ];
+}
+
+/** Milliseconds in a second, for readers of processor time as a part of a core. */
+export const coreMs = MS_PER_SECOND;
--- /dev/null
+++ b/packages/bench/src/slopes/measureSlopes.ts
@@ -0,0 +1,44 @@
+/** Measures all slopes in one process. */
+import {cpus, loadavg} from 'node:os';
+import {SocketMeter} from '../rig/meters.js';
+import {runEntry} from '../rig/world.js';
+import {measureAgent} from './measureAgent.js';
+import {measureEntry} from './measureEntry.js';
+import type {SlopePlan} from './plan.js';
+import type {SlopeReport} from './slope.js';
+
+/** A port of loopback where nothing listens. */
+const NOWHERE = '127.0.0.1:9';
+
+/** Runs the plan; `onProgress` is told of each step. */
+export async function measureSlopes(
+  plan: SlopePlan,
+  onProgress: (step: string) => void,
+): Promise<SlopeReport> {
+  const idleResidentBytes = await measureIdleEntry();
+  const meter = new SocketMeter();
+  const entry = await measureEntry(plan, meter, onProgress);
+  const [loadAverage] = loadavg();
+  const agent = await measureAgent(plan, meter, onProgress);
+  return {
+    node: process.version,
+    cores: cpus().length,
+    idleResidentBytes,
+    loadAverage: loadAverage ?? 0,
+    slopes: [...entry, ...agent],
+  };
+}
+
+/** Resident memory of the process while it runs an entry and nothing else. */
+async function measureIdleEntry(): Promise<number> {
+  using entry = await runEntry({
+    keyValue: NOWHERE,
+    instances: NOWHERE,
+    engine: NOWHERE,
+    agent: NOWHERE,
+    secrets: {clusterKey: 'cluster-key-of-the-bench', monitorKey: ''},
+    operatorKey: 'none',
+    ticket: 0,
+  });
+  return entry.callers.port > 0 ? process.memoryUsage().rss : 0;
+}
