Add the fault matrix over the product's own code, and mend what it found

Cause: nothing put faults in at each step of a request.

Change: 17 steps by 14 faults as data, run by one driver on a virtual clock, single and in pairs; the table of the page is generated from the same data. Found and mended: a crash before the endpoint was reached was reported as yes; an agent that woke from a pause dropped work and answers whose readers were waiting; a repeat that met its first call under way was told unknown.

--- a/packages/agent/src/callRunner.ts
+++ b/packages/agent/src/callRunner.ts
@@ -42,6 +42,8 @@
   readonly #lease: ClaimLease;
   /** Attempts of this process that never sent a byte, whose claims may stand all the same. */
   readonly #neverSent = new Set<string>();
+  /** Calls that are under way here, by attempt. */
+  readonly #underWay = new Map<string, Promise<Result<CallOutcome, Failure>>>();
   /** Outcomes that the key-value service has not taken yet, by attempt. */
   readonly #unrecorded = new Map<string, CallOutcome>();
   readonly #stopped = new AbortController();
@@ -82,7 +84,7 @@
     call: Call,
     idempotencyKey: string,
   ): Promise<Result<CallOutcome, Failure>> {
-    const {clock, service} = this.#options;
+    const {clock} = this.#options;
     const key: ClaimKey = {account: work.account, idempotencyKey};
     const claim: Claim = {
       attempt: randomUUID(),
@@ -97,7 +99,21 @@
     }
     if (claimed.value.kind !== 'held') return this.#answerUnclaimed(claimed.value);
     const held = claimed.value;
-    if (clock.now() - claim.claimedAtMs > claimSendLimitMs) {
+    const running = this.#runHeld(work, call, key, held);
+    this.#underWay.set(claim.attempt, running);
+    const outcome = await running;
+    this.#underWay.delete(claim.attempt);
+    return outcome;
+  }
+
+  async #runHeld(
+    work: Work,
+    call: Call,
+    key: ClaimKey,
+    held: HeldClaim,
+  ): Promise<Result<CallOutcome, Failure>> {
+    const {clock, service} = this.#options;
+    if (clock.now() - held.claim.claimedAtMs > claimSendLimitMs) {
       await this.#release(key, held);
       return err(refusal('store_unavailable', 'the claim took too long to be made'));
     }
@@ -120,7 +136,9 @@
     return takeOverClaim(store, key, claimed.value, claim);
   }
 
-  #answerUnclaimed(claim: Exclude<ClaimResult, {kind: 'held'}>): Result<CallOutcome, Failure> {
+  async #answerUnclaimed(
+    claim: Exclude<ClaimResult, {kind: 'held'}>,
+  ): Promise<Result<CallOutcome, Failure>> {
     switch (claim.kind) {
       case 'finished':
         return ok(claim.outcome);
@@ -132,8 +150,12 @@
         return err(failureWith('started', 'call_outcome_unknown', message));
       }
       case 'pending': {
-        const outcome = this.#unrecorded.get(claim.claim.attempt);
+        const {attempt} = claim.claim;
+        const outcome = this.#unrecorded.get(attempt);
         if (outcome !== undefined) return ok(outcome);
+        // A repeat that meets the call under way gets the same answer.
+        const underWay = await this.#underWay.get(attempt);
+        if (underWay !== undefined) return underWay;
         const message = 'an earlier attempt with this key has no recorded outcome';
         return err(failureWith('no-answer', 'call_outcome_unknown', message));
       }
--- a/packages/agent/src/endedRequests.ts
+++ b/packages/agent/src/endedRequests.ts
@@ -1,10 +1,9 @@
 /** What an agent remembers of requests that have ended or were taken back. */
 
-/** What became of a remembered request. */
-export type EndedRequest = 'not-run' | 'run';
+import type {Ran} from '@marigoldfold/protocol';
 
 interface Remembered {
-  readonly became: EndedRequest;
+  readonly ran: Ran;
   readonly atMs: number;
 }
 
@@ -22,16 +21,16 @@
     return this.#remembered.size;
   }
 
-  /** Notes what became of a request; a later note replaces an earlier one. */
-  remember(id: string, became: EndedRequest, nowMs: number): void {
+  /** Notes whether a request was run; a later note replaces an earlier one. */
+  remember(id: string, ran: Ran, nowMs: number): void {
     // Deleting first keeps the map in order of time, which lets `sweep` stop early.
     this.#remembered.delete(id);
-    this.#remembered.set(id, {became, atMs: nowMs});
+    this.#remembered.set(id, {ran, atMs: nowMs});
   }
 
-  /** What became of a request; undefined when nothing is known of it. */
-  recall(id: string): EndedRequest | undefined {
-    return this.#remembered.get(id)?.became;
+  /** Whether a request was run; undefined when it has not ended here. */
+  recall(id: string): Ran | undefined {
+    return this.#remembered.get(id)?.ran;
   }
 
   /** Forgets what is older than the memory. */
--- a/packages/agent/src/generationRun.ts
+++ b/packages/agent/src/generationRun.ts
@@ -30,7 +30,21 @@
 
 const MAX_BREAKS = 3;
 const RETRY_MS = 200;
-const CALLER_GONE = 'the caller has gone';
+
+/** Why work is stopped: its caller has gone, or no entry reads its answer. */
+export type StopReason = 'caller_gone' | 'answer_incomplete';
+
+/** What is said when work is stopped. */
+export const stopMessages: Readonly<Record<StopReason, string>> = {
+  caller_gone: 'the caller has gone',
+  answer_incomplete: 'nobody read the answer for too long',
+};
+
+function stopReason(signal: AbortSignal): StopReason {
+  const reason: unknown = signal.reason;
+  return reason === 'answer_incomplete' ? reason : 'caller_gone';
+}
+
 const CONFLICT = 409;
 const CLIENT_ERROR = {first: 400, last: 499} as const;
 
@@ -83,10 +97,12 @@
   options.setPause(undefined);
   if (!progress.maySent) {
     return signal.aborted
-      ? failureWith('not-sent', 'caller_gone', CALLER_GONE)
+      ? failureWith('not-sent', stopReason(signal), stopMessages[stopReason(signal)])
       : failureWith('not-sent', 'endpoint_unreachable', 'the engine cannot be reached');
   }
-  if (signal.aborted) return giveUp(options, 'caller_gone', CALLER_GONE);
+  if (signal.aborted) {
+    return giveUp(options, stopReason(signal), stopMessages[stopReason(signal)]);
+  }
   return giveUp(options, 'endpoint_failed', 'the engine stopped in mid-answer');
 }
 
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -3,7 +3,7 @@
 export {Answer} from './answer.js';
 export {CallRunner, type CallRunnerOptions, claimSendLimitMs} from './callRunner.js';
 export type {Engine, EngineChunk, EngineEnd, EngineJob, EngineStream} from './engine.js';
-export {EndedRequests, type EndedRequest} from './endedRequests.js';
+export {EndedRequests} from './endedRequests.js';
 export {type GenerationTiming} from './generationRun.js';
 export {createHttpEngine} from './httpEngine.js';
 export {
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -15,7 +15,13 @@
 import type {CallRunner} from './callRunner.js';
 import {EndedRequests} from './endedRequests.js';
 import type {Engine} from './engine.js';
-import {type GenerationTiming, runGeneration} from './generationRun.js';
+import {
+  type GenerationTiming,
+  runGeneration,
+  stopMessages,
+  type StopReason,
+} from './generationRun.js';
+import {PauseDetector} from './pauseDetector.js';
 import type {Directive, WorkQueue} from './workQueue.js';
 
 /** What a worker needs. An endpoint is either an engine or a plain service. */
@@ -65,6 +71,7 @@
 }
 
 const SWEEP_INTERVAL_MS = 1000;
+const PAUSE_MS = 5 * SWEEP_INTERVAL_MS;
 const DRAIN_CHECK_MS = 20;
 
 /** The only way to an endpoint. */
@@ -74,11 +81,13 @@
   readonly #finishedAtMs = new Map<string, number>();
   readonly #ended: EndedRequests;
   readonly #disposables = new DisposableStore();
+  readonly #pauses: PauseDetector;
   #isLeaving = false;
   #refusesWork = false;
 
   constructor(options: WorkerOptions) {
     this.#options = options;
+    this.#pauses = new PauseDetector(options.clock.now(), PAUSE_MS);
     this.#ended = new EndedRequests(options.timing.memoryMs);
     this.#disposables.add(
       repeat(
@@ -148,9 +157,10 @@
   /** Takes back a request that has not been started; a later arrival of the same id is refused. */
   withdraw(id: string): Withdrawal {
     const job = this.#jobs.get(id);
-    if (job?.hasStarted === true) return job.answer.isFinished ? 'finished' : 'started';
-    if (job === undefined && this.#ended.recall(id) === 'run') return 'finished';
-    this.#ended.remember(id, 'not-run', this.#options.clock.now());
+    const ran = this.#ended.recall(id);
+    if (ran !== undefined) return ran === 'no' ? 'never-started' : 'finished';
+    if (job?.hasStarted === true) return 'started';
+    this.#ended.remember(id, 'no', this.#options.clock.now());
     if (job !== undefined) {
       this.#options.queue.remove(id);
       job.settleTurn?.(
@@ -165,15 +175,20 @@
     const job = this.#jobs.get(id);
     if (job === undefined) {
       if (this.#ended.recall(id) === undefined) {
-        this.#ended.remember(id, 'not-run', this.#options.clock.now());
+        this.#ended.remember(id, 'no', this.#options.clock.now());
       }
       return false;
     }
-    if (job.answer.isFinished) return false;
+    this.#stop(id, 'caller_gone');
+    return !job.answer.isFinished;
+  }
+
+  #stop(id: string, code: StopReason): void {
+    const job = this.#jobs.get(id);
+    if (job === undefined || job.answer.isFinished) return;
     const isQueued = this.#options.queue.remove(id);
-    job.controller.abort();
-    if (isQueued) job.settleTurn?.(refusal('caller_gone', 'the caller has gone'));
-    return true;
+    job.controller.abort(code);
+    if (isQueued) job.settleTurn?.(refusal(code, stopMessages[code]));
   }
 
   /** The state of the endpoint. */
@@ -239,13 +254,10 @@
     if (work.agent !== undefined && work.agent !== incarnation) {
       return refusal('stale_incarnation', `the request is for incarnation ${work.agent}`);
     }
-    switch (this.#ended.recall(work.id)) {
-      case 'run':
-        return failureWith('started', 'answer_incomplete', 'the answer is no longer kept');
-      case 'not-run':
-        return refusal('withdrawn', `request ${work.id} was taken back`);
-      case undefined:
-        break;
+    const ran = this.#ended.recall(work.id);
+    if (ran === 'no') return refusal('withdrawn', `request ${work.id} was taken back`);
+    if (ran !== undefined) {
+      return {code: 'answer_incomplete', message: 'the answer is no longer kept', ran};
     }
     if (this.#refusesWork) return refusal('leaving', 'the endpoint is leaving');
     const {engine, calls} = this.#options;
@@ -268,7 +280,7 @@
     }
     const now = this.#options.clock.now();
     this.#finishedAtMs.set(work.id, now);
-    this.#ended.remember(work.id, job.hasStarted ? 'run' : 'not-run', now);
+    this.#ended.remember(work.id, failure?.ran ?? 'yes', now);
     this.#dispatch();
   }
 
@@ -368,16 +380,18 @@
   #sweep(): void {
     const {clock, timing} = this.#options;
     const now = clock.now();
+    // Readers and requests that came while the process was paused get their turn before anything is dropped.
+    this.#ended.sweep(now);
+    if (this.#pauses.check(now) < timing.detachedLimitMs) return;
     for (const [id, {answer}] of this.#jobs) {
       const {detachedAtMs, isFinished} = answer;
       if (isFinished || detachedAtMs === undefined) continue;
-      if (now - detachedAtMs > timing.detachedLimitMs) this.cancel(id);
+      if (now - detachedAtMs > timing.detachedLimitMs) this.#stop(id, 'answer_incomplete');
     }
     for (const [id, atMs] of this.#finishedAtMs) {
       if (now - atMs <= timing.retentionMs) continue;
       this.#finishedAtMs.delete(id);
       this.#jobs.delete(id);
     }
-    this.#ended.sweep(now);
   }
 }
--- /dev/null
+++ b/packages/bench/src/__tests__/matrix.test.ts
@@ -0,0 +1,39 @@
+import {readFileSync} from 'node:fs';
+import {format, resolveConfig} from 'prettier';
+import {describe, expect, it} from 'vitest';
+import {allPairs} from '../commands/matrix.js';
+import {cells, steps} from '../matrix/cells.js';
+import {type RunnableCell, runCell, runPair} from '../matrix/driver.js';
+import {renewPage} from '../matrix/table.js';
+
+const PAIRS = 150;
+
+describe.each(steps.map((step) => [step.name, step] as const))('%s', (_name, step) => {
+  const runnable = cells.filter(
+    (cell): cell is RunnableCell => cell.step === step && 'expectation' in cell,
+  );
+  it.each(runnable.map((cell) => [cell.fault, cell.expectation, cell] as const))(
+    'with %s: %s',
+    async (_fault, _expectation, cell) => {
+      expect(await runCell(cell)).toEqual({wasReached: true, violations: []});
+    },
+  );
+});
+
+it('what must always hold does so with pairs of faults', async () => {
+  const pairs = allPairs();
+  const stride = pairs.length / PAIRS;
+  for (let index = 0; index < PAIRS; index += 1) {
+    const pair = pairs[Math.floor(index * stride)]!;
+    const name = pair.map(({step, fault}) => `${step.name} with ${fault}`);
+    expect([name, (await runPair(...pair)).violations]).toEqual([name, []]);
+  }
+}, 120_000);
+
+it('the page shows the matrix as it is', async () => {
+  const path = new URL('../../../../docs/design/fault-matrix.md', import.meta.url).pathname;
+  const page = readFileSync(path, 'utf8');
+  const config = await resolveConfig(path);
+  const renewed = await format(renewPage(page)!, {...config, parser: 'markdown'});
+  expect(page).toBe(renewed);
+});
--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,4 +1,7 @@
 /** The commands of `marigoldfold-bench` by name. */
+import {Matrix} from './matrix.js';
 
 /** Commands by id. */
-export const commands = {};
+export const commands = {
+  matrix: Matrix,
+};
--- /dev/null
+++ b/packages/bench/src/matrix/endpoints.ts
@@ -0,0 +1,231 @@
+/** The endpoints of the matrix, as their agents reach them. */
+import type {CallFailure, Engine, EngineChunk, EngineEnd, PlainService} from '@marigoldfold/agent';
+import {type Clock, sleep} from '@marigoldfold/runtime';
+import {
+  answerText,
+  type EngineSpeed,
+  Ledger,
+  SimulatedEngine,
+  type Token,
+} from '@marigoldfold/standin';
+import type {CallOutcome} from '@marigoldfold/state';
+import {err, ok, type Result} from 'neverthrow';
+import {BREAK_MS, type Fault, LATE_MS, LATENCY_MS, OUTAGE_MS, PAUSE_MS, SLOW_MS} from './faults.js';
+import type {Host} from './host.js';
+
+/** Tokens of each answer. */
+export const OUTPUT_TOKENS = 5;
+const PROMPT_TOKENS = 4;
+
+/** An engine that can be replaced, with a record of what it has begun. */
+export class MatrixEngine {
+  readonly begun = new Set<string>();
+  readonly #clock: Clock;
+  readonly #speed: EngineSpeed;
+  #engine: SimulatedEngine;
+  #awayUntilMs = 0;
+
+  constructor(clock: Clock, speed: EngineSpeed) {
+    this.#clock = clock;
+    this.#speed = speed;
+    this.#engine = new SimulatedEngine(clock, speed);
+  }
+
+  /** Generations that the engine still holds. */
+  get generationCount(): number {
+    return this.#engine.generationCount;
+  }
+
+  /** Loses everything and starts again. */
+  crash(): void {
+    this.#engine[Symbol.dispose]();
+    this.#engine = new SimulatedEngine(this.#clock, this.#speed);
+  }
+
+  /** Makes no progress for a while. */
+  hang(): void {
+    const engine = this.#engine;
+    engine.isHung = true;
+    this.#clock.schedule(PAUSE_MS, () => {
+      engine.isHung = false;
+    });
+  }
+
+  /** The engine as the agent of one life reaches it. */
+  connect(
+    host: Host,
+    take: (point: 'engine-begin' | 'engine-stream', id: string) => Fault | undefined,
+  ): Engine {
+    return {
+      begin: (job, signal) => this.#begin(host, job.id, signal, take),
+      resume: (id, after, signal) =>
+        this.#stream(host, id, signal, take, (listener) =>
+          this.#engine.resume(id, after, listener),
+        ),
+      cancel: async (id) => {
+        await sleep(this.#clock, LATENCY_MS);
+        await host.awake();
+        this.#engine.cancel(id);
+      },
+    };
+  }
+
+  async *#begin(
+    host: Host,
+    id: string,
+    signal: AbortSignal,
+    take: (point: 'engine-begin' | 'engine-stream', id: string) => Fault | undefined,
+  ): AsyncGenerator<EngineChunk, EngineEnd> {
+    const fault = take('engine-begin', id);
+    if (fault === 'cut-off') this.#awayUntilMs = this.#clock.now() + OUTAGE_MS;
+    if (fault === 'slow') await sleep(this.#clock, SLOW_MS, signal);
+    if (fault === 'request-lost') return {kind: 'broken', maySent: true};
+    if (fault === 'late') {
+      this.#clock.schedule(LATE_MS, () => {
+        if (this.#start(id, () => undefined)) this.#engine.pause(id, () => undefined);
+      });
+      return {kind: 'broken', maySent: true};
+    }
+    if (fault === 'endpoint-pause') this.hang();
+    const end = yield* this.#stream(host, id, signal, take, (listener) => {
+      const isNew = this.#start(id, listener);
+      if (fault === 'duplicate') this.#start(id, listener);
+      if (fault === 'endpoint-crash') this.crash();
+      if (fault === 'agent-crash') host.crash();
+      if (fault === 'agent-pause') host.pause(PAUSE_MS);
+      if (fault === 'answer-lost') return false;
+      return isNew;
+    });
+    // An engine refuses an id that it knows already.
+    if (end.kind === 'unknown') {
+      if (fault === 'answer-lost') return {kind: 'broken', maySent: true};
+      return {kind: 'refused', status: 409, message: 'known already'};
+    }
+    return end;
+  }
+
+  #start(id: string, listener: (token: Token) => void): boolean {
+    this.begun.add(id);
+    const request = {id, promptTokens: PROMPT_TOKENS, outputTokens: OUTPUT_TOKENS, priority: 0};
+    return this.#engine.begin({...request, tokenText: answerText(id)}, listener);
+  }
+
+  async *#stream(
+    host: Host,
+    id: string,
+    signal: AbortSignal,
+    take: (point: 'engine-begin' | 'engine-stream', id: string) => Fault | undefined,
+    open: (listener: (token: Token) => void) => boolean,
+  ): AsyncGenerator<EngineChunk, EngineEnd> {
+    const engine = this.#engine;
+    const tokens: Token[] = [];
+    let wake: () => void = () => undefined;
+    const listener = (token: Token) => {
+      tokens.push(token);
+      wake();
+    };
+    await sleep(this.#clock, LATENCY_MS, signal);
+    await host.awake();
+    if (this.#clock.now() < this.#awayUntilMs) return {kind: 'broken', maySent: false};
+    if (!open(listener)) return {kind: 'unknown'};
+    try {
+      while (true) {
+        await host.awake();
+        if (signal.aborted || engine !== this.#engine) return {kind: 'broken', maySent: true};
+        const token = tokens.shift();
+        if (token === undefined) {
+          await Promise.race([
+            wakeUp((resolve) => (wake = resolve), signal),
+            sleep(this.#clock, BREAK_MS, signal),
+          ]);
+          continue;
+        }
+        const fault = take('engine-stream', id);
+        if (fault === 'answer-lost') continue;
+        if (fault === 'late') return {kind: 'broken', maySent: true};
+        if (fault === 'slow') await sleep(this.#clock, SLOW_MS, signal);
+        if (fault === 'endpoint-pause') this.hang();
+        if (fault === 'endpoint-crash') this.crash();
+        if (fault === 'agent-crash') host.crash();
+        if (fault === 'agent-pause') host.pause(PAUSE_MS);
+        if (fault === 'cut-off') {
+          this.#awayUntilMs = this.#clock.now() + OUTAGE_MS;
+          return {kind: 'broken', maySent: true};
+        }
+        const chunk = {number: token.number, data: token.text};
+        yield chunk;
+        if (fault === 'duplicate') yield chunk;
+        if (token.isLast) return {kind: 'whole'};
+      }
+    } finally {
+      engine.pause(id, listener);
+    }
+  }
+}
+
+function wakeUp(register: (resolve: () => void) => void, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const wake = () => {
+      signal.removeEventListener('abort', wake);
+      resolve();
+    };
+    register(wake);
+    signal.addEventListener('abort', wake, {once: true});
+  });
+}
+
+/** A ledger, with the faults of a call to it. */
+export class MatrixLedger {
+  readonly ledger = new Ledger();
+  readonly #clock: Clock;
+  #awayUntilMs = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** The ledger as the agent of one life reaches it. */
+  connect(host: Host, take: (id: string) => Fault | undefined): PlainService {
+    return async (id, call) => {
+      const outcome = await this.#call(host, take(id), id, call.body);
+      await host.awake();
+      return outcome;
+    };
+  }
+
+  async #call(
+    host: Host,
+    fault: Fault | undefined,
+    id: string,
+    account: string,
+  ): Promise<Result<CallOutcome, CallFailure>> {
+    if (fault === 'cut-off') this.#awayUntilMs = this.#clock.now() + OUTAGE_MS;
+    await sleep(this.#clock, fault === 'slow' ? SLOW_MS : LATENCY_MS);
+    if (this.#clock.now() < this.#awayUntilMs) return err({message: 'refused', maySent: false});
+    if (fault === 'request-lost') return err({message: 'broken', maySent: true});
+    const post = () => {
+      this.ledger.post({account, pence: 1, requestId: id});
+    };
+    if (fault === 'late') {
+      this.#clock.schedule(LATE_MS, post);
+      return err({message: 'timed out', maySent: true});
+    }
+    if (fault === 'endpoint-pause') {
+      await sleep(this.#clock, PAUSE_MS);
+      post();
+      return err({message: 'timed out', maySent: true});
+    }
+    post();
+    if (fault === 'answer-lost' || fault === 'endpoint-crash') {
+      return err({message: 'broken', maySent: true});
+    }
+    if (fault === 'agent-crash') host.crash();
+    if (fault === 'agent-pause') host.pause(PAUSE_MS);
+    await sleep(this.#clock, LATENCY_MS);
+    return ok({
+      status: 201,
+      headers: {},
+      body: Buffer.from(`posted ${account}`).toString('base64'),
+    });
+  }
+}
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -211,14 +211,15 @@
         const message = 'the agent could not be reached in time';
         return failureWith('withdrawn', 'endpoint_unreachable', message);
       }
-      return failureWith('started', 'answer_incomplete', 'the answer of the agent was lost');
+      return failureWith(this.#evidence(), 'answer_incomplete', 'the answer of the agent was lost');
     }
     this.#options.onUnreachable();
     return failureWith(this.#evidence(), 'answer_incomplete', 'the agent stopped answering');
   }
 
+  /** An agent that has started may still be about to reach its endpoint; only output is proof. */
   #evidence(): 'started' | 'no-answer' {
-    return this.#hasStarted ? 'started' : 'no-answer';
+    return this.#lastChunk > 0 ? 'started' : 'no-answer';
   }
 }
 
--- a/packages/standin/src/faultyKeyValue.ts
+++ b/packages/standin/src/faultyKeyValue.ts
@@ -10,6 +10,8 @@
   readonly key: string;
   /** Number of the call, from 1. */
   readonly number: number;
+  /** The value of a write. */
+  readonly value?: string;
 }
 
 /** What happens to a call. */
@@ -21,6 +23,8 @@
   | 'request-lost'
   /** The call takes effect, and its answer is lost. */
   | 'answer-lost'
+  /** The call arrives twice, and the answer is that of the second. */
+  | 'duplicate'
   /** The caller sees a timeout, and the call takes effect later. */
   | {readonly lateByMs: number}
   /** The call takes this long and then succeeds. */
@@ -31,6 +35,8 @@
   readonly clock: Clock;
   readonly store: KeyValue;
   readonly chooseFault: (call: StoreCall) => StoreFault;
+  /** Runs around each call, such as to hold it back while its process is paused. */
+  readonly around?: <T>(run: () => Promise<T>) => Promise<T>;
 }
 
 const writes: ReadonlySet<keyof KeyValue> = new Set([
@@ -43,18 +49,29 @@
 
 /** Wraps a service. */
 export function faultyKeyValue(options: FaultyKeyValueOptions): KeyValue {
-  const {clock, store, chooseFault} = options;
+  const {clock, store, chooseFault, around = (run) => run()} = options;
   let number = 0;
-  const call = async <T>(
+  const call = <T>(
     method: keyof KeyValue,
     key: string,
     run: () => Promise<Result<T, StoreError>>,
+    value?: string,
+  ) => around(() => callOnce(method, key, run, value));
+  const callOnce = async <T>(
+    method: keyof KeyValue,
+    key: string,
+    run: () => Promise<Result<T, StoreError>>,
+    value?: string,
   ): Promise<Result<T, StoreError>> => {
     number += 1;
-    const fault = chooseFault({method, key, number});
+    const fault = chooseFault({method, key, number, ...(value === undefined ? {} : {value})});
     if (fault === 'none') return run();
     if (fault === 'refused') return err(unavailable(false));
     if (fault === 'request-lost') return err(timedOut(method));
+    if (fault === 'duplicate') {
+      await run();
+      return run();
+    }
     if (fault === 'answer-lost') {
       await run();
       return err(timedOut(method));
@@ -69,7 +86,7 @@
   return {
     get: (key) => call('get', key, () => store.get(key)),
     list: (prefix, listing) => call('list', prefix, () => store.list(prefix, listing)),
-    write: (key, value, write) => call('write', key, () => store.write(key, value, write)),
+    write: (key, value, write) => call('write', key, () => store.write(key, value, write), value),
     remove: (key, ifRevision) => call('remove', key, () => store.remove(key, ifRevision)),
     watch: (prefix, watch) => call('watch', prefix, () => store.watch(prefix, watch)),
     grantLease: (ttlSeconds) => call('grantLease', '', () => store.grantLease(ttlSeconds)),
