--- a/packages/entry/src/generationApi.ts
+++ b/packages/entry/src/generationApi.ts
@@ -47,6 +47,7 @@
         requestClass: named.value.requestClass,
         tier: named.value.requestClass.tier,
         target: {kind: 'model', model},
+        prefixKey: generation.prefixKey,
       },
     };
     const answer = options.router.route(routed, controller.signal);
--- a/packages/standin/src/faultyKeyValue.ts
+++ b/packages/standin/src/faultyKeyValue.ts
@@ -49,7 +49,8 @@
 
 /** Wraps a service. */
 export function faultyKeyValue(options: FaultyKeyValueOptions): KeyValue {
-  const {clock, store, chooseFault, around = (run) => run()} = options;
+  const {clock, store, chooseFault} = options;
+  const around = options.around ?? runPlainly;
   let number = 0;
   const call = <T>(
     method: keyof KeyValue,
@@ -95,6 +96,10 @@
   };
 }
 
+function runPlainly<T>(run: () => Promise<T>): Promise<T> {
+  return run();
+}
+
 function timedOut(method: keyof KeyValue): StoreError {
   const message = 'key-value service: no answer in time';
   return {code: 'timed_out', message, mayHaveTakenEffect: writes.has(method)};
