--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,7 +1,13 @@
 /** The commands of `marigoldfold-bench` by name. */
+import {Matrix} from './matrix.js';
 import {OverheadCommand} from './overhead.js';
 import {Run} from './run.js';
 import {SlopesCommand} from './slopes.js';
 
 /** Commands by id. */
-export const commands = {run: Run, overhead: OverheadCommand, slopes: SlopesCommand};
+export const commands = {
+  matrix: Matrix,
+  overhead: OverheadCommand,
+  run: Run,
+  slopes: SlopesCommand,
+};
