--- a/packages/coordination/src/__tests__/accountLimits.test.ts
+++ b/packages/coordination/src/__tests__/accountLimits.test.ts
@@ -192,7 +192,7 @@
     await clock.advance(200_000);
     expect(home.home.grant('entry-1', ask)?.tokens).toBeGreaterThan(150);
     region.show(home, others);
-    await clock.advance(200_000);
+    await clock.advance(20_000);
     region.show(home, region.entries);
     await clock.advance(1000);
     expect(home.home.grant('entry-1', ask)?.tokens).toBeLessThanOrEqual(2);
