Fit probes and grants into the entry's control budget

Cause: at the design size, as counted by a link that counts JSON-RPC bytes with 172 B of headers an exchange, one entry spent 3.9 KB/s on probes and 5.3 KB/s on grants (asking and being home); 4.8 KB/s are left for both. Change: four probes a second instead of eight, permits are renewed only before they end, reports and asks leave out zeros, and an account far below its limit gets one request more than it asks for, for two minutes.

--- /dev/null
+++ b/packages/coordination/src/__tests__/controlCost.test.ts
@@ -0,0 +1,181 @@
+import {
+  type AccountAsk,
+  type Instance,
+  type Load,
+  accountGrantMethod,
+  compactLoad,
+  probeMethod,
+} from '@marigoldfold/protocol';
+import {type Random, seededRandom, VirtualClock} from '@marigoldfold/runtime';
+import {Configuration, objectSchemas} from '@marigoldfold/state';
+import {describe, expect, it} from 'vitest';
+import {load} from '../__fixtures__/fleet.js';
+import {limitedAccount} from '../__fixtures__/region.js';
+import {AccountHome} from '../accountHome.js';
+import {AccountLimits} from '../accountLimits.js';
+import {EndpointChoice} from '../endpointChoice.js';
+import {EntryRing} from '../entryRing.js';
+
+/** The design size, from the letter: one entry of 380 in a region. */
+const SIZE = {
+  models: 10,
+  subset: 16,
+  slots: 33,
+  entries: 380,
+  accounts: 18_000,
+  requestsPerSecond: 10.5,
+  seconds: 120,
+} as const;
+const BUDGET_BYTES_PER_SECOND = 7000;
+/** Tickets and anti-entropy, keep-alive, and load on answers, as the design estimates them. */
+const OTHER_BYTES_PER_SECOND = 800 + 900 + 500;
+/** TCP/IP headers of an exchange, and WebSocket frames. */
+const EXCHANGE_OVERHEAD_BYTES = 160 + 12;
+
+/** Counts what JSON-RPC would send. */
+class CountingLink {
+  messages = 0;
+  bytes = 0;
+
+  note(method: string, params: unknown, result: unknown): void {
+    this.messages += 1;
+    const id = this.messages;
+    const ask = JSON.stringify({jsonrpc: '2.0', id, method, params});
+    const answer = JSON.stringify({jsonrpc: '2.0', id, result});
+    this.bytes += ask.length + answer.length + EXCHANGE_OVERHEAD_BYTES;
+  }
+}
+
+const incarnation = 'mg3k1x2y-0123456789ab';
+
+function busyLoad(random: Random): Load {
+  const running = Array.from({length: 7}, () => Math.floor(random() * 9));
+  const queued = Array.from({length: 7}, (_, tier) => (tier > 3 ? Math.floor(random() * 3) : 0));
+  const waitMs = queued.map((count, tier) => count * 317.4321 * tier);
+  const measured = {window: SIZE.slots, interTokenMs: 23.456789, firstTokenMs: 412.345678};
+  return load({incarnation, configuration: 11_000, running, queued, waitMs, ...measured});
+}
+
+function instanceOf(role: 'agent' | 'entry', name: string, endpoint?: string): Instance {
+  const place = {address: `${name}:1`, failureDomain: 'd', region: 'r', state: 'live'} as const;
+  return {name, role, ...place, ...(endpoint === undefined ? {} : {endpoint})};
+}
+
+function createChoice(clock: VirtualClock, random: Random, link: CountingLink) {
+  const choice = new EndpointChoice({
+    clock,
+    random,
+    self: 'entry-1',
+    probe: () => {
+      const answer = compactLoad(busyLoad(random));
+      link.note(probeMethod.name, {}, answer);
+      return Promise.resolve(answer);
+    },
+  });
+  const changes = [];
+  const instances: Instance[] = [];
+  for (let model = 0; model < SIZE.models; model += 1) {
+    const set = `set-${model}`;
+    const state = {type: 'engine', models: [`model-${model}`], slots: SIZE.slots};
+    changes.push({kind: 'endpointSet' as const, name: set, state});
+    for (let index = 0; index < SIZE.subset; index += 1) {
+      const name = `${set}-${index}`;
+      changes.push({kind: 'endpoint' as const, name, state: {set}});
+      instances.push(instanceOf('agent', name, name));
+    }
+  }
+  choice.update(Configuration.empty.apply(changes, 1), instances);
+  return choice;
+}
+
+function createLimits(
+  clock: VirtualClock,
+  link: CountingLink,
+  accountOf: (name: string) => ReturnType<typeof limitedAccount>,
+) {
+  const entries = Array.from({length: SIZE.entries}, (_, index) =>
+    instanceOf('entry', `entry-${index + 1}`),
+  );
+  const ring = new EntryRing(clock, 'entry-1', 'r');
+  ring.update(entries);
+  const options = {clock, ring, accountOf};
+  const home = new AccountHome(options);
+  // All other homes in one: what they grant does not depend on which of them answers.
+  const homes = new AccountHome({
+    ...options,
+    ring: {size: SIZE.entries, changedAtMs: clock.now() - 600_000, homeOf: () => undefined},
+  });
+  const call = (_: Instance, asks: readonly AccountAsk[]) => {
+    const grants = asks.map((ask) => homes.grant('entry-1', ask) ?? null);
+    link.note(accountGrantMethod.name, {entry: 'entry-1', asks}, {grants});
+    return Promise.resolve(grants);
+  };
+  return new AccountLimits({...options, home, call});
+}
+
+describe('the control traffic of an entry at the design size', () => {
+  it('leaves room for the rest of 7 KB a second', async () => {
+    const clock = new VirtualClock();
+    const random = seededRandom(21);
+    const probes = new CountingLink();
+    const grants = new CountingLink();
+    const choice = createChoice(clock, random, probes);
+    // Account k has a share of the traffic that falls with 1/k, and a limit of four times its mean.
+    const harmonic = Math.log(SIZE.accounts + 1);
+    const accounts = Array.from({length: SIZE.accounts}, (_, index) => {
+      const mean = (SIZE.requestsPerSecond * SIZE.entries) / harmonic / (index + 1);
+      return limitedAccount({
+        requestsPerSecond: mean * 4,
+        burst: Math.max(4, mean * 8),
+        concurrency: Math.max(4, Math.ceil(mean * 50)),
+      });
+    });
+    const indexOf = (name: string) => Number(name.slice('account-'.length));
+    const limits = createLimits(clock, grants, (name) => accounts[indexOf(name)]!);
+    const requestClass = objectSchemas.class.parse({
+      tier: 2,
+      firstTokenMs: 1800,
+      endpointSets: Array.from({length: SIZE.models}, (_, model) => `set-${model}`),
+    });
+    let refused = 0;
+    const total = SIZE.requestsPerSecond * SIZE.seconds;
+    for (let request = 0; request < total; request += 1) {
+      const index = Math.floor((SIZE.accounts + 1) ** random()) - 1;
+      const model = `model-${Math.floor(random() * SIZE.models)}`;
+      void limits.admit(`account-${index}`, accounts[index]!, 2).then(async (admitted) => {
+        if (admitted.isErr()) {
+          refused += 1;
+          return;
+        }
+        const target = {kind: 'model', model} as const;
+        const chosen = await choice.chooseFresh({
+          requestClass,
+          tier: 2,
+          target,
+          excluded: new Set(),
+        });
+        if (chosen.isErr()) {
+          refused += 1;
+          return;
+        }
+        const {name} = chosen.value.instance;
+        const sent = choice.send(chosen.value, 2);
+        clock.schedule(12_000 * random(), () => {
+          sent[Symbol.dispose]();
+          admitted.value[Symbol.dispose]();
+          choice.observe(name, compactLoad(busyLoad(random)));
+        });
+      });
+      await clock.advance(-Math.log(1 - random()) * (1000 / SIZE.requestsPerSecond));
+    }
+    const seconds = clock.now() / 1000;
+    const probeBytes = probes.bytes / seconds;
+    // An entry is home as often as it asks.
+    const grantBytes = (2 * grants.bytes) / seconds;
+    process.stdout.write(
+      `${JSON.stringify({probesPerRequest: probes.messages / total, probeBytes, asksPerRequest: grants.messages / total, grantBytes, refused, total})}\n`,
+    );
+    expect(refused / total).toBeLessThan(0.01);
+    expect(probeBytes + grantBytes).toBeLessThan(BUDGET_BYTES_PER_SECOND - OTHER_BYTES_PER_SECOND);
+  });
+});
--- a/packages/coordination/src/accountHome.ts
+++ b/packages/coordination/src/accountHome.ts
@@ -1,6 +1,6 @@
 /** The home's side of account limits: holds the part of each limit that is granted on demand. */
 import type {Clock} from '@marigoldfold/runtime';
-import type {AccountAsk, AccountGrant} from '@marigoldfold/protocol';
+import {type AccountAsk, type AccountGrant, compactGrant} from '@marigoldfold/protocol';
 import type {Account} from '@marigoldfold/state';
 import {type AccountLimit, GRANT_PERIOD_MS, homePart} from './accountShares.js';
 import type {EntryRing} from './entryRing.js';
@@ -9,7 +9,7 @@
 /** What a home needs. */
 export interface AccountHomeOptions {
   readonly clock: Clock;
-  readonly ring: EntryRing;
+  readonly ring: Pick<EntryRing, 'size' | 'changedAtMs' | 'homeOf'>;
   readonly accountOf: (name: string) => Account | undefined;
 }
 
@@ -19,6 +19,8 @@
 }
 
 interface Spare {
+  /** Requests beyond those that wait. */
+  readonly next: number;
   readonly tokens: number;
   readonly permits: number;
 }
@@ -39,7 +41,7 @@
 /** With more than this part of its tokens left, an account is far below its limit. */
 const SLACK_PART = 0.5;
 /** Milliseconds that a grant holds for an account far below its limit. */
-const SLACK_PERIOD_MS = 30_000;
+const SLACK_PERIOD_MS = 120_000;
 
 /** Grants what entries need beyond their share. */
 export class AccountHome {
@@ -71,29 +73,28 @@
     const limit = homePart(account);
     const spare = this.#spare(state, account, limit);
     const available = Math.max(0, Math.floor(state.bucket.level(limit)));
-    const tokens = Math.min(available, Math.max(Math.ceil(ask.tokens), spare.tokens));
+    const wanted = Math.ceil(ask.tokens);
+    const tokens = Math.min(available, Math.max(wanted + spare.next, spare.tokens));
     state.bucket.take(limit, tokens);
-    const isSlack = tokens <= spare.tokens && ask.permits <= spare.permits;
+    const isSlack =
+      spare.next > 0 && wanted <= Math.max(1, spare.tokens) && (ask.permits ?? 0) <= spare.permits;
     const validMs = isSlack ? SLACK_PERIOD_MS : GRANT_PERIOD_MS;
     const permits = this.#grantPermits(state, entry, ask, {
       limit: limit.concurrency,
       spare: spare.permits,
       validMs,
     });
-    return {
-      tokens,
-      permits,
-      validMs,
-      retryAfterMs: Math.ceil(state.bucket.timeUntil(limit, 1)),
-    };
+    const retryAfterMs = Math.ceil(state.bucket.timeUntil(limit, 1));
+    return compactGrant({tokens, permits, validMs, retryAfterMs});
   }
 
   /** What an entry may hold for long of an account far below its limit: all entries together one grant period. */
   #spare({bucket}: HomeState, account: Account, limit: AccountLimit): Spare {
-    if (bucket.level(limit) <= limit.capacity * SLACK_PART) return {tokens: 0, permits: 0};
+    if (bucket.level(limit) <= limit.capacity * SLACK_PART) return {next: 0, tokens: 0, permits: 0};
     const entries = this.#options.ring.size;
     const perPeriod = (account.requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
     return {
+      next: 1,
       tokens: Math.floor(perPeriod / entries),
       permits: Math.floor((limit.concurrency * SLACK_PART) / entries),
     };
@@ -104,7 +105,7 @@
     const now = clock.now();
     // Until every entry has told a new home what it holds, nothing more is given out.
     const isNew = now - ring.changedAtMs < GRANT_PERIOD_MS;
-    const wanted = isNew ? ask.held : Math.max(ask.permits, terms.spare);
+    const wanted = isNew ? (ask.held ?? 0) : Math.max(ask.permits ?? 0, terms.spare);
     const count = Math.max(0, Math.min(wanted, terms.limit - permitsOfOthers(state, entry, now)));
     if (count === 0) state.permits.delete(entry);
     else state.permits.set(entry, {count, expiresAtMs: now + terms.validMs});
--- a/packages/coordination/src/accountLimits.ts
+++ b/packages/coordination/src/accountLimits.ts
@@ -161,7 +161,7 @@
         if (usage.inFlight === 0) this.#usages.delete(name);
         continue;
       }
-      if (ring.size > 1 && usage.buildAsk(name, account, ring.size).held > 0) {
+      if (ring.size > 1 && usage.mustRenew(account, ring.size, 2 * RENEWAL_INTERVAL_MS)) {
         void this.#ask(name, account, usage);
       }
       if (isSweep && usage.isAtRest(account, ring.size)) this.#usages.delete(name);
--- a/packages/coordination/src/accountUsage.ts
+++ b/packages/coordination/src/accountUsage.ts
@@ -1,6 +1,6 @@
 /** What one entry has admitted for one account, and what it may still admit. */
 import type {Clock} from '@marigoldfold/runtime';
-import type {AccountAsk, AccountGrant} from '@marigoldfold/protocol';
+import {type AccountAsk, type AccountGrant, compactAsk} from '@marigoldfold/protocol';
 import type {Account} from '@marigoldfold/state';
 import {type AccountLimit, entryShare, fallbackShare, GRANT_PERIOD_MS} from './accountShares.js';
 import {TokenBucket} from './tokenBucket.js';
@@ -104,7 +104,7 @@
     const held = Math.max(0, this.#inFlight - limit.concurrency);
     const permits = this.#wantedPermits(account, entries);
     const tokens = owed + this.waiting + this.#prefetch(account, entries);
-    return {account: name, tokens, permits, held};
+    return compactAsk({account: name, tokens, permits, held});
   }
 
   /** What the next half of a grant period will need at the present rate, up to the entry's part of one period. */
@@ -136,9 +136,9 @@
       return;
     }
     this.#fallbackUntilMs = Number.NEGATIVE_INFINITY;
-    this.#permits = {count: grant.permits, expiresAtMs: askedAtMs + grant.validMs};
-    if (grant.tokens === 0) this.#deniedUntilMs = now + grant.retryAfterMs;
-    if (grant.permits < this.#wantedPermits(account, entries)) {
+    this.#permits = {count: grant.permits ?? 0, expiresAtMs: askedAtMs + grant.validMs};
+    if (grant.tokens === 0) this.#deniedUntilMs = now + (grant.retryAfterMs ?? 0);
+    if ((grant.permits ?? 0) < this.#wantedPermits(account, entries)) {
       this.#deniedUntilMs = Math.max(this.#deniedUntilMs, now + PERMIT_RETRY_MS);
     }
     const expiresAtMs = askedAtMs + grant.validMs;
@@ -149,6 +149,13 @@
     this.#grant = {tokens, size: tokens, expiresAtMs};
   }
 
+  /** Whether requests are in flight on permits that end within a time. */
+  mustRenew(account: Account, entries: number, withinMs: number): boolean {
+    const {expiresAtMs} = this.#permits;
+    if (expiresAtMs - this.#clock.now() > withinMs) return false;
+    return this.#inFlight > this.#limit(account, entries).concurrency;
+  }
+
   /** Whether a new usage would be in the same state. */
   isAtRest(account: Account, entries: number): boolean {
     if (this.#inFlight > 0 || this.waiting > 0 || this.ask !== undefined) return false;
--- a/packages/coordination/src/endpointChoice.ts
+++ b/packages/coordination/src/endpointChoice.ts
@@ -38,7 +38,7 @@
 
 const SAMPLE_SIZE = 3;
 const PROBE_TIME_LIMIT_MS = 50;
-const PROBES_PER_SECOND = 8;
+const PROBES_PER_SECOND = 4;
 const MIN_RETRY_AFTER_MS = 100;
 /** A request is refused early only by reports that are younger than this. */
 const REFUSAL_REPORT_AGE_MS = 1000;
--- a/packages/protocol/src/accountMessages.ts
+++ b/packages/protocol/src/accountMessages.ts
@@ -1,4 +1,4 @@
-/** How entries share the limits of a client account through the account's home entry. */
+/** How entries share the limits of a client account through the account's home entry. Numbers left out are 0. */
 import {z} from 'zod';
 import {method} from './method.js';
 
@@ -8,9 +8,9 @@
   /** Requests that it wants to admit soon. */
   tokens: z.number(),
   /** Requests in flight beyond its own share that it has or wants to have. */
-  permits: z.number(),
+  permits: z.number().optional(),
   /** How many of these are in flight already. */
-  held: z.number(),
+  held: z.number().optional(),
 });
 
 /** What an entry asks for one account. */
@@ -19,11 +19,11 @@
 /** Checks what the home answers for one account. */
 export const accountGrantSchema = z.object({
   tokens: z.number(),
-  permits: z.number(),
+  permits: z.number().optional(),
   /** Milliseconds that the grant holds, from when it was asked for. */
   validMs: z.number(),
   /** Milliseconds until more can be had. */
-  retryAfterMs: z.number(),
+  retryAfterMs: z.number().optional(),
 });
 
 /** What the home grants for one account. */
@@ -35,3 +35,18 @@
   z.object({entry: z.string(), asks: z.array(accountAskSchema)}),
   z.object({grants: z.array(accountGrantSchema.nullable())}),
 );
+
+/** The same without numbers that are 0, but for tokens. */
+export function compactAsk({account, tokens, permits, held}: AccountAsk): AccountAsk {
+  return {account, tokens, ...nonZero({permits, held})};
+}
+
+/** The same without numbers that are 0, but for tokens. */
+export function compactGrant({tokens, validMs, permits, retryAfterMs}: AccountGrant): AccountGrant {
+  return {tokens, validMs, ...nonZero({permits, retryAfterMs})};
+}
+
+function nonZero<T extends Readonly<Record<string, number | undefined>>>(numbers: T): Partial<T> {
+  const kept = Object.entries(numbers).filter(([, value]) => value !== undefined && value !== 0);
+  return Object.fromEntries(kept) as Partial<T>;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -17,6 +17,8 @@
   accountAskSchema,
   accountGrantMethod,
   accountGrantSchema,
+  compactAsk,
+  compactGrant,
 } from './accountMessages.js';
 export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
 export {
@@ -28,7 +30,7 @@
   type FailedStart,
 } from './workStream.js';
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
-export {type Load, loadSchema} from './load.js';
+export {type Load, compactLoad, loadSchema} from './load.js';
 export {
   type Withdrawal,
   acknowledgeMethod,
--- a/packages/protocol/src/load.ts
+++ b/packages/protocol/src/load.ts
@@ -2,7 +2,10 @@
 import {z} from 'zod';
 import {tierCount} from './tier.js';
 
-/** Checks a load report. Lists have one item for each tier, most urgent first. */
+/**
+ * Checks a load report. Lists have one item for each tier, most urgent first. Counts that are left out at
+ * the end are 0, and waits that are left out are as long as the last one.
+ */
 export const loadSchema = z.object({
   /** Incarnation of the agent that reports. */
   incarnation: z.string(),
@@ -23,3 +26,29 @@
 
 /** The state of an endpoint. */
 export type Load = Readonly<z.infer<typeof loadSchema>>;
+
+/** The same report without what a reader adds itself, and with waits in whole milliseconds. */
+export function compactLoad(load: Load): Load {
+  const waitMs = load.waitMs.map((ms) => Math.round(ms));
+  while (waitMs.length > 1 && waitMs.at(-1) === waitMs.at(-2)) waitMs.pop();
+  if (waitMs.length === 1 && waitMs[0] === 0) waitMs.pop();
+  return {
+    ...load,
+    running: withoutTrailingZeros(load.running),
+    queued: withoutTrailingZeros(load.queued),
+    waitMs,
+    window: Math.floor(load.window),
+    interTokenMs: roundTenth(load.interTokenMs),
+    firstTokenMs: Math.round(load.firstTokenMs),
+  };
+}
+
+function withoutTrailingZeros(counts: readonly number[]): number[] {
+  let length = counts.length;
+  while (length > 0 && counts[length - 1] === 0) length -= 1;
+  return counts.slice(0, length);
+}
+
+function roundTenth(value: number): number {
+  return Math.round(value * 10) / 10;
+}
