--- a/packages/bench/src/expectations.ts
+++ b/packages/bench/src/expectations.ts
@@ -45,9 +45,9 @@
   const run = runs.get(policy);
   if (run === undefined) return Number.NaN;
   const {result, details} = run;
-  const served = Object.values(details).reduce((sum, {servedTokens}) => sum + servedTokens, 0);
   if (measure === 'goodputTokensPerSecond') return result.goodputTokensPerSecond;
-  if (measure === 'wastedShare') return result.wastedTokens / Math.max(1, served);
+  if (measure === 'wastedShare')
+    return result.wastedTokens / Math.max(1, sum(details, 'servedTokens'));
   const found = className === undefined ? undefined : result.classes[className];
   const detail = className === undefined ? undefined : details[className];
   if (found === undefined || detail === undefined) return Number.NaN;
@@ -62,8 +62,8 @@
       return detail.firstTokenShare;
     case 'interTokenShare':
       return detail.interTokenShare;
-    case 'servedTokenShare':
-      return detail.servedTokens / Math.max(1, served);
+    case 'serviceTimeShare':
+      return detail.slotMs / Math.max(1, sum(details, 'slotMs'));
     case 'firstTokenMs.p50':
       return found.firstTokenMs.p50;
     case 'firstTokenMs.p95':
@@ -78,3 +78,7 @@
       return found.completionMs.p99;
   }
 }
+
+function sum(details: Details, key: 'servedTokens' | 'slotMs'): number {
+  return Object.values(details).reduce((total, detail) => total + detail[key], 0);
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -34,5 +34,15 @@
   readSecrets,
   secretsSchema,
 } from './processSettings.js';
+export {
+  type ProcessMetricsOptions,
+  addConnectionMetrics,
+  createProcessRegistry,
+} from './processMetrics.js';
 export {RetryBudget} from './retryBudget.js';
-export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
+export {
+  type LoadedSettings,
+  type SignalSource,
+  drainOnSignal,
+  loadProcessSettings,
+} from './processCommand.js';
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -68,7 +68,8 @@
       if (signal.aborted || !isMovable(work, attempt, end.failure)) break;
       movesTo = end.failure.code === 'withdrawn' ? observer.movesTo : undefined;
       if (movesTo !== undefined) moves += 1;
-      else if (!retryBudget.spend()) break;
+      // A planned stop cuts nothing, so a move away from it is not counted as a retry.
+      else if (end.failure.code !== 'leaving' && !retryBudget.spend()) break;
       if (end.failure.ran !== 'no') void this.#options.linkTo(instance).cancel(id);
       this.#logMove(work, chosen.value, failure);
       if (movesTo === undefined) excluded.add(instance.name);
