--- a/packages/protocol/src/load.ts
+++ b/packages/protocol/src/load.ts
@@ -2,8 +2,11 @@
 import {z} from 'zod';
 import {tierCount} from './tier.js';
 
-/** Checks a load report. Lists have one item for each tier, most urgent first. */
-export const loadSchema = z.object({
+/**
+ * Checks a load report. Lists have one item for each tier, most urgent first. Counts that are left out at
+ * the end are 0, and waits that are left out are as long as the last one.
+ */
+const namedLoadSchema = z.object({
   /** Incarnation of the agent that reports. */
   incarnation: z.string(),
   /** Number of the configuration in force at the agent. */
@@ -22,4 +25,57 @@
 });
 
 /** The state of an endpoint. */
-export type Load = Readonly<z.infer<typeof loadSchema>>;
+export type Load = Readonly<z.infer<typeof namedLoadSchema>>;
+
+/** The items of a report on the wire, in this order. */
+const wireOrder = [
+  'incarnation',
+  'configuration',
+  'running',
+  'queued',
+  'waitMs',
+  'window',
+  'interTokenMs',
+  'firstTokenMs',
+  'isLeaving',
+] as const satisfies readonly (keyof Load)[];
+
+/** Checks a report, named or as a list. */
+export const loadSchema: z.ZodType<Load> = z.preprocess(nameItems, namedLoadSchema);
+
+/** A report as it travels: a list without names. */
+export function encodeLoad(load: Load): readonly unknown[] {
+  const compact = compactLoad(load);
+  return wireOrder.map((name) => compact[name]);
+}
+
+function nameItems(value: unknown): unknown {
+  if (!Array.isArray(value)) return value;
+  return Object.fromEntries(wireOrder.map((name, index) => [name, value[index] as unknown]));
+}
+
+/** The same report without what a reader adds itself, and with waits in whole milliseconds. */
+export function compactLoad(load: Load): Load {
+  const waitMs = load.waitMs.map((ms) => Math.round(ms));
+  while (waitMs.length > 1 && waitMs.at(-1) === waitMs.at(-2)) waitMs.pop();
+  if (waitMs.length === 1 && waitMs[0] === 0) waitMs.pop();
+  return {
+    ...load,
+    running: withoutTrailingZeros(load.running),
+    queued: withoutTrailingZeros(load.queued),
+    waitMs,
+    window: Math.floor(load.window),
+    interTokenMs: roundTenth(load.interTokenMs),
+    firstTokenMs: Math.round(load.firstTokenMs),
+  };
+}
+
+function withoutTrailingZeros(counts: readonly number[]): number[] {
+  let length = counts.length;
+  while (length > 0 && counts[length - 1] === 0) length -= 1;
+  return counts.slice(0, length);
+}
+
+function roundTenth(value: number): number {
+  return Math.round(value * 10) / 10;
+}
