--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -1,8 +1,14 @@
 /** One agent: everything that it owns, wired together. */
-import {ConfigurationFeed, type Secrets} from '@marigoldfold/coordination';
+import {type ConfigurationFeed, createMembership, type Secrets} from '@marigoldfold/coordination';
 import {createIncarnation} from '@marigoldfold/protocol';
-import {type Clock, DisposableStore, type Logger} from '@marigoldfold/runtime';
-import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {
+  type Clock,
+  DisposableStore,
+  type Logger,
+  type Random,
+  systemRandom,
+} from '@marigoldfold/runtime';
+import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
   createClusterKey,
   createHttpClient,
@@ -27,6 +33,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly timing?: WorkerTiming;
+  /** The operating system's when absent. */
+  readonly random?: Random;
 }
 
 /** A running agent. */
@@ -38,9 +46,6 @@
   drain(): Promise<void>;
 }
 
-const WATCH_TIMEOUT_MS = 30_000;
-const RETRY_DELAY_MS = 500;
-
 /** Starts an agent. */
 export async function startAgent(
   options: AgentProcessOptions,
@@ -53,16 +58,21 @@
     address: settings.platform.keyValue,
     timeoutMs: settings.platform.keyValueTimeoutMs,
   });
-  const feed = disposables.add(
-    new ConfigurationFeed({
-      record: openRecord(store),
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const membership = disposables.add(
+    createMembership({
+      self: settings.process,
+      store,
+      client,
+      clusterKey,
       monitorKey: secrets.monitorKey,
+      platform: settings.platform,
       clock,
+      random: options.random ?? systemRandom(),
       logger,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
-      retryDelayMs: RETRY_DELAY_MS,
     }),
   );
+  const {feed} = membership;
   const {endpoint} = settings;
   const worker = disposables.add(
     new Worker({
@@ -89,7 +99,8 @@
     host,
     port,
     limits: settings.limits,
-    clusterKey: createClusterKey(secrets.clusterKey),
+    clusterKey,
+    offer: (methods) => membership.offer(methods),
     worker,
     registry: createRegistry(worker, feed),
     isReady: () => feed.head.number > 0,
@@ -100,7 +111,7 @@
     return err(server.error);
   }
   disposables.add(server.value);
-  feed.start();
+  await membership.start();
   logger.info('ready', {address: server.value.address, endpoint: endpoint.name});
   return ok({
     server: server.value,
--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -36,6 +36,8 @@
   readonly limits: ServerLimits;
   readonly clusterKey: ClusterKey;
   readonly worker: Worker;
+  /** Adds methods for peers to the control connection. */
+  readonly offer: (methods: Methods) => Methods;
   readonly registry: Registry;
   readonly isReady: () => boolean;
   readonly logger: Logger;
@@ -55,7 +57,8 @@
   options: AgentServerOptions,
 ): Promise<Result<HttpServer, ListenError>> {
   const {worker, clusterKey, logger} = options;
-  const methods = new Methods()
+  const methods = options
+    .offer(new Methods())
     .add(probeMethod, () => worker.load())
     .add(withdrawMethod, ({id}) => ({outcome: worker.withdraw(id)}))
     .add(cancelMethod, ({id}) => ({wasKnown: worker.cancel(id)}));
@@ -74,6 +77,11 @@
   });
   return server.map((listening) => ({
     ...listening,
+    // Control connections stay open for as long as their peers live, so they are closed first.
+    drain() {
+      control[Symbol.dispose]();
+      return listening.drain();
+    },
     [Symbol.dispose]() {
       control[Symbol.dispose]();
       listening[Symbol.dispose]();
--- /dev/null
+++ b/packages/bench/src/spread/fleet.ts
@@ -0,0 +1,250 @@
+/** Processes that spread configurations, in memory: their real code on a virtual clock. */
+import {
+  ConfigurationFeed,
+  InstanceFeed,
+  type InstanceSource,
+  listAgeLimitMs,
+  type Locality,
+  Spread,
+} from '@marigoldfold/coordination';
+import type {Instance} from '@marigoldfold/protocol';
+import {
+  type Clock,
+  DisposableStore,
+  seededRandom,
+  silentLogger,
+  sleep,
+} from '@marigoldfold/runtime';
+import {FaultyKeyValue, LaggingInstanceList, MemoryKeyValue} from '@marigoldfold/standin';
+import {
+  advance,
+  type Change,
+  type Decision,
+  decideTicket,
+  generateMonitorKey,
+  genesis,
+  type Head,
+  openRecord,
+  type Ticket,
+} from '@marigoldfold/state';
+import {err, ok} from 'neverthrow';
+import {MemoryNetwork, type Station, type Traffic} from './memoryNetwork.js';
+import {PausableClock} from './pausableClock.js';
+
+/** Size and surroundings of a fleet. */
+export interface FleetOptions {
+  readonly clock: Clock;
+  readonly seed: number;
+  readonly domains: number;
+  /** Failure domains are dealt out to the regions in turn. */
+  readonly regions: number;
+  readonly instances: number;
+  /** Milliseconds that a message takes one way. */
+  readonly delayMs: (from: Locality, to: Locality) => number;
+  /** Milliseconds by which the platform's list is late. */
+  readonly listLagMs: number;
+}
+
+/** A configuration as it came into force at a process. */
+export interface ObservedStep {
+  readonly number: number;
+  readonly stateDigest: string;
+  readonly atMs: number;
+}
+
+/** One process. */
+export interface FleetNode extends Disposable {
+  readonly instance: Instance;
+  readonly clock: PausableClock;
+  readonly store: FaultyKeyValue;
+  readonly feed: ConfigurationFeed;
+  readonly instances: InstanceFeed;
+  readonly spread: Spread;
+  readonly traffic: Traffic;
+  /** Every head since the process started. */
+  readonly steps: readonly ObservedStep[];
+}
+
+const LIST_INTERVAL_MS = 2000;
+
+/** The processes, the key-value service, the platform's list and the operators. */
+export class Fleet implements Disposable {
+  readonly options: FleetOptions;
+  readonly store: MemoryKeyValue;
+  readonly list: LaggingInstanceList;
+  readonly network: MemoryNetwork;
+  readonly nodes: FleetNode[] = [];
+  /** Every head that was approved, by number. */
+  readonly heads: Head[];
+  /** Whether the platform's list can be read. */
+  isListDown = false;
+  readonly monitor = generateMonitorKey();
+  #started = 0;
+
+  constructor(options: FleetOptions) {
+    this.options = options;
+    this.store = new MemoryKeyValue(options.clock);
+    this.list = new LaggingInstanceList(options.clock, options.listLagMs);
+    const random = seededRandom(options.seed);
+    this.network = new MemoryNetwork(options.clock, random, options.delayMs);
+    this.heads = [genesis(this.monitor.publicKey)];
+    while (this.nodes.length < options.instances) this.add();
+  }
+
+  /** The newest approved head. */
+  get head(): Head {
+    return this.heads.at(-1) ?? genesis(this.monitor.publicKey);
+  }
+
+  /** Calls to the key-value service so far, tried or answered, by all processes. */
+  get storeCalls(): number {
+    return this.nodes.reduce((total, {store}) => total + store.callCount, 0);
+  }
+
+  /** Begins all processes that have not been started. */
+  start(): void {
+    for (const node of this.nodes.slice(this.#started)) this.#begin(node);
+    this.#started = this.nodes.length;
+  }
+
+  /** Adds a process and lists it. */
+  add(): FleetNode {
+    const index = this.nodes.length;
+    const domain = index % this.options.domains;
+    const instance: Instance = {
+      name: `agent-${index}`,
+      role: 'agent',
+      address: `10.0.${index >> 8}.${index & 255}:7000`,
+      failureDomain: `domain-${domain}`,
+      region: `region-${domain % this.options.regions}`,
+      state: 'live',
+    };
+    const node = this.#createNode(instance, index);
+    this.nodes.push(node);
+    this.list.set(instance);
+    return node;
+  }
+
+  /** Writes a ticket and its decision, as entry and monitor do. */
+  async decide(
+    changes: readonly Change[],
+    verdict: Decision['verdict'] = 'approved',
+  ): Promise<Head> {
+    const {head} = this;
+    const ticket: Ticket = {
+      number: head.number + 1,
+      id: `id-${head.number + 1}`,
+      previousDigest: head.digest,
+      base: head.number,
+      author: 'ada',
+      reason: 'measure the spread',
+      proposedAtMs: this.options.clock.now(),
+      changes: [...changes],
+    };
+    const record = openRecord(this.store);
+    (await record.propose(ticket, () => true))._unsafeUnwrap();
+    const {privateKeyPem} = this.monitor;
+    const options = {privateKeyPem, decidedAtMs: this.options.clock.now()};
+    const decision = decideTicket(head, ticket, verdict, options)._unsafeUnwrap();
+    (await record.decide(decision, () => true))._unsafeUnwrap();
+    const next = advance(head, {ticket, decision})._unsafeUnwrap();
+    this.heads.push(next);
+    return next;
+  }
+
+  /** Switches the key-value service off or on for all processes. */
+  setStoreDown(isDown: boolean): void {
+    for (const {store} of this.nodes) store.isDown = isDown;
+  }
+
+  [Symbol.dispose](): void {
+    for (const node of this.nodes) node[Symbol.dispose]();
+  }
+
+  #createNode(instance: Instance, index: number): FleetNode {
+    const disposables = new DisposableStore();
+    const clock = new PausableClock(this.options.clock);
+    const random = seededRandom(this.options.seed * 10_007 + index);
+    const store = new FaultyKeyValue(this.store, clock);
+    const logger = silentLogger;
+    const feed = disposables.add(
+      new ConfigurationFeed({monitorKey: this.monitor.publicKey, clock, logger}),
+    );
+    const source: InstanceSource = async () => {
+      await sleep(clock, 1);
+      return this.isListDown ? err('the list is down') : ok(this.list.visible);
+    };
+    const instances: InstanceFeed = disposables.add(
+      new InstanceFeed({
+        source,
+        clock,
+        logger,
+        intervalMs: LIST_INTERVAL_MS,
+        maxAgeMs: (): number =>
+          listAgeLimitMs(instances.list.instances, instance, LIST_INTERVAL_MS),
+      }),
+    );
+    const traffic: Traffic = {messages: 0, bytes: 0};
+    const station: Station = {locality: instance, running: () => clock.running(), traffic};
+    const spread = disposables.add(
+      new Spread({
+        self: instance,
+        feed,
+        instances,
+        record: openRecord(store),
+        peerOf: this.network.peersOf(station),
+        clock,
+        random,
+        logger,
+      }),
+    );
+    const steps: ObservedStep[] = [];
+    feed.heads.subscribe(({number, configuration}) => {
+      steps.push({number, stateDigest: configuration.digest, atMs: clock.now()});
+    });
+    this.network.connect(station, spread);
+    disposables.defer(() => {
+      this.network.disconnect(instance.name);
+    });
+    return {
+      instance,
+      clock,
+      store,
+      feed,
+      instances,
+      spread,
+      traffic,
+      steps,
+      [Symbol.dispose]() {
+        disposables[Symbol.dispose]();
+      },
+    };
+  }
+
+  #begin({spread, instances}: FleetNode): void {
+    spread.start();
+    void instances.start();
+  }
+}
+
+/** Names the first thing that must never happen and has happened; undefined when nothing has. */
+export function findViolation({nodes, heads}: Fleet): string | undefined {
+  for (const {instance, steps} of nodes) {
+    let previous = -1;
+    for (const {number, stateDigest} of steps) {
+      if (number <= previous) return `${instance.name} went from ${previous} to ${number}`;
+      if (heads[number]?.configuration.digest !== stateDigest) {
+        return `${instance.name} had a state in force as ${number} that was not approved`;
+      }
+      previous = number;
+    }
+  }
+  return undefined;
+}
+
+/** Names of the processes that do not have the newest configuration. */
+export function findBehind({nodes, head}: Fleet): readonly string[] {
+  return nodes
+    .filter(({feed}) => feed.head.configuration.digest !== head.configuration.digest)
+    .map(({instance}) => instance.name);
+}
--- /dev/null
+++ b/packages/bench/src/spread/memoryNetwork.ts
@@ -0,0 +1,152 @@
+/** Messages between processes in memory, with delays and faults, serialized as on a control connection. */
+import {
+  addSpreadMethods,
+  type Locality,
+  type PeerOf,
+  type PeerError,
+  pullMethod,
+  snapshotMethod,
+  type SpreadPeer,
+  type SpreadService,
+} from '@marigoldfold/coordination';
+import {exchangeMethod, type Instance, listMethod, type Method} from '@marigoldfold/protocol';
+import {type Clock, type Random, sleep} from '@marigoldfold/runtime';
+import {Methods} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Faults of the network, switched on and off. */
+export interface NetworkFaults {
+  /** Whether two processes can exchange messages; a message that cannot pass is lost. */
+  isReachable: (from: Locality, to: Locality) => boolean;
+  /** Part of the messages that are delivered twice. */
+  duplicated: number;
+  /** Milliseconds by which a message is late at most, so that messages overtake one another. */
+  latenessMs: number;
+  /** Alters what a process answers; its answer is passed on unchanged when absent. */
+  alterAnswer?: (from: Locality, method: string, result: unknown) => unknown;
+}
+
+/** What a process has sent and received. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+}
+
+/** A process on the network. */
+export interface Station {
+  readonly locality: Locality;
+  /** Resolves when the process runs; a paused one answers nothing. */
+  readonly running: () => Promise<void>;
+  readonly traffic: Traffic;
+}
+
+interface Connected extends Station {
+  readonly methods: Methods;
+}
+
+const TIMEOUT_MS = 2000;
+
+/** Delivers calls between stations. */
+export class MemoryNetwork {
+  readonly faults: NetworkFaults = {isReachable: () => true, duplicated: 0, latenessMs: 0};
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #delayMs: (from: Locality, to: Locality) => number;
+  readonly #stations = new Map<string, Connected>();
+  #sequence = 0;
+
+  constructor(clock: Clock, random: Random, delayMs: (from: Locality, to: Locality) => number) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#delayMs = delayMs;
+  }
+
+  /** Puts a process on the network. */
+  connect(station: Station, service: SpreadService): void {
+    const methods = addSpreadMethods(new Methods(), service);
+    this.#stations.set(station.locality.name, {...station, methods});
+  }
+
+  /** Takes a process off the network. */
+  disconnect(name: string): void {
+    this.#stations.delete(name);
+  }
+
+  /** The peers of a station. */
+  peersOf(station: Station): PeerOf {
+    return (instance) => {
+      const call = <P, R>(method: Method<P, R>, params: P) =>
+        this.#call(station, instance, method, params);
+      const peer: SpreadPeer = {
+        exchange: (summary) => call(exchangeMethod, summary),
+        pull: (after) => call(pullMethod, {after}),
+        snapshot: (request) => call(snapshotMethod, request),
+        instances: (from) => call(listMethod, {from}),
+      };
+      return peer;
+    };
+  }
+
+  async #call<P, R>(
+    from: Station,
+    to: Instance,
+    method: Method<P, R>,
+    params: P,
+  ): Promise<Result<R, PeerError>> {
+    this.#sequence += 1;
+    const request = {jsonrpc: '2.0' as const, id: this.#sequence, method: method.name, params};
+    const answer = this.#deliver(from, to, JSON.stringify(request));
+    const timeout = sleep(this.#clock, TIMEOUT_MS).then(() => undefined);
+    const text = await Promise.race([answer, timeout]);
+    await from.running();
+    if (text === undefined) return err({message: 'no answer in time'});
+    const {result} = JSON.parse(text) as {readonly result: unknown};
+    const checked = method.result.safeParse(result);
+    return checked.success ? ok(checked.data) : err({message: checked.error.message});
+  }
+
+  /** Resolves with the answer; never when a message is lost. */
+  async #deliver(from: Station, to: Instance, request: string): Promise<string | undefined> {
+    const {faults} = this;
+    count(from, request);
+    const isTwice = this.#random() < faults.duplicated;
+    await this.#travel(from.locality, to);
+    const target = this.#stations.get(to.name);
+    if (target === undefined || !faults.isReachable(from.locality, target.locality)) return lost();
+    await target.running();
+    count(target, request);
+    const answered = await target.methods.server.receiveJSON(request);
+    if (isTwice) {
+      await this.#travel(from.locality, to);
+      await target.methods.server.receiveJSON(request);
+    }
+    const answer = JSON.stringify(this.#alter(target.locality, request, answered));
+    count(target, answer);
+    await this.#travel(target.locality, from.locality);
+    if (!faults.isReachable(target.locality, from.locality)) return lost();
+    count(from, answer);
+    return answer;
+  }
+
+  #alter(from: Locality, request: string, answer: unknown): unknown {
+    const {alterAnswer} = this.faults;
+    if (alterAnswer === undefined) return answer;
+    const {method} = JSON.parse(request) as {readonly method: string};
+    const {result, ...rest} = answer as {readonly result: unknown};
+    return {...rest, result: alterAnswer(from, method, result)};
+  }
+
+  #travel(from: Locality, to: Locality): Promise<void> {
+    const late = this.faults.latenessMs * this.#random();
+    return sleep(this.#clock, this.#delayMs(from, to) + late);
+  }
+}
+
+function lost(): Promise<never> {
+  return new Promise(() => undefined);
+}
+
+function count({traffic}: Station, text: string): void {
+  traffic.messages += 1;
+  traffic.bytes += Buffer.byteLength(text);
+}
--- a/packages/cli/src/decide.ts
+++ b/packages/cli/src/decide.ts
@@ -1,14 +1,12 @@
 /** The monitor's decision: replays the record, checks the whole chain, and signs the result. */
 import {
-  configurationAfter,
+  decideTicket,
   type Decision,
   findConflict,
   genesis,
   type Head,
   replayRecord,
-  signDecision,
   type Ticket,
-  ticketDigest,
 } from '@marigoldfold/state';
 import {err, ok, type Result} from 'neverthrow';
 import type {RecordAnswer} from './operatorClient.js';
@@ -44,21 +42,11 @@
   if (ticket === undefined) return err(`there is no ticket ${request.number}`);
   const problem = findProblem(head.value, ticket, request);
   if (problem !== undefined) return err(problem);
-  const after =
-    request.verdict === 'approved'
-      ? configurationAfter(head.value, ticket)
-      : head.value.configuration;
-  return signDecision(
-    {
-      number: ticket.number,
-      verdict: request.verdict,
-      ticketDigest: ticketDigest(ticket),
-      stateDigest: after.digest,
-      note: request.note,
-      decidedAtMs: request.nowMs,
-    },
-    request.privateKeyPem,
-  );
+  return decideTicket(head.value, ticket, request.verdict, {
+    privateKeyPem: request.privateKeyPem,
+    decidedAtMs: request.nowMs,
+    note: request.note,
+  });
 }
 
 function findProblem(
--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -133,6 +133,7 @@
     process: identity('entry-1'),
     listen: `${LOOPBACK}:${options.port}`,
     operatorsListen: `${LOOPBACK}:${options.operatorsPort}`,
+    peersListen: `${LOOPBACK}:0`,
     operators: [{name: 'dev', keySha256: digestText(keys.operator)}],
     platform,
   });
@@ -145,6 +146,8 @@
   });
   if (entry.isErr()) return err(entry.error.message);
   disposables.add(entry.value);
+  const {peers} = entry.value;
+  if (peers !== undefined) instances.subject.set(entryInstance(peers.address));
   const client = disposables.add(
     createOperatorClient({address: entry.value.operators.address, operatorKey: keys.operator}),
   );
@@ -219,6 +222,10 @@
   return {...identity(`agent-${endpoint}`), role: 'agent', address, endpoint, state: 'live'};
 }
 
+function entryInstance(address: string): Instance {
+  return {...identity('entry-1'), role: 'entry', address, state: 'live'};
+}
+
 async function change(
   client: OperatorClient,
   entry: EntryProcess,
--- a/packages/coordination/src/configurationFeed.ts
+++ b/packages/coordination/src/configurationFeed.ts
@@ -1,33 +1,43 @@
-/** Follows the record of tickets and keeps the configuration that is in force at this process. */
-import {type Clock, DisposableStore, type Logger, sleep} from '@marigoldfold/runtime';
+/** The configuration that is in force at this process, and the tickets that led to it. */
+import type {ConfigurationStatus} from '@marigoldfold/protocol';
+import type {Clock, Logger} from '@marigoldfold/runtime';
 import {
   advance,
-  decidedTickets,
+  type ChainError,
   type DecidedTicket,
   genesis,
   type Head,
-  type TicketRecord,
+  openSnapshot,
+  rotatedKey,
+  type Snapshot,
 } from '@marigoldfold/state';
+import {err, ok, type Result} from 'neverthrow';
 import {BehaviorSubject, type Observable} from 'rxjs';
 
 /** What a feed needs. */
 export interface ConfigurationFeedOptions {
-  readonly record: TicketRecord;
   /** Public key that the first ticket's decision is checked against. */
   readonly monitorKey: string;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Milliseconds that one watch waits. */
-  readonly watchTimeoutMs: number;
-  /** Milliseconds between tries while the service fails. */
-  readonly retryDelayMs: number;
 }
 
-/** The configuration in force at this process. It only ever moves to the next number. */
+interface Step {
+  readonly decided: DecidedTicket;
+  readonly head: Head;
+  readonly inForceAtMs: number;
+}
+
+/** Tickets that a process keeps to pass them on. */
+const KEPT_STEPS = 512;
+
+/** The configuration in force at this process. It only ever moves forward along the chain. */
 export class ConfigurationFeed implements Disposable {
   readonly #options: ConfigurationFeedOptions;
   readonly #heads: BehaviorSubject<Head>;
-  readonly #disposables = new DisposableStore();
+  /** The last steps, oldest first. */
+  readonly #steps: Step[] = [];
+  readonly #rotations: DecidedTicket[] = [];
   #confirmedAtMs: number | undefined;
 
   constructor(options: ConfigurationFeedOptions) {
@@ -48,26 +58,17 @@
   /** Milliseconds since the head was last confirmed against the service; undefined before the first time. */
   get confirmationAgeMs(): number | undefined {
     if (this.#confirmedAtMs === undefined) return undefined;
-    return this.#options.clock.now() - this.#confirmedAtMs;
-  }
-
-  /** Begins to follow the record. */
-  start(): void {
-    const controller = new AbortController();
-    this.#disposables.defer(() => {
-      controller.abort();
-    });
-    void this.#follow(controller.signal);
+    return Math.max(0, this.#options.clock.now() - this.#confirmedAtMs);
   }
 
   /** Takes the next ticket; anything that does not follow the head is refused. */
-  accept(decided: DecidedTicket): boolean {
+  accept(decided: DecidedTicket): Result<void, ChainError> {
     const {logger} = this.#options;
     const next = advance(this.head, decided);
     if (next.isErr()) {
       const {code, message} = next.error;
-      logger.error('ticket refused', {ticket: decided.ticket.number, code, reason: message});
-      return false;
+      logger.warn('ticket refused', {ticket: decided.ticket.number, code, reason: message});
+      return err(next.error);
     }
     const {number, configuration} = next.value;
     logger.info('configuration step', {
@@ -76,42 +77,89 @@
       verdict: decided.decision.verdict,
       stateDigest: configuration.digest,
     });
-    this.#heads.next(next.value);
-    return true;
+    if (rotatedKey(decided) !== undefined) this.#rotations.push(decided);
+    this.#step(decided, next.value);
+    return ok(undefined);
   }
 
-  [Symbol.dispose](): void {
-    this.#disposables[Symbol.dispose]();
-    this.#heads.complete();
+  /** Takes tickets in order, passing over those that are in force, and stops at the first that does not follow. */
+  acceptAll(tickets: readonly DecidedTicket[]): Result<void, ChainError> {
+    for (const decided of tickets) {
+      if (decided.ticket.number <= this.head.number) continue;
+      const accepted = this.accept(decided);
+      if (accepted.isErr()) return accepted;
+    }
+    return ok(undefined);
   }
 
-  async #follow(signal: AbortSignal): Promise<void> {
-    const {record, clock, logger, watchTimeoutMs, retryDelayMs} = this.#options;
-    let isServiceDown = false;
-    while (!signal.aborted) {
-      const page = await record.read(this.head.number);
-      if (page.isErr()) {
-        if (!isServiceDown) logger.warn('record not readable', {reason: page.error.message});
-        isServiceDown = true;
-        await sleep(clock, retryDelayMs, signal);
-        continue;
-      }
-      if (isServiceDown) logger.info('record readable again');
-      isServiceDown = false;
-      if (!this.#acceptAll(decidedTickets(page.value))) {
-        await sleep(clock, retryDelayMs, signal);
-        continue;
-      }
-      this.#confirmedAtMs = clock.now();
-      const waited = await record.waitForDecision(page.value.revision, watchTimeoutMs, signal);
-      if (waited.isErr()) await sleep(clock, retryDelayMs, signal);
+  /** Moves forward to a snapshot after checking its signatures and its digest; an older one changes nothing. */
+  adopt(snapshot: Snapshot): Result<void, string> {
+    const {logger, monitorKey} = this.#options;
+    const {last, rotations} = snapshot.proof;
+    const number = last.ticket.number;
+    if (number <= this.head.number) return ok(undefined);
+    const opened = openSnapshot(snapshot, monitorKey);
+    if (opened.isErr()) {
+      logger.warn('snapshot refused', {ticket: number, reason: opened.error});
+      return err(opened.error);
     }
+    const stateDigest = opened.value.configuration.digest;
+    logger.info('configuration snapshot', {decision: 'configuration', ticket: number, stateDigest});
+    this.#rotations.splice(0, this.#rotations.length, ...rotations);
+    this.#steps.length = 0;
+    this.#step(last, opened.value);
+    return ok(undefined);
   }
 
-  #acceptAll(tickets: readonly DecidedTicket[]): boolean {
-    for (const decided of tickets) {
-      if (!this.accept(decided)) return false;
+  /** Notes that a number was the newest one in the service some time ago. */
+  confirm(number: number, ageMs: number): void {
+    if (number !== this.head.number) return;
+    const confirmedAtMs = this.#options.clock.now() - ageMs;
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? confirmedAtMs, confirmedAtMs);
+  }
+
+  /** Tickets after a number, up to a size in bytes; undefined when they are no longer kept. */
+  ticketsAfter(number: number, maxBytes: number): readonly DecidedTicket[] | undefined {
+    const first = this.#steps[0];
+    if (number >= this.head.number) return [];
+    if (first === undefined || first.head.number > number + 1) return undefined;
+    const tickets: DecidedTicket[] = [];
+    let bytes = 0;
+    for (const {decided, head} of this.#steps) {
+      if (head.number <= number) continue;
+      bytes += JSON.stringify(decided).length;
+      if (tickets.length > 0 && bytes > maxBytes) break;
+      tickets.push(decided);
     }
-    return true;
+    return tickets;
+  }
+
+  /** A recent head with its proof; the newest when no number is given, undefined when it is not kept. */
+  provenHead(number = this.head.number) {
+    const step = this.#steps.find(({head}) => head.number === number);
+    if (step === undefined) return undefined;
+    const rotations = this.#rotations.filter(({ticket}) => ticket.number <= number);
+    return {head: step.head, proof: {last: step.decided, rotations}};
+  }
+
+  /** What is in force here, and since when a ticket is. */
+  status(ticket: number): ConfigurationStatus {
+    const step = this.#steps.find(({head}) => head.number === ticket);
+    return {
+      number: this.head.number,
+      stateDigest: this.head.configuration.digest,
+      ageMs: this.confirmationAgeMs ?? null,
+      inForceAtMs: step?.inForceAtMs ?? null,
+    };
+  }
+
+  [Symbol.dispose](): void {
+    this.#heads.complete();
+  }
+
+  #step(decided: DecidedTicket, head: Head): void {
+    this.#steps.push({decided, head, inForceAtMs: this.#options.clock.now()});
+    if (this.#steps.length > KEPT_STEPS) this.#steps.shift();
+    this.#heads.next(head);
   }
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,13 +8,33 @@
   type EndpointChoiceOptions,
 } from './endpointChoice.js';
 export {hash64} from './hash.js';
+export {InstanceFeed, type InstanceFeedOptions} from './instanceFeed.js';
+export {applyDelta, compareLists, digestInstances} from './instanceList.js';
+export {type InstanceSource, createInstanceSource, parseTargetGroups} from './instanceSource.js';
 export {
-  InstanceFeed,
-  type InstanceFeedOptions,
-  type InstanceSource,
-  createInstanceSource,
-  parseTargetGroups,
-} from './instanceFeed.js';
+  type PeerError,
+  type PeerOf,
+  type PulledTickets,
+  type SnapshotPage,
+  type SnapshotRequest,
+  type SpreadPeer,
+  type SpreadService,
+  addSpreadMethods,
+  createSpreadPeer,
+  pullMethod,
+  pulledTicketsSchema,
+  snapshotMethod,
+  snapshotPageSchema,
+} from './spread/peer.js';
+export {
+  type Locality,
+  type Neighbourhood,
+  ageLimitMs,
+  findNeighbourhood,
+  isWatcher,
+} from './spread/neighbourhood.js';
+export {Spread, type SpreadOptions} from './spread/spread.js';
+export {SpreadPeers} from './spread/spreadPeers.js';
 export {rankMembers} from './rendezvous.js';
 export {
   type Secrets,
@@ -28,3 +48,9 @@
 } from './processSettings.js';
 export {RetryBudget} from './retryBudget.js';
 export {type LoadedSettings, drainOnSignal, loadProcessSettings} from './processCommand.js';
+export {
+  type Membership,
+  type MembershipOptions,
+  createMembership,
+  listAgeLimitMs,
+} from './spread/membership.js';
--- a/packages/coordination/src/instanceFeed.ts
+++ b/packages/coordination/src/instanceFeed.ts
@@ -1,61 +1,9 @@
-/** Follows the platform's list of live and leaving instances. */
+/** The newest list of instances that this process knows, from the platform or from its peers. */
+import type {Instance, InstanceList, ListDelta} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger, repeat} from '@marigoldfold/runtime';
-import {type Instance, type InstanceList, instanceSchema} from '@marigoldfold/protocol';
-import type {HttpClient} from '@marigoldfold/transport';
-import {err, ok, type Result} from 'neverthrow';
 import {BehaviorSubject, type Observable} from 'rxjs';
-import {z} from 'zod';
-
-/** Reads the platform's list. */
-export type InstanceSource = () => Promise<Result<readonly Instance[], string>>;
-
-// The list comes in the format of Prometheus' HTTP service discovery: groups of targets with labels.
-const targetGroupsSchema = z.array(
-  z.object({targets: z.array(z.string()), labels: z.record(z.string(), z.string())}),
-);
-
-const FETCH_TIMEOUT_MS = 5000;
-const HTTP_OK = 200;
-
-/** Reads the list over HTTP. */
-export function createInstanceSource(client: HttpClient, address: string): InstanceSource {
-  return async () => {
-    const request = {address, method: 'GET', path: '/instances', timeoutMs: FETCH_TIMEOUT_MS};
-    const answer = await client.fetch(request);
-    if (answer.isErr()) return err(answer.error.message);
-    if (answer.value.status !== HTTP_OK) return err(`status ${answer.value.status}`);
-    return parseTargetGroups(answer.value.body.toString());
-  };
-}
-
-/** Reads instances from target groups; a group that lacks a label makes the whole list unreadable. */
-export function parseTargetGroups(text: string): Result<readonly Instance[], string> {
-  let document: unknown;
-  try {
-    document = JSON.parse(text);
-  } catch {
-    return err('not JSON');
-  }
-  const groups = targetGroupsSchema.safeParse(document);
-  if (!groups.success) return err(groups.error.message);
-  const instances: Instance[] = [];
-  for (const {targets, labels} of groups.data) {
-    for (const address of targets) {
-      const instance = instanceSchema.safeParse({
-        name: labels.instance,
-        role: labels.role,
-        address,
-        failureDomain: labels.failure_domain,
-        region: labels.region,
-        endpoint: labels.endpoint,
-        state: labels.state,
-      });
-      if (!instance.success) return err(instance.error.message);
-      instances.push(instance.data);
-    }
-  }
-  return ok(instances);
-}
+import {applyDelta, compareLists, digestInstances} from './instanceList.js';
+import type {InstanceSource} from './instanceSource.js';
 
 /** What a feed of instances needs. */
 export interface InstanceFeedOptions {
@@ -64,13 +12,28 @@
   readonly logger: Logger;
   /** Milliseconds between reads. */
   readonly intervalMs: number;
+  /** Age in milliseconds from which this process reads the list itself; always when absent. */
+  readonly maxAgeMs?: () => number;
+}
+
+interface HeldList {
+  readonly instances: readonly Instance[];
+  readonly digest: string;
 }
 
+/** Earlier lists that differences are given from. */
+const KEPT_LISTS = 16;
+const emptyList: HeldList = {instances: [], digest: digestInstances([])};
+
 /** The newest list; an unreadable answer leaves the last one in place. */
 export class InstanceFeed implements Disposable {
   readonly #options: InstanceFeedOptions;
   readonly #lists = new BehaviorSubject<InstanceList>({version: 0, instances: []});
   readonly #disposables = new DisposableStore();
+  /** Lists held lately, the newest last. */
+  readonly #held: HeldList[] = [emptyList];
+  #readAtMs: number | undefined;
+  #triedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: InstanceFeedOptions) {
     this.#options = options;
@@ -86,7 +49,18 @@
     return this.#lists;
   }
 
-  /** Reads the list now and from then on. */
+  /** Digest of the newest list. */
+  get digest(): string {
+    return this.#newest.digest;
+  }
+
+  /** Milliseconds since the list was read from the platform by whoever read it. */
+  get ageMs(): number | undefined {
+    if (this.#readAtMs === undefined) return undefined;
+    return Math.max(0, this.#options.clock.now() - this.#readAtMs);
+  }
+
+  /** Reads the list now, and from then on whenever it is due here. */
   async start(): Promise<void> {
     const {clock, intervalMs} = this.#options;
     await this.refresh();
@@ -94,25 +68,77 @@
       repeat(
         clock,
         () => intervalMs,
-        () => this.refresh(),
+        () => (this.#isDue() ? this.refresh() : undefined),
       ),
     );
   }
 
   /** Reads the list once. */
   async refresh(): Promise<void> {
-    const answer = await this.#options.source();
+    const {clock, source, logger} = this.#options;
+    const startedAtMs = clock.now();
+    this.#triedAtMs = startedAtMs;
+    const answer = await source();
     if (answer.isErr()) {
-      this.#options.logger.warn('instance list not readable', {reason: answer.error});
+      logger.warn('instance list not readable', {reason: answer.error});
       return;
     }
-    if (this.#disposables.isDisposed) return;
-    if (JSON.stringify(answer.value) === JSON.stringify(this.list.instances)) return;
-    this.#lists.next({version: this.list.version + 1, instances: answer.value});
+    this.#hold(answer.value, startedAtMs);
+  }
+
+  /** The newest list as a difference from an earlier one, or whole when that one is not known. */
+  deltaFrom(digest: string): ListDelta {
+    const {instances, digest: newest} = this.#newest;
+    const ageMs = this.ageMs ?? null;
+    const earlier = this.#held.find((list) => list.digest === digest);
+    if (earlier === undefined) {
+      return {from: null, digest: newest, ageMs, removed: [], changed: [...instances]};
+    }
+    return {from: digest, digest: newest, ageMs, ...compareLists(earlier.instances, instances)};
+  }
+
+  /** Takes a list from a peer if it was read later than the one here; false when it does not fit. */
+  applyDelta({from, digest, ageMs, removed, changed}: ListDelta): boolean {
+    if (ageMs === null || ageMs >= (this.ageMs ?? Number.POSITIVE_INFINITY)) return true;
+    const base = from === null ? emptyList : this.#held.find((list) => list.digest === from);
+    if (base === undefined) return false;
+    const instances = applyDelta(base.instances, {removed, changed});
+    if (digestInstances(instances) !== digest) return false;
+    this.#hold(instances, this.#options.clock.now() - ageMs);
+    return true;
+  }
+
+  /** Notes that a peer read the same list some time ago. */
+  confirm(digest: string, ageMs: number): void {
+    if (digest !== this.digest) return;
+    const readAtMs = this.#options.clock.now() - ageMs;
+    this.#readAtMs = Math.max(this.#readAtMs ?? readAtMs, readAtMs);
   }
 
   [Symbol.dispose](): void {
     this.#disposables[Symbol.dispose]();
     this.#lists.complete();
   }
+
+  get #newest(): HeldList {
+    return this.#held.at(-1) ?? emptyList;
+  }
+
+  #isDue(): boolean {
+    const {clock, maxAgeMs = () => 0} = this.#options;
+    const limitMs = maxAgeMs();
+    const sinceTryMs = clock.now() - this.#triedAtMs;
+    return (this.ageMs ?? Number.POSITIVE_INFINITY) >= limitMs && sinceTryMs >= limitMs;
+  }
+
+  #hold(instances: readonly Instance[], readAtMs: number): void {
+    if (this.#disposables.isDisposed) return;
+    if (this.#readAtMs !== undefined && readAtMs < this.#readAtMs) return;
+    this.#readAtMs = readAtMs;
+    const digest = digestInstances(instances);
+    if (digest === this.digest) return;
+    this.#held.push({instances, digest});
+    if (this.#held.length > KEPT_LISTS) this.#held.shift();
+    this.#lists.next({version: this.list.version + 1, instances});
+  }
 }
--- /dev/null
+++ b/packages/coordination/src/instanceList.ts
@@ -0,0 +1,46 @@
+/** Lists of instances with their digests, and the differences between them. */
+import type {Instance, ListDelta} from '@marigoldfold/protocol';
+import {hash64} from './hash.js';
+
+const HEX = 16;
+
+/** Digest of a list; the order of the instances does not count. */
+export function digestInstances(instances: readonly Instance[]): string {
+  const lines = instances.map((instance) => JSON.stringify(sorted(instance)));
+  return hash64(lines.sort().join('\n')).toString(HEX);
+}
+
+function sorted(instance: Instance): readonly (readonly [string, unknown])[] {
+  return Object.entries(instance).sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+/** What turns one list into another. */
+export function compareLists(
+  from: readonly Instance[],
+  to: readonly Instance[],
+): Pick<ListDelta, 'removed' | 'changed'> {
+  const earlier = new Map(from.map((instance) => [instance.name, instance]));
+  const changed: Instance[] = [];
+  for (const instance of to) {
+    const before = earlier.get(instance.name);
+    earlier.delete(instance.name);
+    if (before !== undefined && isSame(before, instance)) continue;
+    changed.push(instance);
+  }
+  return {removed: [...earlier.keys()], changed};
+}
+
+function isSame(a: Instance, b: Instance): boolean {
+  return JSON.stringify(sorted(a)) === JSON.stringify(sorted(b));
+}
+
+/** The list that a difference leads to. */
+export function applyDelta(
+  from: readonly Instance[],
+  {removed, changed}: Pick<ListDelta, 'removed' | 'changed'>,
+): readonly Instance[] {
+  const list = new Map(from.map((instance) => [instance.name, instance]));
+  for (const name of removed) list.delete(name);
+  for (const instance of changed) list.set(instance.name, instance);
+  return [...list.values()];
+}
--- /dev/null
+++ b/packages/coordination/src/spread/catchUp.ts
@@ -0,0 +1,58 @@
+/** Brings a process up to a peer: by the tickets that it lacks, or by a snapshot. */
+import type {ShardContent, SnapshotProof} from '@marigoldfold/state';
+import {shardCount} from '@marigoldfold/state';
+import {err, ok, type Result} from 'neverthrow';
+import type {ConfigurationFeed} from '../configurationFeed.js';
+import type {SpreadPeer} from './peer.js';
+
+/** Why a process is not level with a peer. */
+export interface CatchUpError {
+  /** A peer that is `unreachable` may be asked again; one that is `untrustworthy` sent what does not follow. */
+  readonly code: 'unreachable' | 'untrustworthy';
+  readonly message: string;
+}
+
+/** Steps through the peer's tickets until a number is in force here. */
+export async function catchUp(
+  feed: ConfigurationFeed,
+  peer: SpreadPeer,
+  number: number,
+): Promise<Result<void, CatchUpError>> {
+  while (feed.head.number < number) {
+    const before = feed.head.number;
+    const pulled = await peer.pull(before);
+    if (pulled.isErr()) return err({code: 'unreachable', message: pulled.error.message});
+    if (!pulled.value.areKept) {
+      const adopted = await adoptSnapshot(feed, peer);
+      if (adopted.isErr()) return adopted;
+    } else {
+      const accepted = feed.acceptAll(pulled.value.tickets);
+      if (accepted.isErr()) return err({code: 'untrustworthy', message: accepted.error.message});
+    }
+    if (feed.head.number === before) {
+      return err({code: 'untrustworthy', message: `it has no ticket ${before + 1} after all`});
+    }
+  }
+  return ok(undefined);
+}
+
+async function adoptSnapshot(
+  feed: ConfigurationFeed,
+  peer: SpreadPeer,
+): Promise<Result<void, CatchUpError>> {
+  const shards: ShardContent[] = [];
+  let proof: SnapshotProof | undefined;
+  while (shards.length < shardCount) {
+    const number = proof?.last.ticket.number ?? null;
+    const page = await peer.snapshot({number, firstShard: shards.length});
+    if (page.isErr()) return err({code: 'unreachable', message: page.error.message});
+    if (page.value.proof === null || page.value.shards.length === 0) {
+      return err({code: 'unreachable', message: 'it no longer keeps the snapshot'});
+    }
+    proof ??= page.value.proof;
+    shards.push(...page.value.shards);
+  }
+  if (proof === undefined) return err({code: 'unreachable', message: 'it has no snapshot'});
+  const adopted = feed.adopt({proof, shards});
+  return adopted.mapErr((message) => ({code: 'untrustworthy', message}));
+}
--- a/packages/entry/src/__tests__/ticketDesk.test.ts
+++ b/packages/entry/src/__tests__/ticketDesk.test.ts
@@ -2,7 +2,7 @@
 import {FaultyKeyValue, MemoryKeyValue, type WriteFault} from '@marigoldfold/standin';
 import {
   advance,
-  configurationAfter,
+  decideTicket,
   type Decision,
   decisionKey,
   type Draft,
@@ -11,9 +11,7 @@
   type Head,
   openRecord,
   replayRecord,
-  signDecision,
   type Ticket,
-  ticketDigest,
   ticketKey,
 } from '@marigoldfold/state';
 import {describe, expect, it} from 'vitest';
@@ -79,18 +77,8 @@
 }
 
 function sign(head: Head, ticket: Ticket, verdict: Decision['verdict'] = 'approved', at = 0) {
-  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
-  return signDecision(
-    {
-      number: ticket.number,
-      verdict,
-      ticketDigest: ticketDigest(ticket),
-      stateDigest: after.digest,
-      note: '',
-      decidedAtMs: at,
-    },
-    monitor.privateKeyPem,
-  )._unsafeUnwrap();
+  const {privateKeyPem} = monitor;
+  return decideTicket(head, ticket, verdict, {privateKeyPem, decidedAtMs: at})._unsafeUnwrap();
 }
 
 type Entry = ReturnType<typeof createEntry>;
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,16 +1,16 @@
 /** One entry: everything that it owns, wired together. */
 import {
   AccountLimits,
-  ConfigurationFeed,
-  createInstanceSource,
+  type ConfigurationFeed,
+  createMembership,
   EndpointChoice,
-  InstanceFeed,
+  type InstanceFeed,
   RetryBudget,
   type Secrets,
 } from '@marigoldfold/coordination';
 import {createIncarnation, type Instance, requestIds} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
-import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
   createClusterKey,
   createHttpClient,
@@ -25,6 +25,8 @@
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
+import {noticeLoads} from './noticeLoads.js';
+import {listenForPeers} from './peersServer.js';
 import {createOperatorsApi} from './operatorsApi.js';
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
@@ -44,15 +46,14 @@
 export interface EntryProcess extends Disposable {
   readonly callers: HttpServer;
   readonly operators: HttpServer;
+  /** Where peers connect; absent when the settings name no address for them. */
+  readonly peers: HttpServer | undefined;
   readonly feed: ConfigurationFeed;
   readonly instances: InstanceFeed;
   /** Reports itself as leaving, lets all requests end and stops. */
   drain(): Promise<void>;
 }
 
-const WATCH_TIMEOUT_MS = 30_000;
-const RETRY_DELAY_MS = 500;
-
 /** Starts an entry. */
 export async function startEntry(
   options: EntryProcessOptions,
@@ -60,11 +61,15 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {feed, instances, links, choice} = parts;
+  const {membership, links, choice} = parts;
+  const {feed, instances, record, spread, peers} = membership;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
   const registry = createRegistry(feed);
-  const linkTo = (instance: Instance) => links.get(instance);
+  const linkTo = (instance: Instance) =>
+    noticeLoads(links.get(instance), ({configuration}) => {
+      spread.notice(instance.name, configuration);
+    });
   const incarnation = createIncarnation(clock.now());
   const onDefect = (error: unknown) => {
     logger.error('defect', {
@@ -100,8 +105,9 @@
     handle: createOperatorsApi({
       operators: settings.operators,
       limits: settings.limits,
-      desk: openTicketDesk({record: parts.record, head: () => feed.head, clock}),
-      status: () => gatherStatus({instance: settings.process.name, feed, instances, linkTo}),
+      desk: openTicketDesk({record, head: () => feed.head, clock}),
+      status: (ticket) =>
+        gatherStatus({instance: settings.process.name, feed, instances, linkTo, peers, ticket}),
       isReady,
       registry,
     }),
@@ -120,8 +126,19 @@
   disposables.defer(() => {
     updates.unsubscribe();
   });
-  feed.start();
-  await instances.start();
+  const peersServer = await listenForPeers({
+    address: settings.peersListen,
+    limits: settings.limits,
+    clusterKey: parts.clusterKey,
+    offer: (methods) => membership.offer(methods),
+    onDefect,
+  });
+  if (peersServer.isErr()) {
+    disposables[Symbol.dispose]();
+    return err(peersServer.error);
+  }
+  if (peersServer.value !== undefined) disposables.add(peersServer.value);
+  await membership.start();
   logger.info('ready', {
     callers: callers.value.address,
     operators: operators.value.address,
@@ -129,6 +146,7 @@
   return ok({
     callers: callers.value,
     operators: operators.value,
+    peers: peersServer.value,
     feed,
     instances,
     async drain() {
@@ -154,28 +172,23 @@
     address: platform.keyValue,
     timeoutMs: platform.keyValueTimeoutMs,
   });
-  const record = openRecord(store);
-  const feed = disposables.add(
-    new ConfigurationFeed({
-      record,
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const membership = disposables.add(
+    createMembership({
+      self: process,
+      store,
+      client,
+      clusterKey,
       monitorKey: secrets.monitorKey,
+      platform,
       clock,
+      random,
       logger,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
-      retryDelayMs: RETRY_DELAY_MS,
-    }),
-  );
-  const instances = disposables.add(
-    new InstanceFeed({
-      source: createInstanceSource(client, platform.instances),
-      clock,
-      logger,
-      intervalMs: platform.instancesIntervalMs,
     }),
   );
-  const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
+  const links = disposables.add(new AgentLinks(client, clusterKey));
   const choice = new EndpointChoice({clock, random, self: process.name});
-  return {record, feed, instances, links, choice};
+  return {membership, clusterKey, links, choice};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/entry/src/operatorMessages.ts
+++ b/packages/entry/src/operatorMessages.ts
@@ -49,6 +49,14 @@
   state: z.enum(['live', 'leaving', 'unreachable']),
   /** Number of the ticket in force there. */
   number: z.number().optional(),
+  /** Digest of the whole configuration there. */
+  stateDigest: z.string().optional(),
+  /** Milliseconds since the number was confirmed against the key-value service. */
+  confirmationAgeMs: z.number().optional(),
+  /** When the ticket that was asked for came into force there, in milliseconds since 1970. */
+  inForceAtMs: z.number().optional(),
+  /** Whether the instance is level with the newest configuration that any instance has. */
+  staleness: z.enum(['current', 'behind', 'differs', 'unconfirmed', 'unknown']),
   running: z.number().optional(),
   queued: z.number().optional(),
 });
@@ -56,6 +64,9 @@
 /** One instance's line of a status. */
 export type InstanceStatus = Readonly<z.infer<typeof instanceStatusSchema>>;
 
+/** Whether an instance is level with the newest configuration. */
+export type Staleness = InstanceStatus['staleness'];
+
 /** Checks a status. */
 export const statusSchema = z.object({
   instance: z.string(),
@@ -63,6 +74,8 @@
   stateDigest: z.string(),
   /** Milliseconds since the number was confirmed against the key-value service. */
   confirmationAgeMs: z.number().optional(),
+  /** When the ticket that was asked for came into force at this entry. */
+  inForceAtMs: z.number().optional(),
   instances: z.array(instanceStatusSchema),
 });
 
--- a/packages/entry/src/operatorsApi.ts
+++ b/packages/entry/src/operatorsApi.ts
@@ -16,7 +16,8 @@
   readonly operators: EntrySettings['operators'];
   readonly limits: ServerLimits;
   readonly desk: TicketDesk;
-  readonly status: () => Promise<Status>;
+  /** What is in force where, and since when a ticket is. */
+  readonly status: (ticket: number | undefined) => Promise<Status>;
   readonly isReady: () => boolean;
   readonly registry: Registry;
 }
@@ -89,9 +90,9 @@
 ): Promise<Result<unknown, OperatorError>> {
   switch (`${request.method ?? ''} ${url.pathname}`) {
     case 'GET /status':
-      return ok(await status());
+      return ok(await status(readNumber(url, 'ticket')));
     case 'GET /tickets':
-      return desk.read(Number(url.searchParams.get('after') ?? 0));
+      return desk.read(readNumber(url, 'after') ?? 0);
     case 'POST /tickets': {
       const proposal = await readDocument(proposalSchema, request, limits);
       if (proposal.isErr()) return err(proposal.error);
@@ -112,6 +113,11 @@
   }
 }
 
+function readNumber(url: URL, name: string): number | undefined {
+  const number = Number(url.searchParams.get(name) ?? Number.NaN);
+  return Number.isSafeInteger(number) ? number : undefined;
+}
+
 async function readDocument<T>(
   schema: z.ZodType<T>,
   request: IncomingMessage,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -16,6 +16,8 @@
   listen: addressSchema,
   /** Where operators and the metrics collector connect. */
   operatorsListen: addressSchema,
+  /** Where other processes of the system connect; this address stands in the platform's list. */
+  peersListen: addressSchema.optional(),
   /** People who may propose tickets, each with the SHA-256 digest of a bearer key. */
   operators: z
     .array(
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,55 +1,103 @@
 /** Gathers the status of the instances that an entry knows. */
-import type {ConfigurationFeed, InstanceFeed} from '@marigoldfold/coordination';
-import type {Instance} from '@marigoldfold/protocol';
+import type {ConfigurationFeed, InstanceFeed, SpreadPeers} from '@marigoldfold/coordination';
+import {
+  type ConfigurationStatus,
+  configurationStatusMethod,
+  type Instance,
+} from '@marigoldfold/protocol';
 import type {AgentLink} from './agentLink.js';
-import type {InstanceStatus, Status} from './operatorMessages.js';
+import type {InstanceStatus, Staleness, Status} from './operatorMessages.js';
 
 /** What a status needs. */
 export interface StatusOptions {
   readonly instance: string;
   readonly feed: ConfigurationFeed;
   readonly instances: InstanceFeed;
+  readonly peers: Pick<SpreadPeers, 'connection'>;
   readonly linkTo: (instance: Instance) => AgentLink;
+  /** Ticket whose time of coming into force is asked for; the newest when absent. */
+  readonly ticket: number | undefined;
 }
 
-/** Asks every listed agent and describes what is in force where. */
+/** Age of a confirmation in milliseconds above which an instance may be behind the record. */
+const MAX_CONFIRMATION_AGE_MS = 4000;
+
+/** Asks every listed instance what is in force there, and names those that differ from the newest. */
 export async function gatherStatus(options: StatusOptions): Promise<Status> {
-  const {instance, feed, instances, linkTo} = options;
+  const {instance, feed, instances} = options;
+  const ticket = options.ticket ?? feed.head.number;
+  const own = feed.status(ticket);
   const lines = await Promise.all(
-    instances.list.instances.map((listed) => describe(listed, options, linkTo)),
+    instances.list.instances.map((listed) => describe(listed, ticket, options)),
   );
-  const {number, configuration} = feed.head;
-  const age = feed.confirmationAgeMs;
+  const newest = findNewest([own, ...lines]);
   return {
     instance,
-    number,
-    stateDigest: configuration.digest,
-    ...(age === undefined ? {} : {confirmationAgeMs: age}),
-    instances: lines,
+    ...describeConfiguration(own),
+    instances: lines.map((line) => ({...line, staleness: judge(line, newest)})),
   };
 }
 
+/** An instance's line before it is compared with the others. */
+type InstanceLine = Omit<InstanceStatus, 'staleness'>;
+
+interface InForce {
+  readonly number?: number | undefined;
+  readonly stateDigest?: string | undefined;
+}
+
+function findNewest(known: readonly InForce[]): InForce {
+  let newest: InForce = {};
+  for (const each of known) {
+    if ((each.number ?? -1) > (newest.number ?? -1)) newest = each;
+  }
+  return newest;
+}
+
+/** Digests are compared at equal numbers; a difference there is a defect, not a delay. */
+function judge(line: InstanceLine, newest: InForce): Staleness {
+  if (line.number === undefined) return 'unknown';
+  if (line.number !== newest.number) return 'behind';
+  if (line.stateDigest !== newest.stateDigest) return 'differs';
+  if ((line.confirmationAgeMs ?? Number.POSITIVE_INFINITY) > MAX_CONFIRMATION_AGE_MS) {
+    return 'unconfirmed';
+  }
+  return 'current';
+}
+
 async function describe(
   listed: Instance,
-  {instance, feed}: StatusOptions,
-  linkTo: (instance: Instance) => AgentLink,
-): Promise<InstanceStatus> {
+  ticket: number,
+  {instance, feed, linkTo, peers}: StatusOptions,
+): Promise<InstanceLine> {
   const {name, role, endpoint, failureDomain, state} = listed;
   const line = {name, role, failureDomain, state, ...(endpoint === undefined ? {} : {endpoint})};
-  if (name === instance) return {...line, number: feed.head.number};
-  if (role === 'entry') return line;
-  const load = await linkTo(listed).probe();
-  if (load.isErr()) return {...line, state: 'unreachable'};
-  const {configuration, running, queued, isLeaving} = load.value;
+  if (name === instance) return {...line, ...describeConfiguration(feed.status(ticket))};
+  const [inForce, load] = await Promise.all([
+    peers.connection(listed).call(configurationStatusMethod, {ticket}),
+    role === 'agent' ? linkTo(listed).probe() : undefined,
+  ]);
+  if (inForce.isErr()) return {...line, state: 'unreachable'};
+  const configured = {...line, ...describeConfiguration(inForce.value)};
+  if (load === undefined || load.isErr()) return configured;
+  const {running, queued, isLeaving} = load.value;
   return {
-    ...line,
+    ...configured,
     state: isLeaving ? 'leaving' : state,
-    number: configuration,
     running: sum(running),
     queued: sum(queued),
   };
 }
 
+function describeConfiguration({number, stateDigest, ageMs, inForceAtMs}: ConfigurationStatus) {
+  return {
+    number,
+    stateDigest,
+    ...(ageMs === null ? {} : {confirmationAgeMs: ageMs}),
+    ...(inForceAtMs === null ? {} : {inForceAtMs}),
+  };
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -39,3 +39,14 @@
   workEventSchema,
   workSchema,
 } from './work.js';
+export {
+  type ConfigurationStatus,
+  type ListDelta,
+  type Summary,
+  configurationStatusMethod,
+  configurationStatusSchema,
+  exchangeMethod,
+  listDeltaSchema,
+  listMethod,
+  summarySchema,
+} from './spread.js';
--- a/packages/state/src/__tests__/chain.test.ts
+++ b/packages/state/src/__tests__/chain.test.ts
@@ -4,7 +4,7 @@
   advance,
   type Change,
   Configuration,
-  configurationAfter,
+  decideTicket,
   type Decision,
   digestValue,
   findConflict,
@@ -40,18 +40,8 @@
   verdict: Decision['verdict'] = 'approved',
   key: MonitorKey = monitor,
 ): Decision {
-  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
-  return signDecision(
-    {
-      number: ticket.number,
-      verdict,
-      ticketDigest: ticketDigest(ticket),
-      stateDigest: after.digest,
-      note: '',
-      decidedAtMs: 0,
-    },
-    key.privateKeyPem,
-  )._unsafeUnwrap();
+  const {privateKeyPem} = key;
+  return decideTicket(head, ticket, verdict, {privateKeyPem, decidedAtMs: 0})._unsafeUnwrap();
 }
 
 function step(head: Head, changes: readonly Change[], key = monitor): Head {
--- /dev/null
+++ b/packages/state/src/decide.ts
@@ -0,0 +1,34 @@
+/** Builds and signs a decision on a ticket. */
+import type {Result} from 'neverthrow';
+import {signDecision} from './approval.js';
+import {configurationAfter, type Head} from './chain.js';
+import {type Decision, type Ticket, ticketDigest} from './ticket.js';
+
+/** How a decision is signed. */
+export interface DecisionOptions {
+  readonly privateKeyPem: string;
+  /** Wall time in milliseconds since 1970. */
+  readonly decidedAtMs: number;
+  readonly note?: string;
+}
+
+/** Signs a verdict on the ticket that follows a head. */
+export function decideTicket(
+  head: Head,
+  ticket: Ticket,
+  verdict: Decision['verdict'],
+  {privateKeyPem, decidedAtMs, note = ''}: DecisionOptions,
+): Result<Decision, string> {
+  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
+  return signDecision(
+    {
+      number: ticket.number,
+      verdict,
+      ticketDigest: ticketDigest(ticket),
+      stateDigest: after.digest,
+      note,
+      decidedAtMs,
+    },
+    privateKeyPem,
+  );
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -90,3 +90,12 @@
   ticketDigest,
   ticketSchema,
 } from './ticket.js';
+export {type DecisionOptions, decideTicket} from './decide.js';
+export {
+  type Snapshot,
+  type SnapshotProof,
+  openSnapshot,
+  rotatedKey,
+  shardContentSchema,
+  snapshotProofSchema,
+} from './snapshot.js';
