--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -18,7 +18,7 @@
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge, Registry} from 'prom-client';
-import {createCallRunner} from './callRunner.js';
+import {CallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
 import {createHttpService} from './plainService.js';
 import {startAgentServer} from './server.js';
@@ -46,6 +46,8 @@
   drain(): Promise<void>;
 }
 
+const MS_PER_HOUR = 3_600_000;
+
 /** Starts an agent. */
 export async function startAgent(
   options: AgentProcessOptions,
@@ -83,11 +85,12 @@
       ...(endpoint.type === 'engine'
         ? {engine: createHttpEngine(client, endpoint.address)}
         : {
-            calls: createCallRunner({
+            calls: new CallRunner({
               service: createHttpService(client, endpoint.address),
               store,
               clock,
               logger,
+              claimRetentionMs: settings.claims.retentionHours * MS_PER_HOUR,
             }),
           }),
       configurationNumber: () => feed.head.number,
@@ -102,6 +105,7 @@
     clusterKey,
     offer: (methods) => membership.offer(methods),
     worker,
+    clock,
     registry: createRegistry(worker, feed),
     isReady: () => feed.head.number > 0,
     logger,
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of `marigoldfold` by name. */
+import {ClaimList, ClaimSettle, ClaimShow} from './claim.js';
 import {Dev} from './dev.js';
 import {KeyGenerate} from './keyGenerate.js';
 import {SettingsCheck} from './settingsCheck.js';
@@ -10,6 +11,9 @@
 
 /** Commands by id. */
 export const commands = {
+  'claim:list': ClaimList,
+  'claim:settle': ClaimSettle,
+  'claim:show': ClaimShow,
   dev: Dev,
   'key:generate': KeyGenerate,
   'settings:check': SettingsCheck,
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -31,6 +31,7 @@
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
 import {gatherStatus} from './status.js';
+import {openClaimDesk} from './claimDesk.js';
 import {openTicketDesk} from './ticketDesk.js';
 
 /** What an entry needs. */
@@ -108,6 +109,7 @@
       desk: openTicketDesk({record, head: () => feed.head, clock}),
       status: (ticket) =>
         gatherStatus({instance: settings.process.name, feed, instances, linkTo, peers, ticket}),
+      claims: openClaimDesk({store: parts.store, clock}),
       isReady,
       registry,
     }),
@@ -188,7 +190,7 @@
   );
   const links = disposables.add(new AgentLinks(client, clusterKey));
   const choice = new EndpointChoice({clock, random, self: process.name});
-  return {membership, clusterKey, links, choice};
+  return {store, membership, clusterKey, links, choice};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -8,7 +8,7 @@
 } from '@marigoldfold/transport';
 import type {Result} from 'neverthrow';
 import {serveEngine} from './engineServer.js';
-import {FaultyKeyValue} from './faultyKeyValue.js';
+import {SwitchedKeyValue} from './switchedKeyValue.js';
 import {LaggingInstanceList, serveInstanceList} from './instanceListServer.js';
 import {serveKeyValue} from './keyValueServer.js';
 import {Ledger, serveLedger} from './ledgerService.js';
@@ -47,7 +47,7 @@
 
 /** The key-value service on loopback, with the faults that all its clients meet. */
 export interface KeyValueStandIn extends StandIn<MemoryKeyValue> {
-  readonly faults: FaultyKeyValue;
+  readonly faults: SwitchedKeyValue;
 }
 
 /** Starts the key-value service. */
@@ -56,7 +56,7 @@
   port = 0,
 ): Promise<Result<KeyValueStandIn, ListenError>> {
   const store = new MemoryKeyValue(clock);
-  const faults = new FaultyKeyValue(store, clock);
+  const faults = new SwitchedKeyValue(store, clock);
   const server = await serve(store, serveKeyValue(faults), port);
   return server.map((standIn) => ({...standIn, faults}));
 }
--- /dev/null
+++ b/packages/standin/src/switchedKeyValue.ts
@@ -0,0 +1,106 @@
+/** The key-value service as one client sees it, with faults switched on and off. */
+import type {Clock} from '@marigoldfold/runtime';
+import type {
+  KeyValue,
+  KeyValueEntry,
+  Listing,
+  ListOptions,
+  StoreError,
+  WatchOptions,
+  WriteOptions,
+  WriteOutcome,
+} from '@marigoldfold/state';
+import {err, type Result} from 'neverthrow';
+import {faultyKeyValue, type StoreCall, type StoreFault} from './faultyKeyValue.js';
+
+/** Passes calls on to a service, unless a fault stands in the way. */
+export class SwitchedKeyValue implements KeyValue {
+  readonly #calls: KeyValue;
+  readonly #running: () => Promise<void>;
+  readonly #writeFaults: StoreFault[] = [];
+  #isDown = false;
+  #cut = new AbortController();
+  /** Milliseconds that each answer takes. */
+  delayMs = 0;
+  /** Number of calls tried so far, answered or not; a waiting watch is one. */
+  callCount = 0;
+
+  /** Answers reach the client when `running` resolves, at once when it is absent. */
+  constructor(store: KeyValue, clock: Clock, running = () => Promise.resolve()) {
+    this.#running = running;
+    this.#calls = faultyKeyValue({clock, store, chooseFault: (call) => this.#choose(call)});
+  }
+
+  /** Whether the service cannot be reached; waiting watches break when it goes down. */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
+  set isDown(value: boolean) {
+    if (value === this.#isDown) return;
+    this.#isDown = value;
+    if (value) this.#cut.abort();
+    else this.#cut = new AbortController();
+  }
+
+  /** Lets the next writes fail in the given ways, one after the other. */
+  failWrites(...faults: readonly StoreFault[]): void {
+    this.#writeFaults.push(...faults);
+  }
+
+  get(key: string): Promise<Result<KeyValueEntry | undefined, StoreError>> {
+    return this.#receive(this.#calls.get(key));
+  }
+
+  list(prefix: string, options?: ListOptions): Promise<Result<Listing, StoreError>> {
+    return this.#receive(this.#calls.list(prefix, options));
+  }
+
+  write(
+    key: string,
+    value: string,
+    options: WriteOptions,
+  ): Promise<Result<WriteOutcome, StoreError>> {
+    return this.#receive(this.#calls.write(key, value, options));
+  }
+
+  remove(key: string, ifRevision: number): Promise<Result<WriteOutcome, StoreError>> {
+    return this.#receive(this.#calls.remove(key, ifRevision));
+  }
+
+  async watch(prefix: string, options: WatchOptions): Promise<Result<Listing, StoreError>> {
+    const cut = this.#cut.signal;
+    const signal = options.signal === undefined ? cut : AbortSignal.any([cut, options.signal]);
+    const answer = await this.#receive(this.#calls.watch(prefix, {...options, signal}));
+    if (!cut.aborted) return answer;
+    const message = 'key-value service: the watch was cut off';
+    return err({code: 'unavailable', message, mayHaveTakenEffect: false});
+  }
+
+  grantLease(ttlSeconds: number): Promise<Result<string, StoreError>> {
+    return this.#receive(this.#calls.grantLease(ttlSeconds));
+  }
+
+  renewLease(lease: string): Promise<Result<boolean, StoreError>> {
+    return this.#receive(this.#calls.renewLease(lease));
+  }
+
+  revokeLease(lease: string): Promise<Result<void, StoreError>> {
+    return this.#receive(this.#calls.revokeLease(lease));
+  }
+
+  #choose({method}: StoreCall): StoreFault {
+    this.callCount += 1;
+    if (this.#isDown) return 'refused';
+    const isWrite = method === 'write' || method === 'remove';
+    const fault = isWrite ? this.#writeFaults.shift() : undefined;
+    if (fault !== undefined) return fault;
+    return this.delayMs > 0 ? {slowByMs: this.delayMs} : 'none';
+  }
+
+  async #receive<T>(answer: Promise<T>): Promise<T> {
+    const received = await answer;
+    await this.#running();
+    return received;
+  }
+}
