--- a/packages/bench/src/spread/fleet.ts
+++ b/packages/bench/src/spread/fleet.ts
@@ -15,7 +15,7 @@
   silentLogger,
   sleep,
 } from '@marigoldfold/runtime';
-import {SwitchedKeyValue, LaggingInstanceList, MemoryKeyValue} from '@marigoldfold/standin';
+import {SwitchableKeyValue, LaggingInstanceList, MemoryKeyValue} from '@marigoldfold/standin';
 import {
   advance,
   type Change,
@@ -56,7 +56,7 @@
 export interface FleetNode extends Disposable {
   readonly instance: Instance;
   readonly clock: PausableClock;
-  readonly store: SwitchedKeyValue;
+  readonly store: SwitchableKeyValue;
   readonly feed: ConfigurationFeed;
   readonly instances: InstanceFeed;
   readonly spread: Spread;
@@ -165,7 +165,7 @@
     const disposables = new DisposableStore();
     const clock = new PausableClock(this.options.clock);
     const random = seededRandom(this.options.seed * 10_007 + index);
-    const store = new SwitchedKeyValue(this.store, clock, () => clock.running());
+    const store = new SwitchableKeyValue(this.store, clock, () => clock.running());
     const logger = silentLogger;
     const feed = disposables.add(
       new ConfigurationFeed({monitorKey: this.monitor.publicKey, clock, logger}),
--- a/packages/entry/src/__tests__/ticketDesk.test.ts
+++ b/packages/entry/src/__tests__/ticketDesk.test.ts
@@ -1,5 +1,5 @@
 import {VirtualClock} from '@marigoldfold/runtime';
-import {SwitchedKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
+import {SwitchableKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
 import {
   advance,
   decideTicket,
@@ -30,7 +30,7 @@
 
 /** An entry with its own view of the service; `catchUp` brings what is decided into force there. */
 function createEntry({clock, memory}: Site) {
-  const faults = new SwitchedKeyValue(memory, clock);
+  const faults = new SwitchableKeyValue(memory, clock);
   const record = openRecord(faults);
   let head: Head = genesis(monitor.publicKey);
   const desk = openTicketDesk({record, head: () => head, clock});
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -8,7 +8,7 @@
   RetryBudget,
   type Secrets,
 } from '@marigoldfold/coordination';
-import {createIncarnation, type Instance, requestIds} from '@marigoldfold/protocol';
+import {createIncarnation, type Instance, type Load, requestIds} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
 import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
@@ -25,7 +25,6 @@
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
-import {noticeLoads} from './noticeLoads.js';
 import {listenForPeers} from './peersServer.js';
 import {createOperatorsApi} from './operatorsApi.js';
 import {Router} from './router.js';
@@ -63,14 +62,11 @@
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
   const {membership, links, choice} = parts;
-  const {feed, instances, record, spread, peers} = membership;
+  const {feed, instances, record, peers} = membership;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
   const registry = createRegistry(feed);
-  const linkTo = (instance: Instance) =>
-    noticeLoads(links.get(instance), ({configuration}) => {
-      spread.notice(instance.name, configuration);
-    });
+  const linkTo = (instance: Instance) => links.get(instance);
   const incarnation = createIncarnation(clock.now());
   const onDefect = (error: unknown) => {
     logger.error('defect', {
@@ -189,7 +185,22 @@
     }),
   );
   const links = disposables.add(new AgentLinks(client, clusterKey));
-  const choice = new EndpointChoice({clock, random, self: process.name});
+  const {name: self, failureDomain, region} = process;
+  const probe = async (instance: Instance) =>
+    (await links.get(instance).probe()).unwrapOr(undefined);
+  // An agent with a higher configuration number has seen a ticket that this entry has not.
+  const onLoad = (instance: string, {configuration}: Load) => {
+    membership.spread.notice(instance, configuration);
+  };
+  const choice = new EndpointChoice({
+    clock,
+    random,
+    self,
+    failureDomain,
+    region,
+    probe,
+    onLoad,
+  });
   return {store, membership, clusterKey, links, choice};
 }
 
--- a/packages/standin/src/switchedKeyValue.ts
+++ b/packages/standin/src/switchableKeyValue.ts
@@ -14,7 +14,7 @@
 import {faultyKeyValue, type StoreCall, type StoreFault} from './faultyKeyValue.js';
 
 /** Passes calls on to a service, unless a fault stands in the way. */
-export class SwitchedKeyValue implements KeyValue {
+export class SwitchableKeyValue implements KeyValue {
   readonly #calls: KeyValue;
   readonly #running: () => Promise<void>;
   readonly #writeFaults: StoreFault[] = [];
