--- a/packages/agent/src/generationRun.ts
+++ b/packages/agent/src/generationRun.ts
@@ -24,6 +24,10 @@
   readonly signal: AbortSignal;
   /** Takes the action that pauses the stream. */
   readonly setPause: (pause: (() => void) | undefined) => void;
+  /** Called for each new chunk of the engine. */
+  readonly observeChunk: () => void;
+  /** Called when a wait for a slow reader stands between two chunks. */
+  readonly skipGap: () => void;
   /** Gives the place at the engine up and waits for the next one; a failure when there is none. */
   readonly waitForTurn: () => Promise<Failure | undefined>;
 }
@@ -126,7 +130,10 @@
       await stream.return({kind: 'broken', maySent: true});
       return {kind: 'broken', maySent: true};
     }
+    options.observeChunk();
+    const publishedAtMs = options.clock.now();
     await answer.publishChunk(chunk.data, signal);
+    if (options.clock.now() > publishedAtMs) options.skipGap();
   }
 }
 
