Spread configurations by watchers, neighbours and exchanges, and measure it

Cause: every process read and watched the record itself. 9,700 processes woken by a change are 9,700 calls, above the two thousand a second that the service takes.

--- /dev/null
+++ b/packages/bench/src/__tests__/spreadReport.test.ts
@@ -0,0 +1,33 @@
+import {describe, expect, it} from 'vitest';
+import {measureFleet} from '../spread/measureFleet.js';
+import {fitLine} from '../spread/slope.js';
+import {designLimits, reportSpread} from '../spread/spreadReport.js';
+
+describe('a fitted line', () => {
+  it('goes through points that lie on one', () => {
+    const line = fitLine([1, 4, 9].map((x) => ({x, y: 3 + 2 * x})));
+    expect(line.intercept).toBeCloseTo(3);
+    expect(line.slope).toBeCloseTo(2);
+  });
+
+  it('is constant through a single point', () => {
+    expect(fitLine([{x: 5, y: 7}])).toEqual({intercept: 7, slope: 0});
+  });
+});
+
+describe('the spreading', () => {
+  it('gives the same times, messages and calls for one seed, and holds the limits when carried', async () => {
+    const measurement = {instances: 40, domains: 2, tickets: 3, seed: 4};
+    const [first, second] = [await measureFleet(measurement), await measureFleet(measurement)];
+    expect(second.inForceMs).toEqual(first.inForceMs);
+    expect(second.rest.messages).toBe(first.rest.messages);
+    expect(second.serviceCallsPerSecond).toBe(first.serviceCallsPerSecond);
+    // Processor time is left out: the verdict must not depend on the machine.
+    const {carried} = reportSpread([first], []);
+    for (const {name, value, limit} of carried) {
+      if (limit === designLimits.cpuUsPerSecond) continue;
+      expect(value, name).toBeGreaterThan(0);
+      expect(value, name).toBeLessThanOrEqual(limit);
+    }
+  });
+});
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -18,3 +18,6 @@
   runExperiment,
 } from './runExperiment.js';
 export {simulate, type SimulationOptions, type SimulationOutcome} from './simulation.js';
+export {measureConfiguration, type ConfigurationFigures} from './spread/measureConfiguration.js';
+export {type FleetFigures, type FleetMeasurement, measureFleet} from './spread/measureFleet.js';
+export {type CarriedFigure, type SpreadReport, reportSpread} from './spread/spreadReport.js';
--- /dev/null
+++ b/packages/bench/src/spread/slope.ts
@@ -0,0 +1,38 @@
+/** Straight lines through measured points. */
+
+/** One measured point. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** `y = intercept + slope * x`. */
+export interface Line {
+  readonly intercept: number;
+  readonly slope: number;
+}
+
+/** The line of least squares; a constant when all points have one x. */
+export function fitLine(points: readonly Point[]): Line {
+  const meanX = mean(points.map(({x}) => x));
+  const meanY = mean(points.map(({y}) => y));
+  let covariance = 0;
+  let variance = 0;
+  for (const {x, y} of points) {
+    covariance += (x - meanX) * (y - meanY);
+    variance += (x - meanX) ** 2;
+  }
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return {intercept: meanY - slope * meanX, slope};
+}
+
+/** The value of a line at a point. */
+export function valueAt({intercept, slope}: Line, x: number): number {
+  return intercept + slope * x;
+}
+
+/** The mean; 0 of nothing. */
+export function mean(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((total, value) => total + value, 0) / values.length;
+}
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -2,6 +2,29 @@
 import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
 import {formatTable} from '../table.js';
 
+const SHOWN_DIGEST_LENGTH = 12;
+const heading = [
+  'NAME',
+  'ROLE',
+  'ENDPOINT',
+  'DOMAIN',
+  'STATE',
+  'TICKET',
+  'DIGEST',
+  'AGE ms',
+  'LEVEL',
+  'RUNNING',
+  'QUEUED',
+];
+
+const explanations = {
+  current: 'level with the newest configuration',
+  behind: 'an older ticket is in force there',
+  differs: 'the same number with another state digest; replace the instance and report it',
+  unconfirmed: 'has heard nothing of the record for a while and may be behind it',
+  unknown: 'gave no answer',
+} as const;
+
 /** Shows what is in force where. */
 export class Status extends OperatorCommand {
   static override readonly description = 'Shows the instances and the ticket in force at each.';
@@ -26,10 +49,15 @@
       line.failureDomain,
       line.state,
       line.number,
+      line.stateDigest?.slice(0, SHOWN_DIGEST_LENGTH),
+      line.confirmationAgeMs,
+      line.staleness,
       line.running,
       line.queued,
     ]);
-    const heading = ['NAME', 'ROLE', 'ENDPOINT', 'DOMAIN', 'STATE', 'TICKET', 'RUNNING', 'QUEUED'];
     this.log(formatTable(heading, rows));
+    const stale = status.instances.filter(({staleness}) => staleness !== 'current');
+    for (const {name, staleness} of stale) this.log(`${name}: ${explanations[staleness]}`);
+    if (status.instances.length > 0 && stale.length === 0) this.log('all instances are level');
   }
 }
--- a/packages/cli/src/commands/ticketRead.ts
+++ b/packages/cli/src/commands/ticketRead.ts
@@ -1,4 +1,5 @@
 /** `marigoldfold ticket list` and `marigoldfold ticket show`. */
+import type {Status} from '@marigoldfold/entry';
 import {Args, Flags} from '@oclif/core';
 import {OperatorCommand, operatorFlags} from '../operatorFlags.js';
 import {formatTable} from '../table.js';
@@ -39,7 +40,8 @@
 
 /** Shows one ticket. */
 export class TicketShow extends OperatorCommand {
-  static override readonly description = 'Shows a ticket whole, with its decision.';
+  static override readonly description =
+    'Shows a ticket whole: who proposed it, who decided it, and where it is in force since when.';
   static override readonly examples = ['marigoldfold ticket show 4'];
   static override readonly args = {
     number: Args.integer({description: 'number of the ticket', required: true, min: 1}),
@@ -53,7 +55,55 @@
     const ticket = tickets.find(({number}) => number === args.number);
     if (ticket === undefined) this.error(`there is no ticket ${args.number}`, {exit: 1});
     const decision = decisions.find(({number}) => number === args.number);
-    const indent = flags.json ? undefined : 2;
-    this.log(JSON.stringify({ticket, decision: decision ?? null}, undefined, indent));
+    const status = await client.status(args.number);
+    const inForce = status.isOk() ? describeForce(args.number, status.value) : undefined;
+    const whole = {ticket, decision: decision ?? null, inForce: inForce ?? null};
+    if (flags.json) {
+      this.log(JSON.stringify(whole));
+      return;
+    }
+    this.log(
+      `ticket ${ticket.number}, proposed by ${ticket.author} at ${time(ticket.proposedAtMs)}`,
+    );
+    this.log(`reason: ${ticket.reason}`);
+    if (decision === undefined) this.log('not decided');
+    else {
+      const {verdict, decidedAtMs, note, stateDigest} = decision;
+      this.log(`${verdict} by the monitor at ${time(decidedAtMs)}, state digest ${stateDigest}`);
+      if (note !== '') this.log(`note: ${note}`);
+    }
+    if (decision !== undefined) this.log(formatForce(inForce));
+    this.log(JSON.stringify(ticket.changes, undefined, 2));
   }
 }
+
+interface Force {
+  readonly since: readonly {readonly instance: string; readonly atMs: number | undefined}[];
+  /** Instances where an older ticket is in force, or that gave no answer. */
+  readonly missing: readonly string[];
+}
+
+function describeForce(number: number, {instances}: Status): Force {
+  const reached = instances.filter((line) => (line.number ?? -1) >= number);
+  const missing = instances.filter((line) => (line.number ?? -1) < number);
+  return {
+    since: reached.map(({name, inForceAtMs}) => ({instance: name, atMs: inForceAtMs})),
+    missing: missing.map(({name}) => name),
+  };
+}
+
+function formatForce(force: Force | undefined): string {
+  if (force === undefined) return 'where it is in force is not known: the entry gave no status';
+  const rows = force.since.map(({instance, atMs}) => [
+    instance,
+    atMs === undefined ? 'before the instance started' : time(atMs),
+  ]);
+  const missing = force.missing.length === 0 ? 'nowhere' : force.missing.join(' ');
+  return [formatTable(['INSTANCE', 'IN FORCE SINCE'], rows), `not in force at: ${missing}`].join(
+    '\n',
+  );
+}
+
+function time(milliseconds: number): string {
+  return new Date(milliseconds).toISOString();
+}
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -42,7 +42,8 @@
   preview(proposal: Proposal): Promise<Result<Preview, OperatorError>>;
   decide(decision: Decision): Promise<Result<void, OperatorError>>;
   read(after: number): Promise<Result<RecordAnswer, OperatorError>>;
-  status(): Promise<Result<Status, OperatorError>>;
+  /** What is in force where, and since when a ticket is. */
+  status(ticket?: number): Promise<Result<Status, OperatorError>>;
   listClaims(query: ClaimQuery): Promise<Result<ClaimPage, OperatorError>>;
   showClaim(account: string, keyDigest: string): Promise<Result<ClaimView, OperatorError>>;
   settleClaim(request: SettlementRequest): Promise<Result<ClaimView, OperatorError>>;
@@ -72,7 +73,10 @@
       return answer.map(() => undefined);
     },
     read: (after) => call(client, options, 'GET', `/tickets?after=${after}`, recordAnswerSchema),
-    status: () => call(client, options, 'GET', '/status', statusSchema),
+    status: (ticket) => {
+      const query = ticket === undefined ? '' : `?ticket=${ticket}`;
+      return call(client, options, 'GET', `/status${query}`, statusSchema);
+    },
     listClaims: ({account, onlyPending, after}) => {
       const query = new URLSearchParams({
         pending: String(onlyPending),
