--- a/packages/agent/src/startOrder.ts
+++ b/packages/agent/src/startOrder.ts
@@ -23,14 +23,22 @@
  * is owed its share. All other work goes by tier.
  */
 export function chooseStart<E extends QueueEntry>(context: StartContext<E>): E | undefined {
-  const {urgentTierCount, canWait} = context;
+  const {urgentTierCount} = context;
   const urgent = firstOf(context, 0, urgentTierCount);
-  if (urgent !== undefined && !canWait(urgent)) return urgent;
+  if (!canUrgentWait(context)) return urgent;
   return (
     longestPaused(context) ?? firstOwed(context) ?? urgent ?? firstOf(context, urgentTierCount)
   );
 }
 
+function canUrgentWait<E extends QueueEntry>(context: StartContext<E>): boolean {
+  for (let tier = 0; tier < context.urgentTierCount; tier += 1) {
+    const [first] = context.queues.tier(tier);
+    if (first !== undefined && !context.canWait(first)) return false;
+  }
+  return true;
+}
+
 function firstOf<E extends QueueEntry>(
   context: StartContext<E>,
   from: number,
--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -71,6 +71,8 @@
 const DEFAULT_SLOTS = 16;
 const DEFAULT_INTER_TOKEN_MS = 20;
 const KEY_BYTES = 24;
+/** There is no balancer before the local system, so there is little to wait for. */
+const DRAIN_GRACE_MS = 100;
 const WAIT_STEP_MS = 10;
 const WAIT_LIMIT_MS = 10_000;
 
@@ -124,6 +126,7 @@
       process: identity(`agent-${endpoint.name}`),
       listen: `${LOOPBACK}:0`,
       endpoint: {...endpoint, slots: options.slots ?? DEFAULT_SLOTS},
+      drain: {graceMs: DRAIN_GRACE_MS},
       platform,
     });
     const agent = await startAgent({settings, secrets, clock: systemClock, logger});
@@ -136,8 +139,8 @@
     process: identity('entry-1'),
     listen: `${LOOPBACK}:${options.port}`,
     operatorsListen: `${LOOPBACK}:${options.operatorsPort}`,
-    peersListen: `${LOOPBACK}:0`,
     operators: [{name: 'dev', keySha256: digestText(keys.operator)}],
+    drain: {graceMs: DRAIN_GRACE_MS},
     platform,
     limits: options.limits ?? {},
   });
@@ -150,8 +153,7 @@
   });
   if (entry.isErr()) return err(entry.error.message);
   disposables.add(entry.value);
-  const {peers} = entry.value;
-  if (peers !== undefined) instances.subject.set(entryInstance(peers.address));
+  instances.subject.set(entryInstance(entry.value.operators.address));
   const client = disposables.add(
     createOperatorClient({address: entry.value.operators.address, operatorKey: keys.operator}),
   );
--- a/packages/coordination/src/processCommand.ts
+++ b/packages/coordination/src/processCommand.ts
@@ -2,8 +2,8 @@
 import {readFileSync} from 'node:fs';
 import {formatProblem, type Logger, parseSettings} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
-import {readSecrets, type Secrets, type secretsSchema} from './processSettings.js';
+import {z} from 'zod';
+import {readSecrets, type Secrets, secretsSchema} from './processSettings.js';
 
 /** Settings of a process with the secrets that they name. */
 export interface LoadedSettings<T> {
@@ -24,12 +24,19 @@
     return err(`${file} cannot be read`);
   }
   const settings = parseSettings(schema, text);
-  if (settings.isErr()) return err(describe(file, settings.error.map(formatProblem)));
-  const secrets = readSecrets(settings.value.secrets, environment);
-  if (secrets.isErr()) return err(describe(file, secrets.error));
-  return ok({settings: settings.value, secrets: secrets.value});
+  const secrets = parseSettings(secretsPartSchema, text)
+    .map((part) => part.secrets)
+    .unwrapOr({});
+  const read = readSecrets(secrets, environment);
+  if (settings.isOk() && read.isOk()) return ok({settings: settings.value, secrets: read.value});
+  const settingsProblems = settings.isErr() ? settings.error.map(formatProblem) : [];
+  const secretsProblems = read.isErr() ? read.error : [];
+  return err(describe(file, [...settingsProblems, ...secretsProblems]));
 }
 
+/** The part that names the secrets, whatever else the file has wrong. */
+const secretsPartSchema = z.looseObject({secrets: secretsSchema.default({})});
+
 function describe(file: string, problems: readonly string[]): string {
   return [
     `${file} has ${problems.length} problem(s):`,
@@ -37,11 +44,18 @@
   ].join('\n');
 }
 
+/** Where signals come from; the process itself unless a test says otherwise. */
+export interface SignalSource {
+  on(signal: 'SIGINT' | 'SIGTERM', handle: (signal: string) => void): unknown;
+  off(signal: 'SIGINT' | 'SIGTERM', handle: (signal: string) => void): unknown;
+}
+
 /** Drains a process on SIGINT or SIGTERM; a further signal is logged and cuts nothing. */
 export function drainOnSignal(
   drain: () => Promise<void>,
   logger: Logger,
   describeActive: () => number,
+  signals: SignalSource = process,
 ): Promise<void> {
   return new Promise((resolve) => {
     let isDraining = false;
@@ -52,9 +66,13 @@
       }
       isDraining = true;
       logger.info('draining', {signal});
-      void drain().then(resolve);
+      void drain().then(() => {
+        signals.off('SIGINT', handle);
+        signals.off('SIGTERM', handle);
+        resolve();
+      });
     };
-    process.on('SIGINT', handle);
-    process.on('SIGTERM', handle);
+    signals.on('SIGINT', handle);
+    signals.on('SIGTERM', handle);
   });
 }
--- a/packages/entry/src/__fixtures__/scriptedApi.ts
+++ b/packages/entry/src/__fixtures__/scriptedApi.ts
@@ -1,9 +1,9 @@
 /** The callers' API before a router that gives prepared chunks. */
-import {AccountLimits} from '@marigoldfold/coordination';
 import {requestIds, type Work} from '@marigoldfold/protocol';
-import {silentLogger, systemClock} from '@marigoldfold/runtime';
+import {DisposableStore, silentLogger, systemClock} from '@marigoldfold/runtime';
 import {Configuration, digestText, genesis} from '@marigoldfold/state';
 import {type HttpServer, listen, serverLimitsSchema} from '@marigoldfold/transport';
+import {ok} from 'neverthrow';
 import {Registry} from 'prom-client';
 import {RequestMetrics} from '../attainment.js';
 import {createCallersApi} from '../callersApi.js';
@@ -47,7 +47,7 @@
       logger: silentLogger,
       limits,
       head: () => ({...genesis(''), number: 1, configuration}),
-      accountLimits: new AccountLimits(systemClock),
+      accountLimits: {admit: () => Promise.resolve(ok(new DisposableStore()))},
       router: {route: ({work}) => play(script(work))},
       metrics: new RequestMetrics(new Registry()),
       nextRequestId: requestIds('test'),
--- a/packages/entry/src/command.ts
+++ b/packages/entry/src/command.ts
@@ -25,13 +25,14 @@
       clock: systemClock,
       random: systemRandom(),
       logger,
+      includesNodeMetrics: true,
     });
     if (entry.isErr()) this.error(entry.error.message, {exit: 1});
     const {callers} = entry.value;
     await drainOnSignal(
       () => entry.value.drain(),
       logger,
-      () => callers.connectionCount(),
+      () => callers.activeCount(),
     );
     this.exit(0);
   }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,15 +1,16 @@
 /** One entry: everything that it owns, wired together. */
 import {
-  AccountLimits,
+  addConnectionMetrics,
   type ConfigurationFeed,
   createMembership,
+  createProcessRegistry,
   EndpointChoice,
   type InstanceFeed,
   RetryBudget,
   type Secrets,
 } from '@marigoldfold/coordination';
 import {createIncarnation, type Instance, type Load, requestIds} from '@marigoldfold/protocol';
-import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
+import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
 import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
   createClusterKey,
@@ -20,12 +21,11 @@
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import {Gauge, Registry} from 'prom-client';
 import {combineLatest} from 'rxjs';
+import {createAccountLimiting} from './accountLimiting.js';
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
-import {listenForPeers} from './peersServer.js';
 import {createOperatorsApi} from './operatorsApi.js';
 import {Router} from './router.js';
 import type {EntrySettings} from './settings.js';
@@ -40,14 +40,14 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Whether to serve Node's own metrics as well; for a process that runs only this entry. */
+  readonly includesNodeMetrics?: boolean;
 }
 
 /** A running entry. */
 export interface EntryProcess extends Disposable {
   readonly callers: HttpServer;
   readonly operators: HttpServer;
-  /** Where peers connect; absent when the settings name no address for them. */
-  readonly peers: HttpServer | undefined;
   readonly feed: ConfigurationFeed;
   readonly instances: InstanceFeed;
   /** Reports itself as leaving, lets all requests end and stops. */
@@ -61,11 +61,12 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {membership, links, choice} = parts;
+  const {membership, links, choice, accounts} = parts;
   const {feed, instances, record, peers} = membership;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
-  const registry = createRegistry(feed);
+  const includesNode = options.includesNodeMetrics === true;
+  const registry = createProcessRegistry({feed, includesNode});
   const linkTo = (instance: Instance) => links.get(instance);
   const incarnation = createIncarnation(clock.now());
   const onDefect = (error: unknown) => {
@@ -83,7 +84,7 @@
       logger,
       limits: settings.limits,
       head: () => feed.head,
-      accountLimits: new AccountLimits(clock),
+      accountLimits: accounts.limits,
       router: new Router({clock, logger, choice, retryBudget: new RetryBudget(), linkTo}),
       metrics: new RequestMetrics(registry),
       nextRequestId: requestIds(incarnation),
@@ -109,6 +110,10 @@
       isReady,
       registry,
     }),
+    // Other processes of the system connect here as well; they show the cluster key.
+    upgrade: (request, socket, head) => {
+      accounts.control.upgrade(request, socket, head);
+    },
     onDefect,
   });
   if (operators.isErr()) {
@@ -116,26 +121,19 @@
     return err(operators.error);
   }
   disposables.add(operators.value);
+  addConnectionMetrics(registry, {
+    callers: callers.value.connectionCount,
+    operators: operators.value.connectionCount,
+  });
 
   const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
     choice.update(head.configuration, list.instances);
     links.retain(list.instances);
+    accounts.update(list.instances);
   });
   disposables.defer(() => {
     updates.unsubscribe();
   });
-  const peersServer = await listenForPeers({
-    address: settings.peersListen,
-    limits: settings.limits,
-    clusterKey: parts.clusterKey,
-    offer: (methods) => membership.offer(methods),
-    onDefect,
-  });
-  if (peersServer.isErr()) {
-    disposables[Symbol.dispose]();
-    return err(peersServer.error);
-  }
-  if (peersServer.value !== undefined) disposables.add(peersServer.value);
   await membership.start();
   logger.info('ready', {
     callers: callers.value.address,
@@ -144,12 +142,14 @@
   return ok({
     callers: callers.value,
     operators: operators.value,
-    peers: peersServer.value,
     feed,
     instances,
     async drain() {
       isLeaving = true;
       logger.info('leaving', {connections: callers.value.connectionCount()});
+      // Until the balancer has seen that the entry is not ready, it still sends requests.
+      callers.value.leave();
+      await sleep(clock, settings.drain.graceMs);
       await callers.value.drain();
       disposables[Symbol.dispose]();
     },
@@ -201,23 +201,23 @@
     probe,
     onLoad,
   });
-  return {store, membership, clusterKey, links, choice};
+  const accountOf = (name: string) => membership.feed.head.configuration.get('account', name);
+  const {peers} = membership;
+  const accounts = disposables.add(
+    createAccountLimiting({
+      clock,
+      self,
+      region,
+      clusterKey,
+      accountOf,
+      peers,
+      offer: (methods) => membership.offer(methods),
+    }),
+  );
+  return {store, membership, links, choice, accounts};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
   const [host, port] = splitAddress(address);
   return {host, port};
 }
-
-function createRegistry(feed: ConfigurationFeed): Registry {
-  const registry = new Registry();
-  new Gauge({
-    name: 'marigoldfold_configuration_number',
-    help: 'Number of the ticket in force.',
-    registers: [registry],
-    collect() {
-      this.set(feed.head.number);
-    },
-  });
-  return registry;
-}
--- a/packages/protocol/src/spread.ts
+++ b/packages/protocol/src/spread.ts
@@ -1,7 +1,7 @@
 /** Messages by which processes tell one another what is in force and which instances are listed. */
 import {z} from 'zod';
 import {instanceSchema} from './instance.js';
-import type {Method} from './rpc.js';
+import type {Method} from './method.js';
 
 /** Milliseconds since something was confirmed; null when it never was. */
 const ageSchema = z.number().min(0).nullable();
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -9,18 +9,33 @@
 
 /** Checks the limits of a server. */
 export const serverLimitsSchema = z.strictObject({
-  /** Bytes of a request's body. */
-  maxBodyBytes: z.int().min(1024).default(4_194_304),
-  /** Bytes of a request's headers. */
-  maxHeaderBytes: z.int().min(1024).max(1_048_576).default(16_384),
-  /** Connections at one time; further ones get one refusal each. */
-  maxConnections: z.int().min(1).default(10_000),
-  /** Milliseconds that a connection may stay idle between requests. */
-  idleTimeoutMs: z.int().min(100).default(60_000),
-  /** Milliseconds within which the whole request must have arrived. */
-  requestTimeoutMs: z.int().min(100).default(30_000),
-  /** Milliseconds that a client may take no byte of an answer that is ready for it. */
-  stalledReaderTimeoutMs: z.int().min(100).default(30_000),
+  maxBodyBytes: z.int().min(1024).default(4_194_304).describe("Bytes of a request's body."),
+  maxHeaderBytes: z
+    .int()
+    .min(1024)
+    .max(1_048_576)
+    .default(16_384)
+    .describe("Bytes of a request's headers."),
+  maxConnections: z
+    .int()
+    .min(1)
+    .default(10_000)
+    .describe('Connections at one time; further ones get one refusal each.'),
+  idleTimeoutMs: z
+    .int()
+    .min(100)
+    .default(60_000)
+    .describe('Milliseconds that a connection may stay idle between requests.'),
+  requestTimeoutMs: z
+    .int()
+    .min(100)
+    .default(30_000)
+    .describe('Milliseconds within which the whole request must have arrived.'),
+  stalledReaderTimeoutMs: z
+    .int()
+    .min(100)
+    .default(30_000)
+    .describe('Milliseconds that a client may take no byte of an answer that is ready for it.'),
 });
 
 /** Limits of a server. */
@@ -51,11 +66,16 @@
   readonly address: string;
   /** Number of open connections. */
   readonly connectionCount: () => number;
+  /** Number of requests whose handling has not ended, also of those whose client has gone. */
+  readonly activeCount: () => number;
+  /** Goes on serving, and asks each client to close its connection after its answer. */
+  leave(): void;
   /** Stops accepting, closes idle connections and resolves when the last request has ended. */
   drain(): Promise<void>;
 }
 
 const CONNECTION_CHECK_MS = 1000;
+const DRAIN_CHECK_MS = 20;
 /** Connections above the limit that are still told why they are refused. */
 const SURPLUS_CONNECTIONS = 64;
 const SURPLUS_RETRY_MS = 1000;
@@ -64,6 +84,8 @@
 export async function listen(options: HttpServerOptions): Promise<Result<HttpServer, ListenError>> {
   const {limits} = options;
   const sockets = new Set<Socket>();
+  const responses = new Set<ServerResponse>();
+  let isLeaving = false;
   const surplus = new WeakSet<Socket>();
   const answering = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
@@ -82,10 +104,15 @@
         refuseSurplus(response);
         return;
       }
-      options.handle(request, response).catch((error: unknown) => {
-        options.onDefect(error);
-        response.destroy();
-      });
+      responses.add(response);
+      if (isLeaving) response.shouldKeepAlive = false;
+      options
+        .handle(request, response)
+        .catch((error: unknown) => {
+          options.onDefect(error);
+          response.destroy();
+        })
+        .finally(() => responses.delete(response));
     },
   );
   server.maxConnections = limits.maxConnections + SURPLUS_CONNECTIONS;
@@ -104,17 +131,20 @@
   const failure = await startListening(server, options);
   if (failure !== undefined) return err(failure);
   const {port} = server.address() as AddressInfo;
+  const leave = () => {
+    isLeaving = true;
+    for (const response of responses) response.shouldKeepAlive = false;
+  };
   return ok({
     port,
     address: `${options.host}:${port}`,
     connectionCount: () => sockets.size,
-    drain: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-      }),
+    activeCount: () => responses.size,
+    leave,
+    drain() {
+      leave();
+      return drain(server, () => responses.size + sockets.size);
+    },
     [Symbol.dispose]() {
       server.close();
       for (const socket of sockets) socket.destroy();
@@ -122,6 +152,24 @@
   });
 }
 
+async function drain(server: Server, countOpen: () => number): Promise<void> {
+  // A connection whose stream was begun before the drain is idle only when the stream has ended.
+  const closing = setInterval(() => {
+    server.closeIdleConnections();
+  }, DRAIN_CHECK_MS);
+  await new Promise<void>((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+  });
+  clearInterval(closing);
+  while (countOpen() > 0) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_CHECK_MS);
+    });
+  }
+}
+
 function refuseSurplus(response: ServerResponse): void {
   const message = 'the instance has as many connections as it may have';
   const failure: Failure = refusal('too_many_connections', message, SURPLUS_RETRY_MS);
