--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -3,6 +3,7 @@
 import {OverheadCommand} from './overhead.js';
 import {Run} from './run.js';
 import {SlopesCommand} from './slopes.js';
+import {Spread} from './spread.js';
 
 /** Commands by id. */
 export const commands = {
@@ -10,4 +11,5 @@
   overhead: OverheadCommand,
   run: Run,
   slopes: SlopesCommand,
+  spread: Spread,
 };
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,17 +1,17 @@
 /** One entry: everything that it owns, wired together. */
 import {
   addConnectionMetrics,
-  ConfigurationFeed,
-  createInstanceSource,
+  type ConfigurationFeed,
+  createMembership,
   createProcessRegistry,
   EndpointChoice,
-  InstanceFeed,
+  type InstanceFeed,
   RetryBudget,
   type Secrets,
 } from '@marigoldfold/coordination';
-import {createIncarnation, type Instance, requestIds} from '@marigoldfold/protocol';
+import {createIncarnation, type Instance, type Load, requestIds} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
-import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
   createClusterKey,
   createHttpClient,
@@ -54,9 +54,6 @@
   drain(): Promise<void>;
 }
 
-const WATCH_TIMEOUT_MS = 30_000;
-const RETRY_DELAY_MS = 500;
-
 /** Starts an entry. */
 export async function startEntry(
   options: EntryProcessOptions,
@@ -64,7 +61,8 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {feed, instances, links, choice, accounts} = parts;
+  const {membership, links, choice, accounts} = parts;
+  const {feed, instances, record, peers} = membership;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
   const includesNode = options.includesNodeMetrics === true;
@@ -105,13 +103,14 @@
     handle: createOperatorsApi({
       operators: settings.operators,
       limits: settings.limits,
-      desk: openTicketDesk({record: parts.record, head: () => feed.head, clock}),
+      desk: openTicketDesk({record, head: () => feed.head, clock}),
+      status: (ticket) =>
+        gatherStatus({instance: settings.process.name, feed, instances, linkTo, peers, ticket}),
       claims: openClaimDesk({store: parts.store, clock}),
-      status: () => gatherStatus({instance: settings.process.name, feed, instances, linkTo}),
       isReady,
       registry,
     }),
-    // Other entries connect here as well; they show the cluster key.
+    // Other processes of the system connect here as well; they show the cluster key.
     upgrade: (request, socket, head) => {
       accounts.control.upgrade(request, socket, head);
     },
@@ -135,8 +134,7 @@
   disposables.defer(() => {
     updates.unsubscribe();
   });
-  feed.start();
-  await instances.start();
+  await membership.start();
   logger.info('ready', {
     callers: callers.value.address,
     operators: operators.value.address,
@@ -172,36 +170,51 @@
     address: platform.keyValue,
     timeoutMs: platform.keyValueTimeoutMs,
   });
-  const record = openRecord(store);
-  const feed = disposables.add(
-    new ConfigurationFeed({
-      record,
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const membership = disposables.add(
+    createMembership({
+      self: process,
+      store,
+      client,
+      clusterKey,
       monitorKey: secrets.monitorKey,
+      platform,
       clock,
+      random,
       logger,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
-      retryDelayMs: RETRY_DELAY_MS,
-    }),
-  );
-  const instances = disposables.add(
-    new InstanceFeed({
-      source: createInstanceSource(client, platform.instances),
-      clock,
-      logger,
-      intervalMs: platform.instancesIntervalMs,
     }),
   );
-  const clusterKey = createClusterKey(secrets.clusterKey);
   const links = disposables.add(new AgentLinks(client, clusterKey));
   const {name: self, failureDomain, region} = process;
   const probe = async (instance: Instance) =>
     (await links.get(instance).probe()).unwrapOr(undefined);
-  const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
-  const accountOf = (name: string) => feed.head.configuration.get('account', name);
+  // An agent with a higher configuration number has seen a ticket that this entry has not.
+  const onLoad = (instance: string, {configuration}: Load) => {
+    membership.spread.notice(instance, configuration);
+  };
+  const choice = new EndpointChoice({
+    clock,
+    random,
+    self,
+    failureDomain,
+    region,
+    probe,
+    onLoad,
+  });
+  const accountOf = (name: string) => membership.feed.head.configuration.get('account', name);
+  const {peers} = membership;
   const accounts = disposables.add(
-    createAccountLimiting({clock, self, region, clusterKey, accountOf}),
+    createAccountLimiting({
+      clock,
+      self,
+      region,
+      clusterKey,
+      accountOf,
+      peers,
+      offer: (methods) => membership.offer(methods),
+    }),
   );
-  return {store, record, feed, instances, links, choice, accounts};
+  return {store, membership, links, choice, accounts};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -7,7 +7,7 @@
   faultyKeyValue,
 } from './faultyKeyValue.js';
 export {LaggingInstanceList, serveInstanceList, toTargetGroups} from './instanceListServer.js';
-export {SwitchableKeyValue, type WriteFault} from './switchableKeyValue.js';
+export {SwitchableKeyValue} from './switchableKeyValue.js';
 export {serveKeyValue} from './keyValueServer.js';
 export {Ledger, type LedgerFault, type Posting, serveLedger} from './ledgerService.js';
 export {MemoryKeyValue} from './memoryKeyValue.js';
