Choose by the newest measure of speed, and drop the hot/cold split

The split goes; classes without targets for their tokens keep using slowed endpoints, so their work is the trial traffic; the time between tokens is the agent's or the entry's own, whichever is newer.

--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -11,6 +11,7 @@
 
 /** Receives what becomes of a request at an agent. */
 export interface AttemptListener {
+  readonly onStarted: () => void;
   readonly onToken: (number: number) => void;
   readonly onRefused: (failure: Failure) => void;
   /** The agent was lost with the request. */
@@ -176,6 +177,7 @@
       this.backend.resume(arrival.id);
       return;
     }
+    attempt.listener.onStarted();
     const priority = this.#options.setsPriority ? tier : 0;
     this.backend.begin({...arrival, priority}, (number) => {
       this.#onToken(attempt, number);
--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -1,5 +1,6 @@
 /** The policies that an experiment compares. */
 import type {QueueTuning} from '@marigoldfold/agent';
+import type {ChoiceMechanisms} from '@marigoldfold/coordination';
 
 /** Names of the policies. */
 export const policyNames = [
@@ -13,6 +14,7 @@
   'without-moves',
   'without-preemption',
   'without-subset-state',
+  'without-trial-traffic',
 ] as const;
 
 /** Name of a policy. */
@@ -27,7 +29,7 @@
   readonly choice: 'product' | 'round-robin';
   /** Whether entries learn from the loads that agents report. */
   readonly usesLoads: boolean;
-  /** Whether a request that was refused without work goes to another endpoint. */
+  /** Whether a request that was refused without work, or that waits, goes to another endpoint. */
   readonly moves: boolean;
   /** Whether account limits apply. */
   readonly limitsAccounts: boolean;
@@ -35,6 +37,8 @@
   readonly setsPriority: boolean;
   /** Whether tiers have guaranteed shares. */
   readonly guaranteesShares: boolean;
+  /** Mechanisms of the product's choice that are switched off. */
+  readonly mechanisms: Partial<ChoiceMechanisms>;
   /** Parameters of the product's queue that differ from the usual ones. */
   readonly tuning: Partial<QueueTuning>;
 }
@@ -47,6 +51,7 @@
   limitsAccounts: true,
   setsPriority: true,
   guaranteesShares: true,
+  mechanisms: {},
   tuning: {},
 };
 
@@ -60,6 +65,7 @@
     limitsAccounts: false,
     setsPriority: false,
     guaranteesShares: false,
+    mechanisms: {},
     tuning: {},
   },
   'without-account-limits': {...product, limitsAccounts: false},
@@ -69,7 +75,8 @@
   'without-minimum-shares': {...product, guaranteesShares: false},
   'without-preemption': {...product, tuning: {preempts: false}},
   'without-moves': {...product, moves: false},
-  'without-subset-state': {...product, usesLoads: false},
+  'without-subset-state': {...product, usesLoads: false, mechanisms: {state: false}},
+  'without-trial-traffic': {...product, mechanisms: {trialTraffic: false}},
 };
 
 /** The policy of a name. */
--- a/packages/coordination/src/endpointChoice.ts
+++ b/packages/coordination/src/endpointChoice.ts
@@ -6,7 +6,6 @@
 import type {Candidate, Demand} from './candidates.js';
 import {EndpointDirectory} from './endpointDirectory.js';
 import type {EndpointState, SentRequest} from './endpointState.js';
-import {preferCold} from './hotColdSplit.js';
 import {LoadProbes, type Probe} from './loadProbes.js';
 import {AFFINITY_MAX_PRESSURE, AFFINITY_WAIT_BOUND_MS} from './prefixAffinity.js';
 import {rankMembers} from './rendezvous.js';
@@ -16,7 +15,6 @@
 export interface ChoiceMechanisms {
   /** Decides by the state of endpoints; else at random. */
   readonly state: boolean;
-  readonly hotColdSplit: boolean;
   readonly prefixAffinity: boolean;
   readonly trialTraffic: boolean;
 }
@@ -47,7 +45,6 @@
 const MOVE_WAIT_RATIO = 0.5;
 const allMechanisms: ChoiceMechanisms = {
   state: true,
-  hotColdSplit: true,
   prefixAffinity: true,
   trialTraffic: true,
 };
@@ -161,7 +158,7 @@
 
   /** A few candidates at random, and the one whose cache should hold the prompt's beginning. */
   #sample(usable: readonly Candidate[], demand: Demand): readonly Candidate[] {
-    const rest = [...this.#steady(usable, demand.tier)];
+    const rest = [...this.#steady(usable, demand)];
     const sample: Candidate[] = [];
     const affine = this.#affine(rest, demand);
     if (affine !== undefined) sample.push(...rest.splice(rest.indexOf(affine), 1));
@@ -173,10 +170,15 @@
     return sample;
   }
 
-  /** Leaves slowed endpoints out but for their trial traffic, which never is of the top tier. */
-  #steady(usable: readonly Candidate[], tier: Tier): readonly Candidate[] {
+  /**
+   * Leaves slowed endpoints out but for their trial traffic, which never is of the top tier. Work without
+   * targets for its tokens goes there as before: it shows the recovery and leaves the others free.
+   */
+  #steady(usable: readonly Candidate[], {tier, requestClass}: Demand): readonly Candidate[] {
     if (!this.#mechanisms.trialTraffic) return usable;
     this.#weigh(usable);
+    const {firstTokenMs, interTokenMs} = requestClass;
+    if (firstTokenMs === undefined && interTokenMs === undefined) return usable;
     const steady: Candidate[] = [];
     for (const candidate of usable) {
       const {weight} = this.#state(candidate);
@@ -215,7 +217,7 @@
       if (affine !== undefined) return ok(affine);
     }
     if (!this.#mechanisms.state) return ok(firstOf(sample));
-    const best = this.#best(sample, usable, tier);
+    const best = this.#leastWait(sample, tier);
     const affine = this.#affine(sample, demand);
     const preferred = affine !== undefined && this.#isNear(affine, best, tier) ? affine : best;
     if (this.#canMeet(preferred, demand)) return ok(preferred);
@@ -224,12 +226,6 @@
     return this.#canMeet(least, demand) ? ok(least) : this.#refuse(least, usable, demand);
   }
 
-  #best(sample: readonly Candidate[], usable: readonly Candidate[], tier: Tier): Candidate {
-    const latencyMs = (candidate: Candidate) => this.#state(candidate).speed.interTokenMs;
-    const cold = this.#mechanisms.hotColdSplit ? preferCold(sample, usable, latencyMs) : sample;
-    return this.#leastWait(cold, tier);
-  }
-
   #isNear(affine: Candidate, best: Candidate, tier: Tier): boolean {
     const state = this.#state(affine);
     if (state.pressure > AFFINITY_MAX_PRESSURE) return affine === best;
--- a/packages/coordination/src/endpointState.ts
+++ b/packages/coordination/src/endpointState.ts
@@ -44,6 +44,7 @@
   readonly #unreported = new Set<Unreported>();
   #load: Load | undefined;
   #loadAtMs = Number.NEGATIVE_INFINITY;
+  #loadAsOfMs = Number.NEGATIVE_INFINITY;
   #ownInFlight = 0;
   #serviceMs = INITIAL_SERVICE_MS;
   #firstTokenRatio: number | undefined;
@@ -87,13 +88,15 @@
     return Math.max(this.#ownInFlight, known) / this.#window();
   }
 
-  /** The recent speed as this entry saw it, else the time between tokens that the agent reports. */
+  /** The recent speed; the time between tokens is the agent's or this entry's, whichever is newer. */
   get speed(): Speed {
     const isFresh = this.#clock.now() - this.#speedAtMs <= SPEED_AGE_MS;
     const reportedMs = this.#load?.interTokenMs ?? 0;
+    const isReportNewer = reportedMs > 0 && this.#loadAsOfMs >= this.#speedAtMs;
+    const ownMs = isFresh ? this.#interTokenMs : undefined;
     return {
       firstTokenRatio: isFresh ? this.#firstTokenRatio : undefined,
-      interTokenMs: (isFresh ? this.#interTokenMs : undefined) ?? (reportedMs || undefined),
+      interTokenMs: isReportNewer ? reportedMs : (ownMs ?? (reportedMs || undefined)),
     };
   }
 
@@ -110,6 +113,7 @@
     this.backoff.succeed();
     this.#load = load;
     this.#loadAtMs = this.#clock.now();
+    this.#loadAsOfMs = asOfMs;
     for (const request of this.#unreported) {
       if (request.sentAtMs <= asOfMs) this.#unreported.delete(request);
     }
