Name a moved request so that its first id can be found again

Cause: the fault matrix failed on a moved request (pair of agent crash and cut-off at 'engine begin'): its world looked for the id that the move had changed. Change: moved ids carry a mark; originalId gives the id before, and the matrix identifies work by it. Its checks are as strict as before.

--- a/packages/bench/src/matrix/world.ts
+++ b/packages/bench/src/matrix/world.ts
@@ -1,7 +1,7 @@
 /** The system of the matrix: the product's own router, workers and claims over in-memory stand-ins. */
 import {EndpointChoice, RetryBudget} from '@marigoldfold/coordination';
 import {type AgentLink, Router} from '@marigoldfold/entry';
-import type {Instance, Task, Work} from '@marigoldfold/protocol';
+import {type Instance, originalId, type Task, type Work} from '@marigoldfold/protocol';
 import {seededRandom, silentLogger, sleep, VirtualClock} from '@marigoldfold/runtime';
 import {faultyKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
 import {Configuration, type KeyValue, type RequestClass} from '@marigoldfold/state';
@@ -111,7 +111,7 @@
         slot,
         take: (passage) => this.#injector.take(passage),
         noteAttempt: (id) => {
-          const facts = this.#facts.get(id);
+          const facts = this.#facts.get(originalId(id));
           if (facts !== undefined) facts.attempt += 1;
         },
         describe: (id) => this.#describe(id),
@@ -159,7 +159,7 @@
   }
 
   #describe(id: string): Omit<Passage, 'point' | 'isLeaving'> {
-    const facts = this.#facts.get(id);
+    const facts = this.#facts.get(originalId(id));
     if (facts === undefined) throw new Error(`no request ${id}`);
     const {order, attempt} = facts;
     return {kind: order.kind, attempt, isRepeat: order.isRepeat};
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -6,7 +6,7 @@
   type EndpointChoice,
   type RetryBudget,
 } from '@marigoldfold/coordination';
-import {type Failure, type Instance, ranByAny, type Work} from '@marigoldfold/protocol';
+import {type Failure, type Instance, movedId, ranByAny, type Work} from '@marigoldfold/protocol';
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import {ok} from 'neverthrow';
 import type {AgentLink} from './agentLink.js';
@@ -53,7 +53,7 @@
       if (chosen.isErr()) return {kind: 'failed', failure: failure ?? chosen.error};
       const {instance} = chosen.value;
       // An agent remembers the id that was taken back, so a moved request has a new one.
-      const id = moves === 0 ? request.work.id : `${request.work.id}.${moves}`;
+      const id = movedId(request.work.id, moves);
       const work = {...request.work, id};
       using observer = this.#observe(work, chosen.value, demand, moves < MAX_MOVES);
       const attempt = this.#attempt(work, instance, signal, observer);
--- a/packages/protocol/src/identity.ts
+++ b/packages/protocol/src/identity.ts
@@ -20,3 +20,16 @@
     return `${incarnation}.${sequence.toString(RADIX)}`;
   };
 }
+
+/** Not part of the id of a request that was never moved. */
+const MOVE_MARK = '~';
+
+/** The id of a request at the agent that it was moved to; an agent refuses an id that was taken back from it. */
+export function movedId(id: string, moves: number): string {
+  return moves === 0 ? id : `${id}${MOVE_MARK}${moves}`;
+}
+
+/** The id that a request had before it was moved. */
+export function originalId(id: string): string {
+  return id.split(MOVE_MARK)[0] ?? id;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,7 +20,7 @@
   compactAsk,
   compactGrant,
 } from './accountMessages.js';
-export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
+export {createIncarnation, incarnationHeader, movedId, originalId, requestIds} from './identity.js';
 export {
   type AnswerEvent,
   answerEventName,
