--- a/packages/bench/src/matrix/endpoints.ts
+++ b/packages/bench/src/matrix/endpoints.ts
@@ -106,7 +106,7 @@
   }
 
   #start(id: string, listener: (token: Token) => void): boolean {
-    this.begun.add(id);
+    this.begun.add(originalId(id));
     const request = {id, promptTokens: PROMPT_TOKENS, outputTokens: OUTPUT_TOKENS, priority: 0};
     return this.#engine.begin({...request, tokenText: answerText(originalId(id))}, listener);
   }
--- a/packages/protocol/src/identity.ts
+++ b/packages/protocol/src/identity.ts
@@ -21,13 +21,15 @@
   };
 }
 
-/** The id of a request after a number of moves: agents remember an id that was taken back from them. */
+/** Not part of the id of a request that was never moved. */
+const MOVE_MARK = '~';
+
+/** The id of a request at the agent that it was moved to; an agent refuses an id that was taken back from it. */
 export function movedId(id: string, moves: number): string {
-  return moves === 0 ? id : `${id}.${moves}`;
+  return moves === 0 ? id : `${id}${MOVE_MARK}${moves}`;
 }
 
-/** The id that a request had before any move. */
+/** The id that a request had before it was moved. */
 export function originalId(id: string): string {
-  const [incarnation, sequence] = id.split('.');
-  return `${incarnation ?? ''}.${sequence ?? ''}`;
+  return id.split(MOVE_MARK)[0] ?? id;
 }
