--- a/packages/agent/src/recentSamples.ts
+++ b/packages/agent/src/recentSamples.ts
@@ -2,35 +2,40 @@
 
 /** Keeps a fixed number of samples; a newer one takes the place of the oldest. */
 export class RecentSamples {
-  readonly #capacity: number;
-  readonly #samples: number[] = [];
+  readonly #samples: Float64Array;
+  #count = 0;
   #next = 0;
+  /** The samples in order, until another one comes. */
+  #sorted: Float64Array | undefined;
 
   constructor(capacity: number) {
-    this.#capacity = capacity;
+    this.#samples = new Float64Array(capacity);
   }
 
   /** Number of samples that are kept. */
   get count(): number {
-    return this.#samples.length;
+    return this.#count;
   }
 
   /** Adds a sample. */
   add(value: number): void {
     this.#samples[this.#next] = value;
-    this.#next = (this.#next + 1) % this.#capacity;
+    this.#next = (this.#next + 1) % this.#samples.length;
+    this.#count = Math.min(this.#samples.length, this.#count + 1);
+    this.#sorted = undefined;
   }
 
   /** Forgets all samples. */
   clear(): void {
-    this.#samples.length = 0;
+    this.#count = 0;
     this.#next = 0;
+    this.#sorted = undefined;
   }
 
   /** The sample that a part of all samples does not exceed; 0 when there is none. */
   quantile(part: number): number {
-    const sorted = [...this.#samples].sort((a, b) => a - b);
-    const index = Math.min(sorted.length - 1, Math.floor(part * sorted.length));
-    return sorted[Math.max(0, index)] ?? 0;
+    this.#sorted ??= this.#samples.slice(0, this.#count).sort();
+    const index = Math.min(this.#count - 1, Math.floor(part * this.#count));
+    return this.#sorted[index] ?? 0;
   }
 }
--- a/packages/agent/src/tierQueues.ts
+++ b/packages/agent/src/tierQueues.ts
@@ -22,6 +22,15 @@
     for (const entries of this.#tiers) yield* entries;
   }
 
+  /** Number of entries that go before a new one of a tier with a deadline. */
+  countBefore(tier: number, dueAtMs: number): number {
+    let count = 0;
+    for (let other = 0; other < tier; other += 1) count += this.tier(other).length;
+    const equals = this.tier(tier);
+    const later = equals.findIndex(({item}) => item.dueAtMs > dueAtMs);
+    return count + (later === -1 ? equals.length : later);
+  }
+
   /** Puts an entry in its place. */
   insert(entry: E): void {
     const entries = this.#tiers[entry.item.tier];
--- a/packages/agent/src/waitEstimate.ts
+++ b/packages/agent/src/waitEstimate.ts
@@ -35,6 +35,18 @@
     return INITIAL_SERVICE_MS;
   }
 
+  /** Mean service time of the requests that run, or of a tier when none does, in milliseconds. */
+  meanServiceMs(runningByTier: readonly number[], tier: number): number {
+    let sum = 0;
+    let count = 0;
+    for (const [other, runningCount] of runningByTier.entries()) {
+      if (runningCount === 0) continue;
+      sum += runningCount * this.serviceMs(other);
+      count += runningCount;
+    }
+    return count === 0 ? this.serviceMs(tier) : sum / count;
+  }
+
   /** Milliseconds until a new request behind a line starts. */
   waitMs({running, queued, slots, serviceMs}: Line): number {
     const free = slots - running;
--- a/packages/agent/src/workQueue.ts
+++ b/packages/agent/src/workQueue.ts
@@ -6,12 +6,13 @@
 import {isLong, longWorkLimit} from './longWork.js';
 import {MinimumShares, type TierShares} from './minimumShares.js';
 import {chooseVictim} from './preemption.js';
+import {RunningSet} from './runningSet.js';
 import {createEntry, type MutableQueueEntry, type QueueItem} from './queueEntry.js';
 import {defaultQueueTuning, type QueueTuning} from './queueTuning.js';
-import {RecentSamples} from './recentSamples.js';
 import {chooseShed, deadlineUnreachable, queueFull} from './shedding.js';
 import {chooseStart} from './startOrder.js';
 import {TierQueues} from './tierQueues.js';
+import {TokenMeter} from './tokenMeter.js';
 import {type Line, WaitEstimate} from './waitEstimate.js';
 
 /** What is to be done next. */
@@ -47,27 +48,17 @@
   readonly firstTokenMs: number;
 }
 
-const GAP_SAMPLES = 256;
-const FIRST_TOKEN_SAMPLES = 32;
-const MEDIAN = 0.5;
-/** The quantile of the time to the first token that every request is sure to need. */
-const LEAST_FIRST_TOKEN = 0.1;
-/** A request that was asked to pause and has not done so by then is asked again. */
-const PAUSE_TIMEOUT_MS = 2000;
-
 /** A queue for each tier before one endpoint. */
 export class WorkQueue {
   readonly #options: WorkQueueOptions;
   readonly #tuning: QueueTuning;
   readonly #queues = new TierQueues<MutableQueueEntry>();
   readonly #waiting = new Map<string, MutableQueueEntry>();
-  readonly #running = new Map<string, MutableQueueEntry>();
-  readonly #runningByTier = Array<number>(tierCount).fill(0);
+  readonly #running = new RunningSet();
   readonly #window: AdaptiveWindow;
   readonly #shares: MinimumShares;
   readonly #estimate = new WaitEstimate();
-  readonly #gaps = new RecentSamples(GAP_SAMPLES);
-  readonly #firstTokens = new RecentSamples(FIRST_TOKEN_SAMPLES);
+  readonly #meter = new TokenMeter();
   readonly #shed: Directive[] = [];
   #pausedCount = 0;
 
@@ -149,16 +140,8 @@
   observeToken(id: string): boolean {
     const entry = this.#running.get(id);
     if (entry === undefined) return false;
-    const now = this.#options.clock.now();
-    entry.generatedTokens += 1;
-    const {lastTokenAtMs, startedAtMs} = entry;
-    entry.lastTokenAtMs = now;
-    if (lastTokenAtMs === undefined) {
-      if (entry.generatedTokens === 1) this.#firstTokens.add(now - (startedAtMs ?? now));
-      return false;
-    }
-    const gapMs = now - lastTokenAtMs;
-    this.#gaps.add(gapMs);
+    const gapMs = this.#meter.observe(entry, this.#options.clock.now());
+    if (gapMs === undefined) return false;
     return this.#window.observe(gapMs, entry.item.interTokenTargetMs, this.#running.size);
   }
 
@@ -176,12 +159,12 @@
       return this.#estimate.waitMs(this.#line(tier, countsLower));
     });
     return {
-      running: [...this.#runningByTier],
+      running: [...this.#running.byTier],
       queued,
       waitMs,
       window: this.#window.size,
-      interTokenMs: this.#gaps.quantile(MEDIAN),
-      firstTokenMs: this.#firstTokens.quantile(MEDIAN),
+      interTokenMs: this.#meter.interTokenMs,
+      firstTokenMs: this.#meter.firstTokenMs,
     };
   }
 
@@ -197,18 +180,22 @@
   #account(): void {
     const queued = Array.from({length: tierCount}, (_, tier) => this.#queues.tier(tier).length);
     const window = this.#window.size;
-    this.#shares.advance(this.#options.clock.now(), {running: this.#runningByTier, queued, window});
+    this.#shares.advance(this.#options.clock.now(), {
+      running: this.#running.byTier,
+      queued,
+      window,
+    });
   }
 
   #findRefusal(item: QueueItem): Failure | undefined {
     const {tier, dueAtMs} = item;
     // What stands before urgent work is preempted or shed, so it counts for nothing.
-    if (this.#isUrgent(tier) && this.#servesBelow(tier)) {
+    if (this.#isUrgent(tier) && this.#running.servesBelow(tier)) {
       this.#makeRoom(item);
       return undefined;
     }
     const waitMs = this.#estimate.waitMs(this.#line(tier, !this.#canPreempt, dueAtMs));
-    const budgetMs = dueAtMs - this.#options.clock.now() - this.#leastFirstTokenMs();
+    const budgetMs = dueAtMs - this.#options.clock.now() - this.#meter.leastFirstTokenMs;
     if (this.#tuning.refusesEarly && waitMs > budgetMs) {
       return deadlineUnreachable(waitMs, budgetMs);
     }
@@ -229,9 +216,9 @@
   #shedExpired(): void {
     if (!this.#tuning.refusesEarly) return;
     const now = this.#options.clock.now();
-    const leastMs = this.#leastFirstTokenMs();
+    const leastMs = this.#meter.leastFirstTokenMs;
     for (let tier = 0; tier < tierCount; tier += 1) {
-      if (this.#isUrgent(tier) && this.#servesBelow(tier)) continue;
+      if (this.#isUrgent(tier) && this.#running.servesBelow(tier)) continue;
       for (const entry of [...this.#queues.tier(tier)]) {
         const {id, dueAtMs} = entry.item;
         if (now + leastMs <= dueAtMs) break;
@@ -244,11 +231,6 @@
     }
   }
 
-  /** Whether anything of a lower tier runs. */
-  #servesBelow(tier: number): boolean {
-    return this.#runningByTier.some((count, other) => other > tier && count > 0);
-  }
-
   #chooseStart(): MutableQueueEntry | undefined {
     if (this.#running.size >= this.#window.size) return this.#chooseBeyondWindow();
     const {urgentTierCount, maxPauseMs} = this.#tuning;
@@ -257,7 +239,7 @@
       nowMs: this.#options.clock.now(),
       urgentTierCount,
       maxPauseMs,
-      holdsLongWorkBack: this.#longRunningCount() >= this.#longLimit() && this.#hasShortWaiting(),
+      holdsLongWorkBack: this.#running.longCount() >= this.#longLimit() && this.#hasShortWaiting(),
       canWait: (entry) => !this.#isAtRisk(entry),
       isOwed: (tier) => this.#isOwedSlot(tier),
     });
@@ -276,17 +258,20 @@
   /** Whether a tier has had less than its share and does not hold the slots for it yet. */
   #isOwedSlot(tier: number): boolean {
     const slots = this.#shares.guaranteedSlots(tier, this.#window.size);
-    return this.#shares.isOwed(tier) && (this.#runningByTier[tier] ?? 0) < slots;
+    return this.#shares.isOwed(tier) && (this.#running.byTier[tier] ?? 0) < slots;
   }
 
   *#preemptForWaiting(): Generator<Directive> {
-    let free = this.#window.size - this.#running.size + this.#stoppingCount();
+    let free =
+      this.#window.size -
+      this.#running.size +
+      this.#running.stoppingCount(this.#options.clock.now());
     for (let tier = 0; tier < tierCount; tier += 1) {
       for (const entry of this.#queues.tier(tier)) {
         const isUrgent = this.#isUrgent(tier);
         if (!isUrgent && entry.pausedAtMs !== undefined) continue;
         const isAtRisk = this.#isAtRisk(entry);
-        const isCrowdedOut = !isLong(entry) && this.#longRunningCount() > this.#longLimit();
+        const isCrowdedOut = !isLong(entry) && this.#running.longCount() > this.#longLimit();
         if (!isUrgent && !isAtRisk && !isCrowdedOut) break;
         free -= 1;
         if (free >= 0) continue;
@@ -299,9 +284,12 @@
 
   /** Brings the batch back to its window when a request with a target runs beside lower tiers. */
   *#preemptBeyondWindow(): Generator<Directive> {
-    let excess = this.#running.size - this.#stoppingCount() - this.#window.size;
+    let excess =
+      this.#running.size -
+      this.#running.stoppingCount(this.#options.clock.now()) -
+      this.#window.size;
     while (excess > 0) {
-      const beneficiary = this.#mostSensitive();
+      const beneficiary = this.#running.mostSensitive();
       if (beneficiary === undefined) return;
       const victim = this.#chooseVictim(beneficiary, false);
       if (victim === undefined || victim.item.tier === beneficiary.item.tier) return;
@@ -310,16 +298,6 @@
     }
   }
 
-  /** The running request of the highest tier among those with a target between tokens. */
-  #mostSensitive(): MutableQueueEntry | undefined {
-    let found: MutableQueueEntry | undefined;
-    for (const entry of this.#running.values()) {
-      if (entry.item.interTokenTargetMs === undefined) continue;
-      if (found === undefined || entry.item.tier < found.item.tier) found = entry;
-    }
-    return found;
-  }
-
   #chooseVictim(beneficiary: MutableQueueEntry, isAtRisk: boolean): MutableQueueEntry | undefined {
     const window = this.#window.size;
     return chooseVictim({
@@ -327,12 +305,12 @@
       beneficiary,
       isUrgent: this.#isUrgent(beneficiary.item.tier),
       isAtRisk,
-      isLongWorkOverShare: this.#longRunningCount() > this.#longLimit(),
+      isLongWorkOverShare: this.#running.longCount() > this.#longLimit(),
       maxPreemptions: this.#tuning.maxPreemptions,
       nowMs: this.#options.clock.now(),
       minRunMs: this.#tuning.minRunMs,
       isGuaranteed: (tier) => {
-        const running = this.#runningByTier[tier] ?? 0;
+        const running = this.#running.byTier[tier] ?? 0;
         return running <= this.#shares.guaranteedSlots(tier, window);
       },
     });
@@ -347,76 +325,41 @@
   #isAtRisk({item, pausedAtMs}: MutableQueueEntry): boolean {
     if (pausedAtMs !== undefined) return this.#isUrgent(item.tier);
     const before = this.#queues.tier(item.tier).length;
-    const waitMs = (before * this.#meanServiceMs()) / this.#window.size;
+    const waitMs = (before * this.#meanServiceMs(item.tier)) / this.#window.size;
     const now = this.#options.clock.now();
     // A deadline that has passed is not met by anything any more.
     if (!this.#isUrgent(item.tier) && now > item.dueAtMs) return false;
-    return now + this.#leastFirstTokenMs() + waitMs >= item.dueAtMs;
-  }
-
-  #leastFirstTokenMs(): number {
-    return this.#firstTokens.quantile(LEAST_FIRST_TOKEN);
+    return now + this.#meter.leastFirstTokenMs + waitMs >= item.dueAtMs;
   }
 
   /** What stands before a new request of a tier. */
   #line(tier: number, countsLower: boolean, dueAtMs = Number.POSITIVE_INFINITY): Line {
     const window = this.#isUrgent(tier) ? this.#window.urgentSize : this.#window.size;
-    let running = 0;
-    for (const [other, count] of this.#runningByTier.entries()) {
-      if (other <= tier || countsLower) running += count;
-      else if (!this.#isUrgent(tier)) {
-        running += Math.min(count, this.#shares.guaranteedSlots(other, window));
-      }
-    }
-    let queued = 0;
-    for (let other = 0; other < tier; other += 1) queued += this.#queues.tier(other).length;
-    const equals = this.#queues.tier(tier);
-    const later = equals.findIndex(({item}) => item.dueAtMs > dueAtMs);
-    queued += later === -1 ? equals.length : later;
-    return {running, queued, slots: window, serviceMs: this.#meanServiceMs(tier)};
+    // Urgent work is not held up by the guaranteed slots of others.
+    const keptSlots = (other: number) =>
+      this.#isUrgent(tier) ? 0 : this.#shares.guaranteedSlots(other, window);
+    return {
+      running: this.#running.countBefore(tier, countsLower, keptSlots),
+      queued: this.#queues.countBefore(tier, dueAtMs),
+      slots: window,
+      serviceMs: this.#meanServiceMs(tier),
+    };
   }
 
   /** Mean service time of what runs, in milliseconds. */
-  #meanServiceMs(tier?: number): number {
-    let sum = 0;
-    let count = 0;
-    for (const [other, runningCount] of this.#runningByTier.entries()) {
-      if (runningCount === 0) continue;
-      sum += runningCount * this.#estimate.serviceMs(other);
-      count += runningCount;
-    }
-    return count === 0 ? this.#estimate.serviceMs(tier ?? 0) : sum / count;
+  #meanServiceMs(tier: number): number {
+    return this.#estimate.meanServiceMs(this.#running.byTier, tier);
   }
 
   #longLimit(): number {
     return longWorkLimit(this.#tuning.longWorkShare, this.#window.size);
   }
 
-  #longRunningCount(): number {
-    let count = 0;
-    for (const entry of this.#running.values()) {
-      if (entry.stoppingAtMs === undefined && isLong(entry)) count += 1;
-    }
-    return count;
-  }
-
   #hasShortWaiting(): boolean {
     for (const entry of this.#queues.entries()) if (!isLong(entry)) return true;
     return false;
   }
 
-  /** Number of running requests that were asked to pause. */
-  #stoppingCount(): number {
-    const now = this.#options.clock.now();
-    let count = 0;
-    for (const entry of this.#running.values()) {
-      if (entry.stoppingAtMs === undefined) continue;
-      if (now - entry.stoppingAtMs < PAUSE_TIMEOUT_MS) count += 1;
-      else entry.stoppingAtMs = undefined;
-    }
-    return count;
-  }
-
   #insert(entry: MutableQueueEntry): void {
     this.#queues.insert(entry);
     this.#waiting.set(entry.item.id, entry);
@@ -431,19 +374,10 @@
 
   #start(entry: MutableQueueEntry): void {
     this.#takeOut(entry);
-    entry.startedAtMs = this.#options.clock.now();
-    entry.pausedAtMs = undefined;
-    this.#running.set(entry.item.id, entry);
-    this.#runningByTier[entry.item.tier] = (this.#runningByTier[entry.item.tier] ?? 0) + 1;
+    this.#running.add(entry, this.#options.clock.now());
   }
 
   #stop(entry: MutableQueueEntry): void {
-    const now = this.#options.clock.now();
-    entry.servedMs += now - (entry.startedAtMs ?? now);
-    entry.startedAtMs = undefined;
-    entry.stoppingAtMs = undefined;
-    entry.lastTokenAtMs = undefined;
-    this.#running.delete(entry.item.id);
-    this.#runningByTier[entry.item.tier] = (this.#runningByTier[entry.item.tier] ?? 0) - 1;
+    this.#running.remove(entry, this.#options.clock.now());
   }
 }
