--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -1,5 +1,11 @@
 /** One agent: everything that it owns, wired together. */
-import {ConfigurationFeed, type Secrets} from '@marigoldfold/coordination';
+import {
+  addConnectionMetrics,
+  ConfigurationFeed,
+  createProcessRegistry,
+  type ProcessMetricsOptions,
+  type Secrets,
+} from '@marigoldfold/coordination';
 import {createIncarnation} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger} from '@marigoldfold/runtime';
 import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
@@ -11,7 +17,7 @@
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import {Gauge, Registry} from 'prom-client';
+import {Gauge, type Registry} from 'prom-client';
 import {CallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
 import {type TierShares, tierShares} from './minimumShares.js';
@@ -27,7 +33,10 @@
   readonly secrets: Secrets;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly timing?: WorkerTiming;
+  /** Durations that differ from the settings and the usual ones. */
+  readonly timing?: Partial<WorkerTiming>;
+  /** Whether to serve Node's own metrics as well; for a process that runs only this agent. */
+  readonly includesNodeMetrics?: boolean;
 }
 
 /** A running agent. */
@@ -90,10 +99,20 @@
             }),
           }),
       configurationNumber: () => feed.head.number,
-      timing: options.timing ?? defaultWorkerTiming,
+      timing: {
+        ...defaultWorkerTiming,
+        leaveGraceMs: settings.drain.graceMs,
+        firstTokenLimitMs: endpoint.firstTokenLimitMs,
+        silenceLimitMs: endpoint.silenceLimitMs,
+        ...options.timing,
+      },
     }),
   );
   const [host, port] = splitAddress(settings.listen);
+  const registry = createRegistry(worker, {
+    feed,
+    includesNode: options.includesNodeMetrics === true,
+  });
   const server = await startAgentServer({
     host,
     port,
@@ -101,8 +120,8 @@
     clusterKey: createClusterKey(secrets.clusterKey),
     worker,
     clock,
-    registry: createRegistry(worker, feed),
-    isReady: () => feed.head.number > 0,
+    registry,
+    isReady: () => feed.head.number > 0 && !worker.isLeaving,
     logger,
   });
   if (server.isErr()) {
@@ -110,6 +129,7 @@
     return err(server.error);
   }
   disposables.add(server.value);
+  addConnectionMetrics(registry, {entries: server.value.connectionCount});
   feed.start();
   logger.info('ready', {address: server.value.address, endpoint: endpoint.name});
   return ok({
@@ -141,8 +161,8 @@
   };
 }
 
-function createRegistry(worker: Worker, feed: ConfigurationFeed): Registry {
-  const registry = new Registry();
+function createRegistry(worker: Worker, options: ProcessMetricsOptions): Registry {
+  const registry = createProcessRegistry(options);
   const registers = [registry];
   new Gauge({
     name: 'marigoldfold_agent_requests',
@@ -155,13 +175,5 @@
       for (const [tier, count] of queued.entries()) this.set({state: 'queued', tier}, count);
     },
   });
-  new Gauge({
-    name: 'marigoldfold_configuration_number',
-    help: 'Number of the ticket in force.',
-    registers,
-    collect() {
-      this.set(feed.head.number);
-    },
-  });
   return registry;
 }
