Test the queue against a plain version, and bound what it takes in

Cause: the comparison (fast-check) found that an endpoint which cannot pause took in any number of urgent requests beyond its capacity while anything of a lower tier ran. Change: only a queue that can preempt takes urgent work in on the strength of lower work that runs. The plain version is 100 lines of sorts and filters.

--- /dev/null
+++ b/packages/agent/src/__fixtures__/plainQueue.ts
@@ -0,0 +1,101 @@
+/** The rules of the queue written down plainly, without any care for speed. */
+import type {QueueItem} from '../index.js';
+
+interface Waiting {
+  readonly item: QueueItem;
+  readonly tokens: number;
+  /** Grows with each time that a request gets into the queue. */
+  readonly order: number;
+  readonly preemptions: number;
+}
+
+interface Running extends Waiting {
+  readonly startedAtMs: number;
+  readonly isStopping: boolean;
+}
+
+/** The state as a list of requests, and each rule as a sort or a filter of it. */
+export class PlainQueue {
+  waiting: Waiting[] = [];
+  running: Running[] = [];
+  #order = 0;
+
+  constructor(
+    private readonly slots: number,
+    private readonly capacity: number,
+    private readonly urgentTierCount: number,
+    private readonly now: () => number,
+  ) {}
+
+  /** The id that is shed to make room, `refused`, or `taken`. */
+  offer(item: QueueItem): string {
+    let outcome = 'taken';
+    const neverRun = this.waiting.filter(({preemptions}) => preemptions === 0);
+    const servesBelow = this.running.some((one) => one.item.tier > item.tier);
+    if (neverRun.length >= this.capacity) {
+      const lower = neverRun.filter((one) => one.item.tier > item.tier).sort(byRank);
+      const last = lower.at(-1);
+      const isUrgent = item.tier < this.urgentTierCount;
+      if (last === undefined && !(isUrgent && servesBelow)) return 'refused';
+      if (last !== undefined) {
+        this.waiting = this.waiting.filter((one) => one !== last);
+        outcome = `shed ${last.item.id}`;
+      }
+    }
+    this.waiting.push({item, order: this.#order++, preemptions: 0, tokens: 0});
+    return outcome;
+  }
+
+  remove(id: string): boolean {
+    const before = this.waiting.length;
+    this.waiting = this.waiting.filter(({item}) => item.id !== id);
+    return this.waiting.length < before;
+  }
+
+  /** What is to be done, as texts. */
+  next(): readonly string[] {
+    const done: string[] = [];
+    while (this.running.length < this.slots && this.waiting.length > 0) {
+      const [first] = [...this.waiting].sort(byRank);
+      if (first === undefined) break;
+      this.waiting = this.waiting.filter((one) => one !== first);
+      this.running.push({...first, startedAtMs: this.now(), isStopping: false});
+      done.push(`start ${first.item.id}`);
+    }
+    let free = this.slots - this.running.length;
+    free += this.running.filter(({isStopping}) => isStopping).length;
+    const urgent = this.waiting.filter(({item}) => item.tier < this.urgentTierCount).sort(byRank);
+    for (const {item} of urgent.slice(Math.max(0, free))) {
+      const victim = this.running
+        .filter((one) => !one.isStopping && one.item.tier > item.tier)
+        .filter((one) => one.preemptions === 0 || this.now() > one.startedAtMs)
+        .sort((a, b) => b.item.tier - a.item.tier || a.tokens - b.tokens)[0];
+      if (victim === undefined) continue;
+      this.running = this.running.map((one) => (one === victim ? {...one, isStopping: true} : one));
+      done.push(`preempt ${victim.item.id} for ${item.id}`);
+    }
+    return done;
+  }
+
+  requeue(id: string): void {
+    for (const one of this.running.filter(({item}) => item.id === id)) {
+      const {item, preemptions, tokens} = one;
+      this.waiting.push({item, tokens, preemptions: preemptions + 1, order: this.#order++});
+    }
+    this.finish(id);
+  }
+
+  generate(id: string): void {
+    this.running = this.running.map((one) =>
+      one.item.id === id ? {...one, tokens: one.tokens + 1} : one,
+    );
+  }
+
+  finish(id: string): void {
+    this.running = this.running.filter(({item}) => item.id !== id);
+  }
+}
+
+function byRank(a: Waiting, b: Waiting): number {
+  return a.item.tier - b.item.tier || a.item.dueAtMs - b.item.dueAtMs || a.order - b.order;
+}
--- /dev/null
+++ b/packages/agent/src/__tests__/workQueueDifferential.test.ts
@@ -0,0 +1,110 @@
+import {VirtualClock} from '@marigoldfold/runtime';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {PlainQueue} from '../__fixtures__/plainQueue.js';
+import {type Directive, WorkQueue} from '../index.js';
+
+const SLOTS = 3;
+const CAPACITY = 4;
+const URGENT_TIERS = 2;
+/** Far enough away that no deadline is at risk. */
+const FAR_MS = 1_000_000_000;
+
+const step = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('offer' as const),
+      tier: fc.integer({min: 0, max: 6}),
+      due: fc.integer({min: 0, max: 3}),
+    }),
+  },
+  {weight: 3, arbitrary: fc.record({kind: fc.constant('finish' as const), pick: fc.nat(20)})},
+  {weight: 3, arbitrary: fc.record({kind: fc.constant('settle' as const)})},
+  {weight: 3, arbitrary: fc.record({kind: fc.constant('token' as const), pick: fc.nat(20)})},
+  {weight: 1, arbitrary: fc.record({kind: fc.constant('remove' as const), pick: fc.nat(20)})},
+  {weight: 2, arbitrary: fc.record({kind: fc.constant('pass' as const)})},
+);
+
+function describeDirective(one: Directive): string {
+  return one.kind === 'preempt' ? `preempt ${one.id} for ${one.for}` : `${one.kind} ${one.id}`;
+}
+
+describe('WorkQueue against a plain version', () => {
+  it.each([true, false])('decides the same, with an endpoint that can pause: %s', (canPause) => {
+    fc.assert(
+      fc.property(fc.array(step, {minLength: 60, maxLength: 120}), (steps) => {
+        const clock = new VirtualClock();
+        const queue = new WorkQueue({
+          clock,
+          slots: SLOTS,
+          capacity: CAPACITY,
+          canPause,
+          tuning: {adaptsWindow: false, maxPauseMs: FAR_MS, urgentTierCount: URGENT_TIERS},
+        });
+        const plain = new PlainQueue(SLOTS, CAPACITY, canPause ? URGENT_TIERS : 0, () =>
+          clock.now(),
+        );
+        const stopping = new Set<string>();
+        const pendingSheds: string[] = [];
+        let sequence = 0;
+        const compare = () => {
+          const directives = queue.next().map(describeDirective);
+          expect(directives).toEqual([...pendingSheds.splice(0), ...plain.next()]);
+          for (const text of directives) {
+            const [kind, id] = text.split(' ');
+            if (kind === 'preempt' && id !== undefined) stopping.add(id);
+          }
+        };
+        for (const one of steps) {
+          switch (one.kind) {
+            case 'offer': {
+              sequence += 1;
+              const item = {id: `r${sequence}`, tier: one.tier, dueAtMs: FAR_MS + one.due};
+              const outcome = plain.offer(item);
+              expect(queue.offer(item).isOk()).toBe(outcome !== 'refused');
+              if (outcome.startsWith('shed')) pendingSheds.push(outcome);
+              break;
+            }
+            case 'finish': {
+              const running = plain.running[one.pick % Math.max(1, plain.running.length)];
+              if (running === undefined) break;
+              queue.finish(running.item.id);
+              plain.finish(running.item.id);
+              stopping.delete(running.item.id);
+              break;
+            }
+            case 'token': {
+              const running = plain.running[one.pick % Math.max(1, plain.running.length)];
+              if (running === undefined) break;
+              queue.observeToken(running.item.id);
+              plain.generate(running.item.id);
+              break;
+            }
+            case 'settle':
+              for (const id of stopping) {
+                queue.requeue(id);
+                plain.requeue(id);
+              }
+              stopping.clear();
+              break;
+            case 'remove': {
+              const waiting = plain.waiting[one.pick % Math.max(1, plain.waiting.length)];
+              const id = waiting?.item.id ?? 'unknown';
+              expect(queue.remove(id)).toBe(plain.remove(id));
+              break;
+            }
+            case 'pass':
+              clock.schedule(10, () => undefined);
+              clock.step();
+              break;
+          }
+          compare();
+          expect(queue.queuedCount).toBe(plain.waiting.length);
+          expect(queue.runningCount).toBe(plain.running.length);
+        }
+      }),
+      {seed: 20_261_204, numRuns: 400},
+    );
+  });
+});
--- a/packages/agent/src/workQueue.ts
+++ b/packages/agent/src/workQueue.ts
@@ -172,6 +172,11 @@
     return this.#tuning.preempts && this.#options.canPause === true;
   }
 
+  /** Whether urgent work of a tier can take the place of something that runs. */
+  #canDisplace(tier: number): boolean {
+    return this.#canPreempt && this.#isUrgent(tier) && this.#running.servesBelow(tier);
+  }
+
   #isUrgent(tier: number): boolean {
     return tier < this.#tuning.urgentTierCount;
   }
@@ -190,7 +195,7 @@
   #findRefusal(item: QueueItem): Failure | undefined {
     const {tier, dueAtMs} = item;
     // What stands before urgent work is preempted or shed, so it counts for nothing.
-    if (this.#isUrgent(tier) && this.#running.servesBelow(tier)) {
+    if (this.#canDisplace(tier)) {
       this.#makeRoom(item);
       return undefined;
     }
@@ -218,7 +223,7 @@
     const now = this.#options.clock.now();
     const leastMs = this.#meter.leastFirstTokenMs;
     for (let tier = 0; tier < tierCount; tier += 1) {
-      if (this.#isUrgent(tier) && this.#running.servesBelow(tier)) continue;
+      if (this.#canDisplace(tier)) continue;
       for (const entry of [...this.#queues.tier(tier)]) {
         const {id, dueAtMs} = entry.item;
         if (now + leastMs <= dueAtMs) break;
--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -24,6 +24,8 @@
   readonly backend: Backend;
   readonly createQueue: () => RequestQueue;
   readonly setsPriority: boolean;
+  /** Whether the backend can pause a request. */
+  readonly canPause: boolean;
   readonly checker: InvariantChecker;
   readonly measures: Measures;
 }
@@ -67,6 +69,11 @@
     return this.#options.backend;
   }
 
+  /** Whether a running request can make way for another one. */
+  get canPause(): boolean {
+    return this.#options.canPause;
+  }
+
   /** Whether the agent can be reached. */
   get isUp(): boolean {
     return this.#isUp;
--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -52,6 +52,7 @@
       // What waits behind is not served in its place, but takes room in a full queue.
       const isInPlace = other.state === (failure.code === 'overloaded' ? 'queued' : 'running');
       if (!isInPlace && other.state !== 'running') continue;
+      if (other.state === 'running' && !agent.canPause) continue;
       const message = `refused by ${agent.name} in tier ${requestClass.tier} while ${other.arrival.id} of tier ${other.tier} is ${other.state}`;
       this.#violate('urgent-first', id, message);
       return;
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -85,6 +85,7 @@
           group.type === 'engine' ? new EngineModel({clock, ...group}) : new ServiceModel(clock),
         createQueue: () => createQueue(group, policy, clock, shares),
         setsPriority: policy.setsPriority,
+        canPause: group.type === 'engine',
       });
       agents.set(name, agent);
     }
