--- a/packages/bench/src/entryModel.ts
+++ b/packages/bench/src/entryModel.ts
@@ -67,11 +67,12 @@
     else this.#send(carried, undefined);
   }
 
-  #admit({account: name}: Arrival): Result<Disposable | undefined, Failure> {
+  #admit({account: name, requestClass}: Arrival): Result<Disposable | undefined, Failure> {
     const {policy, limits, configuration} = this.#options;
     const account: Account | undefined = configuration.get('account', name);
     if (!policy.limitsAccounts || account === undefined) return ok(undefined);
-    return limits.admit(name, account);
+    // With one entry in the ring, no home has to be asked.
+    return limits.admitNow(name, account, requestClass.tier) ?? ok(undefined);
   }
 
   #send(carried: Carried, before: Failure | undefined): void {
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -2,6 +2,7 @@
 import {ClaimList, ClaimSettle, ClaimShow} from './claim.js';
 import {Dev} from './dev.js';
 import {KeyGenerate} from './keyGenerate.js';
+import {ReportBurn} from './reportBurn.js';
 import {SettingsCheck} from './settingsCheck.js';
 import {Status} from './status.js';
 import {TicketApprove, TicketReject} from './ticketDecide.js';
@@ -16,6 +17,7 @@
   'claim:show': ClaimShow,
   dev: Dev,
   'key:generate': KeyGenerate,
+  'report:burn': ReportBurn,
   'settings:check': SettingsCheck,
   status: Status,
   'ticket:approve': TicketApprove,
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,6 +1,5 @@
 /** One entry: everything that it owns, wired together. */
 import {
-  AccountLimits,
   addConnectionMetrics,
   ConfigurationFeed,
   createInstanceSource,
@@ -23,6 +22,7 @@
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {combineLatest} from 'rxjs';
+import {createAccountLimiting} from './accountLimiting.js';
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
@@ -64,7 +64,7 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {feed, instances, links, choice} = parts;
+  const {feed, instances, links, choice, accounts} = parts;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
   const includesNode = options.includesNodeMetrics === true;
@@ -86,7 +86,7 @@
       logger,
       limits: settings.limits,
       head: () => feed.head,
-      accountLimits: new AccountLimits(clock),
+      accountLimits: accounts.limits,
       router: new Router({clock, logger, choice, retryBudget: new RetryBudget(), linkTo}),
       metrics: new RequestMetrics(registry),
       nextRequestId: requestIds(incarnation),
@@ -111,6 +111,10 @@
       isReady,
       registry,
     }),
+    // Other entries connect here as well; they show the cluster key.
+    upgrade: (request, socket, head) => {
+      accounts.control.upgrade(request, socket, head);
+    },
     onDefect,
   });
   if (operators.isErr()) {
@@ -126,6 +130,7 @@
   const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
     choice.update(head.configuration, list.instances);
     links.retain(list.instances);
+    accounts.update(list.instances);
   });
   disposables.defer(() => {
     updates.unsubscribe();
@@ -186,12 +191,17 @@
       intervalMs: platform.instancesIntervalMs,
     }),
   );
-  const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const links = disposables.add(new AgentLinks(client, clusterKey));
   const {name: self, failureDomain, region} = process;
   const probe = async (instance: Instance) =>
     (await links.get(instance).probe()).unwrapOr(undefined);
   const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
-  return {store, record, feed, instances, links, choice};
+  const accountOf = (name: string) => feed.head.configuration.get('account', name);
+  const accounts = disposables.add(
+    createAccountLimiting({clock, self, region, clusterKey, accountOf}),
+  );
+  return {store, record, feed, instances, links, choice, accounts};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
