--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -183,6 +183,7 @@
       this.backend.resume(arrival.id);
       return;
     }
+    this.#options.checker.onStarted(arrival);
     const priority = this.#options.setsPriority ? tier : 0;
     this.backend.begin({...arrival, priority}, (number) => {
       this.#onToken(attempt, number);
--- a/packages/bench/src/entryModel.ts
+++ b/packages/bench/src/entryModel.ts
@@ -5,7 +5,14 @@
   EndpointChoice,
   RetryBudget,
 } from '@marigoldfold/coordination';
-import {type Failure, type Instance, type Load, refusal} from '@marigoldfold/protocol';
+import {
+  type Failure,
+  type Instance,
+  type Load,
+  type Ran,
+  ranByAny,
+  refusal,
+} from '@marigoldfold/protocol';
 import type {Clock, Random} from '@marigoldfold/runtime';
 import type {Account, Configuration} from '@marigoldfold/state';
 import {ok, type Result} from 'neverthrow';
@@ -36,6 +43,8 @@
   readonly arrival: Arrival;
   readonly record: RequestRecord;
   readonly excluded: Set<string>;
+  /** Whether an earlier attempt may have run. */
+  ran: Ran;
   readonly release: () => void;
 }
 
@@ -62,7 +71,7 @@
     const release = () => {
       if (admitted.isOk()) admitted.value?.[Symbol.dispose]();
     };
-    const carried: Carried = {arrival, record, excluded: new Set(), release};
+    const carried: Carried = {arrival, record, excluded: new Set(), ran: 'no', release};
     if (admitted.isErr()) this.#fail(carried, admitted.error);
     else this.#send(carried, undefined);
   }
@@ -157,6 +166,7 @@
 
   /** Tries another endpoint when no work was done, or fails. */
   #retry(carried: Carried, agent: AgentModel, failure: Failure): void {
+    carried.ran = ranByAny(carried.ran, failure.ran);
     const isMovable = failure.ran !== 'yes' && carried.record.tokens === 0;
     if (!this.#options.policy.moves || !isMovable || !this.#retryBudget.spend()) {
       this.#fail(carried, failure);
@@ -173,8 +183,10 @@
     record.onFinished();
   }
 
-  #fail({arrival, record, release}: Carried, failure: Failure): void {
+  #fail({arrival, record, release, ran}: Carried, cause: Failure): void {
     release();
+    // The caller is told of all attempts: one that may have run outweighs a later refusal.
+    const failure = {...cause, ran: ranByAny(ran, cause.ran)};
     this.#options.checker.onFailed(arrival, failure);
     if (failure.ran === 'no') record.onRefused();
     else record.onFailed();
--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -22,6 +22,7 @@
   readonly #clock: Clock;
   readonly #traces = new Map<string, string[]>();
   readonly #violations: Violation[] = [];
+  readonly #started = new Set<string>();
   readonly #worked = new Map<string, number>();
   readonly #finished = new Set<string>();
 
@@ -59,6 +60,11 @@
     }
   }
 
+  /** An endpoint begins the work of a request. */
+  onStarted({id}: Arrival): void {
+    this.#started.add(id);
+  }
+
   /** An agent preempts a request for another. */
   onPreempted(agent: AgentModel, victim: Attempt, beneficiary: Attempt | undefined): void {
     const {id} = victim.arrival;
@@ -93,8 +99,9 @@
   onFailed({id}: Arrival, failure: Failure): void {
     this.note(id, `failed: ${failure.code}, ran ${failure.ran}`);
     const got = this.#worked.get(id) ?? 0;
-    if (failure.ran === 'no' && got > 0) {
-      this.#violate('not-run-did-no-work', id, `${failure.code} says not run after ${got} tokens`);
+    if (failure.ran === 'no' && this.#started.has(id)) {
+      const message = `${failure.code} says not run after a start and ${got} tokens`;
+      this.#violate('not-run-did-no-work', id, message);
     }
     this.#finished.add(id);
   }
