--- /dev/null
+++ b/packages/bench/src/__fixtures__/experimentSuite.ts
@@ -0,0 +1,34 @@
+/** Tests of the experiments in the repository, with the seeds that their files give. */
+import {readFileSync} from 'node:fs';
+import {beforeAll, describe, expect, it} from 'vitest';
+import {describeExpectation} from '../expectations.js';
+import {type ExperimentOutcome, parseExperiment, runExperiment} from '../index.js';
+
+const directory = new URL('../../../../experiments/', import.meta.url);
+const RUN_LIMIT_MS = 60_000;
+
+/** Declares the tests of an experiment: what must always hold, and one for each expectation. */
+export function testExperiment(name: string): void {
+  const text = readFileSync(new URL(`${name}.toml`, directory), 'utf8');
+  const experiment = parseExperiment(text)._unsafeUnwrap();
+  describe(name, () => {
+    let outcome: ExperimentOutcome;
+
+    beforeAll(() => {
+      outcome = runExperiment({
+        experiment: {...experiment, policies: ['marigoldfold', 'naive']},
+        seed: experiment.seed,
+      });
+    }, RUN_LIMIT_MS);
+
+    it('keeps what must always hold', () => {
+      expect(outcome.violations).toEqual([]);
+    });
+
+    for (const [index, expectation] of experiment.expect.entries()) {
+      it(describeExpectation(expectation), () => {
+        expect(outcome.judgements[index]).toMatchObject({holds: true});
+      });
+    }
+  });
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/experimentsFleet.test.ts
@@ -0,0 +1,5 @@
+import {testExperiment} from '../__fixtures__/experimentSuite.js';
+
+testExperiment('account-burst');
+testExperiment('engine-crash');
+testExperiment('seven-tiers');
--- a/packages/bench/src/expectations.ts
+++ b/packages/bench/src/expectations.ts
@@ -30,11 +30,18 @@
   const holds =
     measured >= (atLeast ?? Number.NEGATIVE_INFINITY) * unit &&
     measured <= (atMost ?? Number.POSITIVE_INFINITY) * unit;
-  const times = of === undefined ? '' : ` times ${describe(of)} (${unit.toPrecision(5)})`;
+  const reference = of === undefined ? '' : ` (${unit.toPrecision(5)})`;
+  return {text: `${describeExpectation(expectation)}${reference}`, measured, holds};
+}
+
+/** What is expected, in words. */
+export function describeExpectation(expectation: Expectation): string {
+  const {atLeast, atMost, of} = expectation;
+  const times = of === undefined ? '' : ` times ${describe(of)}`;
   const bounds: string[] = [];
   if (atLeast !== undefined) bounds.push(`at least ${atLeast}${times}`);
   if (atMost !== undefined) bounds.push(`at most ${atMost}${times}`);
-  return {text: `${describe(expectation)} ${bounds.join(' and ')}`, measured, holds};
+  return `${describe(expectation)} ${bounds.join(' and ')}`;
 }
 
 function describe({policy, class: className, measure}: Quantity): string {
