--- a/packages/bench/src/agentModel.ts
+++ b/packages/bench/src/agentModel.ts
@@ -25,6 +25,8 @@
   readonly backend: Backend;
   readonly createQueue: () => RequestQueue;
   readonly setsPriority: boolean;
+  /** Whether the backend can pause a request. */
+  readonly canPause: boolean;
   readonly checker: InvariantChecker;
   readonly measures: Measures;
 }
@@ -68,6 +70,11 @@
     return this.#options.backend;
   }
 
+  /** Whether a running request can make way for another one. */
+  get canPause(): boolean {
+    return this.#options.canPause;
+  }
+
   /** Whether the agent can be reached. */
   get isUp(): boolean {
     return this.#isUp;
@@ -178,6 +185,7 @@
       return;
     }
     attempt.listener.onStarted();
+    this.#options.checker.onStarted(arrival);
     const priority = this.#options.setsPriority ? tier : 0;
     this.backend.begin({...arrival, priority}, (number) => {
       this.#onToken(attempt, number);
--- a/packages/bench/src/entryModel.ts
+++ b/packages/bench/src/entryModel.ts
@@ -8,7 +8,14 @@
   RetryBudget,
   type SentRequest,
 } from '@marigoldfold/coordination';
-import {type Failure, type Instance, type Load, refusal} from '@marigoldfold/protocol';
+import {
+  type Failure,
+  type Instance,
+  type Load,
+  type Ran,
+  ranByAny,
+  refusal,
+} from '@marigoldfold/protocol';
 import type {Clock, Random} from '@marigoldfold/runtime';
 import type {Account, Configuration} from '@marigoldfold/state';
 import {ok, type Result} from 'neverthrow';
@@ -39,6 +46,8 @@
   readonly arrival: Arrival;
   readonly record: RequestRecord;
   readonly excluded: Set<string>;
+  /** Whether an earlier attempt may have run. */
+  ran: Ran;
   readonly release: () => void;
   moves: number;
 }
@@ -82,7 +91,14 @@
     const release = () => {
       if (admitted.isOk()) admitted.value?.[Symbol.dispose]();
     };
-    const carried: Carried = {arrival, record, excluded: new Set(), release, moves: 0};
+    const carried: Carried = {
+      arrival,
+      record,
+      excluded: new Set(),
+      ran: 'no',
+      release,
+      moves: 0,
+    };
     if (admitted.isErr()) this.#fail(carried, admitted.error);
     else this.#send(carried, undefined);
   }
@@ -250,6 +266,7 @@
     const {carried, agent, sent} = attempt;
     attempt.isOver = true;
     sent[Symbol.dispose]();
+    carried.ran = ranByAny(carried.ran, failure.ran);
     const isMovable = failure.ran !== 'yes' && carried.record.tokens === 0;
     if (!this.#options.policy.moves || !isMovable || !this.#retryBudget.spend()) {
       this.#fail(carried, failure);
@@ -270,8 +287,10 @@
     record.onFinished();
   }
 
-  #fail({arrival, record, release}: Carried, failure: Failure): void {
+  #fail({arrival, record, release, ran}: Carried, cause: Failure): void {
     release();
+    // The caller is told of all attempts: one that may have run outweighs a later refusal.
+    const failure = {...cause, ran: ranByAny(ran, cause.ran)};
     this.#options.checker.onFailed(arrival, failure);
     if (failure.ran === 'no') record.onRefused();
     else record.onFailed();
