--- /dev/null
+++ b/packages/bench/src/__fixtures__/commandStage.ts
@@ -0,0 +1,142 @@
+/** Runs documented commands against a local system, in a directory of their own. */
+import {existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {type LocalSystem, operatorCommands, startLocalSystem} from '@marigoldfold/cli';
+import {silentLogger} from '@marigoldfold/runtime';
+import {claimCall, openRecord} from '@marigoldfold/state';
+import {commands as benchCommands} from '../commands/index.js';
+import {repositoryFile, splitWords} from './documentedLines.js';
+
+/** A command class of oclif. */
+interface Runnable {
+  run(argv: string[], options: {readonly root: string}): Promise<unknown>;
+}
+
+type Commands = Readonly<Record<string, unknown>>;
+
+const LONGEST_SECONDS = 1;
+/** Age at which a claim can be settled. */
+const CLAIM_AGE_MS = 3_600_000;
+const exampleAddress = /^10\.\d+\.\d+\.\d+:\d+$/;
+const claimKey = {account: 'parish-choir', idempotencyKey: 'order-17'};
+const bandTicket = `reason = 'the civic band'
+[[changes]]
+kind = 'class'
+name = 'band'
+[changes.state]
+tier = 4
+firstTokenMs = 8000
+endpointSets = ['engines']
+`;
+
+/** What the pages' examples refer to. */
+export class CommandStage implements AsyncDisposable {
+  readonly #directory = mkdtempSync(join(tmpdir(), 'marigoldfold-pages-'));
+  readonly #system: LocalSystem;
+
+  private constructor(system: LocalSystem) {
+    this.#system = system;
+    const {monitor, operator} = system.keys;
+    process.env.MARIGOLDFOLD_OPERATORS = system.entry.operators.address;
+    process.env.MARIGOLDFOLD_OPERATOR_KEY = operator;
+    this.#write('monitor.pem', monitor.privateKeyPem);
+    this.#write('monitor.pub', monitor.publicKey);
+    this.#write('band.toml', bandTicket);
+  }
+
+  /** Starts the system and prepares the files and the claim of the examples. */
+  static async start(): Promise<CommandStage> {
+    const started = await startLocalSystem({port: 0, operatorsPort: 0, logger: silentLogger});
+    const stage = new CommandStage(started._unsafeUnwrap());
+    const claim = {
+      attempt: 'attempt-1',
+      requestDigest: 'digest',
+      claimedAtMs: Date.now() - CLAIM_AGE_MS,
+    };
+    (await claimCall(stage.#system.keyValue.subject, claimKey, claim))._unsafeUnwrap();
+    return stage;
+  }
+
+  /** Runs a line; resolves to what is wrong with it. */
+  async run(text: string): Promise<string | undefined> {
+    const [program = '', ...words] = splitWords(text.replace(/^npx /, ''));
+    if (program === 'npm') return checkNpm(words);
+    if (program === 'node' && words[0] === 'packages/bench/bin/run.js') {
+      return this.#runCommand(benchCommands, 'packages/bench', words.slice(1));
+    }
+    if (program === 'marigoldfold-bench') {
+      return this.#runCommand(benchCommands, 'packages/bench', words);
+    }
+    if (program === 'marigoldfold') {
+      return this.#runCommand(operatorCommands, 'packages/cli', words);
+    }
+    return `no way to run ${program}`;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#system.drain();
+    rmSync(this.#directory, {recursive: true});
+  }
+
+  async #runCommand(
+    commands: Commands,
+    root: string,
+    words: readonly string[],
+  ): Promise<string | undefined> {
+    const length = [2, 1].find((count) => words.slice(0, count).join(':') in commands);
+    if (length === undefined) return 'no such command';
+    const id = words.slice(0, length).join(':');
+    const number = await this.#prepare(id);
+    const argv = this.#adapt(words.slice(length), number);
+    try {
+      await (commands[id] as Runnable).run([...argv], {root: repositoryFile(root)});
+      return undefined;
+    } catch (error) {
+      const {oclif, message} = error as {oclif?: {exit?: number}; message: string};
+      return oclif?.exit === 0 ? undefined : message;
+    }
+  }
+
+  /** The number that the examples' ticket has here; sees to one that can be decided. */
+  async #prepare(id: string): Promise<number> {
+    const record = openRecord(this.#system.keyValue.subject);
+    const {tickets, decisions} = (await record.read(0))._unsafeUnwrap();
+    if (id !== 'ticket:approve' && id !== 'ticket:reject') return tickets.length;
+    if (tickets.length === decisions.length) {
+      await this.run('marigoldfold ticket propose band.toml');
+    }
+    return decisions.length + 1;
+  }
+
+  /** Puts the stage's files, addresses and numbers in the places of the examples'. */
+  #adapt(words: readonly string[], number: number): readonly string[] {
+    return words.map((word, index) => this.#adaptWord(word, words[index - 1] ?? '', number));
+  }
+
+  #adaptWord(word: string, before: string, number: number): string {
+    const file = /^\$\(cat (.*)\)$/.exec(word)?.[1];
+    if (file !== undefined) return readFileSync(join(this.#directory, file), 'utf8').trim();
+    if (before === '--for') return String(Math.min(Number(word), LONGEST_SECONDS));
+    if (exampleAddress.test(word)) return this.#system.entry.operators.address;
+    if (/^\d+$/.test(word)) {
+      return before.startsWith('--') ? word : String(Math.min(Number(word), number));
+    }
+    if (!/\.[a-z]+$/.test(word)) return word;
+    const path = repositoryFile(word);
+    return existsSync(path) ? path : join(this.#directory, word);
+  }
+
+  #write(name: string, text: string): void {
+    writeFileSync(join(this.#directory, name), text);
+  }
+}
+
+/** A script that npm is asked to run has to exist. */
+function checkNpm([verb = '', name = '']: readonly string[]): string | undefined {
+  if (verb === 'ci') return undefined;
+  const text = readFileSync(repositoryFile('package.json'), 'utf8');
+  const {scripts} = JSON.parse(text) as {scripts: Readonly<Record<string, string>>};
+  const script = verb === 'run' ? name : verb;
+  return script in scripts ? undefined : `package.json has no script ${script}`;
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/slopes.test.ts
@@ -0,0 +1,47 @@
+import {readFileSync} from 'node:fs';
+import {format, resolveConfig} from 'prettier';
+import {describe, expect, it} from 'vitest';
+import {repositoryFile} from '../__fixtures__/documentedLines.js';
+import {capacityTables, fillTables} from '../capacity/capacityTables.js';
+import {spread} from '../overhead/quantiles.js';
+import {fitSlope, type SlopeReport} from '../slopes/slope.js';
+
+describe('a slope', () => {
+  it('goes through points on a line', () => {
+    const points = [1, 2, 5].map((x) => ({x, y: 10 + 3 * x}));
+    const {intercept, slope} = fitSlope('a', 'B', points);
+    expect(intercept).toBeCloseTo(10);
+    expect(slope).toBeCloseTo(3);
+  });
+
+  it('is level when the size was not varied', () => {
+    const points = [2, 4].map((y) => ({x: 7, y}));
+    expect(fitSlope('a', 'B', points)).toMatchObject({intercept: 3, slope: 0});
+  });
+});
+
+describe('quantiles', () => {
+  it('are those of the sorted values', () => {
+    const values = Array.from({length: 200}, (_, index) => 200 - index);
+    expect(spread(values)).toEqual({p50: 101, p99: 199});
+  });
+});
+
+describe('the capacity page', () => {
+  it('has the tables that the slopes give', async () => {
+    const file = repositoryFile('docs/CAPACITY.md');
+    const page = readFileSync(file, 'utf8');
+    const text = readFileSync(repositoryFile('docs/capacity/slopes.json'), 'utf8');
+    const tables = capacityTables(JSON.parse(text) as SlopeReport);
+    const options = await resolveConfig(file);
+    const current = await format(fillTables(page, tables), {...options, parser: 'markdown'});
+    expect(page).toBe(current);
+  });
+
+  it('cannot lack a table or have a place for none', () => {
+    const tables = new Map([['a', 'text']]);
+    expect(fillTables('<!-- table: a -->\nold\n<!-- end -->', tables)).toContain('text');
+    expect(() => fillTables('', tables)).toThrow('no place for: a');
+    expect(() => fillTables('<!-- table: b -->\n<!-- end -->', tables)).toThrow('unknown table: b');
+  });
+});
--- /dev/null
+++ b/packages/bench/src/capacity/capacityTables.ts
@@ -0,0 +1,106 @@
+/** Writes the tables of the capacity page from measured slopes. */
+import type {SlopeReport} from '../slopes/slope.js';
+import {
+  agentBudgets,
+  type Budget,
+  carriageFigures,
+  entryBudgets,
+  type Figure,
+  serviceFigures,
+  SlopeTable,
+} from './figures.js';
+
+const SIGNIFICANT_DIGITS = 3;
+
+/** The tables by the name of their place in the page. */
+export function capacityTables(report: SlopeReport): ReadonlyMap<string, string> {
+  const table = new SlopeTable(report);
+  const entry = entryBudgets(table);
+  const agent = agentBudgets(table);
+  return new Map([
+    ['machine', machine(report)],
+    ['slopes', slopes(report)],
+    ['entry', entry.map(describeBudget).join('\n\n')],
+    ['agent', agent.map(describeBudget).join('\n\n')],
+    ['carriage', figures(carriageFigures(table))],
+    ['service', figures(serviceFigures())],
+    ['limits', limitsTable([...named('entry', entry), ...named('agent', agent)])],
+  ]);
+}
+
+/** Puts the tables between their marks; a place without a table and a table without a place are errors. */
+export function fillTables(page: string, tables: ReadonlyMap<string, string>): string {
+  const unused = new Set(tables.keys());
+  const filled = page.replace(
+    /(<!-- table: (\w+) -->\n)[\s\S]*?(<!-- end -->)/g,
+    (_whole, open: string, name: string, close: string) => {
+      const table = tables.get(name);
+      if (table === undefined)
+        throw new Error(`the page has a place for an unknown table: ${name}`);
+      unused.delete(name);
+      return `${open}\n${table}\n\n${close}`;
+    },
+  );
+  if (unused.size > 0) throw new Error(`the page has no place for: ${[...unused].join(', ')}`);
+  return filled;
+}
+
+function machine({node, cores, loadAverage}: SlopeReport): string {
+  const load = loadAverage.toFixed(1);
+  return `Measured with Node.js ${node} on one machine with ${cores} cores, whose load was ${load} during the run.`;
+}
+
+function slopes({slopes: all}: SlopeReport): string {
+  const rows = all.map(({id, unit, points, intercept, slope}) => {
+    const shown = points.map(({x, y}) => `${x}: ${short(y)}`).join(', ');
+    return [`\`${id}\``, unit, shown, short(intercept), short(slope)];
+  });
+  return markdownTable(['cost/size', 'unit', 'measured', 'at zero', 'per one'], rows);
+}
+
+function describeBudget({title, parts, sum, unit, limit, isHeld}: Budget): string {
+  const rows = parts.map(row);
+  const verdict = isHeld ? 'held' : '**not held**';
+  rows.push(['**sum**', `limit ${short(limit)} ${unit}: ${verdict}`, `${short(sum)} ${unit}`]);
+  return `**${title}**\n\n${markdownTable(['item', 'formula', 'value'], rows)}`;
+}
+
+function figures(all: readonly Figure[]): string {
+  return markdownTable(['item', 'formula', 'value'], all.map(row));
+}
+
+function row({item, formula, value, unit}: Figure): readonly string[] {
+  return [item, `\`${formula}\``, `${short(value)} ${unit}`];
+}
+
+interface NamedBudget {
+  readonly role: string;
+  readonly budget: Budget;
+}
+
+function named(role: string, budgets: readonly Budget[]): readonly NamedBudget[] {
+  return budgets.map((budget) => ({role, budget}));
+}
+
+function limitsTable(all: readonly NamedBudget[]): string {
+  const rows = all.map(({role, budget: {title, sum, unit, limit, isHeld}}) => [
+    `${role}: ${title}`,
+    `${short(limit)} ${unit}`,
+    `${short(sum)} ${unit}`,
+    isHeld ? 'held' : '**not held**',
+  ]);
+  return markdownTable(['limit', 'allowed', 'from the slopes', 'verdict'], rows);
+}
+
+function markdownTable(heading: readonly string[], rows: readonly (readonly string[])[]): string {
+  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
+  return [line(heading), line(heading.map(() => '---')), ...rows.map(line)].join('\n');
+}
+
+function short(value: number): string {
+  const rounded = Number(value.toPrecision(SIGNIFICANT_DIGITS));
+  const isPlain = rounded === 0 || Math.abs(rounded) >= 0.001;
+  return isPlain
+    ? rounded.toLocaleString('en-GB', {maximumSignificantDigits: SIGNIFICANT_DIGITS})
+    : rounded.toExponential();
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -18,3 +18,5 @@
   runExperiment,
 } from './runExperiment.js';
 export {simulate, type SimulationOptions, type SimulationOutcome} from './simulation.js';
+export {capacityTables, fillTables} from './capacity/capacityTables.js';
+export {type SlopeReport, fitSlope} from './slopes/slope.js';
--- a/packages/bench/src/rig/meters.ts
+++ b/packages/bench/src/rig/meters.ts
@@ -28,43 +28,51 @@
   return heapUsed + external;
 }
 
-/** Counts the bytes on the sockets of the calling thread. */
+interface Ports {
+  readonly local: number | undefined;
+  readonly remote: number | undefined;
+}
+
+/** Counts the bytes on the sockets of the calling thread, by the port at either end. */
 export class SocketMeter {
-  readonly #sockets = new Set<Socket>();
+  readonly #open = new Map<Socket, Ports>();
+  readonly #closedBytes = new Map<number, number>();
 
   constructor() {
-    const note = (message: unknown) => {
-      this.#sockets.add((message as {readonly socket: Socket}).socket);
-    };
-    subscribe('net.client.socket', note);
-    subscribe('net.server.socket', note);
+    subscribe('net.client.socket', (message) => {
+      const {socket} = message as {readonly socket: Socket};
+      socket.once('connect', () => {
+        this.#watch(socket);
+      });
+    });
+    subscribe('net.server.socket', (message) => {
+      this.#watch((message as {readonly socket: Socket}).socket);
+    });
   }
 
-  /** Bytes in both directions on the connections to the ports of addresses, or from them. */
-  bytes(...addresses: readonly string[]): number {
-    const ports = new Set(addresses.map((address) => Number(LOOPBACK_PORTS.exec(address)?.[1])));
-    let total = 0;
-    for (const socket of this.#sockets) {
-      const {remotePort, localPort} = this.#portsOf(socket);
-      if (!ports.has(remotePort) && !ports.has(localPort)) continue;
-      total += socket.bytesRead + socket.bytesWritten;
+  /** Bytes in both directions on all connections that have the port of an address at one end. */
+  bytes(address: string): number {
+    const port = Number(LOOPBACK_PORTS.exec(address)?.[1]);
+    let total = this.#closedBytes.get(port) ?? 0;
+    for (const [socket, {local, remote}] of this.#open) {
+      if (local === port || remote === port) total += bytesOf(socket);
     }
     return total;
   }
 
-  readonly #knownPorts = new WeakMap<
-    Socket,
-    {readonly remotePort: number; readonly localPort: number}
-  >();
-
-  /** The ports of a socket, which forgets them when it closes. */
-  #portsOf(socket: Socket): {readonly remotePort: number; readonly localPort: number} {
-    const known = this.#knownPorts.get(socket);
-    if (known !== undefined) return known;
-    const {remotePort, localPort} = socket;
-    if (remotePort === undefined || localPort === undefined) return {remotePort: -1, localPort: -1};
-    const ports = {remotePort, localPort};
-    this.#knownPorts.set(socket, ports);
-    return ports;
+  #watch(socket: Socket): void {
+    const ports = {local: socket.localPort, remote: socket.remotePort};
+    this.#open.set(socket, ports);
+    socket.once('close', () => {
+      this.#open.delete(socket);
+      for (const port of [ports.local, ports.remote]) {
+        if (port === undefined) continue;
+        this.#closedBytes.set(port, (this.#closedBytes.get(port) ?? 0) + bytesOf(socket));
+      }
+    });
   }
 }
+
+function bytesOf({bytesRead, bytesWritten}: Socket): number {
+  return bytesRead + bytesWritten;
+}
--- a/packages/bench/src/rig/streamLoad.ts
+++ b/packages/bench/src/rig/streamLoad.ts
@@ -87,7 +87,8 @@
   let received = 0;
   for await (const event of readEvents(answer.value.stream)) {
     const now = preciseNow();
-    if (event.data === '[DONE]') break;
+    // The body is read to its end, so that the connection can be used again.
+    if (event.data === '[DONE]') continue;
     const stamp = stampSchema.safeParse(JSON.parse(event.data));
     if (!stamp.success) continue;
     received += 1;
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -9,3 +9,4 @@
 export {type OperatorClient, createOperatorClient} from './operatorClient.js';
 export {settingsReference} from './settingsReference.js';
 export {formatTable} from './table.js';
+export {commands as operatorCommands} from './commands/index.js';
