--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -33,7 +33,8 @@
   readonly secrets: Secrets;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly timing?: WorkerTiming;
+  /** Durations that differ from the settings and the usual ones. */
+  readonly timing?: Partial<WorkerTiming>;
   /** Whether to serve Node's own metrics as well; for a process that runs only this agent. */
   readonly includesNodeMetrics?: boolean;
 }
@@ -98,7 +99,13 @@
             }),
           }),
       configurationNumber: () => feed.head.number,
-      timing: options.timing ?? defaultWorkerTiming,
+      timing: {
+        ...defaultWorkerTiming,
+        leaveGraceMs: settings.drain.graceMs,
+        firstTokenLimitMs: endpoint.firstTokenLimitMs,
+        silenceLimitMs: endpoint.silenceLimitMs,
+        ...options.timing,
+      },
     }),
   );
   const [host, port] = splitAddress(settings.listen);
@@ -114,7 +121,7 @@
     worker,
     clock,
     registry,
-    isReady: () => feed.head.number > 0,
+    isReady: () => feed.head.number > 0 && !worker.isLeaving,
     logger,
   });
   if (server.isErr()) {
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -19,6 +19,16 @@
     address: addressSchema.describe('Address of the endpoint itself.'),
     slots: z.int().min(1).max(4096).describe('Requests that the endpoint can run at once.'),
     queueCapacity: z.int().min(1).max(1_000_000).default(1000).describe('Requests that may wait.'),
+    firstTokenLimitMs: z
+      .int()
+      .min(100)
+      .default(120_000)
+      .describe('Milliseconds that an engine may take until the first part of a stream.'),
+    silenceLimitMs: z
+      .int()
+      .min(100)
+      .default(30_000)
+      .describe('Milliseconds that an engine may be silent between two parts.'),
   }),
   claims: z
     .strictObject({
@@ -30,6 +40,16 @@
         .describe('Hours for which the outcome of a call that may run at most once is kept.'),
     })
     .prefault({}),
+  drain: z
+    .strictObject({
+      graceMs: z
+        .int()
+        .min(0)
+        .max(5000)
+        .default(2000)
+        .describe('Milliseconds between announcing that the endpoint leaves and refusing work.'),
+    })
+    .prefault({}),
   platform: platformSchema,
   secrets: secretsSchema.default({}),
   limits: limitsSchema.prefault({}),
--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -5,6 +5,7 @@
 export const policyNames = [
   'marigoldfold',
   'naive',
+  'without-account-limits',
   'without-adaptive-window',
   'without-early-refusal',
   'without-long-work-share',
@@ -61,6 +62,7 @@
     guaranteesShares: false,
     tuning: {},
   },
+  'without-account-limits': {...product, limitsAccounts: false},
   'without-adaptive-window': {...product, tuning: {adaptsWindow: false}},
   'without-early-refusal': {...product, tuning: {refusesEarly: false}},
   'without-long-work-share': {...product, tuning: {longWorkShare: 1}},
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -25,7 +25,7 @@
   readonly logger: Logger;
   readonly limits: ServerLimits;
   readonly head: () => Head;
-  readonly accountLimits: AccountLimits;
+  readonly accountLimits: Pick<AccountLimits, 'admit'>;
   readonly router: Pick<Router, 'route'>;
   readonly metrics: RequestMetrics;
   readonly nextRequestId: () => string;
@@ -103,15 +103,17 @@
 ): Promise<Failure | undefined> {
   const {accountName, account} = exchange.caller;
   const timer = new RequestTimer(options.clock, options.metrics, named.name, named.requestClass);
-  const admitted = options.accountLimits.admit(accountName, account);
-  if (admitted.isErr()) {
-    timer.finish('refused');
-    return admitted.error;
-  }
+  // The caller may go while the account's home is asked.
   const controller = new AbortController();
   exchange.response.once('close', () => {
     controller.abort();
   });
+  const {tier} = named.requestClass;
+  const admitted = await options.accountLimits.admit(accountName, account, tier);
+  if (admitted.isErr()) {
+    timer.finish('limited');
+    return admitted.error;
+  }
   options.metrics.inFlight.inc();
   let end: RoutedEnd;
   try {
