Keep the connections of answers that are whole

Cause: a reader that stopped at the last event destroyed the body, so every request opened a connection to its agent and one to its engine. Node's abort option also struck requests that had ended.

Change: after the last event of a whole body the rest is read away; an abort listener ends with its request.

--- a/packages/agent/src/httpEngine.ts
+++ b/packages/agent/src/httpEngine.ts
@@ -61,21 +61,17 @@
     return {kind: 'refused', status, message: parts.join('')};
   }
   let isFinished = false;
-  try {
-    for await (const {id, data} of readEvents(body)) {
-      if (data === END_MARK) {
-        // An end mark without a finish reason is an answer that was cut short.
-        return isFinished ? {kind: 'whole'} : {kind: 'broken', maySent: true};
-      }
-      const part = readPart(id, data);
-      if (part === undefined) {
-        return {kind: 'unreadable', message: 'the engine gave a part that cannot be read'};
-      }
-      isFinished ||= part.isFinished;
-      yield {number: part.number, data};
+  for await (const {id, data} of readEvents(body, (event) => event.data === END_MARK)) {
+    if (data === END_MARK) {
+      // An end mark without a finish reason is an answer that was cut short.
+      return isFinished ? {kind: 'whole'} : {kind: 'broken', maySent: true};
     }
-  } finally {
-    body.destroy();
+    const part = readPart(id, data);
+    if (part === undefined) {
+      return {kind: 'unreadable', message: 'the engine gave a part that cannot be read'};
+    }
+    isFinished ||= part.isFinished;
+    yield {number: part.number, data};
   }
   return {kind: 'broken', maySent: true};
 }
--- a/packages/bench/src/__fixtures__/commandStage.ts
+++ b/packages/bench/src/__fixtures__/commandStage.ts
@@ -118,6 +118,7 @@
     const file = /^\$\(cat (.*)\)$/.exec(word)?.[1];
     if (file !== undefined) return readFileSync(join(this.#directory, file), 'utf8').trim();
     if (before === '--for') return String(Math.min(Number(word), LONGEST_SECONDS));
+    if (before === '--out') return join(this.#directory, word);
     if (exampleAddress.test(word)) return this.#system.entry.operators.address;
     if (/^\d+$/.test(word)) {
       return before.startsWith('--') ? word : String(Math.min(Number(word), number));
--- a/packages/entry/src/httpAgentLink.ts
+++ b/packages/entry/src/httpAgentLink.ts
@@ -4,6 +4,7 @@
   cancelMethod,
   decodeWorkEvent,
   failedStartSchema,
+  isFinalEvent,
   incarnationHeader,
   type Instance,
   type Load,
@@ -111,15 +112,11 @@
 }
 
 async function* readWorkEvents({stream}: ClientAnswer): AsyncGenerator<WorkEvent, void> {
-  try {
-    for await (const event of readEvents(stream)) {
-      const decoded = decodeWorkEvent(event);
-      // What cannot be read is treated as a broken connection: the answer is asked for again.
-      if (decoded === undefined) return;
-      yield decoded;
-    }
-  } finally {
-    stream.destroy();
+  for await (const event of readEvents(stream, isFinalEvent)) {
+    const decoded = decodeWorkEvent(event);
+    // What cannot be read is treated as a broken connection: the answer is asked for again.
+    if (decoded === undefined) return;
+    yield decoded;
   }
 }
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -25,6 +25,7 @@
   failedStartSchema,
   decodeWorkEvent,
   encodeWorkEvent,
+  isFinalEvent,
   type FailedStart,
 } from './workStream.js';
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
--- a/packages/protocol/src/workStream.ts
+++ b/packages/protocol/src/workStream.ts
@@ -20,6 +20,14 @@
   return {event: answerEventName, data: JSON.stringify(event)};
 }
 
+/** Whether nothing follows an event of an answer. */
+export function isFinalEvent({event, data}: AnswerEvent): boolean {
+  return event === answerEventName && finalEventStart.test(data);
+}
+
+// Events are written by the function above, with their kind first.
+const finalEventStart = /^\{"kind":"(?:end|failed)"/;
+
 /** Reads an event of an answer; undefined when it cannot be read. */
 export function decodeWorkEvent(event: AnswerEvent): WorkEvent | undefined {
   if (event.event !== answerEventName) {
--- a/packages/transport/src/eventStream.ts
+++ b/packages/transport/src/eventStream.ts
@@ -33,8 +33,14 @@
   return `${text}data: ${lines}\n\n`;
 }
 
-/** Reads events until the body ends; a body that is cut off ends the iteration the same way. */
-export async function* readEvents(body: IncomingMessage): AsyncGenerator<StreamEvent, void> {
+/**
+ * Reads events until the body ends; a body that is cut off ends the iteration the same way. A reader
+ * that stops early closes the connection, except after the last event of a whole body.
+ */
+export async function* readEvents(
+  body: IncomingMessage,
+  isLast: (event: StreamEvent) => boolean = () => false,
+): AsyncGenerator<StreamEvent, void> {
   let events: StreamEvent[] = [];
   const parser = createParser({
     onEvent: (event) => {
@@ -42,14 +48,22 @@
     },
   });
   body.setEncoding('utf8');
+  let isWhole = false;
   try {
-    for await (const text of body) {
+    for await (const text of body.iterator({destroyOnReturn: false})) {
       parser.feed(text as string);
       const ready = events;
       events = [];
-      yield* ready;
+      for (const event of ready) {
+        isWhole ||= isLast(event);
+        yield event;
+      }
     }
   } catch {
     // The reader tells a whole stream by its own end mark, so a broken one needs no error here.
+  } finally {
+    // Reading the little that follows the last event keeps the connection for the next request.
+    if (isWhole) body.resume();
+    else body.destroy();
   }
 }
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -1,5 +1,10 @@
 /** HTTP requests to other processes and to the platform, with Node's own client. */
-import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {
+  Agent,
+  type ClientRequest as ClientHttpRequest,
+  request as httpRequest,
+  type IncomingMessage,
+} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 
 /** Why no answer came. */
@@ -69,9 +74,10 @@
   return new Promise((resolve) => {
     let isConnected = false;
     let isTimedOut = false;
+    let isAborted = false;
     const fail = (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
-      resolve(err(describeError(error, request, {isConnected, isTimedOut})));
+      resolve(err(describeError(error, request, {isConnected, isTimedOut, isAborted})));
     };
     const outgoing = httpRequest(
       {
@@ -81,7 +87,6 @@
         method: request.method,
         path: request.path,
         headers: request.headers,
-        signal: request.signal,
       },
       (answer) => {
         clearTimeout(timer);
@@ -105,13 +110,32 @@
       else socket.once('connect', () => (isConnected = true));
     });
     outgoing.on('error', fail);
+    onAbort(request.signal, outgoing, () => {
+      isAborted = true;
+      outgoing.destroy();
+    });
     outgoing.end(request.body);
   });
 }
 
+/** Calls back on abort until the request has ended: Node's own option would also strike a connection that is free again. */
+function onAbort(
+  signal: AbortSignal | undefined,
+  outgoing: ClientHttpRequest,
+  abort: () => void,
+): void {
+  if (signal === undefined) return;
+  if (signal.aborted) abort();
+  signal.addEventListener('abort', abort, {once: true});
+  outgoing.once('close', () => {
+    signal.removeEventListener('abort', abort);
+  });
+}
+
 interface ErrorContext {
   readonly isConnected: boolean;
   readonly isTimedOut: boolean;
+  readonly isAborted: boolean;
 }
 
 function describeError(
@@ -122,7 +146,7 @@
   const message = `${request.method} ${request.address}${request.path}: ${error.message}`;
   const maySent = context.isConnected;
   if (context.isTimedOut) return {code: 'timed_out', message, maySent};
-  if (error.name === 'AbortError') return {code: 'aborted', message, maySent};
+  if (context.isAborted) return {code: 'aborted', message, maySent};
   if (error.code === 'ECONNREFUSED') return {code: 'refused', message, maySent: false};
   return {code: 'broken', message, maySent};
 }
