--- a/packages/bench/src/capacity/figures.ts
+++ b/packages/bench/src/capacity/figures.ts
@@ -23,7 +23,6 @@
 
 const PROBES_PER_SECOND = 8;
 const MEBIBYTE = 1024 * 1024;
-const MS_PER_SECOND = 1000;
 
 /** Reads slopes by id. */
 export class SlopeTable {
@@ -113,7 +112,7 @@
       bytes(
         'envelopes and load reports of requests',
         `${requests.toFixed(1)}/s × (entry.request.linkBytes/tiers − entry.request.callerBytes/tiers) at ${design.tiers}`,
-        requests * Math.max(0, envelope),
+        requests * envelope,
       ),
     ]),
     memoryBudget(table, 'entry', {peers, streams}),
@@ -122,12 +121,15 @@
 
 /** Budgets of control of one agent. */
 export function agentBudgets(table: SlopeTable): readonly Budget[] {
-  const {peers, streams} = perNode.agent;
+  const {peers, streams, requests} = perNode.agent;
   const {ticketsPerSecond} = perNode;
   const probes = (PROBES_PER_SECOND * design.entries) / design.agents;
   const ms = (item: string, formula: string, value: number) => figure(item, formula, value, 'ms/s');
   const bytes = (item: string, formula: string, value: number) =>
     figure(item, formula, value, 'B/s');
+  const envelope =
+    table.at('agent.request.linkBytes/tiers', design.tiers) -
+    table.at('entry.request.callerBytes/tiers', design.tiers);
   const at = (id: string, size: number) => `${id} at ${size.toFixed(0)}`;
   const rate = ticketsPerSecond.toFixed(3);
   return [
@@ -169,6 +171,11 @@
         `${rate}/s × ${at('agent.ticket.bytes/accounts', design.accounts)}`,
         ticketsPerSecond * table.at('agent.ticket.bytes/accounts', design.accounts),
       ),
+      bytes(
+        'envelopes and load reports of requests',
+        `${requests.toFixed(2)}/s × (agent.request.linkBytes/tiers − entry.request.callerBytes/tiers) at ${design.tiers}`,
+        requests * envelope,
+      ),
     ]),
     memoryBudget(table, 'agent', {peers, streams}),
   ];
@@ -237,6 +244,3 @@
     figure('writes of tickets', '2 × tickets a second', 2 * ticketsPerSecond, 'writes/s'),
   ];
 }
-
-/** Milliseconds in a second, for readers of processor time as a part of a core. */
-export const coreMs = MS_PER_SECOND;
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -21,3 +21,5 @@
 export {measureConfiguration, type ConfigurationFigures} from './spread/measureConfiguration.js';
 export {type FleetFigures, type FleetMeasurement, measureFleet} from './spread/measureFleet.js';
 export {type CarriedFigure, type SpreadReport, reportSpread} from './spread/spreadReport.js';
+export {capacityTables, fillTables} from './capacity/capacityTables.js';
+export {type SlopeReport, fitSlope} from './slopes/slope.js';
