--- a/packages/bench/src/__tests__/spread.test.ts
+++ b/packages/bench/src/__tests__/spread.test.ts
@@ -323,6 +323,31 @@
   });
 });
 
+describe('a long record', () => {
+  it('is folded while the fleet runs, and a fleet that starts afresh takes the snapshot', async () => {
+    const {clock, fleet} = await startFleet(6, 1);
+    for (let index = 0; index < 1100; index += 1) {
+      await approve(fleet);
+      if (index % 200 === 0) await clock.advance(2000);
+    }
+    await clock.advance(10_000);
+    expectConverged(fleet);
+    const singles = (await fleet.store.list('tickets/'))._unsafeUnwrap().entries;
+    expect(singles.length).toBeLessThan(fleet.head.number);
+    for (const node of fleet.nodes.splice(0)) node[Symbol.dispose]();
+    while (fleet.nodes.length < 4) fleet.add();
+    await clock.advance(1000);
+    for (const node of fleet.nodes) {
+      node.spread.start();
+      void node.instances.start();
+    }
+    await clock.advance(CONVERGENCE_MS);
+    expectConverged(fleet);
+    // A snapshot and the tickets behind it, not the record from its first ticket.
+    expect(Math.min(...fleet.nodes.map(({steps}) => steps[1]!.number))).toBeGreaterThan(1000);
+  });
+});
+
 describe('the list of instances', () => {
   it('reaches every process as a difference, through the watchers', async () => {
     const {clock, fleet} = await startFleet();
--- a/packages/bench/src/spread/fleet.ts
+++ b/packages/bench/src/spread/fleet.ts
@@ -191,7 +191,7 @@
         self: instance,
         feed,
         instances,
-        record: openRecord(store),
+        store,
         peerOf: this.network.peersOf(station),
         clock,
         random,
--- /dev/null
+++ b/packages/cli/src/__tests__/outage.test.ts
@@ -0,0 +1,68 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {silentLogger} from '@marigoldfold/runtime';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {type LocalSystem, startLocalSystem} from '../localSystem.js';
+import {createOperatorClient, type OperatorClient} from '../operatorClient.js';
+
+let system: LocalSystem;
+let client: OperatorClient;
+
+beforeAll(async () => {
+  const started = await startLocalSystem({port: 0, operatorsPort: 0, logger: silentLogger});
+  system = started._unsafeUnwrap();
+  const {operators} = system.entry;
+  client = createOperatorClient({address: operators.address, operatorKey: system.keys.operator});
+});
+
+afterAll(async () => {
+  client[Symbol.dispose]();
+  await system.drain();
+});
+
+function changeSlots(slots: number) {
+  const state = {type: 'engine', models: ['score-reader'], slots};
+  const changes = [{kind: 'endpointSet' as const, name: 'engines', state}];
+  return {reason: `slots ${slots}`, changes};
+}
+
+async function untilLevel() {
+  while (true) {
+    const status = (await client.status())._unsafeUnwrap();
+    if (status.instances.every(({staleness}) => staleness === 'current')) return status;
+    await wait(50);
+  }
+}
+
+describe('the processes on loopback', () => {
+  it('are all level after a ticket, with one digest and the time at each', async () => {
+    (await system.change(changeSlots(8)))._unsafeUnwrap();
+    const status = await untilLevel();
+    expect(status.instances).toHaveLength(4);
+    expect(new Set(status.instances.map(({stateDigest}) => stateDigest)).size).toBe(1);
+    const shown = (await client.status(status.number))._unsafeUnwrap();
+    for (const {inForceAtMs} of shown.instances) expect(inForceAtMs).toBeGreaterThan(0);
+  });
+
+  it('go on in an outage, whose ticket commands fail with what became of them', async () => {
+    await untilLevel();
+    const {number} = system.entry.feed.head;
+    system.keyValue.faults.isDown = true;
+    const proposal = {id: 'in-the-outage', draft: changeSlots(12)};
+    const refused = (await client.propose(proposal))._unsafeUnwrapErr();
+    expect(refused).toMatchObject({code: 'store'});
+    const answer = await fetch(`http://${system.entry.callers.address}/v1/chat/completions`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${system.keys.client}`},
+      body: JSON.stringify({
+        model: 'score-reader',
+        max_tokens: 2,
+        messages: [{role: 'user', content: 'Bar 12: slur or tie?'}],
+      }),
+    });
+    expect(answer.status).toBe(200);
+    expect(system.entry.feed.head.number).toBe(number);
+    system.keyValue.faults.isDown = false;
+    (await system.change(changeSlots(12)))._unsafeUnwrap();
+    expect((await untilLevel()).number).toBe(number + 1);
+  });
+});
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -72,7 +72,7 @@
       const answer = await call(client, options, 'POST', '/decisions', z.unknown(), decision);
       return answer.map(() => undefined);
     },
-    read: (after) => call(client, options, 'GET', `/tickets?after=${after}`, recordAnswerSchema),
+    read: (after) => readAll(client, options, after),
     status: (ticket) => {
       const query = ticket === undefined ? '' : `?ticket=${ticket}`;
       return call(client, options, 'GET', `/status${query}`, statusSchema);
@@ -97,6 +97,37 @@
   };
 }
 
+/** Reads page after page until one has nothing new. */
+async function readAll(
+  client: HttpClient,
+  options: OperatorClientOptions,
+  after: number,
+): Promise<Result<RecordAnswer, OperatorError>> {
+  const whole = {
+    tickets: new Map<number, Ticket>(),
+    decisions: new Map<number, Decision>(),
+    unreadable: new Map<string, {readonly key: string; readonly message: string}>(),
+  };
+  let last = after;
+  while (true) {
+    const path = `/tickets?after=${last}`;
+    const page = await call(client, options, 'GET', path, recordAnswerSchema);
+    if (page.isErr()) return err(page.error);
+    const {tickets, decisions, unreadable} = page.value;
+    for (const ticket of tickets) whole.tickets.set(ticket.number, ticket);
+    for (const decision of decisions) whole.decisions.set(decision.number, decision);
+    for (const each of unreadable) whole.unreadable.set(each.key, each);
+    const newest = tickets.at(-1)?.number;
+    if (newest === undefined || newest <= last) break;
+    last = newest;
+  }
+  return ok({
+    tickets: [...whole.tickets.values()],
+    decisions: [...whole.decisions.values()],
+    unreadable: [...whole.unreadable.values()],
+  });
+}
+
 async function call<T>(
   client: HttpClient,
   {address, operatorKey}: OperatorClientOptions,
--- /dev/null
+++ b/packages/coordination/src/__tests__/recordKeeping.test.ts
@@ -0,0 +1,184 @@
+import {silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {faultyKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
+import {
+  advance,
+  type DecidedTicket,
+  decideTicket,
+  decidedTickets,
+  generateMonitorKey,
+  genesis,
+  groupShards,
+  type Head,
+  type KeyValue,
+  maxValueBytes,
+  openRecord,
+  openSnapshot,
+  readManifest,
+  readSnapshot,
+  shardCount,
+  type Ticket,
+} from '@marigoldfold/state';
+import {beforeAll, describe, expect, it} from 'vitest';
+import {ConfigurationFeed} from '../configurationFeed.js';
+import {RecordKeeping, unfoldedTickets} from '../spread/recordKeeping.js';
+
+const TICKETS = 1100;
+const SERVICE_LIMIT_BYTES = 1_048_576;
+const clock = new VirtualClock();
+const monitor = generateMonitorKey();
+const decided: DecidedTicket[] = [];
+let head: Head = genesis(monitor.publicKey);
+
+beforeAll(() => {
+  while (decided.length < TICKETS) {
+    const ticket: Ticket = {
+      number: head.number + 1,
+      id: `id-${head.number + 1}`,
+      previousDigest: head.digest,
+      base: head.number,
+      author: 'ada',
+      reason: 'one of many',
+      proposedAtMs: 0,
+      changes: [
+        {
+          kind: 'endpointSet',
+          name: `set-${head.number % 50}`,
+          state: {type: 'engine', slots: head.number + 1},
+        },
+      ],
+    };
+    const options = {privateKeyPem: monitor.privateKeyPem, decidedAtMs: 0};
+    const decision = decideTicket(head, ticket, 'approved', options)._unsafeUnwrap();
+    head = advance(head, {ticket, decision})._unsafeUnwrap();
+    decided.push({ticket, decision});
+  }
+}, 60_000);
+
+function createFeed() {
+  const feed = new ConfigurationFeed({monitorKey: monitor.publicKey, clock, logger: silentLogger});
+  feed.acceptAll(decided)._unsafeUnwrap();
+  return feed;
+}
+
+async function createStore(): Promise<MemoryKeyValue> {
+  const store = new MemoryKeyValue(clock);
+  const record = openRecord(store);
+  for (const {ticket, decision} of decided) {
+    (await record.propose(ticket, () => true))._unsafeUnwrap();
+    (await record.decide(decision, () => true))._unsafeUnwrap();
+  }
+  return store;
+}
+
+function createKeeping(store: KeyValue, feed: ConfigurationFeed) {
+  return new RecordKeeping({store, feed, random: () => 0, logger: silentLogger});
+}
+
+async function readWhole(store: KeyValue): Promise<readonly DecidedTicket[]> {
+  const whole: DecidedTicket[] = [];
+  while (true) {
+    const page = (await openRecord(store).read(whole.length))._unsafeUnwrap();
+    const pairs = decidedTickets(page);
+    if (pairs.length === 0) return whole;
+    whole.push(...pairs);
+  }
+}
+
+async function keepTillDone(store: KeyValue, feed: ConfigurationFeed) {
+  const keeping = createKeeping(store, feed);
+  for (let round = 0; round < 6; round += 1) await keeping.keep();
+  return (await readManifest(store))._unsafeUnwrap().manifest;
+}
+
+describe('keeping the record', () => {
+  it('folds all but the last tickets, and every ticket can still be read', async () => {
+    const store = await createStore();
+    const manifest = await keepTillDone(store, createFeed());
+    expect(manifest.foldedThrough).toBe(512);
+    expect(manifest.snapshot).toBe(TICKETS);
+    expect(await readWhole(store)).toEqual(decided);
+    const single = (await store.list('tickets/'))._unsafeUnwrap().entries;
+    expect(single).toHaveLength(TICKETS - manifest.foldedThrough);
+    expect(single.length).toBeGreaterThanOrEqual(unfoldedTickets);
+    for (const prefix of ['segments/', 'snapshots/', 'archive/']) {
+      for (const {value} of (await store.list(prefix))._unsafeUnwrap().entries) {
+        expect(Buffer.byteLength(value)).toBeLessThan(SERVICE_LIMIT_BYTES);
+      }
+    }
+  });
+
+  it('done by two at the same time leaves the same record', async () => {
+    const store = await createStore();
+    const feed = createFeed();
+    const both = [createKeeping(store, feed), createKeeping(store, feed)];
+    for (let round = 0; round < 4; round += 1) {
+      await Promise.all(both.map((keeping) => keeping.keep()));
+    }
+    expect(await readWhole(store)).toEqual(decided);
+  });
+
+  const failures: readonly StoreFault[] = ['refused', 'request-lost', 'answer-lost'];
+  const steps = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 200, 400];
+  it.each(failures)(
+    'broken off at any step (%s) loses nothing and is made up for',
+    async (fault) => {
+      const store = await createStore();
+      const feed = createFeed();
+      for (const step of steps) {
+        let isBroken = false;
+        const broken = faultyKeyValue({
+          clock,
+          store,
+          chooseFault: ({number}) => {
+            isBroken ||= number === step;
+            if (number === step) return fault;
+            return isBroken ? 'refused' : 'none';
+          },
+        });
+        await createKeeping(broken, feed).keep();
+        expect(await readWhole(store)).toEqual(decided);
+      }
+      expect((await keepTillDone(store, feed)).foldedThrough).toBe(512);
+      expect(await readWhole(store)).toEqual(decided);
+    },
+  );
+});
+
+describe('a snapshot in the service', () => {
+  it('brings a newcomer to the signed state', async () => {
+    const store = await createStore();
+    await keepTillDone(store, createFeed());
+    const snapshot = (await readSnapshot(store))._unsafeUnwrap()!;
+    const opened = openSnapshot(snapshot, monitor.publicKey)._unsafeUnwrap();
+    expect(opened.configuration.digest).toBe(head.configuration.digest);
+    expect(opened.digest).toBe(head.digest);
+  });
+
+  it('that was altered, or is signed by somebody else, is refused', async () => {
+    const store = await createStore();
+    await keepTillDone(store, createFeed());
+    const snapshot = (await readSnapshot(store))._unsafeUnwrap()!;
+    const index = snapshot.shards.findIndex(({objects}) => objects.length > 0);
+    const emptied = snapshot.shards.with(index, {objects: [], numbers: [], removals: []});
+    expect(openSnapshot({...snapshot, shards: emptied}, monitor.publicKey).isErr()).toBe(true);
+    expect(openSnapshot(snapshot, generateMonitorKey().publicKey).isErr()).toBe(true);
+  });
+
+  it('is cut into groups that fit, in the order of the shards', () => {
+    const shard = {
+      objects: Array.from({length: 200}, (_, index) => ({
+        kind: 'account' as const,
+        name: `account-${index}`,
+        state: {text: 'x'.repeat(200)},
+      })),
+      numbers: Array<number>(200).fill(1),
+      removals: [],
+    };
+    const shards = Array.from({length: shardCount}, () => shard);
+    const groups = groupShards(shards);
+    expect(groups.flat()).toEqual(shards);
+    for (const group of groups) {
+      expect(Buffer.byteLength(JSON.stringify(group))).toBeLessThan(maxValueBytes);
+    }
+  });
+});
--- a/packages/coordination/src/spread/membership.ts
+++ b/packages/coordination/src/spread/membership.ts
@@ -61,7 +61,7 @@
   const peers = disposables.add(new SpreadPeers(clusterKey));
   const peerOf = (instance: Instance) => peers.get(instance);
   const spread = disposables.add(
-    new Spread({self, feed, instances, record, peerOf, clock, random, logger}),
+    new Spread({self, feed, instances, store, peerOf, clock, random, logger}),
   );
   const lists = instances.lists.subscribe((list) => {
     peers.retain(list.instances);
--- a/packages/coordination/src/spread/recordWatch.ts
+++ b/packages/coordination/src/spread/recordWatch.ts
@@ -1,6 +1,12 @@
 /** Reads the record in the key-value service: all the time at watchers, and elsewhere when no confirmation comes. */
 import {type Clock, isAborted, type Logger, type Random, sleep} from '@marigoldfold/runtime';
-import {decidedTickets, type TicketRecord} from '@marigoldfold/state';
+import {
+  decidedTickets,
+  type RecordError,
+  type Snapshot,
+  type TicketRecord,
+} from '@marigoldfold/state';
+import type {Result} from 'neverthrow';
 import type {ConfigurationFeed} from '../configurationFeed.js';
 import {ageLimitMs, isWatcher, type Neighbourhood} from './neighbourhood.js';
 import {jitter, lonelyIntervalMs, rankStepMs, retryIntervalMs, watchIntervalMs} from './timing.js';
@@ -8,6 +14,8 @@
 /** What the watch needs. */
 export interface RecordWatchOptions {
   readonly record: TicketRecord;
+  /** Reads the newest snapshot of the service. */
+  readonly readSnapshot: () => Promise<Result<Snapshot | undefined, RecordError>>;
   readonly feed: ConfigurationFeed;
   readonly clock: Clock;
   readonly random: Random;
@@ -48,13 +56,13 @@
 }
 
 /** Reads what is new in the record; returns the revision that it was read at, unless the service failed. */
-async function confirmHead({
-  record,
-  feed,
-  clock,
-  logger,
-  onConfirmed,
-}: RecordWatchOptions): Promise<number | undefined> {
+async function confirmHead(options: RecordWatchOptions): Promise<number | undefined> {
+  const {record, readSnapshot, feed, clock, logger, onConfirmed} = options;
+  if (feed.head.number === 0) {
+    // A newcomer without a snapshot would replay the record from its first ticket.
+    const snapshot = await readSnapshot();
+    if (snapshot.isOk() && snapshot.value !== undefined) feed.adopt(snapshot.value);
+  }
   const startedAtMs = clock.now();
   const page = await record.readDecided(feed.head.number);
   if (page.isErr()) {
@@ -64,7 +72,12 @@
   const {unreadable, revision} = page.value;
   for (const {message} of unreadable) logger.warn('record entry ignored', {reason: message});
   // A decision that does not follow stands for none: an entry replaces it by a valid one.
-  feed.acceptAll(decidedTickets(page.value));
+  const decided = decidedTickets(page.value);
+  feed.acceptAll(decided);
+  // Of a record that is folded, a page may end before the newest decision.
+  const newest = page.value.decisions.at(-1)?.number ?? 0;
+  const isPart = feed.head.number === decided.at(-1)?.ticket.number && newest > feed.head.number;
+  if (isPart) return confirmHead(options);
   feed.confirm(feed.head.number, clock.now() - startedAtMs);
   onConfirmed();
   return revision;
--- a/packages/coordination/src/spread/spread.ts
+++ b/packages/coordination/src/spread/spread.ts
@@ -1,7 +1,7 @@
 /** Spreads configurations and the list of instances among the processes. */
 import type {Instance, Summary} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
-import type {TicketRecord} from '@marigoldfold/state';
+import {type KeyValue, openRecord, readSnapshot} from '@marigoldfold/state';
 import type {ConfigurationFeed} from '../configurationFeed.js';
 import type {InstanceFeed} from '../instanceFeed.js';
 import {catchUp} from './catchUp.js';
@@ -13,6 +13,7 @@
   type Neighbourhood,
 } from './neighbourhood.js';
 import type {PeerOf, SpreadPeer, SpreadService} from './peer.js';
+import {RecordKeeping} from './recordKeeping.js';
 import {watchRecord} from './recordWatch.js';
 import {answerPull, answerSnapshot, summarize} from './spreadService.js';
 import {distrustMs, exchangeIntervalMs, firstExchangeMs, unreachableMs} from './timing.js';
@@ -22,7 +23,8 @@
   readonly self: Locality;
   readonly feed: ConfigurationFeed;
   readonly instances: InstanceFeed;
-  readonly record: TicketRecord;
+  /** The key-value service with the record. */
+  readonly store: KeyValue;
   readonly peerOf: PeerOf;
   readonly clock: Clock;
   readonly random: Random;
@@ -62,7 +64,8 @@
 
   /** Begins to take part. */
   start(): void {
-    const {feed, instances, self, record, clock, random, logger} = this.#options;
+    const {feed, instances, self, store, clock, random, logger} = this.#options;
+    const keeping = new RecordKeeping({store, feed, random, logger});
     const controller = new AbortController();
     this.#disposables.defer(() => {
       controller.abort();
@@ -79,14 +82,17 @@
     });
     void watchRecord(
       {
-        record,
+        record: openRecord(store),
+        readSnapshot: () => readSnapshot(store),
         feed,
         clock,
         random,
         logger,
         neighbourhood: () => this.#neighbourhood,
         onConfirmed: () => {
-          if (isWatcher(this.#neighbourhood)) this.#announce();
+          if (!isWatcher(this.#neighbourhood)) return;
+          this.#announce();
+          void keeping.keep();
         },
       },
       controller.signal,
--- a/packages/entry/src/ticketDesk.ts
+++ b/packages/entry/src/ticketDesk.ts
@@ -40,6 +40,9 @@
 /** Tickets before the head among which a repeated submission is recognized. */
 const RECENT_TICKETS = 256;
 
+/** Tickets of one page of the record. */
+const PAGE_TICKETS = 512;
+
 /** Opens the desk. */
 export function openTicketDesk(options: TicketDeskOptions): TicketDesk {
   return {
@@ -51,7 +54,7 @@
       );
     },
     decide: (decision) => decide(options, decision),
-    read: async (after) => (await options.record.read(after)).mapErr(toOperatorError),
+    read: async (after) => (await options.record.read(after, PAGE_TICKETS)).mapErr(toOperatorError),
   };
 }
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -81,6 +81,7 @@
   isSameVerdict,
   openRecord,
   ticketKey,
+  ticketPrefix,
 } from './record.js';
 export {type RecordBreak, type Replay, isLinked, linkedTickets, replayRecord} from './replay.js';
 export {
@@ -106,3 +107,19 @@
   shardContentSchema,
   snapshotProofSchema,
 } from './snapshot.js';
+export {
+  type ArchiveManifest,
+  type HeldManifest,
+  cutSegment,
+  groupShards,
+  maxSegmentTickets,
+  maxValueBytes,
+  readManifest,
+  readSegments,
+  readSnapshot,
+  removeAll,
+  removeSnapshot,
+  writeManifest,
+  writeSegment,
+  writeSnapshot,
+} from './recordArchive.js';
--- a/packages/state/src/record.ts
+++ b/packages/state/src/record.ts
@@ -10,6 +10,7 @@
 } from './createOnce.js';
 import {canonicalJson} from './digest.js';
 import type {KeyValue, KeyValueEntry} from './keyValue.js';
+import {readSegments} from './recordArchive.js';
 import {
   type DecidedTicket,
   type Decision,
@@ -18,7 +19,8 @@
   ticketSchema,
 } from './ticket.js';
 
-const TICKET_PREFIX = 'tickets/';
+/** Prefix of all tickets. */
+export const ticketPrefix = 'tickets/';
 const DECISION_PREFIX = 'decisions/';
 const NUMBER_DIGITS = 10;
 
@@ -110,7 +112,7 @@
 
 /** Key of a ticket in the service. */
 export function ticketKey(number: number): string {
-  return TICKET_PREFIX + padded(number);
+  return ticketPrefix + padded(number);
 }
 
 /** Key of a decision in the service. */
@@ -186,11 +188,10 @@
   // Decisions first: a ticket always exists before its decision, so no decision lacks its ticket.
   const decisions = await store.list(DECISION_PREFIX, listOptions(decisionKey(after + 1), limit));
   if (decisions.isErr()) return err(toRecordError(decisions.error));
-  const tickets = await store.list(TICKET_PREFIX, listOptions(ticketKey(after + 1), limit));
+  const tickets = await store.list(ticketPrefix, listOptions(ticketKey(after + 1), limit));
   if (tickets.isErr()) return err(toRecordError(tickets.error));
-  return ok(
-    buildPage(tickets.value.entries, decisions.value.entries, decisions.value.revision, after),
-  );
+  const {entries, revision} = decisions.value;
+  return completePage(store, buildPage(tickets.value.entries, entries, revision), after);
 }
 
 async function readDecided(
@@ -201,9 +202,9 @@
   if (decisions.isErr()) return err(toRecordError(decisions.error));
   const {entries, revision} = decisions.value;
   if (entries.length === 0) return ok({tickets: [], decisions: [], unreadable: [], revision});
-  const tickets = await store.list(TICKET_PREFIX, {from: ticketKey(after + 1)});
+  const tickets = await store.list(ticketPrefix, {from: ticketKey(after + 1)});
   if (tickets.isErr()) return err(toRecordError(tickets.error));
-  return ok(buildPage(tickets.value.entries, entries, revision, after));
+  return completePage(store, buildPage(tickets.value.entries, entries, revision), after);
 }
 
 function listOptions(from: string, limit: number | undefined) {
@@ -214,7 +215,6 @@
   ticketEntries: readonly KeyValueEntry[],
   decisionEntries: readonly KeyValueEntry[],
   revision: number,
-  after: number,
 ): RecordPage {
   const unreadable: UnreadableEntry[] = [];
   const tickets: Ticket[] = [];
@@ -229,7 +229,31 @@
     if (decision === undefined) unreadable.push(describeUnreadable(entry));
     else decisions.push(decision);
   }
-  return {tickets: withoutGaps(tickets, after), decisions, unreadable, revision};
+  return {tickets, decisions, unreadable, revision};
+}
+
+/** Puts the tickets that were folded into segments before those that have keys of their own. */
+async function completePage(
+  store: KeyValue,
+  page: RecordPage,
+  after: number,
+): Promise<Result<RecordPage, RecordError>> {
+  const followed = withoutGaps(page.tickets, after);
+  const hasGap = followed.length < page.tickets.length;
+  const isBare = page.tickets.length === 0 && page.decisions.length > 0;
+  if (!hasGap && !isBare) return ok({...page, tickets: followed});
+  const folded = await readSegments(store, after + 1);
+  if (folded.isErr()) return err(folded.error);
+  const last = after + folded.value.length;
+  const tickets = [
+    ...folded.value.map(({ticket}) => ticket),
+    ...page.tickets.filter(({number}) => number > last),
+  ];
+  const decisions = [
+    ...folded.value.map(({decision}) => decision),
+    ...page.decisions.filter(({number}) => number > last),
+  ];
+  return ok({...page, tickets: withoutGaps(tickets, after), decisions});
 }
 
 /** The tickets that follow one another; what stands behind a gap has no place in the chain yet. */
