--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -12,9 +12,9 @@
 } from '@marigoldfold/runtime';
 import {
   batchingSpeed,
+  type KeyValueStandIn,
   LaggingInstanceList,
   type Ledger,
-  type MemoryKeyValue,
   type SimulatedEngine,
   type StandIn,
   startEngine,
@@ -57,7 +57,7 @@
   readonly agents: readonly AgentProcess[];
   readonly engines: readonly StandIn<SimulatedEngine>[];
   readonly ledger: StandIn<Ledger>;
-  readonly keyValue: StandIn<MemoryKeyValue>;
+  readonly keyValue: KeyValueStandIn;
   readonly instances: StandIn<LaggingInstanceList>;
   readonly keys: LocalKeys;
   /** Proposes and approves a ticket, and waits until the entry has it in force. */
@@ -178,7 +178,7 @@
 }
 
 interface StandIns {
-  readonly keyValue: StandIn<MemoryKeyValue>;
+  readonly keyValue: KeyValueStandIn;
   readonly instances: StandIn<LaggingInstanceList>;
   readonly engines: readonly StandIn<SimulatedEngine>[];
   readonly ledger: StandIn<Ledger>;
