Keep a part of each account's limit for its urgent requests

Cause: in account-burst the duty officers of the bursting account were refused, because its own lower-tier requests had used up its limit. Change: a quarter of each bucket, at entries and homes, is left to the top tier; what it was admitted on credit is paid first.

--- a/packages/coordination/src/accountHome.ts
+++ b/packages/coordination/src/accountHome.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@marigoldfold/runtime';
 import {type AccountAsk, type AccountGrant, compactGrant} from '@marigoldfold/protocol';
 import type {Account} from '@marigoldfold/state';
-import {type AccountLimit, GRANT_PERIOD_MS, homePart} from './accountShares.js';
+import {type AccountLimit, GRANT_PERIOD_MS, homePart, urgentReserve} from './accountShares.js';
 import type {EntryRing} from './entryRing.js';
 import {TokenBucket} from './tokenBucket.js';
 
@@ -73,8 +73,10 @@
     const limit = homePart(account);
     const spare = this.#spare(state, account, limit);
     const available = Math.max(0, Math.floor(state.bucket.level(limit)));
+    const urgent = Math.min(available, Math.ceil(ask.urgent ?? 0));
+    const others = Math.max(0, available - urgent - urgentReserve(limit.capacity));
     const wanted = Math.ceil(ask.tokens);
-    const tokens = Math.min(available, Math.max(wanted + spare.next, spare.tokens));
+    const tokens = urgent + Math.min(others, Math.max(wanted + spare.next, spare.tokens));
     state.bucket.take(limit, tokens);
     const isSlack =
       spare.next > 0 && wanted <= Math.max(1, spare.tokens) && (ask.permits ?? 0) <= spare.permits;
@@ -84,7 +86,8 @@
       spare: spare.permits,
       validMs,
     });
-    const retryAfterMs = Math.ceil(state.bucket.timeUntil(limit, 1));
+    const next = urgentReserve(limit.capacity) + 1;
+    const retryAfterMs = Math.ceil(state.bucket.timeUntil(limit, next));
     return compactGrant({tokens, permits, validMs, retryAfterMs});
   }
 
--- a/packages/coordination/src/accountLimits.ts
+++ b/packages/coordination/src/accountLimits.ts
@@ -4,7 +4,7 @@
 import type {Account} from '@marigoldfold/state';
 import {err, ok, type Result} from 'neverthrow';
 import type {AccountHome} from './accountHome.js';
-import {AccountUsage} from './accountUsage.js';
+import {AccountUsage, TOP_TIER} from './accountUsage.js';
 import type {EntryRing} from './entryRing.js';
 import {type GrantCall, GrantAsks} from './grantAsks.js';
 
@@ -18,8 +18,6 @@
   readonly accountOf: (name: string) => Account | undefined;
 }
 
-/** An urgent request never waits for a home. */
-const TOP_TIER: Tier = 0;
 /** Milliseconds that a request waits for the home. */
 const WAIT_LIMIT_MS = 200;
 const MAX_ASKS = 2;
@@ -64,25 +62,26 @@
     // A request may have come too late to be counted in the ask that it waited for.
     for (let asks = 0; asks < MAX_ASKS && usage.deniedForMs === 0; asks += 1) {
       await this.#waitForHome(name, account, usage);
-      if (usage.tryTake(account, ring.size)) return ok(release(usage));
+      if (usage.tryTake(account, ring.size, tier)) return ok(release(usage));
     }
-    return err(this.#refuse(name, account, usage));
+    return err(this.#refuse(name, account, usage, tier));
   }
 
   /** Admits or refuses a request by what is known; undefined when the home must be asked first. */
   admitNow(name: string, account: Account, tier: Tier): Result<Disposable, Failure> | undefined {
     const {ring} = this.#options;
     const usage = this.#usage(name, account);
-    if (usage.tryTake(account, ring.size)) {
+    if (usage.tryTake(account, ring.size, tier)) {
       if (usage.isRunningLow) void this.#ask(name, account, usage);
       return ok(release(usage));
     }
-    const isRefused = ring.size === 1 || usage.deniedForMs > 0;
-    if (isRefused) return err(this.#refuse(name, account, usage));
-    if (tier !== TOP_TIER) return undefined;
+    if (ring.size === 1) return err(this.#refuse(name, account, usage, tier));
+    if (tier !== TOP_TIER) {
+      return usage.deniedForMs > 0 ? err(this.#refuse(name, account, usage, tier)) : undefined;
+    }
     const isAdmitted = usage.tryTakeOnCredit(account, ring.size);
     void this.#ask(name, account, usage);
-    return isAdmitted ? ok(release(usage)) : err(this.#refuse(name, account, usage));
+    return isAdmitted ? ok(release(usage)) : err(this.#refuse(name, account, usage, tier));
   }
 
   [Symbol.dispose](): void {
@@ -137,9 +136,9 @@
     return usage;
   }
 
-  #refuse(name: string, account: Account, usage: AccountUsage): Failure {
+  #refuse(name: string, account: Account, usage: AccountUsage, tier: Tier): Failure {
     const {size} = this.#options.ring;
-    if (!usage.hasPermit(account, size)) {
+    if (!usage.hasPermit(account, size, tier)) {
       const message = `account ${name} is at its limit of ${account.concurrency} requests in flight`;
       return refusal('account_limited', message, CONCURRENCY_RETRY_MS);
     }
--- a/packages/coordination/src/accountShares.ts
+++ b/packages/coordination/src/accountShares.ts
@@ -39,3 +39,13 @@
     concurrency: Math.max(1, Math.floor(concurrency * part)),
   };
 }
+
+/** Part of a limit that only the top tier may use, so that an account's other work cannot crowd it out. */
+const URGENT_PART = 0.25;
+/** Smaller limits have no part to spare. */
+const MIN_DIVISIBLE = 4;
+
+/** What other tiers must leave of a number of requests. */
+export function urgentReserve(limit: number): number {
+  return limit >= MIN_DIVISIBLE ? Math.floor(limit * URGENT_PART) : 0;
+}
--- a/packages/coordination/src/accountUsage.ts
+++ b/packages/coordination/src/accountUsage.ts
@@ -1,8 +1,14 @@
 /** What one entry has admitted for one account, and what it may still admit. */
 import type {Clock} from '@marigoldfold/runtime';
-import {type AccountAsk, type AccountGrant, compactAsk} from '@marigoldfold/protocol';
+import {type AccountAsk, type AccountGrant, compactAsk, type Tier} from '@marigoldfold/protocol';
 import type {Account} from '@marigoldfold/state';
-import {type AccountLimit, entryShare, fallbackShare, GRANT_PERIOD_MS} from './accountShares.js';
+import {
+  type AccountLimit,
+  entryShare,
+  fallbackShare,
+  GRANT_PERIOD_MS,
+  urgentReserve,
+} from './accountShares.js';
 import {TokenBucket} from './tokenBucket.js';
 
 const MS_PER_SECOND = 1000;
@@ -14,6 +20,9 @@
 const MIN_RATE_SPAN_MS = 100;
 const PERMIT_RETRY_MS = 100;
 
+/** The tier that never waits for a home. */
+export const TOP_TIER: Tier = 0;
+
 interface Grant {
   tokens: number;
   readonly size: number;
@@ -66,13 +75,23 @@
   }
 
   /** Admits a request if the share or a grant allows it. */
-  tryTake(account: Account, entries: number): boolean {
-    return this.#take(account, entries);
+  tryTake(account: Account, entries: number, tier: Tier): boolean {
+    if (!this.hasPermit(account, entries, tier)) return false;
+    if (this.#grant.tokens >= 1 && this.#grant.expiresAtMs > this.#clock.now()) {
+      this.#grant.tokens -= 1;
+      this.#spent += 1;
+    } else {
+      const limit = this.#limit(account, entries);
+      const floor = tier === TOP_TIER ? 0 : urgentReserve(limit.capacity);
+      if (!this.#share.take(limit, 1, floor)) return false;
+    }
+    this.#inFlight += 1;
+    return true;
   }
 
   /** Admits an urgent request on credit of up to one grant period of the limit, while the home is asked. */
   tryTakeOnCredit(account: Account, entries: number): boolean {
-    if (this.deniedForMs > 0 || this.#inFlight >= account.concurrency) return false;
+    if (this.#inFlight >= account.concurrency) return false;
     const perPeriod = (account.requestsPerSecond * GRANT_PERIOD_MS) / MS_PER_SECOND;
     const credit = Math.max(1, Math.min(account.burst, perPeriod));
     if (!this.#share.take(this.#limit(account, entries), 1, -credit)) return false;
@@ -86,10 +105,12 @@
   }
 
   /** Whether another request in flight is allowed. */
-  hasPermit(account: Account, entries: number): boolean {
+  hasPermit(account: Account, entries: number, tier: Tier): boolean {
     const {count, expiresAtMs} = this.#permits;
     const permits = expiresAtMs > this.#clock.now() ? count : 0;
-    return this.#inFlight < this.#limit(account, entries).concurrency + permits;
+    const {concurrency} = this.#limit(account, entries);
+    const reserve = tier === TOP_TIER ? 0 : urgentReserve(concurrency);
+    return this.#inFlight < concurrency - reserve + permits;
   }
 
   /** Milliseconds until the share allows another request. */
@@ -103,8 +124,8 @@
     const owed = Math.max(0, -Math.floor(this.#share.level(limit)));
     const held = Math.max(0, this.#inFlight - limit.concurrency);
     const permits = this.#wantedPermits(account, entries);
-    const tokens = owed + this.waiting + this.#prefetch(account, entries);
-    return compactAsk({account: name, tokens, permits, held});
+    const tokens = this.waiting + this.#prefetch(account, entries);
+    return compactAsk({account: name, tokens, urgent: owed, permits, held});
   }
 
   /** What the next half of a grant period will need at the present rate, up to the entry's part of one period. */
@@ -164,16 +185,6 @@
     return this.#share.level(limit) >= limit.capacity;
   }
 
-  #take(account: Account, entries: number): boolean {
-    if (!this.hasPermit(account, entries)) return false;
-    if (this.#grant.tokens >= 1 && this.#grant.expiresAtMs > this.#clock.now()) {
-      this.#grant.tokens -= 1;
-      this.#spent += 1;
-    } else if (!this.#share.take(this.#limit(account, entries), 1)) return false;
-    this.#inFlight += 1;
-    return true;
-  }
-
   #wantedPermits(account: Account, entries: number): number {
     const {concurrency} = this.#limit(account, entries);
     return Math.max(0, this.#inFlight + this.waiting - concurrency);
--- a/packages/protocol/src/accountMessages.ts
+++ b/packages/protocol/src/accountMessages.ts
@@ -7,6 +7,8 @@
   account: z.string(),
   /** Requests that it wants to admit soon. */
   tokens: z.number(),
+  /** Requests of the top tier that it has admitted already and must pay for. */
+  urgent: z.number().optional(),
   /** Requests in flight beyond its own share that it has or wants to have. */
   permits: z.number().optional(),
   /** How many of these are in flight already. */
@@ -37,8 +39,8 @@
 );
 
 /** The same without numbers that are 0, but for tokens. */
-export function compactAsk({account, tokens, permits, held}: AccountAsk): AccountAsk {
-  return {account, tokens, ...nonZero({permits, held})};
+export function compactAsk({account, tokens, urgent, permits, held}: AccountAsk): AccountAsk {
+  return {account, tokens, ...nonZero({urgent, permits, held})};
 }
 
 /** The same without numbers that are 0, but for tokens. */
