--- a/packages/coordination/src/endpointChoice.ts
+++ b/packages/coordination/src/endpointChoice.ts
@@ -34,11 +34,13 @@
   /** Without it, choices go by what answers have told. */
   readonly probe?: Probe;
   readonly mechanisms?: Partial<ChoiceMechanisms>;
+  /** Called with each load report, for what it tells besides the load. */
+  readonly onLoad?: (instance: string, load: Load) => void;
 }
 
 const SAMPLE_SIZE = 3;
 const PROBE_TIME_LIMIT_MS = 50;
-const PROBES_PER_SECOND = 8;
+const PROBES_PER_SECOND = 4;
 const MIN_RETRY_AFTER_MS = 100;
 /** A request is refused early only by reports that are younger than this. */
 const REFUSAL_REPORT_AGE_MS = 1000;
@@ -59,12 +61,14 @@
   readonly #mechanisms: ChoiceMechanisms;
   readonly #directory: EndpointDirectory;
   readonly #probes: LoadProbes | undefined;
+  readonly #onLoad: EndpointChoiceOptions['onLoad'];
 
   constructor(options: EndpointChoiceOptions) {
     const {clock, random, self, failureDomain = '', region = '', subsetSize, probe} = options;
     this.#clock = clock;
     this.#random = random;
     this.#mechanisms = {...allMechanisms, ...options.mechanisms};
+    this.#onLoad = options.onLoad;
     const place = {self, failureDomain, region};
     this.#directory = new EndpointDirectory({clock, random, place, subsetSize});
     if (probe === undefined) return;
@@ -87,6 +91,7 @@
   /** Takes a load report; requests sent up to `asOfMs` had arrived when it was made. */
   observe(instance: string, load: Load, asOfMs = this.#clock.now()): void {
     this.#directory.observe(instance, load, asOfMs);
+    this.#onLoad?.(instance, load);
   }
 
   /** Keeps an instance out of the choice for a while after a failure. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -16,13 +16,33 @@
 export {prefixKeyOf} from './prefixAffinity.js';
 export {type Place, chooseSubset, DEFAULT_SUBSET_SIZE} from './subset.js';
 export {hash64} from './hash.js';
+export {InstanceFeed, type InstanceFeedOptions} from './instanceFeed.js';
+export {applyDelta, compareLists, digestInstances} from './instanceList.js';
+export {type InstanceSource, createInstanceSource, parseTargetGroups} from './instanceSource.js';
 export {
-  InstanceFeed,
-  type InstanceFeedOptions,
-  type InstanceSource,
-  createInstanceSource,
-  parseTargetGroups,
-} from './instanceFeed.js';
+  type PeerError,
+  type PeerOf,
+  type PulledTickets,
+  type SnapshotPage,
+  type SnapshotRequest,
+  type SpreadPeer,
+  type SpreadService,
+  addSpreadMethods,
+  createSpreadPeer,
+  pullMethod,
+  pulledTicketsSchema,
+  snapshotMethod,
+  snapshotPageSchema,
+} from './spread/peer.js';
+export {
+  type Locality,
+  type Neighbourhood,
+  ageLimitMs,
+  findNeighbourhood,
+  isWatcher,
+} from './spread/neighbourhood.js';
+export {Spread, type SpreadOptions} from './spread/spread.js';
+export {SpreadPeers} from './spread/spreadPeers.js';
 export {rankMembers} from './rendezvous.js';
 export {
   type Secrets,
@@ -46,3 +66,9 @@
   drainOnSignal,
   loadProcessSettings,
 } from './processCommand.js';
+export {
+  type Membership,
+  type MembershipOptions,
+  createMembership,
+  listAgeLimitMs,
+} from './spread/membership.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -17,8 +17,10 @@
   accountAskSchema,
   accountGrantMethod,
   accountGrantSchema,
+  compactAsk,
+  compactGrant,
 } from './accountMessages.js';
-export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
+export {createIncarnation, incarnationHeader, movedId, originalId, requestIds} from './identity.js';
 export {
   type AnswerEvent,
   answerEventName,
@@ -28,7 +30,7 @@
   type FailedStart,
 } from './workStream.js';
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
-export {type Load, loadSchema} from './load.js';
+export {type Load, compactLoad, encodeLoad, loadSchema} from './load.js';
 export {
   type Withdrawal,
   acknowledgeMethod,
@@ -37,7 +39,7 @@
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
-export type {Method} from './method.js';
+export {type Method, method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
@@ -48,3 +50,14 @@
   workEventSchema,
   workSchema,
 } from './work.js';
+export {
+  type ConfigurationStatus,
+  type ListDelta,
+  type Summary,
+  configurationStatusMethod,
+  configurationStatusSchema,
+  exchangeMethod,
+  listDeltaSchema,
+  listMethod,
+  summarySchema,
+} from './spread.js';
