--- /dev/null
+++ b/packages/bench/src/commands/soak.ts
@@ -0,0 +1,43 @@
+/** `marigoldfold-bench soak`. */
+import {seededRandom} from '@marigoldfold/runtime';
+import {Command, Flags} from '@oclif/core';
+import {soak, type SoakCounts} from '../soak/soak.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Soaks a fleet. */
+export class Soak extends Command {
+  static override readonly description =
+    'Loads entries, agents and stand-ins over loopback HTTP while they are killed and replaced, and counts what was lost, doubled or misreported.';
+  static override readonly examples = ['marigoldfold-bench soak --seconds 120 --requests 100000'];
+  static override readonly flags = {
+    seconds: Flags.integer({description: 'longest run', default: 60, min: 1}),
+    requests: Flags.integer({description: 'most requests', default: 1_000_000, min: 1}),
+    callers: Flags.integer({description: 'callers at one time', default: 64, min: 1}),
+    seed: Flags.integer({description: 'seed of the callers', default: 1}),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(Soak);
+    const counts = await soak({
+      fleet: {entries: 3, engines: 4, ledgers: 3, slots: 32, interTokenMs: 2},
+      callers: flags.callers,
+      durationMs: flags.seconds * MS_PER_SECOND,
+      maxRequests: flags.requests,
+      random: seededRandom(flags.seed),
+      onProgress: (progress) => {
+        this.logToStderr(`${progress.requests} requests, ${progress.kills} kills`);
+      },
+    });
+    this.#print(counts);
+    // Timers of the stand-ins, such as those of leases, would keep the process for days.
+    this.exit(counts.lost + counts.doubled + counts.misreported > 0 ? 1 : 0);
+  }
+
+  #print(counts: SoakCounts): void {
+    const {problems, told, ...numbers} = counts;
+    for (const [name, count] of Object.entries(numbers)) this.log(`${name} ${count}`);
+    for (const [word, count] of Object.entries(told)) this.log(`tries told ${word} ${count}`);
+    for (const problem of problems) this.log(`  ${problem}`);
+  }
+}
--- a/packages/bench/src/matrix/endpoints.ts
+++ b/packages/bench/src/matrix/endpoints.ts
@@ -134,10 +134,9 @@
         if (signal.aborted || engine !== this.#engine) return {kind: 'broken', maySent: true};
         const token = tokens.shift();
         if (token === undefined) {
-          await Promise.race([
-            wakeUp((resolve) => (wake = resolve), signal),
-            sleep(this.#clock, BREAK_MS, signal),
-          ]);
+          const awoken = wakeUp((resolve) => (wake = resolve), signal);
+          await Promise.race([awoken, sleep(this.#clock, BREAK_MS, signal)]);
+          wake();
           continue;
         }
         const fault = take('engine-stream', id);
--- a/packages/bench/src/soak/fleet.ts
+++ b/packages/bench/src/soak/fleet.ts
@@ -20,6 +20,7 @@
   startLedger,
 } from '@marigoldfold/standin';
 import {digestText} from '@marigoldfold/state';
+import {createClusterKey} from '@marigoldfold/transport';
 
 /** How large the fleet is. */
 export interface FleetOptions {
@@ -38,6 +39,12 @@
   isReady: boolean;
 }
 
+/** Where requests go, with the headers that they need. */
+export interface FleetTarget {
+  readonly address: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
 /** An agent of the fleet. */
 export interface FleetAgent {
   readonly name: string;
@@ -82,6 +89,7 @@
       logger,
     });
     const fleet = new Fleet(options, system._unsafeUnwrap());
+    for (const {subject} of fleet.#system.engines) fleet.#watch(subject);
     await fleet.#configure();
     for (let index = 1; index <= options.engines; index += 1) {
       await fleet.startEngine(`fleet-engine-${index}`);
@@ -95,6 +103,34 @@
     return fleet;
   }
 
+  /** All ledgers, the local system's own among them. */
+  get allLedgers(): readonly StandIn<Ledger>[] {
+    return [this.#system.ledger, ...this.ledgers.values()];
+  }
+
+  /** All engines, the local system's own among them. */
+  get allEngines(): readonly StandIn<SimulatedEngine>[] {
+    return [...this.#system.engines, ...this.engines.values()];
+  }
+
+  /** Where the first engine is. */
+  engineTarget(): FleetTarget {
+    const [engine] = this.engines.values();
+    return {address: engine?.address ?? '', headers: {}};
+  }
+
+  /** Where the first agent is, and what it asks of entries. */
+  agentTarget(): FleetTarget {
+    const address = this.agents[0]?.process.server.address ?? '';
+    return {address, headers: createClusterKey(this.#system.keys.cluster).headers};
+  }
+
+  /** Where the first entry is, and what it asks of callers. */
+  entryTarget(): FleetTarget {
+    const address = this.entries[0]?.process.callers.address ?? '';
+    return {address, headers: {authorization: `Bearer ${this.clientKey}`}};
+  }
+
   /** The bearer key of the fleet's client account. */
   get clientKey(): string {
     return this.#system.keys.client;
@@ -110,9 +146,7 @@
     const {slots, interTokenMs} = this.#options;
     const started = await startEngine(systemClock, batchingSpeed(slots, interTokenMs));
     const engine = this.#disposables.add(started._unsafeUnwrap());
-    engine.subject.onBegin = (id) => {
-      this.begun.add(id);
-    };
+    this.#watch(engine.subject);
     this.engines.set(endpoint, engine);
   }
 
@@ -204,6 +238,12 @@
     this.#disposables[Symbol.dispose]();
   }
 
+  #watch(engine: SimulatedEngine): void {
+    engine.onBegin = (id) => {
+      this.begun.add(id);
+    };
+  }
+
   async #configure(): Promise<void> {
     const {engines, ledgers} = this.#options;
     const endpoint = (name: string, set: string) => ({
--- /dev/null
+++ b/packages/bench/src/soak/openStreams.ts
@@ -0,0 +1,175 @@
+/** Memory of one process by the number of its open streams, layer by layer. */
+import {setMaxListeners} from 'node:events';
+import {classHeader} from '@marigoldfold/entry';
+import {type Random, sleep, systemClock} from '@marigoldfold/runtime';
+import {type ClientRequest, createHttpClient, type HttpClient} from '@marigoldfold/transport';
+import {Fleet} from './fleet.js';
+
+/** Where the streams are opened: at the engine, at its agent, or at an entry. */
+export const layers = ['engine', 'agent', 'entry'] as const;
+
+/** Where the streams are opened. */
+export type Layer = (typeof layers)[number];
+
+/** One measurement. */
+export interface StreamMemory {
+  readonly layer: Layer;
+  readonly streams: number;
+  /** Heap and buffers after a collection, in bytes. */
+  readonly bytes: number;
+}
+
+/** What the measurement needs. */
+export interface StreamMemoryOptions {
+  readonly counts: readonly number[];
+  readonly random: Random;
+  /** Collects garbage. */
+  readonly collect: () => void;
+}
+
+const MAX_STREAMS = 4096;
+const TOKEN_INTERVAL_MS = 1000;
+const OUTPUT_TOKENS = 1_000_000;
+const SETTLE_MS = 500;
+const BATCH = 500;
+const OK = 200;
+const TIMEOUT_MS = 120_000;
+
+/** Measures every layer with every number of streams. */
+export async function measureStreams(
+  options: StreamMemoryOptions,
+): Promise<readonly StreamMemory[]> {
+  using fleet = await Fleet.start({
+    entries: 1,
+    engines: 1,
+    ledgers: 0,
+    slots: MAX_STREAMS,
+    interTokenMs: 1,
+  });
+  const speed = {
+    slots: MAX_STREAMS,
+    prefillTokensPerSecond: Number.MAX_SAFE_INTEGER,
+    interTokenMs: () => TOKEN_INTERVAL_MS,
+  };
+  for (const {subject} of fleet.allEngines) subject.setSpeed(speed);
+  const measured: StreamMemory[] = [];
+  // The first round fills caches and compiles code; its figures are dropped.
+  await measureOnce(fleet, 'entry', options.counts[0] ?? 0, options);
+  for (const layer of layers) {
+    for (const streams of options.counts) {
+      const bytes = await measureOnce(fleet, layer, streams, options);
+      measured.push({layer, streams, bytes});
+    }
+  }
+  return measured;
+}
+
+async function measureOnce(
+  fleet: Fleet,
+  layer: Layer,
+  count: number,
+  {collect}: StreamMemoryOptions,
+): Promise<number> {
+  collect();
+  const before = usedBytes();
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  using client = createHttpClient();
+  for (let opened = 0; opened < count; opened += BATCH) {
+    const size = Math.min(BATCH, count - opened);
+    const batch = Array.from({length: size}, (_, index) =>
+      openStream(client, requestTo(fleet, layer, opened + index, controller.signal)),
+    );
+    await Promise.all(batch);
+  }
+  collect();
+  await sleep(systemClock, SETTLE_MS);
+  collect();
+  const used = usedBytes() - before;
+  controller.abort();
+  while (fleet.allEngines.some(({subject}) => subject.generationCount > 0)) {
+    await sleep(systemClock, SETTLE_MS);
+    for (const {subject} of fleet.allEngines) subject.cancelPaused();
+  }
+  return used;
+}
+
+function usedBytes(): number {
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+}
+
+function requestTo(fleet: Fleet, layer: Layer, index: number, signal: AbortSignal): ClientRequest {
+  const body = {model: 'score-reader', prompt: `bar ${index}`, max_tokens: OUTPUT_TOKENS};
+  const common = {method: 'POST', signal, timeoutMs: TIMEOUT_MS};
+  const json = {'content-type': 'application/json'};
+  const text = JSON.stringify({...body, stream: true});
+  switch (layer) {
+    case 'engine':
+      return {
+        ...common,
+        ...fleet.engineTarget(),
+        path: '/v1/completions',
+        headers: json,
+        body: text,
+      };
+    case 'entry': {
+      const {address, headers} = fleet.entryTarget();
+      return {
+        ...common,
+        address,
+        path: '/v1/completions',
+        headers: {...json, ...headers, [classHeader]: 'bulk'},
+        body: text,
+      };
+    }
+    case 'agent': {
+      const {address, headers} = fleet.agentTarget();
+      const work = {
+        id: `direct-${index}-${performance.now()}`,
+        entry: 'direct',
+        account: 'demo',
+        class: 'bulk',
+        tier: 6,
+        firstTokenBudgetMs: 600_000,
+        promptTokens: 1,
+        configuration: 1,
+        task: {kind: 'generation', model: body.model, path: '/v1/completions', body},
+      };
+      const headersOfWork = {...json, ...headers};
+      return {
+        ...common,
+        address,
+        path: '/work',
+        headers: headersOfWork,
+        body: JSON.stringify(work),
+      };
+    }
+  }
+}
+
+/** Opens a stream and leaves it open; its parts are read and dropped. */
+async function openStream(client: HttpClient, request: ClientRequest): Promise<void> {
+  const answer = await client.send(request);
+  if (answer.isErr()) throw new Error(answer.error.message);
+  const {status, stream} = answer.value;
+  if (status !== OK) throw new Error(`status ${status}: ${(await stream.toArray()).join('')}`);
+  stream.resume();
+}
+
+/** Bytes for each stream: the slope of a least-squares line. */
+export function slope(points: readonly StreamMemory[]): number {
+  const meanX = mean(points.map(({streams}) => streams));
+  const meanY = mean(points.map(({bytes}) => bytes));
+  let above = 0;
+  let below = 0;
+  for (const {streams, bytes} of points) {
+    above += (streams - meanX) * (bytes - meanY);
+    below += (streams - meanX) ** 2;
+  }
+  return above / below;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/packages/standin/src/simulatedEngine.ts
+++ b/packages/standin/src/simulatedEngine.ts
@@ -141,6 +141,13 @@
     return this.#generations.delete(id);
   }
 
+  /** Drops the generations to which nobody listens. */
+  cancelPaused(): void {
+    for (const [id, {listener}] of this.#generations) {
+      if (listener === undefined) this.#generations.delete(id);
+    }
+  }
+
   [Symbol.dispose](): void {
     this.#isDisposed = true;
     this.#nextStep?.[Symbol.dispose]();
