--- a/packages/bench/src/__tests__/matrix.test.ts
+++ b/packages/bench/src/__tests__/matrix.test.ts
@@ -30,6 +30,21 @@
   }
 }, 120_000);
 
+/** Pairs that once showed a fault of the product. */
+const regressions = [
+  ['drain (generation)', 'entry-pause', 'release', 'answer-lost'],
+  ['drain (generation)', 'entry-pause', 'release', 'duplicate'],
+] as const;
+
+it.each(regressions)('%s with %s and %s with %s', async (...names) => {
+  const find = (step: string, fault: string) =>
+    allPairs()
+      .flat()
+      .find((cell) => cell.step.name === step && cell.fault === fault)!;
+  const pair = [find(names[0], names[1]), find(names[2], names[3])] as const;
+  expect((await runPair(...pair)).violations).toEqual([]);
+});
+
 it('the page shows the matrix as it is', async () => {
   const path = new URL('../../../../docs/design/fault-matrix.md', import.meta.url).pathname;
   const page = readFileSync(path, 'utf8');
--- a/packages/bench/src/measures.ts
+++ b/packages/bench/src/measures.ts
@@ -37,7 +37,10 @@
 
 /** Figures for expectations that the result does not list. */
 export interface ClassDetail {
+  /** Tokens of whole answers. */
   readonly servedTokens: number;
+  /** Milliseconds of slots while requests arrived. */
+  readonly slotMs: number;
   /** Part of the first tokens that came within the class's target. */
   readonly firstTokenShare: number;
   /** Part of the gaps between tokens that were within the class's target. */
@@ -115,6 +118,7 @@
   readonly #completion = createHistogram();
   #firstTokensInTime = 0;
   #gapsInTime = 0;
+  #slotMs = 0;
   offered = 0;
   attained = 0;
   late = 0;
@@ -124,10 +128,17 @@
   goodTokens = 0;
   wastedTokens = 0;
 
-  constructor(targets: ExperimentClass) {
+  constructor(
+    targets: ExperimentClass,
+    private readonly durationMs: number,
+  ) {
     this.#targets = targets;
   }
 
+  recordSlot(fromMs: number, toMs: number): void {
+    this.#slotMs += Math.max(0, Math.min(toMs, this.durationMs) - fromMs);
+  }
+
   recordFirstToken(durationMs: number): void {
     record(this.#firstToken, durationMs);
     if (durationMs <= (this.#targets.firstTokenMs ?? Number.POSITIVE_INFINITY)) {
@@ -164,6 +175,7 @@
   detail(): ClassDetail {
     return {
       servedTokens: this.servedTokens,
+      slotMs: this.#slotMs,
       firstTokenShare: ratio(this.#firstTokensInTime, this.#firstToken.totalCount),
       interTokenShare: ratio(this.#gapsInTime, this.#gap.totalCount),
     };
@@ -172,20 +184,27 @@
 
 /** The measures of all classes. */
 export class Measures {
+  readonly #durationMs: number;
   readonly #classes = new Map<string, ClassMeasure>();
   recomputedTokens = 0;
 
+  /** Requests arrive for the duration. */
+  constructor(durationMs: number) {
+    this.#durationMs = durationMs;
+  }
+
   /** Begins the record of a request. */
   open(arrival: Arrival): RequestRecord {
-    const {requestClass} = arrival;
-    const known = this.#classes.get(requestClass.name);
-    const measure = known ?? new ClassMeasure(requestClass);
-    if (known === undefined) this.#classes.set(requestClass.name, measure);
-    return new RequestRecord(arrival, measure);
+    return new RequestRecord(arrival, this.#measure(arrival.requestClass));
+  }
+
+  /** Takes the time that a request held a slot without a break. */
+  recordSlot({requestClass}: Arrival, fromMs: number, toMs: number): void {
+    this.#measure(requestClass).recordSlot(fromMs, toMs);
   }
 
-  /** The result after a duration. */
-  result(durationMs: number): PolicyResult {
+  /** The result of the run. */
+  result(): PolicyResult {
     const classes: Record<string, ClassResult> = {};
     let goodTokens = 0;
     let wastedTokens = this.recomputedTokens;
@@ -194,7 +213,7 @@
       goodTokens += measure.goodTokens;
       wastedTokens += measure.wastedTokens;
     }
-    const goodputTokensPerSecond = goodTokens / (durationMs / MS_PER_SECOND);
+    const goodputTokensPerSecond = goodTokens / (this.#durationMs / MS_PER_SECOND);
     return {goodputTokensPerSecond, wastedTokens: Math.round(wastedTokens), classes};
   }
 
@@ -205,6 +224,13 @@
     return details;
   }
 
+  #measure(requestClass: ExperimentClass): ClassMeasure {
+    const known = this.#classes.get(requestClass.name);
+    const measure = known ?? new ClassMeasure(requestClass, this.#durationMs);
+    if (known === undefined) this.#classes.set(requestClass.name, measure);
+    return measure;
+  }
+
   #sorted(): readonly (readonly [string, ClassMeasure])[] {
     return [...this.#classes].sort(([a], [b]) => (a < b ? -1 : 1));
   }
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -1,6 +1,6 @@
 /** Runs the requests of an experiment through simulated entries and agents on a virtual clock. */
 import {type TierShares, tierShares, WorkQueue} from '@marigoldfold/agent';
-import {AccountLimits} from '@marigoldfold/coordination';
+import {AccountHome, AccountLimits, EntryRing} from '@marigoldfold/coordination';
 import type {Instance} from '@marigoldfold/protocol';
 import {VirtualClock} from '@marigoldfold/runtime';
 import {type Change, Configuration} from '@marigoldfold/state';
@@ -36,20 +36,21 @@
 /** Requests that have not ended this long after the last arrival never will. */
 const DRAIN_LIMIT_MS = 3_600_000;
 const PROGRESS_STEPS = 50;
+const REGION = 'region';
 
 /** Runs one policy. */
 export function simulate(options: SimulationOptions): SimulationOutcome {
   const {experiment, arrivals, onProgress} = options;
+  const durationMs = experiment.durationS * MS_PER_SECOND;
   const clock = new VirtualClock();
   const checker = new InvariantChecker(clock);
-  const measures = new Measures();
-  const agents = createAgents(options, clock, checker);
+  const measures = new Measures(durationMs);
+  const agents = createAgents(options, {clock, checker, measures});
   const entries = createEntries(options, {clock, checker, measures, agents});
   scheduleFaults(experiment, clock, agents);
   for (const arrival of arrivals) {
     clock.schedule(arrival.atMs, () => entries[arrival.entry]?.accept(arrival));
   }
-  const durationMs = experiment.durationS * MS_PER_SECOND;
   for (let step = 1; step <= PROGRESS_STEPS; step += 1) {
     runUntil(clock, (durationMs * step) / PROGRESS_STEPS);
     onProgress?.(step / PROGRESS_STEPS);
@@ -58,7 +59,7 @@
   for (const agent of agents.values()) measures.recomputedTokens += agent.backend.recomputedTokens;
   checker.onEnd(arrivals);
   return {
-    result: measures.result(durationMs),
+    result: measures.result(),
     details: measures.details(),
     violations: checker.violations,
   };
@@ -70,18 +71,17 @@
 
 function createAgents(
   {experiment, policy}: SimulationOptions,
-  clock: VirtualClock,
-  checker: InvariantChecker,
+  parts: Omit<Parts, 'agents'>,
 ): ReadonlyMap<string, AgentModel> {
+  const {clock} = parts;
   const agents = new Map<string, AgentModel>();
   const configuration = createConfiguration(experiment);
   for (const group of experiment.endpoints) {
     const shares = tierShares(configuration, group.set);
     for (const name of endpointNames(group)) {
       const agent = new AgentModel({
+        ...parts,
         name,
-        clock,
-        checker,
         backend:
           group.type === 'engine' ? new EngineModel({clock, ...group}) : new ServiceModel(clock),
         createQueue: () => createQueue(group, policy, clock, shares),
@@ -123,7 +123,7 @@
 ): readonly EntryModel[] {
   const configuration = createConfiguration(experiment);
   const instances = createInstances(experiment);
-  const limits = new AccountLimits(parts.clock);
+  const limits = createAccountLimits(configuration, parts.clock);
   return Array.from({length: experiment.entries}, (_, index) => {
     const name = `entry-${index + 1}`;
     return new EntryModel({
@@ -140,13 +140,22 @@
   });
 }
 
+/** The limits of all entries together, as one entry would hold them. */
+function createAccountLimits(configuration: Configuration, clock: VirtualClock): AccountLimits {
+  const ring = new EntryRing(clock, 'entry-1', REGION);
+  const accountOf = (name: string) => configuration.get('account', name);
+  const home = new AccountHome({clock, ring, accountOf});
+  const call = () => Promise.resolve(undefined);
+  return new AccountLimits({clock, ring, home, call, accountOf});
+}
+
 function createInstances({endpoints, failureDomains}: Experiment): readonly Instance[] {
   return endpoints.flatMap(endpointNames).map((endpoint, index) => ({
     name: endpoint,
     role: 'agent',
     address: `${endpoint}:1`,
     failureDomain: failureDomains[index % failureDomains.length] ?? '',
-    region: 'region',
+    region: REGION,
     endpoint,
     state: 'live',
   }));
--- a/packages/entry/src/__tests__/attempt.test.ts
+++ b/packages/entry/src/__tests__/attempt.test.ts
@@ -22,6 +22,7 @@
     work: workOf(),
     signal: new AbortController().signal,
     observe: () => undefined,
+    onEvent: () => undefined,
     onUnreachable: () => {
       unreachable += 1;
     },
@@ -132,6 +133,15 @@
     expect(ranOf(end)).toBe('no');
   });
 
+  it('may have run the request when only the resume could not be sent', async () => {
+    const refused = {kind: 'unreachable', message: 'refused', maySent: false} as const;
+    const {end} = await runAttempt({start: [], resumes: [refused]});
+    expect(ranOf(end)).toBe('unknown');
+    const lost = {kind: 'unreachable', message: 'cut off', maySent: true} as const;
+    const cutOff = await runAttempt({start: lost, resumes: [refused]});
+    expect(ranOf(cutOff.end)).toBe('unknown');
+  });
+
   it('was not given the request when nothing was sent', async () => {
     const {end, link} = await runAttempt({
       start: {kind: 'unreachable', message: 'refused', maySent: false},
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -28,8 +28,10 @@
   readonly work: Work;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
-  /** Takes each load report. */
+  /** Takes the load report of a refusal. */
   readonly observe: (load: Load) => void;
+  /** Takes each event of the answer, repeated ones left out. */
+  readonly onEvent: (event: WorkEvent) => void;
   /** Notes that the agent could not be reached. */
   readonly onUnreachable: () => void;
 }
@@ -46,8 +48,9 @@
   readonly #options: AttemptOptions;
   /** The incarnation that the request was sent to. */
   #incarnation: string | undefined;
+  /** Whether the agent may have received the request. */
+  #maySent = false;
   #lastChunk = 0;
-  #hasStarted = false;
   #connection = new AbortController();
 
   constructor(options: AttemptOptions) {
@@ -63,6 +66,7 @@
   async *run(): RoutedAnswer {
     const {clock, link, work, signal} = this.#options;
     let opened = await this.#start();
+    this.#maySent = opened.isOk() || (opened.error.kind === 'unreachable' && opened.error.maySent);
     let resumes = 0;
     while (true) {
       const chunksBefore = this.#lastChunk;
@@ -105,16 +109,16 @@
 
   /** Passes events on; resolves to undefined when the connection broke before the end. */
   async *#copy(events: WorkEvents): AsyncGenerator<RoutedEvent, RoutedEnd | undefined> {
-    const {observe} = this.#options;
+    const {onEvent} = this.#options;
     for await (const event of this.#withinLimit(events)) {
       switch (event.kind) {
         case 'queued':
-          observe(event.load);
+          onEvent(event);
           break;
         case 'alive':
           break;
         case 'started':
-          this.#hasStarted = true;
+          onEvent(event);
           break;
         case 'head':
           if (this.#lastChunk === 0) yield event;
@@ -123,15 +127,16 @@
           if (event.number <= this.#lastChunk) break;
           if (event.number > this.#lastChunk + 1) return undefined;
           this.#lastChunk = event.number;
+          onEvent(event);
           yield event;
           this.#acknowledge();
           break;
         case 'end':
-          observe(event.load);
           if (event.chunks !== this.#lastChunk) return undefined;
+          onEvent(event);
           return {kind: 'whole'};
         case 'failed':
-          observe(event.load);
+          onEvent(event);
           return {kind: 'failed', failure: event.failure};
       }
     }
@@ -179,8 +184,8 @@
         return this.#withdraw();
       case 'unreachable':
         onUnreachable();
-        if (error.maySent || this.#hasStarted) return undefined;
-        return this.#lastChunk > 0
+        // That a resume was not sent says nothing of the request before it.
+        return this.#maySent
           ? undefined
           : failureWith('not-sent', 'endpoint_unreachable', error.message);
     }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,8 +1,9 @@
 /** One entry: everything that it owns, wired together. */
 import {
-  AccountLimits,
+  addConnectionMetrics,
   ConfigurationFeed,
   createInstanceSource,
+  createProcessRegistry,
   EndpointChoice,
   InstanceFeed,
   RetryBudget,
@@ -20,8 +21,8 @@
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import {Gauge, Registry} from 'prom-client';
 import {combineLatest} from 'rxjs';
+import {createAccountLimiting} from './accountLimiting.js';
 import {RequestMetrics} from './attainment.js';
 import {createCallersApi} from './callersApi.js';
 import {AgentLinks} from './httpAgentLink.js';
@@ -39,6 +40,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Whether to serve Node's own metrics as well; for a process that runs only this entry. */
+  readonly includesNodeMetrics?: boolean;
 }
 
 /** A running entry. */
@@ -61,10 +64,11 @@
   const {settings, clock, logger} = options;
   const disposables = new DisposableStore();
   const parts = createParts(options, disposables);
-  const {feed, instances, links, choice} = parts;
+  const {feed, instances, links, choice, accounts} = parts;
   let isLeaving = false;
   const isReady = () => !isLeaving && feed.head.number > 0;
-  const registry = createRegistry(feed);
+  const includesNode = options.includesNodeMetrics === true;
+  const registry = createProcessRegistry({feed, includesNode});
   const linkTo = (instance: Instance) => links.get(instance);
   const incarnation = createIncarnation(clock.now());
   const onDefect = (error: unknown) => {
@@ -82,7 +86,7 @@
       logger,
       limits: settings.limits,
       head: () => feed.head,
-      accountLimits: new AccountLimits(clock),
+      accountLimits: accounts.limits,
       router: new Router({clock, logger, choice, retryBudget: new RetryBudget(), linkTo}),
       metrics: new RequestMetrics(registry),
       nextRequestId: requestIds(incarnation),
@@ -107,6 +111,10 @@
       isReady,
       registry,
     }),
+    // Other entries connect here as well; they show the cluster key.
+    upgrade: (request, socket, head) => {
+      accounts.control.upgrade(request, socket, head);
+    },
     onDefect,
   });
   if (operators.isErr()) {
@@ -114,10 +122,15 @@
     return err(operators.error);
   }
   disposables.add(operators.value);
+  addConnectionMetrics(registry, {
+    callers: callers.value.connectionCount,
+    operators: operators.value.connectionCount,
+  });
 
   const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
     choice.update(head.configuration, list.instances);
     links.retain(list.instances);
+    accounts.update(list.instances);
   });
   disposables.defer(() => {
     updates.unsubscribe();
@@ -178,28 +191,20 @@
       intervalMs: platform.instancesIntervalMs,
     }),
   );
-  const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const links = disposables.add(new AgentLinks(client, clusterKey));
   const {name: self, failureDomain, region} = process;
   const probe = async (instance: Instance) =>
     (await links.get(instance).probe()).unwrapOr(undefined);
   const choice = new EndpointChoice({clock, random, self, failureDomain, region, probe});
-  return {store, record, feed, instances, links, choice};
+  const accountOf = (name: string) => feed.head.configuration.get('account', name);
+  const accounts = disposables.add(
+    createAccountLimiting({clock, self, region, clusterKey, accountOf}),
+  );
+  return {store, record, feed, instances, links, choice, accounts};
 }
 
 function hostAndPort(address: string): {readonly host: string; readonly port: number} {
   const [host, port] = splitAddress(address);
   return {host, port};
 }
-
-function createRegistry(feed: ConfigurationFeed): Registry {
-  const registry = new Registry();
-  new Gauge({
-    name: 'marigoldfold_configuration_number',
-    help: 'Number of the ticket in force.',
-    registers: [registry],
-    collect() {
-      this.set(feed.head.number);
-    },
-  });
-  return registry;
-}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,6 +11,15 @@
   ranSchema,
   refusal,
 } from './failure.js';
+export {
+  type AccountAsk,
+  type AccountGrant,
+  accountAskSchema,
+  accountGrantMethod,
+  accountGrantSchema,
+  compactAsk,
+  compactGrant,
+} from './accountMessages.js';
 export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
 export {
   type AnswerEvent,
@@ -21,9 +30,8 @@
   type FailedStart,
 } from './workStream.js';
 export {type Instance, type InstanceList, instanceSchema} from './instance.js';
-export {type Load, loadSchema} from './load.js';
+export {type Load, compactLoad, encodeLoad, loadSchema} from './load.js';
 export {
-  type Method,
   type Withdrawal,
   acknowledgeMethod,
   cancelMethod,
@@ -31,6 +39,7 @@
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
+export type {Method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
