--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -4,6 +4,8 @@
 import {Run} from './run.js';
 import {SlopesCommand} from './slopes.js';
 import {Spread} from './spread.js';
+import {Soak} from './soak.js';
+import {Streams} from './streams.js';
 
 /** Commands by id. */
 export const commands = {
@@ -12,4 +14,6 @@
   run: Run,
   slopes: SlopesCommand,
   spread: Spread,
+  soak: Soak,
+  streams: Streams,
 };
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -48,8 +48,9 @@
   readonly #options: AttemptOptions;
   /** The incarnation that the request was sent to. */
   #incarnation: string | undefined;
+  /** Whether the agent may have received the request. */
+  #maySent = false;
   #lastChunk = 0;
-  #hasStarted = false;
   #connection = new AbortController();
 
   constructor(options: AttemptOptions) {
@@ -65,6 +66,7 @@
   async *run(): RoutedAnswer {
     const {clock, link, work, signal} = this.#options;
     let opened = await this.#start();
+    this.#maySent = opened.isOk() || (opened.error.kind === 'unreachable' && opened.error.maySent);
     let resumes = 0;
     while (true) {
       const chunksBefore = this.#lastChunk;
@@ -116,7 +118,6 @@
         case 'alive':
           break;
         case 'started':
-          this.#hasStarted = true;
           onEvent(event);
           break;
         case 'head':
@@ -183,8 +184,8 @@
         return this.#withdraw();
       case 'unreachable':
         onUnreachable();
-        if (error.maySent || this.#hasStarted) return undefined;
-        return this.#lastChunk > 0
+        // That a resume was not sent says nothing of the request before it.
+        return this.#maySent
           ? undefined
           : failureWith('not-sent', 'endpoint_unreachable', error.message);
     }
