--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -20,3 +20,6 @@
 export {simulate, type SimulationOptions, type SimulationOutcome} from './simulation.js';
 export {capacityTables, fillTables} from './capacity/capacityTables.js';
 export {type SlopeReport, fitSlope} from './slopes/slope.js';
+export {measureConfiguration, type ConfigurationFigures} from './spread/measureConfiguration.js';
+export {type FleetFigures, type FleetMeasurement, measureFleet} from './spread/measureFleet.js';
+export {type CarriedFigure, type SpreadReport, reportSpread} from './spread/spreadReport.js';
--- a/packages/cli/src/localSystem.ts
+++ b/packages/cli/src/localSystem.ts
@@ -153,6 +153,7 @@
   });
   if (entry.isErr()) return err(entry.error.message);
   disposables.add(entry.value);
+  instances.subject.set(entryInstance(entry.value.operators.address));
   const client = disposables.add(
     createOperatorClient({address: entry.value.operators.address, operatorKey: keys.operator}),
   );
@@ -227,6 +228,10 @@
   return {...identity(`agent-${endpoint}`), role: 'agent', address, endpoint, state: 'live'};
 }
 
+function entryInstance(address: string): Instance {
+  return {...identity('entry-1'), role: 'entry', address, state: 'live'};
+}
+
 async function change(
   client: OperatorClient,
   entry: EntryProcess,
--- a/packages/entry/src/__tests__/accountLimiting.test.ts
+++ b/packages/entry/src/__tests__/accountLimiting.test.ts
@@ -1,3 +1,4 @@
+import {SpreadPeers} from '@marigoldfold/coordination';
 import {type Clock, DisposableStore, systemClock} from '@marigoldfold/runtime';
 import {type Instance} from '@marigoldfold/protocol';
 import {type Account, objectSchemas} from '@marigoldfold/state';
@@ -30,13 +31,16 @@
   const entries = [];
   for (const [index, key] of keys.entries()) {
     const name = `entry-${index + 1}`;
+    const clusterKey = createClusterKey(key);
     const limiting = store.add(
       createAccountLimiting({
         clock,
         self: name,
         region: 'lombardy',
-        clusterKey: createClusterKey(key),
+        clusterKey,
         accountOf: () => account,
+        peers: store.add(new SpreadPeers(clusterKey)),
+        offer: (methods) => methods,
       }),
     );
     const server = await listen({
--- a/packages/entry/src/accountLimiting.ts
+++ b/packages/entry/src/accountLimiting.ts
@@ -1,5 +1,5 @@
 /** The account limits of one entry: as the one that admits, and as the home of some accounts. */
-import {AccountHome, AccountLimits, EntryRing} from '@marigoldfold/coordination';
+import {AccountHome, AccountLimits, EntryRing, type SpreadPeers} from '@marigoldfold/coordination';
 import {accountGrantMethod, type Instance} from '@marigoldfold/protocol';
 import {type Clock, DisposableStore} from '@marigoldfold/runtime';
 import type {Account} from '@marigoldfold/state';
@@ -9,7 +9,7 @@
   createControlServer,
   Methods,
 } from '@marigoldfold/transport';
-import {createGrantCall, EntryPeers} from './entryPeers.js';
+import {createGrantCall} from './grantCall.js';
 
 /** What the account limits of an entry need. */
 export interface AccountLimitingOptions {
@@ -18,6 +18,10 @@
   readonly region: string;
   readonly clusterKey: ClusterKey;
   readonly accountOf: (name: string) => Account | undefined;
+  /** The control connections of this entry. */
+  readonly peers: Pick<SpreadPeers, 'connection'>;
+  /** Adds what other processes may call besides. */
+  readonly offer: (methods: Methods) => Methods;
 }
 
 /** Account limits with the control server that other entries call. */
@@ -30,14 +34,13 @@
 
 /** Creates the account limits of an entry. */
 export function createAccountLimiting(options: AccountLimitingOptions): AccountLimiting {
-  const {clock, self, region, clusterKey, accountOf} = options;
+  const {clock, self, region, clusterKey, accountOf, peers, offer} = options;
   const disposables = new DisposableStore();
   const ring = new EntryRing(clock, self, region);
   const home = new AccountHome({clock, ring, accountOf});
-  const peers = disposables.add(new EntryPeers(clusterKey));
   const call = createGrantCall(peers, self);
   const limits = disposables.add(new AccountLimits({clock, ring, home, call, accountOf}));
-  const methods = new Methods().add(accountGrantMethod, ({entry, asks}) => ({
+  const methods = offer(new Methods()).add(accountGrantMethod, ({entry, asks}) => ({
     grants: asks.map((ask) => home.grant(entry, ask) ?? null),
   }));
   const control = disposables.add(createControlServer(methods, clusterKey));
@@ -47,7 +50,6 @@
     update(instances) {
       ring.update(instances);
       home.handOver();
-      peers.retain(instances);
     },
     [Symbol.dispose]() {
       disposables[Symbol.dispose]();
--- a/packages/protocol/src/identity.ts
+++ b/packages/protocol/src/identity.ts
@@ -20,3 +20,14 @@
     return `${incarnation}.${sequence.toString(RADIX)}`;
   };
 }
+
+/** The id of a request after a number of moves: agents remember an id that was taken back from them. */
+export function movedId(id: string, moves: number): string {
+  return moves === 0 ? id : `${id}.${moves}`;
+}
+
+/** The id that a request had before any move. */
+export function originalId(id: string): string {
+  const [incarnation, sequence] = id.split('.');
+  return `${incarnation ?? ''}.${sequence ?? ''}`;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -20,7 +20,7 @@
   compactAsk,
   compactGrant,
 } from './accountMessages.js';
-export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
+export {createIncarnation, incarnationHeader, movedId, originalId, requestIds} from './identity.js';
 export {
   type AnswerEvent,
   answerEventName,
@@ -40,7 +40,7 @@
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
-export type {Method} from './method.js';
+export {type Method, method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
@@ -51,3 +51,14 @@
   workEventSchema,
   workSchema,
 } from './work.js';
+export {
+  type ConfigurationStatus,
+  type ListDelta,
+  type Summary,
+  configurationStatusMethod,
+  configurationStatusSchema,
+  exchangeMethod,
+  listDeltaSchema,
+  listMethod,
+  summarySchema,
+} from './spread.js';
