--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -1,14 +1,21 @@
 /** One agent: everything that it owns, wired together. */
 import {
   addConnectionMetrics,
-  ConfigurationFeed,
+  type ConfigurationFeed,
+  createMembership,
   createProcessRegistry,
   type ProcessMetricsOptions,
   type Secrets,
 } from '@marigoldfold/coordination';
 import {createIncarnation} from '@marigoldfold/protocol';
-import {type Clock, DisposableStore, type Logger} from '@marigoldfold/runtime';
-import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {
+  type Clock,
+  DisposableStore,
+  type Logger,
+  type Random,
+  systemRandom,
+} from '@marigoldfold/runtime';
+import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
   createClusterKey,
   createHttpClient,
@@ -37,6 +44,8 @@
   readonly timing?: Partial<WorkerTiming>;
   /** Whether to serve Node's own metrics as well; for a process that runs only this agent. */
   readonly includesNodeMetrics?: boolean;
+  /** The operating system's when absent. */
+  readonly random?: Random;
 }
 
 /** A running agent. */
@@ -48,8 +57,6 @@
   drain(): Promise<void>;
 }
 
-const WATCH_TIMEOUT_MS = 30_000;
-const RETRY_DELAY_MS = 500;
 const MS_PER_HOUR = 3_600_000;
 
 /** Starts an agent. */
@@ -64,16 +71,21 @@
     address: settings.platform.keyValue,
     timeoutMs: settings.platform.keyValueTimeoutMs,
   });
-  const feed = disposables.add(
-    new ConfigurationFeed({
-      record: openRecord(store),
+  const clusterKey = createClusterKey(secrets.clusterKey);
+  const membership = disposables.add(
+    createMembership({
+      self: settings.process,
+      store,
+      client,
+      clusterKey,
       monitorKey: secrets.monitorKey,
+      platform: settings.platform,
       clock,
+      random: options.random ?? systemRandom(),
       logger,
-      watchTimeoutMs: WATCH_TIMEOUT_MS,
-      retryDelayMs: RETRY_DELAY_MS,
     }),
   );
+  const {feed} = membership;
   const {endpoint} = settings;
   const worker = disposables.add(
     new Worker({
@@ -117,7 +129,8 @@
     host,
     port,
     limits: settings.limits,
-    clusterKey: createClusterKey(secrets.clusterKey),
+    clusterKey,
+    offer: (methods) => membership.offer(methods),
     worker,
     clock,
     registry,
@@ -130,7 +143,7 @@
   }
   disposables.add(server.value);
   addConnectionMetrics(registry, {entries: server.value.connectionCount});
-  feed.start();
+  await membership.start();
   logger.info('ready', {address: server.value.address, endpoint: endpoint.name});
   return ok({
     server: server.value,
--- a/packages/entry/src/__tests__/ticketDesk.test.ts
+++ b/packages/entry/src/__tests__/ticketDesk.test.ts
@@ -1,8 +1,8 @@
 import {VirtualClock} from '@marigoldfold/runtime';
-import {SwitchableKeyValue, MemoryKeyValue, type WriteFault} from '@marigoldfold/standin';
+import {SwitchableKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
 import {
   advance,
-  configurationAfter,
+  decideTicket,
   type Decision,
   decisionKey,
   type Draft,
@@ -11,15 +11,14 @@
   type Head,
   openRecord,
   replayRecord,
-  signDecision,
   type Ticket,
-  ticketDigest,
   ticketKey,
 } from '@marigoldfold/state';
 import {describe, expect, it} from 'vitest';
 import {openTicketDesk} from '../ticketDesk.js';
 
 const monitor = generateMonitorKey();
+const LATE_MS = 5000;
 
 function createSite() {
   const clock = new VirtualClock();
@@ -79,18 +78,8 @@
 }
 
 function sign(head: Head, ticket: Ticket, verdict: Decision['verdict'] = 'approved', at = 0) {
-  const after = verdict === 'approved' ? configurationAfter(head, ticket) : head.configuration;
-  return signDecision(
-    {
-      number: ticket.number,
-      verdict,
-      ticketDigest: ticketDigest(ticket),
-      stateDigest: after.digest,
-      note: '',
-      decidedAtMs: at,
-    },
-    monitor.privateKeyPem,
-  )._unsafeUnwrap();
+  const {privateKeyPem} = monitor;
+  return decideTicket(head, ticket, verdict, {privateKeyPem, decidedAtMs: at})._unsafeUnwrap();
 }
 
 type Entry = ReturnType<typeof createEntry>;
@@ -170,11 +159,11 @@
 });
 
 describe('a lost answer', () => {
-  it.each<[WriteFault, boolean]>([
-    ['lost_answer', true],
-    ['lost_request', false],
-    ['late', false],
-  ])('of a proposal (%s) leaves one ticket after a repetition', async (fault, isSettled) => {
+  it.each<[StoreFault, boolean]>([
+    ['answer-lost', true],
+    ['request-lost', false],
+    [{lateByMs: LATE_MS}, false],
+  ])('of a proposal (%o) leaves one ticket after a repetition', async (fault, isSettled) => {
     const {site, entry} = await createReadyEntry();
     entry.faults.failWrites(fault);
     const proposal = {id: 'one', draft: accountDraft('a')};
@@ -182,7 +171,7 @@
     expect(first.isOk()).toBe(isSettled);
     if (first.isErr()) expect(first.error.mayHaveTakenEffect).toBe(true);
     const again = await entry.desk.propose('ada', proposal);
-    await entry.faults.releaseLateWrites();
+    await site.clock.advance(LATE_MS);
     const third = await entry.desk.propose('ada', proposal);
     expect([again._unsafeUnwrap().number, third._unsafeUnwrap().number]).toEqual([3, 3]);
     expect((await site.record.read(2))._unsafeUnwrap().tickets).toHaveLength(1);
@@ -190,10 +179,10 @@
 
   it('of a proposal that takes effect after the read-back and before the repetition', async () => {
     const {site, entry} = await createReadyEntry();
-    entry.faults.failWrites('late');
+    entry.faults.failWrites({lateByMs: LATE_MS});
     const proposal = {id: 'one', draft: accountDraft('a')};
     expect((await entry.desk.propose('ada', proposal)).isErr()).toBe(true);
-    await entry.faults.releaseLateWrites();
+    await site.clock.advance(LATE_MS);
     expect((await entry.desk.propose('ada', proposal))._unsafeUnwrap().number).toBe(3);
     expect((await site.record.read(2))._unsafeUnwrap().tickets).toHaveLength(1);
   });
@@ -208,8 +197,8 @@
     expect(reused._unsafeUnwrapErr().message).toMatch(/id one was used for ticket 3/);
   });
 
-  it.each<WriteFault>(['lost_answer', 'lost_request', 'late'])(
-    'of a decision (%s) leaves one decision after a repetition',
+  it.each<StoreFault>(['answer-lost', 'request-lost', {lateByMs: LATE_MS}])(
+    'of a decision (%o) leaves one decision after a repetition',
     async (fault) => {
       const {site, entry} = await createReadyEntry();
       const proposal = {id: 'one', draft: accountDraft('a')};
@@ -218,7 +207,7 @@
       const first = await entry.desk.decide(sign(entry.head(), ticket, 'approved', 1));
       if (first.isErr()) expect(first.error.mayHaveTakenEffect).toBe(true);
       (await entry.desk.decide(sign(entry.head(), ticket, 'approved', 2)))._unsafeUnwrap();
-      await entry.faults.releaseLateWrites();
+      await site.clock.advance(LATE_MS);
       await entry.catchUp();
       (await entry.desk.decide(sign(entry.head(), ticket, 'approved', 3)))._unsafeUnwrap();
       const {decisions} = (await site.record.read(2))._unsafeUnwrap();
@@ -227,14 +216,14 @@
   );
 
   it('of an approval, taking effect after a rejection was written, changes nothing', async () => {
-    const {entry} = await createReadyEntry();
+    const {site, entry} = await createReadyEntry();
     const proposal = {id: 'one', draft: accountDraft('a')};
     const ticket = (await entry.desk.propose('ada', proposal))._unsafeUnwrap();
-    entry.faults.failWrites('late');
+    entry.faults.failWrites({lateByMs: LATE_MS});
     const head = entry.head();
     expect((await entry.desk.decide(sign(head, ticket))).isErr()).toBe(true);
     (await entry.desk.decide(sign(head, ticket, 'rejected')))._unsafeUnwrap();
-    await entry.faults.releaseLateWrites();
+    await site.clock.advance(LATE_MS);
     const approved = await entry.desk.decide(sign(head, ticket));
     expect(approved._unsafeUnwrapErr()).toMatchObject({
       code: 'already_decided',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -39,7 +39,7 @@
   withdrawMethod,
   withdrawalSchema,
 } from './rpc.js';
-export type {Method} from './method.js';
+export {type Method, method} from './method.js';
 export {type Tier, tierCount, tierSchema} from './tier.js';
 export {
   type Call,
@@ -50,3 +50,14 @@
   workEventSchema,
   workSchema,
 } from './work.js';
+export {
+  type ConfigurationStatus,
+  type ListDelta,
+  type Summary,
+  configurationStatusMethod,
+  configurationStatusSchema,
+  exchangeMethod,
+  listDeltaSchema,
+  listMethod,
+  summarySchema,
+} from './spread.js';
