--- a/packages/bench/src/commands/streams.ts
+++ b/packages/bench/src/commands/streams.ts
@@ -1,7 +1,6 @@
 /** `marigoldfold-bench streams`. */
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
-import {seededRandom} from '@marigoldfold/runtime';
 import {Command} from '@oclif/core';
 import {layers, measureStreams, slope} from '../soak/openStreams.js';
 
@@ -17,10 +16,13 @@
     await this.parse(Streams);
     setFlagsFromString('--expose-gc');
     const collect = runInNewContext('gc') as () => void;
-    const measured = await measureStreams({counts: COUNTS, random: seededRandom(1), collect});
-    for (const {layer, streams, bytes} of measured) {
-      this.log(`${streams} streams at the ${layer}: ${bytes} bytes`);
-    }
+    const measured = await measureStreams({
+      counts: COUNTS,
+      collect,
+      onMeasured: ({layer, streams, bytes}) => {
+        this.log(`${streams} streams at the ${layer}: ${bytes} bytes`);
+      },
+    });
     let below = 0;
     for (const layer of layers) {
       // Each layer's figure holds those below it, so a process costs the difference.
--- a/packages/bench/src/soak/fleet.ts
+++ b/packages/bench/src/soak/fleet.ts
@@ -29,6 +29,8 @@
   readonly ledgers: number;
   readonly slots: number;
   readonly interTokenMs: number;
+  /** Milliseconds that an engine may be silent. */
+  readonly silenceLimitMs?: number;
   readonly logger?: Logger;
 }
 
@@ -165,6 +167,7 @@
           name: endpoint,
           address,
           slots: engine === undefined ? SERVICE_SLOTS : this.#options.slots,
+          silenceLimitMs: this.#options.silenceLimitMs,
         },
         drain: {graceMs: DRAIN_GRACE_MS},
         platform: this.#platform(),
--- a/packages/bench/src/soak/openStreams.ts
+++ b/packages/bench/src/soak/openStreams.ts
@@ -1,7 +1,7 @@
 /** Memory of one process by the number of its open streams, layer by layer. */
 import {setMaxListeners} from 'node:events';
 import {classHeader} from '@marigoldfold/entry';
-import {type Random, sleep, systemClock} from '@marigoldfold/runtime';
+import {sleep, systemClock} from '@marigoldfold/runtime';
 import {type ClientRequest, createHttpClient, type HttpClient} from '@marigoldfold/transport';
 import {Fleet} from './fleet.js';
 
@@ -22,16 +22,18 @@
 /** What the measurement needs. */
 export interface StreamMemoryOptions {
   readonly counts: readonly number[];
-  readonly random: Random;
   /** Collects garbage. */
   readonly collect: () => void;
+  readonly onMeasured: (line: StreamMemory) => void;
 }
 
 const MAX_STREAMS = 4096;
-const TOKEN_INTERVAL_MS = 1000;
+const TOKEN_INTERVAL_MS = 200;
+/** Streams say nothing after their first token, and nobody gives them up for it. */
+const SILENCE_LIMIT_MS = 600_000;
 const OUTPUT_TOKENS = 1_000_000;
 const SETTLE_MS = 500;
-const BATCH = 500;
+const BATCH = 100;
 const OK = 200;
 const TIMEOUT_MS = 120_000;
 
@@ -45,13 +47,17 @@
     ledgers: 0,
     slots: MAX_STREAMS,
     interTokenMs: 1,
+    silenceLimitMs: SILENCE_LIMIT_MS,
   });
   const speed = {
     slots: MAX_STREAMS,
     prefillTokensPerSecond: Number.MAX_SAFE_INTEGER,
     interTokenMs: () => TOKEN_INTERVAL_MS,
   };
-  for (const {subject} of fleet.allEngines) subject.setSpeed(speed);
+  for (const {subject} of fleet.allEngines) {
+    subject.setSpeed(speed);
+    subject.chooseFault = (_id, token) => (token > 1 ? 'swallow' : undefined);
+  }
   const measured: StreamMemory[] = [];
   // The first round fills caches and compiles code; its figures are dropped.
   await measureOnce(fleet, 'entry', options.counts[0] ?? 0, options);
@@ -59,6 +65,7 @@
     for (const streams of options.counts) {
       const bytes = await measureOnce(fleet, layer, streams, options);
       measured.push({layer, streams, bytes});
+      options.onMeasured({layer, streams, bytes});
     }
   }
   return measured;
@@ -70,6 +77,8 @@
   count: number,
   {collect}: StreamMemoryOptions,
 ): Promise<number> {
+  // What the round before has closed is gone only some time later.
+  await sleep(systemClock, SETTLE_MS * 4);
   collect();
   const before = usedBytes();
   const controller = new AbortController();
