--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -38,6 +38,8 @@
   readonly limits: ServerLimits;
   readonly clusterKey: ClusterKey;
   readonly worker: Worker;
+  /** Adds methods for peers to the control connection. */
+  readonly offer: (methods: Methods) => Methods;
   readonly clock: Clock;
   readonly registry: Registry;
   readonly isReady: () => boolean;
@@ -59,7 +61,8 @@
   options: AgentServerOptions,
 ): Promise<Result<HttpServer, ListenError>> {
   const {worker, clusterKey, logger} = options;
-  const methods = new Methods()
+  const methods = options
+    .offer(new Methods())
     .add(probeMethod, () => worker.load())
     .add(withdrawMethod, ({id}) => ({
       outcome: worker.withdraw(id),
--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -5,6 +5,7 @@
 import {SlopesCommand} from './slopes.js';
 import {Soak} from './soak.js';
 import {Streams} from './streams.js';
+import {Spread} from './spread.js';
 
 /** Commands by id. */
 export const commands = {
@@ -14,4 +15,5 @@
   slopes: SlopesCommand,
   soak: Soak,
   streams: Streams,
+  spread: Spread,
 };
