--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -26,6 +26,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge, type Registry} from 'prom-client';
 import {CallRunner} from './callRunner.js';
+import type {Engine} from './engine.js';
 import {createHttpEngine} from './httpEngine.js';
 import {type TierShares, tierShares} from './minimumShares.js';
 import {createHttpService} from './plainService.js';
@@ -42,6 +43,8 @@
   readonly logger: Logger;
   /** Durations that differ from the settings and the usual ones. */
   readonly timing?: Partial<WorkerTiming>;
+  /** Takes the place of the engine at the endpoint's address. */
+  readonly engine?: Engine;
   /** Whether to serve Node's own metrics as well; for a process that runs only this agent. */
   readonly includesNodeMetrics?: boolean;
   /** The operating system's when absent. */
@@ -100,7 +103,7 @@
         guaranteedShares: sharesInForce(feed, endpoint.name),
       }),
       ...(endpoint.type === 'engine'
-        ? {engine: createHttpEngine(client, endpoint.address)}
+        ? {engine: options.engine ?? createHttpEngine(client, endpoint.address)}
         : {
             calls: new CallRunner({
               service: createHttpService(client, endpoint.address),
--- /dev/null
+++ b/packages/bench/src/commands/claims.ts
@@ -0,0 +1,29 @@
+/** `marigoldfold-bench claims`. */
+import {formatTable} from '@marigoldfold/cli';
+import {Command, Flags} from '@oclif/core';
+import {measureClaimCost} from '../soak/claimCost.js';
+
+const DIGITS = 2;
+
+/** Measures the price of claims. */
+export class Claims extends Command {
+  static override readonly description =
+    'Measures what a claim adds to a call, in time and in calls of the key-value service.';
+  static override readonly examples = ['marigoldfold-bench claims --calls 1000'];
+  static override readonly flags = {
+    calls: Flags.integer({description: 'calls of each kind', default: 1000, min: 1}),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(Claims);
+    const times = await measureClaimCost(flags.calls);
+    const rows = times.map(({kind, p50, p99, storeCalls}) => [
+      kind,
+      p50.toFixed(DIGITS),
+      p99.toFixed(DIGITS),
+      storeCalls.toFixed(DIGITS),
+    ]);
+    this.log(formatTable(['CALL', 'P50 MS', 'P99 MS', 'STORE CALLS'], rows));
+    this.exit(0);
+  }
+}
--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** The commands of `marigoldfold-bench` by name. */
+import {Claims} from './claims.js';
 import {Matrix} from './matrix.js';
 import {OverheadCommand} from './overhead.js';
 import {Run} from './run.js';
@@ -9,6 +10,7 @@
 
 /** Commands by id. */
 export const commands = {
+  claims: Claims,
   matrix: Matrix,
   overhead: OverheadCommand,
   run: Run,
--- a/packages/bench/src/commands/streams.ts
+++ b/packages/bench/src/commands/streams.ts
@@ -2,9 +2,10 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {Command} from '@oclif/core';
-import {layers, measureStreams, slope} from '../soak/openStreams.js';
+import {type Layer, layers, measureStreams, slope} from '../soak/openStreams.js';
 
 const COUNTS = [100, 1000, 4000];
+const reportedLayers = ['agent', 'entry'] as const;
 
 /** Measures the memory of open streams. */
 export class Streams extends Command {
@@ -23,12 +24,12 @@
         this.log(`${streams} streams at the ${layer}: ${bytes} bytes`);
       },
     });
-    let below = 0;
-    for (const layer of layers) {
-      // Each layer's figure holds those below it, so a process costs the difference.
-      const total = slope(measured.filter((line) => line.layer === layer));
-      this.log(`${layer}: ${Math.round(total - below)} bytes a stream`);
-      below = total;
+    const slopeOf = (layer: Layer) => slope(measured.filter((line) => line.layer === layer));
+    for (const layer of reportedLayers) {
+      // A layer's figure holds those of the layer that it stands before, so a process costs the difference.
+      const included = layers[layer];
+      const bytes = slopeOf(layer) - slopeOf(included);
+      this.log(`${layer}: ${Math.round(bytes)} bytes a stream`);
     }
     this.exit(0);
   }
--- /dev/null
+++ b/packages/bench/src/soak/claimCost.ts
@@ -0,0 +1,93 @@
+/** What a claim costs a call that may run at most once, against a call that needs none. */
+import {startLocalSystem} from '@marigoldfold/cli';
+import {silentLogger} from '@marigoldfold/runtime';
+import {digestText, type Draft} from '@marigoldfold/state';
+import {type ClientRequest, createHttpClient, type HttpClient} from '@marigoldfold/transport';
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Times of one kind of call. */
+export interface CallTimes {
+  readonly kind: 'routed, no claim' | 'routed, claimed' | 'routed, repeated key';
+  /** Quantiles in milliseconds. */
+  readonly p50: number;
+  readonly p99: number;
+  /** Calls of the key-value service for each call. */
+  readonly storeCalls: number;
+}
+
+const OK_STATUSES: ReadonlySet<number> = new Set([200, 201]);
+const WARM_UP_CALLS = 100;
+const UNLIMITED = 1_000_000;
+const MICROSECONDS_PER_MS = 1000;
+
+type Kind = CallTimes['kind'];
+
+const kinds: readonly Kind[] = ['routed, no claim', 'routed, claimed', 'routed, repeated key'];
+
+/** Makes a number of calls of each kind, one after the other, on the local system. */
+export async function measureClaimCost(calls: number): Promise<readonly CallTimes[]> {
+  const started = await startLocalSystem({port: 0, operatorsPort: 0, logger: silentLogger});
+  using system = started._unsafeUnwrap();
+  const raised = await system.change(unlimitedAccount(system.keys.client));
+  if (raised.isErr()) throw new Error(raised.error);
+  using client = createHttpClient();
+  const requestOf = (kind: Kind, index: number) =>
+    toRequest(system.entry.callers.address, system.keys.client, kind, index);
+  const times: CallTimes[] = [];
+  for (const kind of kinds) {
+    for (let index = 0; index < WARM_UP_CALLS; index += 1) {
+      await timeCall(client, requestOf(kind, -1 - index));
+    }
+    const histogram = build();
+    const callsBefore = system.keyValue.subject.callCount;
+    for (let index = 0; index < calls; index += 1) {
+      histogram.recordValue(await timeCall(client, requestOf(kind, index)));
+    }
+    const storeCalls = (system.keyValue.subject.callCount - callsBefore) / calls;
+    times.push({kind, storeCalls, ...quantiles(histogram)});
+  }
+  return times;
+}
+
+function unlimitedAccount(clientKey: string): Draft {
+  const state = {
+    keyDigests: [digestText(clientKey)],
+    classes: ['urgent', 'standard', 'bulk'],
+    defaultClass: 'urgent',
+    requestsPerSecond: UNLIMITED,
+    burst: UNLIMITED,
+    concurrency: UNLIMITED,
+  };
+  return {reason: 'no limits', changes: [{kind: 'account', name: 'demo', state}]};
+}
+
+function toRequest(address: string, key: string, kind: Kind, index: number): ClientRequest {
+  const headers = {authorization: `Bearer ${key}`, 'content-type': 'application/json'};
+  if (kind === 'routed, no claim') {
+    return {address, method: 'GET', path: '/v1/services/ledger/balances/choir', headers};
+  }
+  return {
+    address,
+    method: 'POST',
+    path: '/v1/services/ledger/postings',
+    // The third kind uses the keys of the second again.
+    headers: {...headers, 'idempotency-key': `posting-${index}`},
+    body: JSON.stringify({account: 'choir', pence: 100}),
+  };
+}
+
+/** Microseconds that a call takes. */
+async function timeCall(client: HttpClient, request: ClientRequest): Promise<number> {
+  const startedAt = performance.now();
+  const answer = await client.fetch(request);
+  const tookMs = performance.now() - startedAt;
+  if (answer.isErr()) throw new Error(answer.error.message);
+  if (!OK_STATUSES.has(answer.value.status)) throw new Error(answer.value.body.toString());
+  return Math.round(tookMs * MICROSECONDS_PER_MS);
+}
+
+function quantiles(histogram: Histogram): {readonly p50: number; readonly p99: number} {
+  const ofPercent = (percent: number) =>
+    histogram.getValueAtPercentile(percent) / MICROSECONDS_PER_MS;
+  return {p50: ofPercent(50), p99: ofPercent(99)};
+}
--- a/packages/bench/src/soak/fleet.ts
+++ b/packages/bench/src/soak/fleet.ts
@@ -1,5 +1,5 @@
 /** Several entries, agents and stand-ins in one process, each of which can be stopped or killed and replaced. */
-import {type AgentProcess, agentSettingsSchema, startAgent} from '@marigoldfold/agent';
+import {type AgentProcess, agentSettingsSchema, type Engine, startAgent} from '@marigoldfold/agent';
 import {type LocalSystem, startLocalSystem} from '@marigoldfold/cli';
 import {type EntryProcess, entrySettingsSchema, startEntry} from '@marigoldfold/entry';
 import type {Instance} from '@marigoldfold/protocol';
@@ -31,6 +31,8 @@
   readonly interTokenMs: number;
   /** Milliseconds that an engine may be silent. */
   readonly silenceLimitMs?: number;
+  /** Takes the place of every engine, the local system's own left out. */
+  readonly engine?: Engine;
   readonly logger?: Logger;
 }
 
@@ -60,6 +62,8 @@
 const INSTANCES_INTERVAL_MS = 200;
 const READY_CHECK_MS = 10;
 const UNLIMITED = 1_000_000;
+/** The instance of the local system that stands beside its own engine. */
+const LOCAL_ENGINE_AGENT = 'agent-engine-1';
 
 /** Entries, agents and stand-ins. */
 export class Fleet implements Disposable {
@@ -101,6 +105,7 @@
       await fleet.#startLedger(`fleet-ledger-${index}`);
       await fleet.startAgent(`fleet-ledger-${index}`);
     }
+    if (options.engine !== undefined) fleet.#system.instances.subject.remove(LOCAL_ENGINE_AGENT);
     for (let index = 0; index < options.entries; index += 1) await fleet.startEntry();
     return fleet;
   }
@@ -172,6 +177,7 @@
         drain: {graceMs: DRAIN_GRACE_MS},
         platform: this.#platform(),
       }),
+      ...(this.#options.engine === undefined ? {} : {engine: this.#options.engine}),
       ...this.#shared(),
     });
     const process = this.#disposables.add(started._unsafeUnwrap());
--- a/packages/bench/src/soak/openStreams.ts
+++ b/packages/bench/src/soak/openStreams.ts
@@ -1,15 +1,23 @@
 /** Memory of one process by the number of its open streams, layer by layer. */
 import {setMaxListeners} from 'node:events';
+import type {Engine} from '@marigoldfold/agent';
 import {classHeader} from '@marigoldfold/entry';
 import {sleep, systemClock} from '@marigoldfold/runtime';
 import {type ClientRequest, createHttpClient, type HttpClient} from '@marigoldfold/transport';
 import {Fleet} from './fleet.js';
 
-/** Where the streams are opened: at the engine, at its agent, or at an entry. */
-export const layers = ['engine', 'agent', 'entry'] as const;
+/** Where the streams are opened, each layer with the one that its figures include. */
+export const layers = {
+  engine: undefined,
+  agent: 'engine',
+  /** An agent before an engine in memory. */
+  'lone-agent': undefined,
+  /** An entry before such an agent; one process could not hold a connection more for each stream. */
+  entry: 'lone-agent',
+} as const;
 
 /** Where the streams are opened. */
-export type Layer = (typeof layers)[number];
+export type Layer = keyof typeof layers;
 
 /** One measurement. */
 export interface StreamMemory {
@@ -34,12 +42,24 @@
 const OUTPUT_TOKENS = 1_000_000;
 const SETTLE_MS = 500;
 const BATCH = 100;
+const WARM_UP_STREAMS = 500;
+const FIRST_CHUNK = JSON.stringify({choices: [{index: 0, text: 'one', finish_reason: null}]});
 const OK = 200;
 const TIMEOUT_MS = 120_000;
 
 /** Measures every layer with every number of streams. */
 export async function measureStreams(
   options: StreamMemoryOptions,
+): Promise<readonly StreamMemory[]> {
+  const served = await measureLayers(options, ['engine', 'agent']);
+  const lone = await measureLayers(options, ['lone-agent', 'entry'], silentEngine);
+  return [...served, ...lone];
+}
+
+async function measureLayers(
+  options: StreamMemoryOptions,
+  measuredLayers: readonly Layer[],
+  engine?: Engine,
 ): Promise<readonly StreamMemory[]> {
   using fleet = await Fleet.start({
     entries: 1,
@@ -48,7 +68,23 @@
     slots: MAX_STREAMS,
     interTokenMs: 1,
     silenceLimitMs: SILENCE_LIMIT_MS,
+    ...(engine === undefined ? {} : {engine}),
   });
+  silenceEngines(fleet);
+  const measured: StreamMemory[] = [];
+  for (const layer of measuredLayers) {
+    // The first round fills caches and compiles code; its figures are dropped.
+    await measureOnce(fleet, layer, WARM_UP_STREAMS, options);
+    for (const streams of options.counts) {
+      const bytes = await measureOnce(fleet, layer, streams, options);
+      measured.push({layer, streams, bytes});
+      options.onMeasured({layer, streams, bytes});
+    }
+  }
+  return measured;
+}
+
+function silenceEngines(fleet: Fleet): void {
   const speed = {
     slots: MAX_STREAMS,
     prefillTokensPerSecond: Number.MAX_SAFE_INTEGER,
@@ -58,17 +94,32 @@
     subject.setSpeed(speed);
     subject.chooseFault = (_id, token) => (token > 1 ? 'swallow' : undefined);
   }
-  const measured: StreamMemory[] = [];
-  // The first round fills caches and compiles code; its figures are dropped.
-  await measureOnce(fleet, 'entry', options.counts[0] ?? 0, options);
-  for (const layer of layers) {
-    for (const streams of options.counts) {
-      const bytes = await measureOnce(fleet, layer, streams, options);
-      measured.push({layer, streams, bytes});
-      options.onMeasured({layer, streams, bytes});
-    }
-  }
-  return measured;
+}
+
+/** An engine in memory that gives one part of each answer and nothing more. */
+const silentEngine: Engine = {
+  async *begin(_job, signal) {
+    yield {number: 1, data: FIRST_CHUNK};
+    await aborted(signal);
+    return {kind: 'broken', maySent: true};
+  },
+  // eslint-disable-next-line @typescript-eslint/require-await, require-yield
+  async *resume() {
+    return {kind: 'unknown'};
+  },
+  cancel: () => Promise.resolve(),
+};
+
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener(
+      'abort',
+      () => {
+        resolve();
+      },
+      {once: true},
+    );
+  });
 }
 
 async function measureOnce(
@@ -96,13 +147,18 @@
   collect();
   const used = usedBytes() - before;
   controller.abort();
-  while (fleet.allEngines.some(({subject}) => subject.generationCount > 0)) {
+  while (isBusy(fleet)) {
     await sleep(systemClock, SETTLE_MS);
     for (const {subject} of fleet.allEngines) subject.cancelPaused();
   }
   return used;
 }
 
+function isBusy({allEngines, agents}: Fleet): boolean {
+  if (agents.some(({process}) => process.worker.activeCount > 0)) return true;
+  return allEngines.some(({subject}) => subject.generationCount > 0);
+}
+
 function usedBytes(): number {
   const {heapUsed, external} = process.memoryUsage();
   return heapUsed + external;
@@ -132,7 +188,8 @@
         body: text,
       };
     }
-    case 'agent': {
+    case 'agent':
+    case 'lone-agent': {
       const {address, headers} = fleet.agentTarget();
       const work = {
         id: `direct-${index}-${performance.now()}`,
