--- a/packages/agent/src/__fixtures__/scriptedWork.ts
+++ b/packages/agent/src/__fixtures__/scriptedWork.ts
@@ -7,7 +7,8 @@
 import type {CallRunner} from '../callRunner.js';
 import type {Engine, EngineChunk, EngineEnd} from '../engine.js';
 import type {CallFailure, PlainService} from '../plainService.js';
-import {defaultWorkerTiming, Worker, type WorkerTiming} from '../worker.js';
+import {Worker} from '../worker.js';
+import {defaultWorkerTiming, type WorkerTiming} from '../workerOptions.js';
 import {WorkQueue} from '../workQueue.js';
 
 /** A generation request. */
--- a/packages/agent/src/__tests__/engineFaults.test.ts
+++ b/packages/agent/src/__tests__/engineFaults.test.ts
@@ -6,7 +6,8 @@
 import {describe, expect, it} from 'vitest';
 import {generationWork, readAll} from '../__fixtures__/scriptedWork.js';
 import {createHttpEngine} from '../httpEngine.js';
-import {defaultWorkerTiming, Worker} from '../worker.js';
+import {Worker} from '../worker.js';
+import {defaultWorkerTiming} from '../workerOptions.js';
 import {WorkQueue} from '../workQueue.js';
 
 const TOKENS = 6;
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -32,7 +32,8 @@
 import {createHttpService} from './plainService.js';
 import {startAgentServer} from './server.js';
 import type {AgentSettings} from './settings.js';
-import {defaultWorkerTiming, Worker, type WorkerTiming} from './worker.js';
+import {Worker} from './worker.js';
+import {defaultWorkerTiming, type WorkerTiming} from './workerOptions.js';
 import {WorkQueue} from './workQueue.js';
 
 /** What an agent needs. */
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -13,7 +13,8 @@
   endToEndHeaders,
 } from './plainService.js';
 export {type AgentSettings, agentSettingsSchema} from './settings.js';
-export {Worker, type WorkerOptions, type WorkerTiming, defaultWorkerTiming} from './worker.js';
+export {Worker} from './worker.js';
+export {type WorkerOptions, type WorkerTiming, defaultWorkerTiming} from './workerOptions.js';
 export {type TierShares, tierShares} from './minimumShares.js';
 export type {QueueItem} from './queueEntry.js';
 export {type QueueTuning, defaultQueueTuning} from './queueTuning.js';
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -1,5 +1,5 @@
 /** Runs requests on one endpoint: takes them in, queues, starts, preempts, withdraws and drains. */
-import {type Clock, DisposableStore, type Logger, repeat, sleep} from '@marigoldfold/runtime';
+import {DisposableStore, repeat, sleep} from '@marigoldfold/runtime';
 import {
   type Call,
   type Failure,
@@ -12,52 +12,11 @@
 } from '@marigoldfold/protocol';
 import {err, ok, type Result} from 'neverthrow';
 import {Answer} from './answer.js';
-import type {CallRunner} from './callRunner.js';
 import {EndedRequests} from './endedRequests.js';
-import type {Engine} from './engine.js';
-import {
-  type GenerationTiming,
-  runGeneration,
-  stopMessages,
-  type StopReason,
-} from './generationRun.js';
+import {runGeneration, stopMessages, type StopReason} from './generationRun.js';
 import {PauseDetector} from './pauseDetector.js';
-import type {Directive, WorkQueue} from './workQueue.js';
-
-/** What a worker needs. An endpoint is either an engine or a plain service. */
-export interface WorkerOptions {
-  readonly incarnation: string;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly queue: WorkQueue;
-  readonly engine?: Engine;
-  readonly calls?: CallRunner;
-  /** Number of the configuration in force here. */
-  readonly configurationNumber: () => number;
-  readonly timing: WorkerTiming;
-}
-
-/** Durations in milliseconds. */
-export interface WorkerTiming extends GenerationTiming {
-  /** How long work goes on without a reader. */
-  readonly detachedLimitMs: number;
-  /** How long a finished answer is kept. */
-  readonly retentionMs: number;
-  /** How long the id of an ended or withdrawn request is remembered; longer than any message can be late. */
-  readonly memoryMs: number;
-  /** Between announcing that the endpoint leaves and refusing new work. */
-  readonly leaveGraceMs: number;
-}
-
-/** Usual durations. */
-export const defaultWorkerTiming: WorkerTiming = {
-  detachedLimitMs: 10_000,
-  retentionMs: 30_000,
-  memoryMs: 3_600_000,
-  firstTokenLimitMs: 120_000,
-  silenceLimitMs: 30_000,
-  leaveGraceMs: 2000,
-};
+import type {WorkerOptions} from './workerOptions.js';
+import type {Directive} from './workQueue.js';
 
 interface Job {
   readonly work: Work;
--- a/packages/bench/src/__fixtures__/experimentSuite.ts
+++ b/packages/bench/src/__fixtures__/experimentSuite.ts
@@ -1,4 +1,4 @@
-/** Tests of the experiments in the repository, with the seeds that their files give. */
+/** Tests of the experiments in the repository. */
 import {readFileSync} from 'node:fs';
 import {beforeAll, describe, expect, it} from 'vitest';
 import {describeExpectation} from '../expectations.js';
@@ -7,19 +7,22 @@
 const directory = new URL('../../../../experiments/', import.meta.url);
 const RUN_LIMIT_MS = 60_000;
 
-/** Declares the tests of an experiment: what must always hold, and one for each expectation. */
-export function testExperiment(name: string): void {
+/**
+ * Declares the tests of an experiment: what must always hold, and one for each expectation. The seed is
+ * that of the experiment's file when it is not given.
+ */
+export function testExperiment(name: string, seed?: number): void {
   const text = readFileSync(new URL(`${name}.toml`, directory), 'utf8');
   const experiment = parseExperiment(text)._unsafeUnwrap();
   const references = new Set(experiment.expect.map(({of}) => of?.policy));
   const isNeeded = (policy: string) => policy === 'marigoldfold' || references.has(policy);
-  describe(name, () => {
+  describe(seed === undefined ? name : `${name}, seed ${seed}`, () => {
     let outcome: ExperimentOutcome;
 
     beforeAll(() => {
       outcome = runExperiment({
         experiment: {...experiment, policies: experiment.policies.filter(isNeeded)},
-        seed: experiment.seed,
+        seed: seed ?? experiment.seed,
       });
     }, RUN_LIMIT_MS);
 
--- a/packages/bench/src/rig/world.ts
+++ b/packages/bench/src/rig/world.ts
@@ -38,6 +38,7 @@
 
 /** Key of the operator of all measured entries. */
 export const operatorKey = 'operator-key-of-the-bench';
+const MEASURED_DOMAIN = 'a';
 const LOOPBACK_ANY = '127.0.0.1:0';
 const SLOTS = 4096;
 const generousLimits = {maxConnections: 100_000, idleTimeoutMs: 600_000};
@@ -77,14 +78,17 @@
     return {...places, agent: agent.server.address};
   }
 
-  /** Lists an agent under the name of each endpoint. */
+  /**
+   * Lists an agent under the name of each endpoint. All but the first are in another failure domain: a
+   * measured process would wait for its neighbours to watch the service for it, and there is only one agent.
+   */
   list(address: string, endpoints: number): void {
     for (let index = 0; index < endpoints; index += 1) {
       this.#list?.subject.set({
         name: `agent-${index}`,
         role: 'agent',
         address,
-        failureDomain: 'a',
+        failureDomain: index === 0 ? MEASURED_DOMAIN : 'b',
         region: 'r',
         endpoint: `engine-${index}`,
         state: 'live',
@@ -137,7 +141,7 @@
 /** Starts an entry in a world. */
 export async function runEntry(places: WorldPlaces): Promise<EntryProcess> {
   const settings = entrySettingsSchema.parse({
-    process: {name: 'entry-1', failureDomain: 'a', region: 'r'},
+    process: {name: 'entry-1', failureDomain: MEASURED_DOMAIN, region: 'r'},
     listen: LOOPBACK_ANY,
     operatorsListen: LOOPBACK_ANY,
     operators: [{name: 'bench', keySha256: digestText(places.operatorKey)}],
@@ -157,7 +161,7 @@
 /** Starts an agent in a world. */
 export async function runAgent(places: WorldPlaces): Promise<AgentProcess> {
   const settings = agentSettingsSchema.parse({
-    process: {name: 'agent-0', failureDomain: 'a', region: 'r'},
+    process: {name: 'agent-0', failureDomain: MEASURED_DOMAIN, region: 'r'},
     listen: LOOPBACK_ANY,
     endpoint: {
       name: 'engine-0',
