--- /dev/null
+++ b/packages/agent/src/agentProcess.ts
@@ -0,0 +1,143 @@
+/** One agent: everything that it owns, wired together. */
+import {ConfigurationFeed, type Secrets} from '@marigoldfold/coordination';
+import {createIncarnation} from '@marigoldfold/protocol';
+import {type Clock, DisposableStore, type Logger} from '@marigoldfold/runtime';
+import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {
+  createClusterKey,
+  createHttpClient,
+  type HttpServer,
+  type ListenError,
+  splitAddress,
+} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import {Gauge, Registry} from 'prom-client';
+import {createCallRunner} from './callRunner.js';
+import {createHttpEngine} from './httpEngine.js';
+import {createHttpService} from './plainService.js';
+import {startAgentServer} from './server.js';
+import type {AgentSettings} from './settings.js';
+import {defaultWorkerTiming, Worker, type WorkerTiming} from './worker.js';
+import {WorkQueue} from './workQueue.js';
+
+/** What an agent needs. */
+export interface AgentProcessOptions {
+  readonly settings: AgentSettings;
+  readonly secrets: Secrets;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly timing?: WorkerTiming;
+}
+
+/** A running agent. */
+export interface AgentProcess extends Disposable {
+  readonly server: HttpServer;
+  readonly worker: Worker;
+  readonly feed: ConfigurationFeed;
+  /** Lets all work end and stops. */
+  drain(): Promise<void>;
+}
+
+const WATCH_TIMEOUT_MS = 30_000;
+const RETRY_DELAY_MS = 500;
+
+/** Starts an agent. */
+export async function startAgent(
+  options: AgentProcessOptions,
+): Promise<Result<AgentProcess, ListenError>> {
+  const {settings, secrets, clock, logger} = options;
+  const disposables = new DisposableStore();
+  const client = disposables.add(createHttpClient());
+  const store = createEtcdKeyValue({
+    client,
+    address: settings.platform.keyValue,
+    timeoutMs: settings.platform.keyValueTimeoutMs,
+  });
+  const feed = disposables.add(
+    new ConfigurationFeed({
+      record: openRecord(store),
+      monitorKey: secrets.monitorKey,
+      clock,
+      logger,
+      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      retryDelayMs: RETRY_DELAY_MS,
+    }),
+  );
+  const {endpoint} = settings;
+  const worker = disposables.add(
+    new Worker({
+      incarnation: createIncarnation(clock.now()),
+      clock,
+      logger,
+      queue: new WorkQueue({clock, slots: endpoint.slots, capacity: endpoint.queueCapacity}),
+      ...(endpoint.type === 'engine'
+        ? {engine: createHttpEngine(client, endpoint.address)}
+        : {
+            calls: createCallRunner({
+              service: createHttpService(client, endpoint.address),
+              store,
+              clock,
+              logger,
+            }),
+          }),
+      configurationNumber: () => feed.head.number,
+      timing: options.timing ?? defaultWorkerTiming,
+    }),
+  );
+  const [host, port] = splitAddress(settings.listen);
+  const server = await startAgentServer({
+    host,
+    port,
+    limits: settings.limits,
+    clusterKey: createClusterKey(secrets.clusterKey),
+    worker,
+    registry: createRegistry(worker, feed),
+    isReady: () => feed.head.number > 0,
+    logger,
+  });
+  if (server.isErr()) {
+    disposables[Symbol.dispose]();
+    return err(server.error);
+  }
+  disposables.add(server.value);
+  feed.start();
+  logger.info('ready', {address: server.value.address, endpoint: endpoint.name});
+  return ok({
+    server: server.value,
+    worker,
+    feed,
+    async drain() {
+      await worker.drain();
+      await server.value.drain();
+      disposables[Symbol.dispose]();
+    },
+    [Symbol.dispose]() {
+      disposables[Symbol.dispose]();
+    },
+  });
+}
+
+function createRegistry(worker: Worker, feed: ConfigurationFeed): Registry {
+  const registry = new Registry();
+  const registers = [registry];
+  new Gauge({
+    name: 'marigoldfold_agent_requests',
+    help: 'Requests at the endpoint by state and tier.',
+    labelNames: ['state', 'tier'],
+    registers,
+    collect() {
+      const {running, queued} = worker.load();
+      for (const [tier, count] of running.entries()) this.set({state: 'running', tier}, count);
+      for (const [tier, count] of queued.entries()) this.set({state: 'queued', tier}, count);
+    },
+  });
+  new Gauge({
+    name: 'marigoldfold_configuration_number',
+    help: 'Number of the ticket in force.',
+    registers,
+    collect() {
+      this.set(feed.head.number);
+    },
+  });
+  return registry;
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,21 @@
+/** The process beside each endpoint. */
+export {type AgentProcess, type AgentProcessOptions, startAgent} from './agentProcess.js';
+export {Answer} from './answer.js';
+export {type CallRunner, createCallRunner} from './callRunner.js';
+export type {Engine, EngineChunk, EngineEnd, EngineJob, EngineStream} from './engine.js';
+export {createHttpEngine} from './httpEngine.js';
+export {
+  type CallFailure,
+  type PlainService,
+  createHttpService,
+  endToEndHeaders,
+} from './plainService.js';
+export {type AgentSettings, agentSettingsSchema} from './settings.js';
+export {Worker, type WorkerOptions, type WorkerTiming, defaultWorkerTiming} from './worker.js';
+export {
+  type Directive,
+  type QueueItem,
+  type QueueLoad,
+  WorkQueue,
+  type WorkQueueOptions,
+} from './workQueue.js';
--- /dev/null
+++ b/packages/entry/src/agentLink.ts
@@ -0,0 +1,30 @@
+/** An agent, as an entry sees it. */
+import type {Failure, Load, Withdrawal, Work, WorkEvent} from '@marigoldfold/protocol';
+import type {CallError} from '@marigoldfold/transport';
+import type {Result} from 'neverthrow';
+
+/** Why no answer was begun. */
+export type StartError =
+  /** The agent did not take the request. */
+  | {readonly kind: 'refused'; readonly failure: Failure; readonly load: Load}
+  /** The agent cannot be reached; `maySent` tells whether it may have the request all the same. */
+  | {readonly kind: 'unreachable'; readonly message: string; readonly maySent: boolean}
+  /** The agent does not know the request. */
+  | {readonly kind: 'unknown'};
+
+/** Events of an answer; the iteration ends without a last event when the connection breaks. */
+export type WorkEvents = AsyncIterable<WorkEvent>;
+
+/** One agent. */
+export interface AgentLink {
+  start(work: Work, signal: AbortSignal): Promise<Result<WorkEvents, StartError>>;
+  /** Goes on with an answer after a chunk. */
+  resume(
+    id: string,
+    afterChunk: number,
+    signal: AbortSignal,
+  ): Promise<Result<WorkEvents, StartError>>;
+  withdraw(id: string): Promise<Result<Withdrawal, CallError>>;
+  cancel(id: string): Promise<Result<boolean, CallError>>;
+  probe(): Promise<Result<Load, CallError>>;
+}
--- /dev/null
+++ b/packages/entry/src/attainment.ts
@@ -0,0 +1,100 @@
+/** Measures each request against the targets of its class. */
+import type {Clock} from '@marigoldfold/runtime';
+import type {RequestClass} from '@marigoldfold/state';
+import {Counter, Histogram, type Registry} from 'prom-client';
+
+/** How a request ended, as its class's targets see it. */
+export type RequestOutcome = 'attained' | 'late' | 'refused' | 'failed' | 'cancelled';
+
+const FIRST_TOKEN_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4, 8, 16, 32, 64];
+const INTER_TOKEN_BUCKETS_S = [0.005, 0.01, 0.015, 0.02, 0.026, 0.035, 0.05, 0.1, 0.25, 1];
+const COMPLETION_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 5, 10, 20, 40, 80, 160, 320];
+const MS_PER_SECOND = 1000;
+
+/** Metrics of requests by class. */
+export class RequestMetrics {
+  readonly requests: Counter<'class' | 'outcome'>;
+  readonly firstToken: Histogram<'class'>;
+  readonly interToken: Histogram<'class'>;
+  readonly completion: Histogram<'class'>;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.requests = new Counter({
+      name: 'marigoldfold_requests_total',
+      help: 'Requests by class and outcome against the targets of the class.',
+      labelNames: ['class', 'outcome'],
+      registers,
+    });
+    const histogram = (name: string, help: string, buckets: number[]) =>
+      new Histogram({name, help, buckets, labelNames: ['class'], registers});
+    this.firstToken = histogram(
+      'marigoldfold_first_token_seconds',
+      'Time to the first part of the answer.',
+      FIRST_TOKEN_BUCKETS_S,
+    );
+    this.interToken = histogram(
+      'marigoldfold_inter_token_seconds',
+      'Mean time between the parts of an answer.',
+      INTER_TOKEN_BUCKETS_S,
+    );
+    this.completion = histogram(
+      'marigoldfold_completion_seconds',
+      'Time to the whole answer.',
+      COMPLETION_BUCKETS_S,
+    );
+  }
+}
+
+/** Follows one request. */
+export class RequestTimer {
+  readonly #startedAtMs: number;
+  #firstAtMs: number | undefined;
+  #lastAtMs: number;
+  #chunks = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly metrics: RequestMetrics,
+    private readonly className: string,
+    private readonly requestClass: RequestClass,
+  ) {
+    this.#startedAtMs = clock.now();
+    this.#lastAtMs = this.#startedAtMs;
+  }
+
+  /** Notes a part of the answer. */
+  observeChunk(): void {
+    this.#lastAtMs = this.clock.now();
+    this.#firstAtMs ??= this.#lastAtMs;
+    this.#chunks += 1;
+  }
+
+  /** Notes the end of a whole answer. */
+  finishWhole(): RequestOutcome {
+    const labels = {class: this.className};
+    const completionMs = this.clock.now() - this.#startedAtMs;
+    const firstMs = (this.#firstAtMs ?? this.clock.now()) - this.#startedAtMs;
+    const interMs = this.#interTokenMs();
+    this.metrics.firstToken.observe(labels, firstMs / MS_PER_SECOND);
+    this.metrics.interToken.observe(labels, interMs / MS_PER_SECOND);
+    this.metrics.completion.observe(labels, completionMs / MS_PER_SECOND);
+    const {firstTokenMs, interTokenMs, completionMs: targetMs} = this.requestClass;
+    const isLate =
+      firstMs > (firstTokenMs ?? Number.POSITIVE_INFINITY) ||
+      interMs > (interTokenMs ?? Number.POSITIVE_INFINITY) ||
+      completionMs > (targetMs ?? Number.POSITIVE_INFINITY);
+    return this.finish(isLate ? 'late' : 'attained');
+  }
+
+  /** Notes an end without a whole answer. */
+  finish(outcome: RequestOutcome): RequestOutcome {
+    this.metrics.requests.inc({class: this.className, outcome});
+    return outcome;
+  }
+
+  #interTokenMs(): number {
+    if (this.#firstAtMs === undefined || this.#chunks < 2) return 0;
+    return (this.#lastAtMs - this.#firstAtMs) / (this.#chunks - 1);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/callerRequest.ts
@@ -0,0 +1,118 @@
+/** Reads and checks what callers send: key, class, and body. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
+import {type Failure, type Generation, refusal} from '@marigoldfold/protocol';
+import type {Account, Configuration, RequestClass} from '@marigoldfold/state';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+
+/** Header by which a caller chooses a class. */
+export const classHeader = 'x-marigoldfold-class';
+
+const keyPattern = /^Bearer (mf\.([a-z0-9.-]+)\.[A-Za-z0-9_-]+)$/;
+
+/** A caller that has shown an account's key. */
+export interface Caller {
+  readonly accountName: string;
+  readonly account: Account;
+}
+
+/** Finds the account of a bearer key. */
+export function authenticate(
+  configuration: Configuration,
+  headers: IncomingHttpHeaders,
+): Result<Caller, Failure> {
+  const failure = refusal('unauthenticated', 'the bearer key is missing or not known');
+  const match = keyPattern.exec(headers.authorization ?? '');
+  const [, key, accountName] = match ?? [];
+  if (key === undefined || accountName === undefined) return err(failure);
+  const account = configuration.get('account', accountName);
+  if (account === undefined) return err(failure);
+  const digest = createHash('sha256').update(key).digest();
+  for (const known of account.keyDigests) {
+    if (timingSafeEqual(digest, Buffer.from(known, 'hex'))) return ok({accountName, account});
+  }
+  return err(failure);
+}
+
+/** A class with its name. */
+export interface NamedClass {
+  readonly name: string;
+  readonly requestClass: RequestClass;
+}
+
+/** Finds the class of a request: the one asked for, else the account's default. */
+export function resolveClass(
+  configuration: Configuration,
+  {accountName, account}: Caller,
+  headers: IncomingHttpHeaders,
+): Result<NamedClass, Failure> {
+  const asked = headers[classHeader];
+  const name = typeof asked === 'string' ? asked : account.defaultClass;
+  const requestClass = configuration.get('class', name);
+  if (requestClass === undefined) {
+    return err(refusal('unknown_class', `${classHeader}: there is no class ${name}`));
+  }
+  if (!account.classes.includes(name)) {
+    const message = `${classHeader}: account ${accountName} may not use class ${name}`;
+    return err(refusal('class_not_allowed', message));
+  }
+  return ok({name, requestClass});
+}
+
+const generationSchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  messages: z
+    .array(z.looseObject({role: z.string()}))
+    .min(1)
+    .optional(),
+  prompt: z.union([z.string(), z.array(z.unknown()).min(1)]).optional(),
+  max_tokens: z.int().min(1).nullish(),
+  max_completion_tokens: z.int().min(1).nullish(),
+  stream_options: z.looseObject({include_usage: z.boolean().optional()}).nullish(),
+});
+
+/** A checked generation request. */
+export interface GenerationRequest {
+  readonly generation: Generation;
+  readonly isStreamed: boolean;
+  readonly isChat: boolean;
+  readonly promptTokens: number;
+}
+
+/** Path of chat completions. */
+export const chatPath = '/v1/chat/completions';
+/** Path of text completions. */
+export const completionPath = '/v1/completions';
+
+const BYTES_PER_TOKEN = 4;
+
+/** Reads the body of a generation request; errors name the field. */
+export function readGeneration(path: string, body: Buffer): Result<GenerationRequest, Failure> {
+  let document: unknown;
+  try {
+    document = JSON.parse(body.toString());
+  } catch {
+    return err(refusal('bad_request', 'the body is not JSON'));
+  }
+  const checked = generationSchema.safeParse(document);
+  if (!checked.success) return err(refusal('bad_request', describeIssues(checked.error)));
+  const isChat = path === chatPath;
+  const required = isChat ? 'messages' : 'prompt';
+  if (checked.data[required] === undefined) {
+    return err(refusal('bad_request', `${required}: is required`));
+  }
+  return ok({
+    generation: {kind: 'generation', model: checked.data.model, path, body: checked.data},
+    isStreamed: checked.data.stream === true,
+    isChat,
+    promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
+  });
+}
+
+function describeIssues(error: z.ZodError): string {
+  return error.issues
+    .map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`)
+    .join('; ');
+}
--- /dev/null
+++ b/packages/entry/src/completionAssembly.ts
@@ -0,0 +1,138 @@
+/** Puts a whole answer together from the chunks of a stream. */
+import {z} from 'zod';
+
+const deltaToolCallSchema = z.looseObject({
+  index: z.number(),
+  id: z.string().optional(),
+  type: z.string().optional(),
+  function: z
+    .looseObject({name: z.string().optional(), arguments: z.string().optional()})
+    .optional(),
+});
+
+const chunkSchema = z.looseObject({
+  id: z.string().optional(),
+  created: z.number().optional(),
+  model: z.string().optional(),
+  choices: z.array(
+    z.looseObject({
+      index: z.number(),
+      text: z.string().optional(),
+      delta: z
+        .looseObject({
+          role: z.string().optional(),
+          content: z.string().nullish(),
+          refusal: z.string().nullish(),
+          tool_calls: z.array(deltaToolCallSchema).optional(),
+        })
+        .optional(),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+  usage: z.unknown().optional(),
+});
+
+interface ToolCall {
+  id: string;
+  type: string;
+  function: {name: string; arguments: string};
+}
+
+interface Choice {
+  text: string;
+  refusal: string;
+  role: string;
+  finishReason: string | null;
+  readonly toolCalls: Map<number, ToolCall>;
+}
+
+/** Collects the chunks of one answer. */
+export class CompletionAssembly {
+  readonly #isChat: boolean;
+  readonly #choices = new Map<number, Choice>();
+  #id = '';
+  #created = 0;
+  #model = '';
+  #usage: unknown;
+
+  constructor(isChat: boolean) {
+    this.#isChat = isChat;
+  }
+
+  /** Adds a chunk; false when it cannot be read. */
+  add(data: string): boolean {
+    let document: unknown;
+    try {
+      document = JSON.parse(data);
+    } catch {
+      return false;
+    }
+    const checked = chunkSchema.safeParse(document);
+    if (!checked.success) return false;
+    const {id, created, model, choices, usage} = checked.data;
+    this.#id = id ?? this.#id;
+    this.#created = created ?? this.#created;
+    this.#model = model ?? this.#model;
+    if (usage !== undefined && usage !== null) this.#usage = usage;
+    for (const part of choices) this.#extend(this.#choice(part.index), part);
+    return true;
+  }
+
+  /** The whole answer, in the form of the API that was called. */
+  build(): unknown {
+    const choices = [...this.#choices].sort(([a], [b]) => a - b);
+    return {
+      id: this.#id,
+      object: this.#isChat ? 'chat.completion' : 'text_completion',
+      created: this.#created,
+      model: this.#model,
+      choices: choices.map(([index, choice]) => this.#buildChoice(index, choice)),
+      ...(this.#usage === undefined ? {} : {usage: this.#usage}),
+    };
+  }
+
+  #choice(index: number): Choice {
+    const known = this.#choices.get(index);
+    if (known !== undefined) return known;
+    const choice: Choice = {
+      text: '',
+      refusal: '',
+      role: 'assistant',
+      finishReason: null,
+      toolCalls: new Map(),
+    };
+    this.#choices.set(index, choice);
+    return choice;
+  }
+
+  #extend(choice: Choice, part: z.infer<typeof chunkSchema>['choices'][number]): void {
+    choice.text += part.text ?? part.delta?.content ?? '';
+    choice.refusal += part.delta?.refusal ?? '';
+    choice.role = part.delta?.role ?? choice.role;
+    choice.finishReason = part.finish_reason ?? choice.finishReason;
+    for (const call of part.delta?.tool_calls ?? []) {
+      const known = choice.toolCalls.get(call.index) ?? {
+        id: '',
+        type: 'function',
+        function: {name: '', arguments: ''},
+      };
+      known.id = call.id ?? known.id;
+      known.function.name += call.function?.name ?? '';
+      known.function.arguments += call.function?.arguments ?? '';
+      choice.toolCalls.set(call.index, known);
+    }
+  }
+
+  #buildChoice(index: number, choice: Choice): unknown {
+    const finish = {index, finish_reason: choice.finishReason, logprobs: null};
+    if (!this.#isChat) return {...finish, text: choice.text};
+    const toolCalls = [...choice.toolCalls].sort(([a], [b]) => a - b).map(([, call]) => call);
+    const message = {
+      role: choice.role,
+      content: choice.text === '' && toolCalls.length > 0 ? null : choice.text,
+      refusal: choice.refusal === '' ? null : choice.refusal,
+      ...(toolCalls.length === 0 ? {} : {tool_calls: toolCalls}),
+    };
+    return {...finish, message};
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entryProcess.ts
@@ -0,0 +1,197 @@
+/** One entry: everything that it owns, wired together. */
+import {
+  AccountLimits,
+  ConfigurationFeed,
+  createInstanceSource,
+  EndpointChoice,
+  InstanceFeed,
+  RetryBudget,
+  type Secrets,
+} from '@marigoldfold/coordination';
+import {createIncarnation, type Instance, requestIds} from '@marigoldfold/protocol';
+import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
+import {createEtcdKeyValue, openRecord} from '@marigoldfold/state';
+import {
+  createClusterKey,
+  createHttpClient,
+  type HttpServer,
+  listen,
+  type ListenError,
+  splitAddress,
+} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import {Gauge, Registry} from 'prom-client';
+import {combineLatest} from 'rxjs';
+import {RequestMetrics} from './attainment.js';
+import {createCallersApi} from './callersApi.js';
+import {AgentLinks} from './httpAgentLink.js';
+import {createOperatorsApi} from './operatorsApi.js';
+import {Router} from './router.js';
+import type {EntrySettings} from './settings.js';
+import {gatherStatus} from './status.js';
+import {openTicketDesk} from './ticketDesk.js';
+
+/** What an entry needs. */
+export interface EntryProcessOptions {
+  readonly settings: EntrySettings;
+  readonly secrets: Secrets;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
+
+/** A running entry. */
+export interface EntryProcess extends Disposable {
+  readonly callers: HttpServer;
+  readonly operators: HttpServer;
+  readonly feed: ConfigurationFeed;
+  readonly instances: InstanceFeed;
+  /** Reports itself as leaving, lets all requests end and stops. */
+  drain(): Promise<void>;
+}
+
+const WATCH_TIMEOUT_MS = 30_000;
+const RETRY_DELAY_MS = 500;
+
+/** Starts an entry. */
+export async function startEntry(
+  options: EntryProcessOptions,
+): Promise<Result<EntryProcess, ListenError>> {
+  const {settings, clock, logger} = options;
+  const disposables = new DisposableStore();
+  const parts = createParts(options, disposables);
+  const {feed, instances, links, choice} = parts;
+  let isLeaving = false;
+  const isReady = () => !isLeaving && feed.head.number > 0;
+  const registry = createRegistry(feed);
+  const linkTo = (instance: Instance) => links.get(instance);
+  const incarnation = createIncarnation(clock.now());
+  const onDefect = (error: unknown) => {
+    logger.error('defect', {
+      reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  };
+
+  const callers = await listen({
+    ...hostAndPort(settings.listen),
+    limits: settings.limits,
+    handle: createCallersApi({
+      incarnation,
+      clock,
+      logger,
+      limits: settings.limits,
+      head: () => feed.head,
+      accountLimits: new AccountLimits(clock),
+      router: new Router({clock, logger, choice, retryBudget: new RetryBudget(), linkTo}),
+      metrics: new RequestMetrics(registry),
+      nextRequestId: requestIds(incarnation),
+    }),
+    onDefect,
+  });
+  if (callers.isErr()) {
+    disposables[Symbol.dispose]();
+    return err(callers.error);
+  }
+  disposables.add(callers.value);
+
+  const operators = await listen({
+    ...hostAndPort(settings.operatorsListen),
+    limits: settings.limits,
+    handle: createOperatorsApi({
+      operators: settings.operators,
+      limits: settings.limits,
+      desk: openTicketDesk({record: parts.record, head: () => feed.head, clock}),
+      status: () => gatherStatus({instance: settings.process.name, feed, instances, linkTo}),
+      isReady,
+      registry,
+    }),
+    onDefect,
+  });
+  if (operators.isErr()) {
+    disposables[Symbol.dispose]();
+    return err(operators.error);
+  }
+  disposables.add(operators.value);
+
+  const updates = combineLatest([feed.heads, instances.lists]).subscribe(([head, list]) => {
+    choice.update(head.configuration, list.instances);
+    links.retain(list.instances);
+  });
+  disposables.defer(() => {
+    updates.unsubscribe();
+  });
+  feed.start();
+  await instances.start();
+  logger.info('ready', {
+    callers: callers.value.address,
+    operators: operators.value.address,
+  });
+  return ok({
+    callers: callers.value,
+    operators: operators.value,
+    feed,
+    instances,
+    async drain() {
+      isLeaving = true;
+      logger.info('leaving', {connections: callers.value.connectionCount()});
+      await callers.value.drain();
+      disposables[Symbol.dispose]();
+    },
+    [Symbol.dispose]() {
+      disposables[Symbol.dispose]();
+    },
+  });
+}
+
+function createParts(
+  {settings, secrets, clock, random, logger}: EntryProcessOptions,
+  disposables: DisposableStore,
+) {
+  const {platform, process} = settings;
+  const client = disposables.add(createHttpClient());
+  const store = createEtcdKeyValue({
+    client,
+    address: platform.keyValue,
+    timeoutMs: platform.keyValueTimeoutMs,
+  });
+  const record = openRecord(store);
+  const feed = disposables.add(
+    new ConfigurationFeed({
+      record,
+      monitorKey: secrets.monitorKey,
+      clock,
+      logger,
+      watchTimeoutMs: WATCH_TIMEOUT_MS,
+      retryDelayMs: RETRY_DELAY_MS,
+    }),
+  );
+  const instances = disposables.add(
+    new InstanceFeed({
+      source: createInstanceSource(client, platform.instances),
+      clock,
+      logger,
+      intervalMs: platform.instancesIntervalMs,
+    }),
+  );
+  const links = disposables.add(new AgentLinks(client, createClusterKey(secrets.clusterKey)));
+  const choice = new EndpointChoice({clock, random, self: process.name});
+  return {record, feed, instances, links, choice};
+}
+
+function hostAndPort(address: string): {readonly host: string; readonly port: number} {
+  const [host, port] = splitAddress(address);
+  return {host, port};
+}
+
+function createRegistry(feed: ConfigurationFeed): Registry {
+  const registry = new Registry();
+  new Gauge({
+    name: 'marigoldfold_configuration_number',
+    help: 'Number of the ticket in force.',
+    registers: [registry],
+    collect() {
+      this.set(feed.head.number);
+    },
+  });
+  return registry;
+}
--- /dev/null
+++ b/packages/entry/src/httpAgentLink.ts
@@ -0,0 +1,132 @@
+/** Links to agents: answers over HTTP, control over one JSON-RPC connection each. */
+import {
+  cancelMethod,
+  decodeWorkEvent,
+  failedStartSchema,
+  type Instance,
+  probeMethod,
+  withdrawMethod,
+  type WorkEvent,
+} from '@marigoldfold/protocol';
+import {
+  type ClientAnswer,
+  type ClientRequest,
+  type ClusterKey,
+  createPeer,
+  type HttpClient,
+  type Peer,
+  readEvents,
+} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import type {AgentLink, StartError, WorkEvents} from './agentLink.js';
+
+const STATUS = {ok: 200, notFound: 404} as const;
+
+/** Creates a link. */
+export function createHttpAgentLink(
+  client: HttpClient,
+  clusterKey: ClusterKey,
+  peer: Peer,
+): AgentLink {
+  const {address} = peer;
+  const headers = clusterKey.headers;
+  return {
+    start: (work, signal) =>
+      open(client, {
+        address,
+        method: 'POST',
+        path: '/work',
+        headers: {...headers, 'content-type': 'application/json'},
+        body: JSON.stringify(work),
+        signal,
+      }),
+    resume: (id, afterChunk, signal) =>
+      open(client, {
+        address,
+        method: 'GET',
+        path: `/work/${id}?after=${afterChunk}`,
+        headers,
+        signal,
+      }),
+    withdraw: async (id) => (await peer.call(withdrawMethod, {id})).map(({outcome}) => outcome),
+    cancel: async (id) => (await peer.call(cancelMethod, {id})).map(({wasKnown}) => wasKnown),
+    probe: () => peer.call(probeMethod, {}),
+  };
+}
+
+async function open(
+  client: HttpClient,
+  request: ClientRequest,
+): Promise<Result<WorkEvents, StartError>> {
+  const answer = await client.send(request);
+  if (answer.isErr()) {
+    const {message, maySent} = answer.error;
+    return err({kind: 'unreachable', message, maySent});
+  }
+  if (answer.value.status === STATUS.ok) return ok(readWorkEvents(answer.value));
+  return err(await readFailedStart(answer.value));
+}
+
+async function* readWorkEvents({stream}: ClientAnswer): AsyncGenerator<WorkEvent, void> {
+  try {
+    for await (const event of readEvents(stream)) {
+      const decoded = decodeWorkEvent(event);
+      // What cannot be read is treated as a broken connection: the answer is asked for again.
+      if (decoded === undefined) return;
+      yield decoded;
+    }
+  } finally {
+    stream.destroy();
+  }
+}
+
+async function readFailedStart({status, stream}: ClientAnswer): Promise<StartError> {
+  const parts: Buffer[] = [];
+  try {
+    for await (const part of stream) parts.push(part as Buffer);
+    const body = failedStartSchema.safeParse(JSON.parse(Buffer.concat(parts).toString()));
+    if (body.success) return {kind: 'refused', ...body.data};
+  } catch {
+    // A body that cannot be read says nothing about the request.
+  }
+  if (status === STATUS.notFound) return {kind: 'unknown'};
+  return {kind: 'unreachable', message: `the agent answered ${status}`, maySent: true};
+}
+
+/** Keeps one link for each agent instance in use. */
+export class AgentLinks implements Disposable {
+  readonly #client: HttpClient;
+  readonly #clusterKey: ClusterKey;
+  readonly #peers = new Map<string, {readonly peer: Peer; readonly link: AgentLink}>();
+
+  constructor(client: HttpClient, clusterKey: ClusterKey) {
+    this.#client = client;
+    this.#clusterKey = clusterKey;
+  }
+
+  /** The link to an instance. */
+  get(instance: Instance): AgentLink {
+    const known = this.#peers.get(instance.name);
+    if (known?.peer.address === instance.address) return known.link;
+    known?.peer[Symbol.dispose]();
+    const peer = createPeer(instance.address, this.#clusterKey);
+    const link = createHttpAgentLink(this.#client, this.#clusterKey, peer);
+    this.#peers.set(instance.name, {peer, link});
+    return link;
+  }
+
+  /** Closes links to instances that are no longer listed. */
+  retain(instances: readonly Instance[]): void {
+    const names = new Set(instances.map(({name}) => name));
+    for (const [name, {peer}] of this.#peers) {
+      if (names.has(name)) continue;
+      peer[Symbol.dispose]();
+      this.#peers.delete(name);
+    }
+  }
+
+  [Symbol.dispose](): void {
+    for (const {peer} of this.#peers.values()) peer[Symbol.dispose]();
+    this.#peers.clear();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/operatorMessages.ts
@@ -0,0 +1,61 @@
+/** Messages of the operators' API. */
+import {decisionSchema, draftSchema, ticketSchema} from '@marigoldfold/state';
+import {z} from 'zod';
+
+/** Checks a proposal: a draft with an id that a repeated submission keeps. */
+export const proposalSchema = z.strictObject({id: z.string().min(1).max(64), draft: draftSchema});
+
+/** A proposal. */
+export type Proposal = Readonly<z.infer<typeof proposalSchema>>;
+
+/** Checks a page of the record. */
+export const recordAnswerSchema = z.object({
+  tickets: z.array(ticketSchema),
+  decisions: z.array(decisionSchema),
+});
+
+/** Checks the answer to a proposal. */
+export const proposalAnswerSchema = z.object({ticket: ticketSchema});
+
+/** Checks one instance's line of a status. */
+export const instanceStatusSchema = z.object({
+  name: z.string(),
+  role: z.enum(['entry', 'agent']),
+  endpoint: z.string().optional(),
+  failureDomain: z.string(),
+  state: z.enum(['live', 'leaving', 'unreachable']),
+  /** Number of the ticket in force there. */
+  number: z.number().optional(),
+  running: z.number().optional(),
+  queued: z.number().optional(),
+});
+
+/** One instance's line of a status. */
+export type InstanceStatus = Readonly<z.infer<typeof instanceStatusSchema>>;
+
+/** Checks a status. */
+export const statusSchema = z.object({
+  instance: z.string(),
+  number: z.number(),
+  stateDigest: z.string(),
+  /** Milliseconds since the number was confirmed against the key-value service. */
+  confirmationAgeMs: z.number().optional(),
+  instances: z.array(instanceStatusSchema),
+});
+
+/** A status of the whole system, as one entry sees it. */
+export type Status = Readonly<z.infer<typeof statusSchema>>;
+
+/** Checks the body of a refused operator's request. */
+export const operatorErrorSchema = z.object({
+  error: z.object({
+    code: z.string(),
+    message: z.string(),
+    /** Whether a write may have taken effect all the same. */
+    mayHaveTakenEffect: z.boolean(),
+    problems: z.array(z.string()).default([]),
+  }),
+});
+
+/** Why an operator's request was refused. */
+export type OperatorError = Readonly<z.infer<typeof operatorErrorSchema>['error']>;
--- /dev/null
+++ b/packages/entry/src/operatorsApi.ts
@@ -0,0 +1,146 @@
+/** The HTTP API for operators, the monitor and the metrics collector. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {checkDocument, formatProblem} from '@marigoldfold/runtime';
+import {decisionSchema} from '@marigoldfold/state';
+import {readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import type {Registry} from 'prom-client';
+import type {z} from 'zod';
+import {type OperatorError, proposalSchema, type Status} from './operatorMessages.js';
+import type {EntrySettings} from './settings.js';
+import type {TicketDesk} from './ticketDesk.js';
+
+/** What the API needs. */
+export interface OperatorsApiOptions {
+  readonly operators: EntrySettings['operators'];
+  readonly limits: ServerLimits;
+  readonly desk: TicketDesk;
+  readonly status: () => Promise<Status>;
+  readonly isReady: () => boolean;
+  readonly registry: Registry;
+}
+
+const STATUS = {
+  ok: 200,
+  badRequest: 400,
+  unauthorized: 401,
+  notFound: 404,
+  conflict: 409,
+  unavailable: 503,
+} as const;
+
+const statusByCode: Readonly<Record<string, number>> = {
+  store: STATUS.unavailable,
+  stale: STATUS.unavailable,
+  number_taken: STATUS.conflict,
+  already_decided: STATUS.conflict,
+  conflict: STATUS.conflict,
+};
+
+/** Handles requests of operators. */
+export function createOperatorsApi(options: OperatorsApiOptions) {
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = new URL(request.url ?? '/', 'http://operators');
+    if (await servePublic(options, url.pathname, response)) return;
+    const operator = findOperator(options.operators, request);
+    if (operator === undefined) {
+      sendError(response, STATUS.unauthorized, {
+        code: 'unauthenticated',
+        message: "the operator's bearer key is missing or not known",
+        mayHaveTakenEffect: false,
+        problems: [],
+      });
+      return;
+    }
+    const answer = await serveOperator(options, operator, url, request);
+    if (answer.isOk()) sendJson(response, STATUS.ok, answer.value);
+    else sendError(response, statusByCode[answer.error.code] ?? STATUS.badRequest, answer.error);
+  };
+}
+
+async function servePublic(
+  {isReady, registry}: OperatorsApiOptions,
+  path: string,
+  response: ServerResponse,
+): Promise<boolean> {
+  switch (path) {
+    case '/healthz':
+      sendJson(response, STATUS.ok, {status: 'ok'});
+      return true;
+    case '/readyz':
+      sendJson(response, isReady() ? STATUS.ok : STATUS.unavailable, {ready: isReady()});
+      return true;
+    case '/metrics':
+      response.writeHead(STATUS.ok, {'content-type': registry.contentType});
+      response.end(await registry.metrics());
+      return true;
+    default:
+      return false;
+  }
+}
+
+async function serveOperator(
+  {desk, status, limits}: OperatorsApiOptions,
+  operator: string,
+  url: URL,
+  request: IncomingMessage,
+): Promise<Result<unknown, OperatorError>> {
+  switch (`${request.method ?? ''} ${url.pathname}`) {
+    case 'GET /status':
+      return ok(await status());
+    case 'GET /tickets':
+      return desk.read(Number(url.searchParams.get('after') ?? 0));
+    case 'POST /tickets': {
+      const proposal = await readDocument(proposalSchema, request, limits);
+      if (proposal.isErr()) return err(proposal.error);
+      return (await desk.propose(operator, proposal.value)).map((ticket) => ({ticket}));
+    }
+    case 'POST /decisions': {
+      const decision = await readDocument(decisionSchema, request, limits);
+      if (decision.isErr()) return err(decision.error);
+      return (await desk.decide(decision.value)).map(() => ({number: decision.value.number}));
+    }
+    default:
+      return err(refused('not_found', `${request.method ?? ''} ${url.pathname} does not exist`));
+  }
+}
+
+async function readDocument<T>(
+  schema: z.ZodType<T>,
+  request: IncomingMessage,
+  limits: ServerLimits,
+): Promise<Result<T, OperatorError>> {
+  const body = await readBody(request, limits);
+  if (body.isErr()) return err(refused('bad_request', `the body was not read: ${body.error}`));
+  let document: unknown;
+  try {
+    document = JSON.parse(body.value.toString());
+  } catch {
+    return err(refused('bad_request', 'the body is not JSON'));
+  }
+  return checkDocument(schema, document).mapErr((problems) => ({
+    ...refused('bad_request', 'the document is not valid'),
+    problems: problems.map(formatProblem),
+  }));
+}
+
+function refused(code: string, message: string): OperatorError {
+  return {code, message, mayHaveTakenEffect: false, problems: []};
+}
+
+function findOperator(
+  operators: EntrySettings['operators'],
+  request: IncomingMessage,
+): string | undefined {
+  const key = (request.headers.authorization ?? '').replace(/^Bearer /, '');
+  const digest = createHash('sha256').update(key).digest();
+  for (const {name, keySha256} of operators) {
+    if (timingSafeEqual(digest, Buffer.from(keySha256, 'hex'))) return name;
+  }
+  return undefined;
+}
+
+function sendError(response: ServerResponse, status: number, error: OperatorError): void {
+  sendJson(response, status, {error});
+}
