--- /dev/null
+++ b/packages/agent/src/__fixtures__/scriptedWork.ts
@@ -0,0 +1,146 @@
+/** Requests and in-memory endpoints for tests of the agent. */
+import type {Call, Work, WorkEvent} from '@marigoldfold/protocol';
+import {silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {ok, type Result} from 'neverthrow';
+import type {CallOutcome} from '@marigoldfold/state';
+import type {Answer} from '../answer.js';
+import type {CallRunner} from '../callRunner.js';
+import type {Engine, EngineChunk, EngineEnd} from '../engine.js';
+import type {CallFailure, PlainService} from '../plainService.js';
+import {defaultWorkerTiming, Worker, type WorkerTiming} from '../worker.js';
+import {WorkQueue} from '../workQueue.js';
+
+/** A generation request. */
+export function generationWork(id: string, overrides: Partial<Work> = {}): Work {
+  return {
+    id,
+    entry: 'entry-life',
+    account: 'band',
+    class: 'short',
+    tier: 0,
+    firstTokenBudgetMs: 1000,
+    promptTokens: 1,
+    configuration: 1,
+    task: {kind: 'generation', model: 'm', path: '/v1/completions', body: {model: 'm'}},
+    ...overrides,
+  };
+}
+
+/** A keyed posting. */
+export function callWork(id: string, key = 'key-1', body = 'one'): Work {
+  const task: Call = {
+    kind: 'call',
+    service: 'ledger',
+    method: 'POST',
+    path: '/postings',
+    headers: {},
+    body,
+    idempotencyKey: key,
+  };
+  return generationWork(id, {task});
+}
+
+/** The call of a keyed posting. */
+export function callOf(work: Work): Call {
+  if (work.task.kind !== 'call') throw new Error('not a call');
+  return work.task;
+}
+
+/** One connection to a scripted engine. */
+export interface EngineConnection {
+  readonly kind: 'begin' | 'resume';
+  readonly afterChunk: number;
+  readonly signal: AbortSignal;
+}
+
+/** What one connection to the engine gives. */
+export type EngineScript = (connection: EngineConnection) => AsyncGenerator<EngineChunk, EngineEnd>;
+
+/** An engine that follows a script; it notes its connections and cancelled ids. */
+export function scriptedEngine(script: EngineScript) {
+  const connections: EngineConnection[] = [];
+  const cancelled: string[] = [];
+  const connect = (connection: EngineConnection) => {
+    connections.push(connection);
+    return script(connection);
+  };
+  const engine: Engine = {
+    begin: (_job, signal) => connect({kind: 'begin', afterChunk: 0, signal}),
+    resume: (_id, afterChunk, signal) => connect({kind: 'resume', afterChunk, signal}),
+    cancel(id) {
+      cancelled.push(id);
+      return Promise.resolve();
+    },
+  };
+  return {engine, connections, cancelled};
+}
+
+/** Chunks from one number to another, then an end. */
+export async function* chunks(
+  from: number,
+  to: number,
+  end: EngineEnd,
+): AsyncGenerator<EngineChunk, EngineEnd> {
+  for (let number = from; number <= to; number += 1) {
+    await Promise.resolve();
+    yield {number, data: `part ${number}`};
+  }
+  return end;
+}
+
+/** Says nothing until the connection is aborted. */
+export async function* silence(signal: AbortSignal): AsyncGenerator<EngineChunk, EngineEnd> {
+  await new Promise<void>((resolve) => {
+    signal.addEventListener('abort', () => {
+      resolve();
+    });
+  });
+  yield* [];
+  return {kind: 'broken', maySent: true};
+}
+
+/** A service that counts what it runs. */
+export function countingService(
+  answer: (count: number) => Promise<Result<CallOutcome, CallFailure>> = (count) =>
+    Promise.resolve(ok({status: 201, headers: {}, body: `receipt ${count}`})),
+) {
+  const ran: string[] = [];
+  const service: PlainService = (id) => {
+    ran.push(id);
+    return answer(ran.length);
+  };
+  return {service, ran};
+}
+
+/** Options of a worker under test. */
+export interface TestWorkerOptions {
+  readonly engine?: Engine;
+  readonly calls?: CallRunner;
+  readonly slots?: number;
+  readonly incarnation?: string;
+  readonly timing?: Partial<WorkerTiming>;
+  readonly clock?: VirtualClock;
+}
+
+/** A worker on a virtual clock. */
+export function testWorker(options: TestWorkerOptions) {
+  const clock = options.clock ?? new VirtualClock();
+  const worker = new Worker({
+    incarnation: options.incarnation ?? 'life-1',
+    clock,
+    logger: silentLogger,
+    queue: new WorkQueue({clock, slots: options.slots ?? 1, capacity: 100}),
+    ...(options.engine === undefined ? {} : {engine: options.engine}),
+    ...(options.calls === undefined ? {} : {calls: options.calls}),
+    configurationNumber: () => 1,
+    timing: {...defaultWorkerTiming, ...options.timing},
+  });
+  return {clock, worker};
+}
+
+/** Reads an answer to its end. */
+export async function readAll(answer: Answer, after = 0): Promise<WorkEvent[]> {
+  const events: WorkEvent[] = [];
+  for await (const event of answer.read(after, new AbortController().signal)) events.push(event);
+  return events;
+}
--- /dev/null
+++ b/packages/agent/src/__tests__/withdrawal.test.ts
@@ -0,0 +1,101 @@
+import {settle} from '@marigoldfold/runtime';
+import {describe, expect, it} from 'vitest';
+import {
+  chunks,
+  generationWork,
+  readAll,
+  scriptedEngine,
+  silence,
+  testWorker,
+} from '../__fixtures__/scriptedWork.js';
+
+const MINUTE_MS = 60_000;
+
+function busyWorker() {
+  const scripted = scriptedEngine(({signal}) => silence(signal));
+  return {...scripted, ...testWorker({engine: scripted.engine})};
+}
+
+describe('a withdrawal', () => {
+  it('takes back a request that waits, and its answer says that it was not run', async () => {
+    const {worker, connections} = busyWorker();
+    worker.submit(generationWork('a.1'));
+    const waiting = worker.submit(generationWork('a.2'))._unsafeUnwrap();
+    expect(worker.withdraw('a.2')).toBe('never-started');
+    const last = (await readAll(waiting)).at(-1);
+    expect(last).toMatchObject({kind: 'failed', failure: {code: 'withdrawn', ran: 'no'}});
+    expect(connections).toHaveLength(1);
+  });
+
+  it('that comes before the request keeps the request out', () => {
+    const {worker, connections} = busyWorker();
+    expect(worker.withdraw('a.1')).toBe('never-started');
+    const refused = worker.submit(generationWork('a.1'))._unsafeUnwrapErr();
+    expect(refused).toMatchObject({code: 'withdrawn', ran: 'no'});
+    expect(connections).toHaveLength(0);
+  });
+
+  it('still keeps the request out long after answers are forgotten', async () => {
+    const {worker, clock, connections} = busyWorker();
+    worker.withdraw('a.1');
+    await clock.advance(30 * MINUTE_MS);
+    expect(worker.submit(generationWork('a.1')).isErr()).toBe(true);
+    expect(connections).toHaveLength(0);
+  });
+
+  it('never says that work which ran was not started, even when its answer is forgotten', async () => {
+    const {engine} = scriptedEngine(() => chunks(1, 2, {kind: 'whole'}));
+    const {worker, clock} = testWorker({engine});
+    worker.submit(generationWork('a.1'));
+    await settle();
+    expect(worker.withdraw('a.1')).toBe('finished');
+    await clock.advance(30 * MINUTE_MS);
+    expect(worker.answer('a.1')).toBeUndefined();
+    expect(worker.withdraw('a.1')).toBe('finished');
+    const repeated = worker.submit(generationWork('a.1'))._unsafeUnwrapErr();
+    expect(repeated).toMatchObject({code: 'answer_incomplete', ran: 'yes'});
+  });
+
+  it('of running work says that it has started', () => {
+    const {worker} = busyWorker();
+    worker.submit(generationWork('a.1'));
+    expect(worker.withdraw('a.1')).toBe('started');
+  });
+
+  it('of a request that was turned away while it waited says that it never started', async () => {
+    const {worker, clock} = busyWorker();
+    worker.submit(generationWork('a.1'));
+    worker.submit(generationWork('a.2'));
+    void worker.drain();
+    await clock.advance(5000);
+    expect(worker.withdraw('a.2')).toBe('never-started');
+  });
+});
+
+describe('a request', () => {
+  it('that is sent twice runs once, and both get its answer', async () => {
+    const {engine, connections} = scriptedEngine(() => chunks(1, 3, {kind: 'whole'}));
+    const {worker} = testWorker({engine});
+    const first = worker.submit(generationWork('a.1'))._unsafeUnwrap();
+    const second = worker.submit(generationWork('a.1'))._unsafeUnwrap();
+    expect(second).toBe(first);
+    await settle();
+    expect((await readAll(second)).filter(({kind}) => kind === 'chunk')).toHaveLength(3);
+    expect(connections).toHaveLength(1);
+  });
+
+  it('that arrives after its cancellation is not started', () => {
+    const {worker, connections} = busyWorker();
+    expect(worker.cancel('a.1')).toBe(false);
+    expect(worker.submit(generationWork('a.1'))._unsafeUnwrapErr().ran).toBe('no');
+    expect(connections).toHaveLength(0);
+  });
+
+  it('for an earlier incarnation is refused and not run', () => {
+    const {worker, connections} = busyWorker();
+    const refused = worker.submit(generationWork('a.1', {agent: 'life-0'}))._unsafeUnwrapErr();
+    expect(refused).toMatchObject({code: 'stale_incarnation', ran: 'no'});
+    expect(connections).toHaveLength(0);
+    expect(worker.submit(generationWork('a.2', {agent: 'life-1'})).isOk()).toBe(true);
+  });
+});
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -12,7 +12,7 @@
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge, Registry} from 'prom-client';
-import {createCallRunner} from './callRunner.js';
+import {CallRunner} from './callRunner.js';
 import {createHttpEngine} from './httpEngine.js';
 import {createHttpService} from './plainService.js';
 import {startAgentServer} from './server.js';
@@ -40,6 +40,7 @@
 
 const WATCH_TIMEOUT_MS = 30_000;
 const RETRY_DELAY_MS = 500;
+const MS_PER_HOUR = 3_600_000;
 
 /** Starts an agent. */
 export async function startAgent(
@@ -73,11 +74,12 @@
       ...(endpoint.type === 'engine'
         ? {engine: createHttpEngine(client, endpoint.address)}
         : {
-            calls: createCallRunner({
+            calls: new CallRunner({
               service: createHttpService(client, endpoint.address),
               store,
               clock,
               logger,
+              claimRetentionMs: settings.claims.retentionHours * MS_PER_HOUR,
             }),
           }),
       configurationNumber: () => feed.head.number,
@@ -91,6 +93,7 @@
     limits: settings.limits,
     clusterKey: createClusterKey(secrets.clusterKey),
     worker,
+    clock,
     registry: createRegistry(worker, feed),
     isReady: () => feed.head.number > 0,
     logger,
--- a/packages/agent/src/answer.ts
+++ b/packages/agent/src/answer.ts
@@ -1,9 +1,9 @@
-/** The numbered events of one answer, kept until the entry has them. */
+/** The numbered events of one answer, kept until the entry has acknowledged them. */
 import type {Clock} from '@marigoldfold/runtime';
 import type {Failure, Load, WorkEvent} from '@marigoldfold/protocol';
 
-/** Chunks that are kept for an entry that reconnects. */
-const RETAINED_CHUNKS = 512;
+/** Chunks that may be out without an acknowledgement; the writer waits beyond. */
+export const windowChunks = 1024;
 
 type FinalEvent = Extract<WorkEvent, {kind: 'end' | 'failed'}>;
 type LeadingEvent = Extract<WorkEvent, {kind: 'queued' | 'started' | 'head'}>;
@@ -16,9 +16,9 @@
 /** An answer in the making. One reader at a time; a new reader takes the place of the one before. */
 export class Answer {
   readonly #leading: LeadingEvent[] = [];
-  readonly #chunks: Chunk[] = [];
+  #chunks: Chunk[] = [];
   #lastNumber = 0;
-  #readNumber = 0;
+  #acknowledged = 0;
   #final: FinalEvent | undefined;
   #reader = 0;
   #detachedAtMs: number | undefined;
@@ -37,6 +37,11 @@
     return this.#lastNumber;
   }
 
+  /** Number of chunks that are kept for a reader that reconnects. */
+  get retainedCount(): number {
+    return this.#chunks.length;
+  }
+
   /** Whether the last event is there. */
   get isFinished(): boolean {
     return this.#final !== undefined;
@@ -58,19 +63,25 @@
     this.#lastNumber += 1;
     this.#chunks.push({number: this.#lastNumber, data});
     this.#wakeReader?.();
-    while (this.#lastNumber - this.#readNumber >= RETAINED_CHUNKS && !signal.aborted) {
+    while (this.#lastNumber - this.#acknowledged >= windowChunks && !signal.aborted) {
       await new Promise<void>((resolve) => {
-        this.#wakeWriter = resolve;
-        signal.addEventListener(
-          'abort',
-          () => {
-            resolve();
-          },
-          {once: true},
-        );
+        const wake = () => {
+          signal.removeEventListener('abort', wake);
+          resolve();
+        };
+        this.#wakeWriter = wake;
+        signal.addEventListener('abort', wake, {once: true});
       });
     }
-    while (this.#chunks.length > RETAINED_CHUNKS) this.#chunks.shift();
+  }
+
+  /** Notes that the reader has all chunks up to a number; they are no longer kept. */
+  acknowledge(number: number): void {
+    const known = Math.min(number, this.#lastNumber);
+    if (known <= this.#acknowledged) return;
+    this.#chunks = this.#chunks.slice(known - this.#acknowledged);
+    this.#acknowledged = known;
+    this.#wakeWriter?.();
   }
 
   /** Ends the answer with a mark that it is whole. */
@@ -89,6 +100,7 @@
     const reader = this.#reader;
     this.#detachedAtMs = undefined;
     this.#wakeReader?.();
+    this.acknowledge(after);
     try {
       yield* this.#events(after, reader, signal);
     } finally {
@@ -111,12 +123,11 @@
         continue;
       }
       if (number < this.#lastNumber) {
-        const chunk = this.#chunkAfter(number);
-        // The reader sees the gap as an answer that cannot become whole.
+        const chunk = this.#chunks[number - this.#acknowledged];
+        // Only a reader that asks for what it has acknowledged before finds nothing here.
         if (chunk === undefined) return;
         number = chunk.number;
         yield {kind: 'chunk', ...chunk};
-        this.#acknowledge(number);
         continue;
       }
       if (this.#final !== undefined) {
@@ -127,17 +138,6 @@
     }
   }
 
-  #chunkAfter(number: number): Chunk | undefined {
-    const first = this.#chunks[0];
-    if (first === undefined) return undefined;
-    return this.#chunks[number + 1 - first.number];
-  }
-
-  #acknowledge(number: number): void {
-    this.#readNumber = Math.max(this.#readNumber, number);
-    this.#wakeWriter?.();
-  }
-
   #finish(event: FinalEvent): void {
     if (this.#final !== undefined) return;
     this.#final = event;
--- a/packages/agent/src/engine.ts
+++ b/packages/agent/src/engine.ts
@@ -11,8 +11,12 @@
 /** How a stream from the engine ended. */
 export type EngineEnd =
   | {readonly kind: 'whole'}
-  /** The connection ended before the answer did. */
-  | {readonly kind: 'broken'}
+  /** The connection ended before the answer did; `maySent` tells whether the engine may have the request. */
+  | {readonly kind: 'broken'; readonly maySent: boolean}
+  /** Nothing came for too long. */
+  | {readonly kind: 'silent'}
+  /** The engine gave something that is no part of an answer. */
+  | {readonly kind: 'unreadable'; readonly message: string}
   /** The engine does not know the generation, or no longer. */
   | {readonly kind: 'unknown'}
   /** The engine did not take the request. */
--- /dev/null
+++ b/packages/agent/src/generationRun.ts
@@ -0,0 +1,167 @@
+/** Runs one generation on an engine: through pauses, breaks and silence, to a whole answer or a failure. */
+import {type Clock, isAborted, sleep} from '@marigoldfold/runtime';
+import {type Failure, failureWith, type Generation, ranBy, type Work} from '@marigoldfold/protocol';
+import type {Answer} from './answer.js';
+import type {Engine, EngineChunk, EngineEnd, EngineStream} from './engine.js';
+
+/** Durations in milliseconds. */
+export interface GenerationTiming {
+  /** How long an engine may take until the first chunk of a stream. */
+  readonly firstTokenLimitMs: number;
+  /** How long an engine may be silent between two chunks. */
+  readonly silenceLimitMs: number;
+}
+
+/** What a run needs. */
+export interface GenerationRunOptions {
+  readonly clock: Clock;
+  readonly engine: Engine;
+  readonly work: Work;
+  readonly generation: Generation;
+  readonly answer: Answer;
+  readonly timing: GenerationTiming;
+  /** Aborted when nobody wants the answer any more. */
+  readonly signal: AbortSignal;
+  /** Takes the action that pauses the stream. */
+  readonly setPause: (pause: (() => void) | undefined) => void;
+  /** Gives the place at the engine up and waits for the next one; a failure when there is none. */
+  readonly waitForTurn: () => Promise<Failure | undefined>;
+}
+
+const MAX_BREAKS = 3;
+const RETRY_MS = 200;
+const CALLER_GONE = 'the caller has gone';
+const CONFLICT = 409;
+const CLIENT_ERROR = {first: 400, last: 499} as const;
+
+/** What is known of the engine's part so far. */
+interface Progress {
+  isBegun: boolean;
+  /** Whether the engine may have received the request. */
+  maySent: boolean;
+  breaks: number;
+}
+
+/** Runs a generation; resolves to a failure when there is no whole answer. */
+export async function runGeneration(options: GenerationRunOptions): Promise<Failure | undefined> {
+  const {clock, engine, work, answer, signal} = options;
+  const progress: Progress = {isBegun: false, maySent: false, breaks: 0};
+  while (!signal.aborted) {
+    const pauser = new AbortController();
+    options.setPause(() => {
+      pauser.abort();
+    });
+    const end = await copyOnce(options, progress, pauser.signal);
+    if (end.kind === 'whole') return undefined;
+    if (end.kind === 'refused') {
+      // After a break the engine may have had the request all along.
+      if (end.status !== CONFLICT || progress.breaks === 0) return describeRefusal(end, answer);
+      progress.isBegun = true;
+    }
+    if (end.kind === 'unreadable') return giveUp(options, 'endpoint_failed', end.message);
+    if (end.kind === 'silent' && progress.breaks > 0) {
+      return giveUp(options, 'timed_out', 'the engine gave no part of the answer for too long');
+    }
+    if (end.kind === 'unknown') {
+      if (answer.chunkCount > 0) break;
+      progress.isBegun = false;
+    }
+    if (isAborted(pauser.signal) && !isAborted(signal)) {
+      const refused = await options.waitForTurn();
+      if (refused !== undefined) {
+        await engine.cancel(work.id);
+        return {...refused, ran: ranBy('started')};
+      }
+      continue;
+    }
+    progress.breaks += 1;
+    if (progress.breaks > MAX_BREAKS) break;
+    await sleep(clock, RETRY_MS, signal);
+  }
+  options.setPause(undefined);
+  if (!progress.maySent) {
+    return signal.aborted
+      ? failureWith('not-sent', 'caller_gone', CALLER_GONE)
+      : failureWith('not-sent', 'endpoint_unreachable', 'the engine cannot be reached');
+  }
+  if (signal.aborted) return giveUp(options, 'caller_gone', CALLER_GONE);
+  return giveUp(options, 'endpoint_failed', 'the engine stopped in mid-answer');
+}
+
+async function copyOnce(
+  options: GenerationRunOptions,
+  progress: Progress,
+  paused: AbortSignal,
+): Promise<EngineEnd> {
+  const {engine, work, generation, answer} = options;
+  const silence = new AbortController();
+  const signal = AbortSignal.any([paused, options.signal, silence.signal]);
+  const stream = progress.isBegun
+    ? engine.resume(work.id, answer.chunkCount, signal)
+    : engine.begin({id: work.id, priority: work.tier, generation}, signal);
+  const end = await copy(options, stream, silence);
+  if (end.kind !== 'broken' || end.maySent) {
+    progress.isBegun = true;
+    progress.maySent = true;
+  }
+  return end;
+}
+
+async function copy(
+  options: GenerationRunOptions,
+  stream: EngineStream,
+  silence: AbortController,
+): Promise<EngineEnd> {
+  const {answer, signal, timing} = options;
+  let limitMs = timing.firstTokenLimitMs;
+  while (true) {
+    const next = await nextWithin(options.clock, stream, limitMs, silence);
+    if (silence.signal.aborted) return {kind: 'silent'};
+    if (next.done === true) return next.value;
+    const chunk = next.value;
+    limitMs = timing.silenceLimitMs;
+    // A chunk that came before is a repetition after a resume; a gap means that one was lost.
+    if (chunk.number <= answer.chunkCount) continue;
+    if (chunk.number > answer.chunkCount + 1) {
+      await stream.return({kind: 'broken', maySent: true});
+      return {kind: 'broken', maySent: true};
+    }
+    await answer.publishChunk(chunk.data, signal);
+  }
+}
+
+/** The next chunk; when it takes too long, the stream is aborted by `silence`. */
+async function nextWithin(
+  clock: Clock,
+  stream: EngineStream,
+  limitMs: number,
+  silence: AbortController,
+): Promise<IteratorResult<EngineChunk, EngineEnd>> {
+  const timer = clock.schedule(limitMs, () => {
+    silence.abort();
+  });
+  const next = await stream.next();
+  timer[Symbol.dispose]();
+  return next;
+}
+
+async function giveUp(
+  {engine, work, answer}: GenerationRunOptions,
+  code: Failure['code'],
+  message: string,
+): Promise<Failure> {
+  await engine.cancel(work.id);
+  return failureWith(answer.chunkCount > 0 ? 'started' : 'no-answer', code, message);
+}
+
+function describeRefusal(
+  {status, message}: Extract<EngineEnd, {kind: 'refused'}>,
+  answer: Answer,
+): Failure {
+  const text = `the engine answered ${status}: ${message}`;
+  if (answer.chunkCount > 0) return failureWith('started', 'endpoint_failed', text);
+  if (status >= CLIENT_ERROR.first && status <= CLIENT_ERROR.last) {
+    return failureWith('refused', 'bad_request', text);
+  }
+  return failureWith('no-answer', 'endpoint_failed', text);
+}
--- a/packages/agent/src/httpEngine.ts
+++ b/packages/agent/src/httpEngine.ts
@@ -1,5 +1,6 @@
 /** A model engine over its OpenAI-compatible API; streams resume by the standard `Last-Event-ID`. */
 import {type ClientRequest, type HttpClient, readEvents} from '@marigoldfold/transport';
+import {z} from 'zod';
 import type {Engine, EngineJob, EngineStream} from './engine.js';
 
 const END_MARK = '[DONE]';
@@ -43,7 +44,7 @@
 
 async function* stream(client: HttpClient, request: ClientRequest): EngineStream {
   const answer = await client.send(request);
-  if (answer.isErr()) return {kind: 'broken'};
+  if (answer.isErr()) return {kind: 'broken', maySent: answer.error.maySent};
   const {status, stream: body} = answer.value;
   if (status === STATUS.notFound && request.method === 'GET') {
     body.destroy();
@@ -55,17 +56,50 @@
     try {
       for await (const part of body) parts.push(part as string);
     } catch {
-      return {kind: 'broken'};
+      return {kind: 'broken', maySent: true};
     }
     return {kind: 'refused', status, message: parts.join('')};
   }
+  let isFinished = false;
   try {
-    for await (const event of readEvents(body)) {
-      if (event.data === END_MARK) return {kind: 'whole'};
-      yield {number: Number(event.id), data: event.data};
+    for await (const {id, data} of readEvents(body)) {
+      if (data === END_MARK) {
+        // An end mark without a finish reason is an answer that was cut short.
+        return isFinished ? {kind: 'whole'} : {kind: 'broken', maySent: true};
+      }
+      const part = readPart(id, data);
+      if (part === undefined) {
+        return {kind: 'unreadable', message: 'the engine gave a part that cannot be read'};
+      }
+      isFinished ||= part.isFinished;
+      yield {number: part.number, data};
     }
   } finally {
     body.destroy();
   }
-  return {kind: 'broken'};
+  return {kind: 'broken', maySent: true};
+}
+
+const partSchema = z.looseObject({
+  choices: z.array(z.looseObject({finish_reason: z.string().nullish()})),
+});
+
+interface Part {
+  readonly number: number;
+  readonly isFinished: boolean;
+}
+
+function readPart(id: string | undefined, data: string): Part | undefined {
+  const number = Number(id);
+  if (!Number.isSafeInteger(number) || number < 1) return undefined;
+  let document: unknown;
+  try {
+    document = JSON.parse(data);
+  } catch {
+    return undefined;
+  }
+  const {data: part} = partSchema.safeParse(document);
+  if (part === undefined) return undefined;
+  const isFinished = part.choices.some(({finish_reason: reason}) => typeof reason === 'string');
+  return {number, isFinished};
 }
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,8 +1,10 @@
 /** The process beside each endpoint. */
 export {type AgentProcess, type AgentProcessOptions, startAgent} from './agentProcess.js';
 export {Answer} from './answer.js';
-export {type CallRunner, createCallRunner} from './callRunner.js';
+export {CallRunner, type CallRunnerOptions, claimSendLimitMs} from './callRunner.js';
 export type {Engine, EngineChunk, EngineEnd, EngineJob, EngineStream} from './engine.js';
+export {EndedRequests, type EndedRequest} from './endedRequests.js';
+export {type GenerationTiming} from './generationRun.js';
 export {createHttpEngine} from './httpEngine.js';
 export {
   type CallFailure,
--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -1,9 +1,11 @@
 /** The agent's HTTP server for entries: requests, resumed answers, control connection, health. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  acknowledgeMethod,
   cancelMethod,
   encodeWorkEvent,
   failureStatus,
+  incarnationHeader,
   probeMethod,
   refusal,
   withdrawMethod,
@@ -23,7 +25,7 @@
   sendJson,
   type ServerLimits,
 } from '@marigoldfold/transport';
-import type {Logger} from '@marigoldfold/runtime';
+import {type Clock, type Logger, repeat} from '@marigoldfold/runtime';
 import type {Result} from 'neverthrow';
 import type {Registry} from 'prom-client';
 import type {Answer} from './answer.js';
@@ -36,6 +38,7 @@
   readonly limits: ServerLimits;
   readonly clusterKey: ClusterKey;
   readonly worker: Worker;
+  readonly clock: Clock;
   readonly registry: Registry;
   readonly isReady: () => boolean;
   readonly logger: Logger;
@@ -57,8 +60,15 @@
   const {worker, clusterKey, logger} = options;
   const methods = new Methods()
     .add(probeMethod, () => worker.load())
-    .add(withdrawMethod, ({id}) => ({outcome: worker.withdraw(id)}))
-    .add(cancelMethod, ({id}) => ({wasKnown: worker.cancel(id)}));
+    .add(withdrawMethod, ({id}) => ({
+      outcome: worker.withdraw(id),
+      incarnation: worker.incarnation,
+    }))
+    .add(cancelMethod, ({id}) => ({wasKnown: worker.cancel(id)}))
+    .add(acknowledgeMethod, ({id, chunk}) => {
+      worker.acknowledge(id, chunk);
+      return {};
+    });
   const control = createControlServer(methods, clusterKey);
   const server = await listen({
     host: options.host,
@@ -105,9 +115,10 @@
     sendJson(response, STATUS.unauthorized, {message: 'the cluster key is missing or wrong'});
     return;
   }
+  response.setHeader(incarnationHeader, options.worker.incarnation);
   const resumed = workPath.exec(url);
   if (request.method === 'GET' && resumed?.[1] !== undefined) {
-    await resume(options.worker, resumed[1], Number(resumed[2] ?? 0), response);
+    await resume(options, resumed[1], Number(resumed[2] ?? 0), response);
     return;
   }
   if (request.method === 'POST' && url === '/work') {
@@ -118,10 +129,11 @@
 }
 
 async function submit(
-  {worker, limits}: AgentServerOptions,
+  options: AgentServerOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
+  const {worker, limits} = options;
   const body = await readBody(request, limits);
   const work = body.isErr() ? undefined : readWork(body.value);
   if (work === undefined) {
@@ -135,7 +147,7 @@
     sendJson(response, failureStatus(failure), {failure, load: worker.load()});
     return;
   }
-  await streamAnswer(answer.value, 0, response);
+  await streamAnswer(options, answer.value, 0, response);
 }
 
 function readWork(body: Buffer) {
@@ -147,20 +159,23 @@
 }
 
 async function resume(
-  worker: Worker,
+  options: AgentServerOptions,
   id: string,
   after: number,
   response: ServerResponse,
 ): Promise<void> {
-  const answer = worker.answer(id);
+  const answer = options.worker.answer(id);
   if (answer === undefined) {
     sendJson(response, STATUS.notFound, {message: `no request ${id}`});
     return;
   }
-  await streamAnswer(answer, after, response);
+  await streamAnswer(options, answer, after, response);
 }
 
+const ALIVE_INTERVAL_MS = 5000;
+
 async function streamAnswer(
+  {clock}: AgentServerOptions,
   answer: Answer,
   after: number,
   response: ServerResponse,
@@ -170,9 +185,20 @@
     controller.abort();
   });
   openEventStream(response);
+  let isIdle = false;
+  const alive = repeat(
+    clock,
+    () => ALIVE_INTERVAL_MS,
+    () => {
+      if (isIdle) response.write(formatEvent(encodeWorkEvent({kind: 'alive'})));
+      isIdle = true;
+    },
+  );
   for await (const event of answer.read(after, controller.signal)) {
+    isIdle = false;
     response.write(formatEvent(encodeWorkEvent(event)));
     if (response.writableNeedDrain) await drained(response);
   }
+  alive[Symbol.dispose]();
   response.end();
 }
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -1,15 +1,9 @@
 /** Runs requests on one endpoint: takes them in, queues, starts, preempts, withdraws and drains. */
-import {
-  type Clock,
-  DisposableStore,
-  isAborted,
-  type Logger,
-  repeat,
-  sleep,
-} from '@marigoldfold/runtime';
+import {type Clock, DisposableStore, type Logger, repeat, sleep} from '@marigoldfold/runtime';
 import {
   type Call,
   type Failure,
+  failureWith,
   type Generation,
   type Load,
   refusal,
@@ -19,7 +13,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Answer} from './answer.js';
 import type {CallRunner} from './callRunner.js';
-import type {Engine, EngineEnd, EngineStream} from './engine.js';
+import {EndedRequests} from './endedRequests.js';
+import type {Engine} from './engine.js';
+import {type GenerationTiming, runGeneration} from './generationRun.js';
 import type {Directive, WorkQueue} from './workQueue.js';
 
 /** What a worker needs. An endpoint is either an engine or a plain service. */
@@ -36,11 +32,13 @@
 }
 
 /** Durations in milliseconds. */
-export interface WorkerTiming {
+export interface WorkerTiming extends GenerationTiming {
   /** How long work goes on without a reader. */
   readonly detachedLimitMs: number;
-  /** How long a finished answer or a withdrawal is remembered. */
+  /** How long a finished answer is kept. */
   readonly retentionMs: number;
+  /** How long the id of an ended or withdrawn request is remembered; longer than any message can be late. */
+  readonly memoryMs: number;
   /** Between announcing that the endpoint leaves and refusing new work. */
   readonly leaveGraceMs: number;
 }
@@ -48,7 +46,10 @@
 /** Usual durations. */
 export const defaultWorkerTiming: WorkerTiming = {
   detachedLimitMs: 10_000,
-  retentionMs: 60_000,
+  retentionMs: 30_000,
+  memoryMs: 3_600_000,
+  firstTokenLimitMs: 120_000,
+  silenceLimitMs: 30_000,
   leaveGraceMs: 2000,
 };
 
@@ -64,15 +65,13 @@
 }
 
 const SWEEP_INTERVAL_MS = 1000;
-const MAX_ENGINE_BREAKS = 3;
-const ENGINE_RETRY_MS = 200;
 
 /** The only way to an endpoint. */
 export class Worker implements Disposable {
   readonly #options: WorkerOptions;
   readonly #jobs = new Map<string, Job>();
   readonly #finishedAtMs = new Map<string, number>();
-  readonly #withdrawnAtMs = new Map<string, number>();
+  readonly #ended: EndedRequests;
   readonly #disposables = new DisposableStore();
   #isLeaving = false;
   #refusesWork = false;
@@ -80,6 +79,7 @@
 
   constructor(options: WorkerOptions) {
     this.#options = options;
+    this.#ended = new EndedRequests(options.timing.memoryMs);
     this.#disposables.add(
       repeat(
         options.clock,
@@ -91,6 +91,11 @@
     );
   }
 
+  /** Identity of this life of the agent. */
+  get incarnation(): string {
+    return this.#options.incarnation;
+  }
+
   /** Number of requests that have not ended. */
   get activeCount(): number {
     return this.#jobs.size - this.#finishedAtMs.size;
@@ -135,23 +140,36 @@
     return this.#jobs.get(id)?.answer;
   }
 
+  /** Notes that the reader has the chunks of an answer up to a number. */
+  acknowledge(id: string, chunk: number): void {
+    this.#jobs.get(id)?.answer.acknowledge(chunk);
+  }
+
   /** Takes back a request that has not been started; a later arrival of the same id is refused. */
   withdraw(id: string): Withdrawal {
     const job = this.#jobs.get(id);
-    if (job?.answer.isFinished === true) return 'finished';
-    if (job?.hasStarted === true) return 'started';
-    this.#withdrawnAtMs.set(id, this.#options.clock.now());
+    if (job?.hasStarted === true) return job.answer.isFinished ? 'finished' : 'started';
+    if (job === undefined && this.#ended.recall(id) === 'run') return 'finished';
+    this.#ended.remember(id, 'not-run', this.#options.clock.now());
     if (job !== undefined) {
       this.#options.queue.remove(id);
-      job.settleTurn?.(refusal('withdrawn', 'the request was taken back before it started'));
+      job.settleTurn?.(
+        failureWith('withdrawn', 'withdrawn', 'the request was taken back before it started'),
+      );
     }
     return 'never-started';
   }
 
-  /** Stops a request whose caller has gone. */
+  /** Stops a request whose caller has gone; a later arrival of the same id is refused. */
   cancel(id: string): boolean {
     const job = this.#jobs.get(id);
-    if (job === undefined || job.answer.isFinished) return false;
+    if (job === undefined) {
+      if (this.#ended.recall(id) === undefined) {
+        this.#ended.remember(id, 'not-run', this.#options.clock.now());
+      }
+      return false;
+    }
+    if (job.answer.isFinished) return false;
     const isQueued = this.#options.queue.remove(id);
     job.controller.abort();
     if (isQueued) job.settleTurn?.(refusal('caller_gone', 'the caller has gone'));
@@ -191,18 +209,29 @@
         this.#notifyIdle = resolve;
       });
     }
+    await this.#options.calls?.drain();
   }
 
   [Symbol.dispose](): void {
     this.#disposables[Symbol.dispose]();
+    this.#options.calls?.[Symbol.dispose]();
     for (const job of this.#jobs.values()) job.controller.abort();
   }
 
   #findProblem(work: Work): Failure | undefined {
-    if (this.#refusesWork) return refusal('leaving', 'the endpoint is leaving');
-    if (this.#withdrawnAtMs.has(work.id)) {
-      return refusal('withdrawn', `request ${work.id} was taken back`);
+    const {incarnation} = this.#options;
+    if (work.agent !== undefined && work.agent !== incarnation) {
+      return refusal('stale_incarnation', `the request is for incarnation ${work.agent}`);
+    }
+    switch (this.#ended.recall(work.id)) {
+      case 'run':
+        return failureWith('started', 'answer_incomplete', 'the answer is no longer kept');
+      case 'not-run':
+        return refusal('withdrawn', `request ${work.id} was taken back`);
+      case undefined:
+        break;
     }
+    if (this.#refusesWork) return refusal('leaving', 'the endpoint is leaving');
     const {engine, calls} = this.#options;
     const runner = work.task.kind === 'generation' ? engine : calls;
     if (runner === undefined) {
@@ -221,7 +250,9 @@
       this.#logRefusal(work, failure);
       answer.fail(failure, this.load());
     }
-    this.#finishedAtMs.set(work.id, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.#finishedAtMs.set(work.id, now);
+    this.#ended.remember(work.id, job.hasStarted ? 'run' : 'not-run', now);
     this.#dispatch();
     this.#notifyIdle?.();
   }
@@ -270,62 +301,28 @@
     }
   }
 
-  async #generate(job: Job, generation: Generation): Promise<Failure | undefined> {
-    const {engine, queue, clock} = this.#options;
+  #generate(job: Job, generation: Generation): Promise<Failure | undefined> {
+    const {engine, queue, clock, timing} = this.#options;
     if (engine === undefined) throw new Error('a generation without an engine');
     const {work, answer, controller} = job;
-    const engineJob = {id: work.id, priority: work.tier, generation};
-    let isBegun = false;
-    let breaks = 0;
-    while (!controller.signal.aborted) {
-      const pauser = new AbortController();
-      job.pause = () => {
-        pauser.abort();
-      };
-      const signal = AbortSignal.any([pauser.signal, controller.signal]);
-      const stream = isBegun
-        ? engine.resume(work.id, answer.chunkCount, signal)
-        : engine.begin(engineJob, signal);
-      isBegun = true;
-      const end = await this.#copy(job, stream);
-      job.pause = undefined;
-      if (end.kind === 'whole') return undefined;
-      if (end.kind === 'refused') return describeRefusal(end);
-      if (isAborted(pauser.signal) && !isAborted(controller.signal)) {
+    return runGeneration({
+      clock,
+      engine,
+      work,
+      generation,
+      answer,
+      timing,
+      signal: controller.signal,
+      setPause: (pause) => {
+        job.pause = pause;
+      },
+      waitForTurn: () => {
         queue.requeue(work.id);
         const turn = this.#turn(job);
         this.#dispatch();
-        const refused = await turn;
-        if (refused !== undefined) return {...refused, ran: 'yes'};
-        continue;
-      }
-      if (end.kind === 'unknown') {
-        if (answer.chunkCount > 0) break;
-        isBegun = false;
-      }
-      breaks += 1;
-      if (breaks > MAX_ENGINE_BREAKS) break;
-      await sleep(clock, ENGINE_RETRY_MS, controller.signal);
-    }
-    await engine.cancel(work.id);
-    if (controller.signal.aborted) {
-      return {code: 'caller_gone', message: 'the caller has gone', ran: 'yes'};
-    }
-    return {code: 'endpoint_failed', message: 'the engine stopped in mid-answer', ran: 'yes'};
-  }
-
-  async #copy({answer, controller}: Job, stream: EngineStream): Promise<EngineEnd> {
-    while (true) {
-      const {done, value} = await stream.next();
-      if (done === true) return value;
-      // A chunk that came before is a repetition after a resume; a gap means that one was lost.
-      if (value.number <= answer.chunkCount) continue;
-      if (value.number > answer.chunkCount + 1) {
-        await stream.return({kind: 'broken'});
-        return {kind: 'broken'};
-      }
-      await answer.publishChunk(value.data, controller.signal);
-    }
+        return turn;
+      },
+    });
   }
 
   async #call(job: Job, call: Call): Promise<Failure | undefined> {
@@ -366,17 +363,6 @@
       this.#finishedAtMs.delete(id);
       this.#jobs.delete(id);
     }
-    for (const [id, atMs] of this.#withdrawnAtMs) {
-      if (now - atMs > timing.retentionMs) this.#withdrawnAtMs.delete(id);
-    }
+    this.#ended.sweep(now);
   }
 }
-
-const CLIENT_ERROR = {first: 400, last: 499} as const;
-
-function describeRefusal({status, message}: Extract<EngineEnd, {kind: 'refused'}>): Failure {
-  const text = `the engine answered ${status}: ${message}`;
-  if (status >= CLIENT_ERROR.first && status <= CLIENT_ERROR.last)
-    return refusal('bad_request', text);
-  return {code: 'endpoint_failed', message: text, ran: 'unknown'};
-}
--- /dev/null
+++ b/packages/entry/src/__fixtures__/scriptedLink.ts
@@ -0,0 +1,146 @@
+/** An agent link that follows a script, for tests of attempts and of the router. */
+import type {Load, Task, Work, WorkEvent} from '@marigoldfold/protocol';
+import type {CallError} from '@marigoldfold/transport';
+import {err, ok, type Result} from 'neverthrow';
+import type {AgentLink, StartError, WithdrawalAnswer, WorkEvents} from '../agentLink.js';
+
+/** What one connection gives: events and then a break, or an error. */
+export type Opening = readonly WorkEvent[] | StartError | 'hang';
+
+/** The script of a link. */
+export interface LinkScript {
+  readonly incarnation?: string;
+  readonly start: Opening;
+  readonly secondStart?: Opening;
+  /** One for each resume; the last one is repeated. */
+  readonly resumes?: readonly Opening[];
+  readonly withdrawal?: WithdrawalAnswer;
+}
+
+/** A generation. */
+export const generationTask: Task = {
+  kind: 'generation',
+  model: 'm',
+  path: '/v1/completions',
+  body: {},
+};
+
+/** A request with a task. */
+export function workOf(task: Task = generationTask): Work {
+  return {
+    id: 'e.1',
+    entry: 'e',
+    account: 'band',
+    class: 'short',
+    tier: 0,
+    firstTokenBudgetMs: 1000,
+    promptTokens: 1,
+    configuration: 1,
+    task,
+  };
+}
+
+/** A load report. */
+export function loadOf(incarnation = 'life-1'): Load {
+  return {
+    incarnation,
+    configuration: 1,
+    running: [],
+    queued: [],
+    waitMs: [],
+    window: 1,
+    interTokenMs: 0,
+    firstTokenMs: 0,
+    isLeaving: false,
+  };
+}
+
+/** Chunks from one number to another. */
+export function chunkEvents(from: number, to: number): WorkEvent[] {
+  const events: WorkEvent[] = [];
+  for (let number = from; number <= to; number += 1) {
+    events.push({kind: 'chunk', number, data: `part ${number}`});
+  }
+  return events;
+}
+
+/** The mark of a whole answer. */
+export function endEvent(chunks: number): WorkEvent {
+  return {kind: 'end', chunks, load: loadOf()};
+}
+
+const unreachable: CallError = {code: 'unreachable', message: 'cut off'};
+
+/** A link that notes what it was asked. */
+export class ScriptedLink implements AgentLink {
+  incarnation: string | undefined;
+  readonly started: Work[] = [];
+  readonly resumedAfter: number[] = [];
+  readonly acknowledged: number[] = [];
+  readonly cancelled: string[] = [];
+  withdrawals = 0;
+  probes = 0;
+
+  constructor(private readonly script: LinkScript) {}
+
+  start(work: Work, signal: AbortSignal): Promise<Result<WorkEvents, StartError>> {
+    this.started.push(work);
+    const {start, secondStart} = this.script;
+    return open(this.started.length > 1 ? (secondStart ?? start) : start, signal);
+  }
+
+  resume(
+    _id: string,
+    afterChunk: number,
+    signal: AbortSignal,
+  ): Promise<Result<WorkEvents, StartError>> {
+    const resumes = this.script.resumes ?? [];
+    const opening = resumes[Math.min(this.resumedAfter.length, resumes.length - 1)];
+    this.resumedAfter.push(afterChunk);
+    return open(opening ?? {kind: 'unreachable', message: 'cut off', maySent: true}, signal);
+  }
+
+  acknowledge(_id: string, chunk: number): Promise<Result<void, CallError>> {
+    this.acknowledged.push(chunk);
+    return Promise.resolve(ok(undefined));
+  }
+
+  withdraw(): Promise<Result<WithdrawalAnswer, CallError>> {
+    this.withdrawals += 1;
+    const {withdrawal} = this.script;
+    return Promise.resolve(withdrawal === undefined ? err(unreachable) : ok(withdrawal));
+  }
+
+  cancel(id: string): Promise<Result<boolean, CallError>> {
+    this.cancelled.push(id);
+    return Promise.resolve(ok(true));
+  }
+
+  probe(): Promise<Result<Load, CallError>> {
+    this.probes += 1;
+    this.incarnation = this.script.incarnation ?? 'life-1';
+    return Promise.resolve(ok(loadOf(this.incarnation)));
+  }
+}
+
+function open(opening: Opening, signal: AbortSignal): Promise<Result<WorkEvents, StartError>> {
+  if (opening === 'hang') return Promise.resolve(ok(hang(signal)));
+  if ('kind' in opening) return Promise.resolve(err(opening));
+  return Promise.resolve(ok(replay(opening)));
+}
+
+async function* replay(events: readonly WorkEvent[]): AsyncGenerator<WorkEvent, void> {
+  for (const event of events) {
+    await Promise.resolve();
+    yield event;
+  }
+}
+
+async function* hang(signal: AbortSignal): AsyncGenerator<WorkEvent, void> {
+  await new Promise<void>((resolve) => {
+    signal.addEventListener('abort', () => {
+      resolve();
+    });
+  });
+  yield* [];
+}
--- /dev/null
+++ b/packages/entry/src/__tests__/router.test.ts
@@ -0,0 +1,148 @@
+import {EndpointChoice, RetryBudget} from '@marigoldfold/coordination';
+import type {Failure, Instance, Task} from '@marigoldfold/protocol';
+import {seededRandom, silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {Configuration, type RequestClass} from '@marigoldfold/state';
+import {describe, expect, it} from 'vitest';
+import {
+  endEvent,
+  generationTask,
+  type LinkScript,
+  loadOf,
+  type Opening,
+  ScriptedLink,
+  workOf,
+} from '../__fixtures__/scriptedLink.js';
+import type {RoutedEnd} from '../attempt.js';
+import {Router} from '../router.js';
+
+const requestClass: RequestClass = {
+  tier: 0,
+  endpointSets: ['set'],
+  guaranteedShare: 0,
+  typicalOutputTokens: 1,
+};
+const unkeyedCall: Task = {
+  kind: 'call',
+  service: 'ledger',
+  method: 'POST',
+  path: '/postings',
+  headers: {},
+  body: '',
+};
+const keyedCall: Task = {...unkeyedCall, idempotencyKey: 'k'};
+
+function instanceOf(name: string): Instance {
+  return {
+    name,
+    role: 'agent',
+    address: `127.0.0.1:${name.length}`,
+    failureDomain: 'a',
+    region: 'r',
+    endpoint: name,
+    state: 'live',
+  };
+}
+
+/** Routes one request over scripted agents; they are used in the order of the script. */
+async function route(task: Task, scripts: readonly LinkScript[]) {
+  const clock = new VirtualClock();
+  const choice = new EndpointChoice({clock, random: seededRandom(1), self: 'entry'});
+  const names = scripts.map((_, index) => `agent-${index}`);
+  const set = {type: 'engine', models: ['m'], slots: 1};
+  const service = {type: 'service', service: 'ledger', slots: 1};
+  const configuration = Configuration.empty.apply(
+    [
+      {kind: 'endpointSet', name: 'set', state: task.kind === 'generation' ? set : service},
+      ...names.map((name) => ({kind: 'endpoint' as const, name, state: {set: 'set'}})),
+    ],
+    1,
+  );
+  choice.update(configuration, names.map(instanceOf));
+  const links: ScriptedLink[] = [];
+  const byName = new Map<string, ScriptedLink>();
+  const router = new Router({
+    clock,
+    logger: silentLogger,
+    choice,
+    retryBudget: new RetryBudget(),
+    linkTo: ({name}) => {
+      const known = byName.get(name);
+      if (known !== undefined) return known;
+      const script = scripts[links.length];
+      if (script === undefined) throw new Error('more agents than scripts');
+      const link = new ScriptedLink(script);
+      links.push(link);
+      byName.set(name, link);
+      return link;
+    },
+  });
+  const target =
+    task.kind === 'generation'
+      ? ({kind: 'model', model: 'm'} as const)
+      : ({kind: 'service', service: 'ledger'} as const);
+  const answer = router.route(
+    {work: workOf(task), demand: {requestClass, tier: 0, target}},
+    new AbortController().signal,
+  );
+  let end: RoutedEnd | undefined;
+  const reading = (async () => {
+    while (end === undefined) {
+      const next = await answer.next();
+      if (next.done === true) end = next.value;
+    }
+  })();
+  await clock.advance(120_000);
+  await reading;
+  if (end === undefined) throw new Error('the request did not end');
+  return {end, links};
+}
+
+function refusedWith(code: Failure['code'], ran: Failure['ran']): Opening {
+  return {kind: 'refused', failure: {code, message: '', ran}, load: loadOf()};
+}
+
+const whole: LinkScript = {start: [endEvent(0)]};
+const lost: LinkScript = {start: []};
+
+describe('a request whose agent was lost', () => {
+  it('is tried elsewhere, and the first agent is told to stop', async () => {
+    const {end, links} = await route(generationTask, [lost, whole]);
+    expect(end.kind).toBe('whole');
+    expect(links[0]?.cancelled).toEqual(['e.1']);
+  });
+
+  it('is not reported as not run because a second agent refused it', async () => {
+    const {end} = await route(generationTask, [lost, {start: refusedWith('leaving', 'no')}]);
+    expect(end).toMatchObject({kind: 'failed', failure: {code: 'leaving', ran: 'unknown'}});
+  });
+
+  it('is not reported as not run when a second attempt meets the claim of the first', async () => {
+    const second = {start: refusedWith('store_unavailable', 'no')};
+    const {end} = await route(keyedCall, [lost, second]);
+    expect(end).toMatchObject({kind: 'failed', failure: {ran: 'unknown'}});
+  });
+
+  it('is not tried elsewhere when it must not run twice and has no key', async () => {
+    const {end, links} = await route(unkeyedCall, [lost, whole]);
+    expect(end).toMatchObject({kind: 'failed', failure: {ran: 'unknown'}});
+    expect(links).toHaveLength(1);
+  });
+});
+
+describe('a request that was refused', () => {
+  it('everywhere is reported as not run', async () => {
+    const refused = {start: refusedWith('leaving', 'no')};
+    const {end} = await route(generationTask, [refused, refused]);
+    expect(end).toMatchObject({kind: 'failed', failure: {code: 'leaving', ran: 'no'}});
+  });
+
+  it('by a leaving agent is answered by another', async () => {
+    const {end} = await route(keyedCall, [{start: refusedWith('leaving', 'no')}, whole]);
+    expect(end.kind).toBe('whole');
+  });
+
+  it('for its content is not tried elsewhere', async () => {
+    const {links} = await route(generationTask, [{start: refusedWith('bad_request', 'no')}, whole]);
+    expect(links).toHaveLength(1);
+  });
+});
--- a/packages/entry/src/agentLink.ts
+++ b/packages/entry/src/agentLink.ts
@@ -15,8 +15,16 @@
 /** Events of an answer; the iteration ends without a last event when the connection breaks. */
 export type WorkEvents = AsyncIterable<WorkEvent>;
 
+/** What an agent said to a withdrawal, with the incarnation that said it. */
+export interface WithdrawalAnswer {
+  readonly outcome: Withdrawal;
+  readonly incarnation: string;
+}
+
 /** One agent. */
 export interface AgentLink {
+  /** The incarnation that was heard last; undefined before the first contact. */
+  readonly incarnation: string | undefined;
   start(work: Work, signal: AbortSignal): Promise<Result<WorkEvents, StartError>>;
   /** Goes on with an answer after a chunk. */
   resume(
@@ -24,7 +32,9 @@
     afterChunk: number,
     signal: AbortSignal,
   ): Promise<Result<WorkEvents, StartError>>;
-  withdraw(id: string): Promise<Result<Withdrawal, CallError>>;
+  /** Tells the agent that the chunks up to a number have arrived. */
+  acknowledge(id: string, chunk: number): Promise<Result<void, CallError>>;
+  withdraw(id: string): Promise<Result<WithdrawalAnswer, CallError>>;
   cancel(id: string): Promise<Result<boolean, CallError>>;
   probe(): Promise<Result<Load, CallError>>;
 }
--- a/packages/entry/src/callersApi.ts
+++ b/packages/entry/src/callersApi.ts
@@ -5,6 +5,7 @@
   type Failure,
   failureBody,
   failureStatus,
+  failureWith,
   refusal,
   type Task,
   type Work,
@@ -32,7 +33,8 @@
   resolveClass,
 } from './callerRequest.js';
 import {CompletionAssembly} from './completionAssembly.js';
-import type {RoutedAnswer, RoutedEnd, RoutedRequest, Router} from './router.js';
+import type {RoutedAnswer, RoutedEnd} from './attempt.js';
+import type {RoutedRequest, Router} from './router.js';
 import {findServiceSet, isNonIdempotent, readServiceCall} from './serviceCall.js';
 
 /** What the API needs. */
@@ -185,7 +187,8 @@
     return refusal('unknown_service', message);
   }
   const key = request.headers['idempotency-key'];
-  const needsKey = isNonIdempotent(set, request.method ?? '', path);
+  const allSets = head.configuration.all('endpointSet').values();
+  const needsKey = isNonIdempotent(allSets, service, request.method ?? '', path);
   if (needsKey && (typeof key !== 'string' || key === '')) {
     const message = `${request.method ?? ''} ${path} may run at most once and needs an Idempotency-Key header`;
     return refusal('idempotency_key_missing', message);
@@ -337,7 +340,7 @@
     if (!assembly.add(value.data)) {
       await answer.return({kind: 'whole'});
       const message = 'the engine gave a part of the answer that cannot be read';
-      return {kind: 'failed', failure: {code: 'answer_incomplete', message, ran: 'yes'}};
+      return {kind: 'failed', failure: failureWith('started', 'answer_incomplete', message)};
     }
   }
 }
--- a/packages/entry/src/httpAgentLink.ts
+++ b/packages/entry/src/httpAgentLink.ts
@@ -1,14 +1,19 @@
 /** Links to agents: answers over HTTP, control over one JSON-RPC connection each. */
 import {
+  acknowledgeMethod,
   cancelMethod,
   decodeWorkEvent,
   failedStartSchema,
+  incarnationHeader,
   type Instance,
+  type Load,
   probeMethod,
   withdrawMethod,
+  type Work,
   type WorkEvent,
 } from '@marigoldfold/protocol';
 import {
+  type CallError,
   type ClientAnswer,
   type ClientRequest,
   type ClusterKey,
@@ -18,7 +23,7 @@
   readEvents,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
-import type {AgentLink, StartError, WorkEvents} from './agentLink.js';
+import type {AgentLink, StartError, WithdrawalAnswer, WorkEvents} from './agentLink.js';
 
 const STATUS = {ok: 200, notFound: 404} as const;
 
@@ -28,43 +33,81 @@
   clusterKey: ClusterKey,
   peer: Peer,
 ): AgentLink {
-  const {address} = peer;
-  const headers = clusterKey.headers;
-  return {
-    start: (work, signal) =>
-      open(client, {
-        address,
-        method: 'POST',
-        path: '/work',
-        headers: {...headers, 'content-type': 'application/json'},
-        body: JSON.stringify(work),
-        signal,
-      }),
-    resume: (id, afterChunk, signal) =>
-      open(client, {
-        address,
-        method: 'GET',
-        path: `/work/${id}?after=${afterChunk}`,
-        headers,
-        signal,
-      }),
-    withdraw: async (id) => (await peer.call(withdrawMethod, {id})).map(({outcome}) => outcome),
-    cancel: async (id) => (await peer.call(cancelMethod, {id})).map(({wasKnown}) => wasKnown),
-    probe: () => peer.call(probeMethod, {}),
-  };
+  return new HttpAgentLink(client, clusterKey, peer);
 }
 
-async function open(
-  client: HttpClient,
-  request: ClientRequest,
-): Promise<Result<WorkEvents, StartError>> {
-  const answer = await client.send(request);
-  if (answer.isErr()) {
-    const {message, maySent} = answer.error;
-    return err({kind: 'unreachable', message, maySent});
+class HttpAgentLink implements AgentLink {
+  readonly #client: HttpClient;
+  readonly #headers: Readonly<Record<string, string>>;
+  readonly #peer: Peer;
+  #incarnation: string | undefined;
+
+  constructor(client: HttpClient, clusterKey: ClusterKey, peer: Peer) {
+    this.#client = client;
+    this.#headers = clusterKey.headers;
+    this.#peer = peer;
+  }
+
+  get incarnation(): string | undefined {
+    return this.#incarnation;
+  }
+
+  start(work: Work, signal: AbortSignal): Promise<Result<WorkEvents, StartError>> {
+    return this.#open({
+      address: this.#peer.address,
+      method: 'POST',
+      path: '/work',
+      headers: {...this.#headers, 'content-type': 'application/json'},
+      body: JSON.stringify(work),
+      signal,
+    });
+  }
+
+  resume(
+    id: string,
+    afterChunk: number,
+    signal: AbortSignal,
+  ): Promise<Result<WorkEvents, StartError>> {
+    return this.#open({
+      address: this.#peer.address,
+      method: 'GET',
+      path: `/work/${id}?after=${afterChunk}`,
+      headers: this.#headers,
+      signal,
+    });
+  }
+
+  async acknowledge(id: string, chunk: number): Promise<Result<void, CallError>> {
+    return (await this.#peer.call(acknowledgeMethod, {id, chunk})).map(() => undefined);
+  }
+
+  async withdraw(id: string): Promise<Result<WithdrawalAnswer, CallError>> {
+    const answer = await this.#peer.call(withdrawMethod, {id});
+    if (answer.isOk()) this.#incarnation = answer.value.incarnation;
+    return answer;
+  }
+
+  async cancel(id: string): Promise<Result<boolean, CallError>> {
+    return (await this.#peer.call(cancelMethod, {id})).map(({wasKnown}) => wasKnown);
+  }
+
+  async probe(): Promise<Result<Load, CallError>> {
+    const load = await this.#peer.call(probeMethod, {});
+    if (load.isOk()) this.#incarnation = load.value.incarnation;
+    return load;
+  }
+
+  async #open(request: ClientRequest): Promise<Result<WorkEvents, StartError>> {
+    const answer = await this.#client.send(request);
+    if (answer.isErr()) {
+      const {message, maySent} = answer.error;
+      return err({kind: 'unreachable', message, maySent});
+    }
+    const {status, headers} = answer.value;
+    this.#incarnation = headers[incarnationHeader] ?? this.#incarnation;
+    if (status === STATUS.ok) return ok(readWorkEvents(answer.value));
+    return err(await readFailedStart(answer.value));
   }
-  if (answer.value.status === STATUS.ok) return ok(readWorkEvents(answer.value));
-  return err(await readFailedStart(answer.value));
 }
 
 async function* readWorkEvents({stream}: ClientAnswer): AsyncGenerator<WorkEvent, void> {
--- a/packages/protocol/src/failure.ts
+++ b/packages/protocol/src/failure.ts
@@ -1,5 +1,6 @@
 /** Failures as every caller and process sees them. */
 import {z} from 'zod';
+import {ranBy} from './evidence.js';
 
 /** Whether the work of a failed request was run: certainly not, certainly, or not known. */
 export const ranSchema = z.enum(['no', 'yes', 'unknown']);
@@ -74,8 +75,8 @@
 /** A request that was refused before any of its work was started. */
 export function refusal(code: FailureCode, message: string, retryAfterMs?: number): Failure {
   return retryAfterMs === undefined
-    ? {code, message, ran: 'no'}
-    : {code, message, ran: 'no', retryAfterMs};
+    ? {code, message, ran: ranBy('refused')}
+    : {code, message, ran: ranBy('refused'), retryAfterMs};
 }
 
 /** The HTTP status for a failure. */
--- a/packages/protocol/src/identity.ts
+++ b/packages/protocol/src/identity.ts
@@ -1,6 +1,9 @@
 /** Identities of processes and requests. */
 import {randomBytes} from 'node:crypto';
 
+/** Header by which an agent names its incarnation on every answer. */
+export const incarnationHeader = 'x-marigoldfold-incarnation';
+
 const RANDOM_BYTES = 6;
 const RADIX = 36;
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Typed messages, identities and failures that the processes share. */
+export {type Evidence, failureWith, ranBy, ranByAny} from './evidence.js';
 export {
   type Failure,
   type FailureBody,
@@ -10,7 +11,7 @@
   ranSchema,
   refusal,
 } from './failure.js';
-export {createIncarnation, requestIds} from './identity.js';
+export {createIncarnation, incarnationHeader, requestIds} from './identity.js';
 export {
   type AnswerEvent,
   answerEventName,
@@ -24,6 +25,7 @@
 export {
   type Method,
   type Withdrawal,
+  acknowledgeMethod,
   cancelMethod,
   probeMethod,
   withdrawMethod,
--- a/packages/protocol/src/rpc.ts
+++ b/packages/protocol/src/rpc.ts
@@ -26,7 +26,8 @@
 export const withdrawMethod = method(
   'agent.withdraw',
   z.object({id: z.string()}),
-  z.object({outcome: withdrawalSchema}),
+  /** An agent of a later incarnation knows nothing of the request, so its word is not enough. */
+  z.object({outcome: withdrawalSchema, incarnation: z.string()}),
 );
 
 /** Stops a request whose caller has gone. */
@@ -35,3 +36,10 @@
   z.object({id: z.string()}),
   z.object({wasKnown: z.boolean()}),
 );
+
+/** Tells an agent that the entry has all chunks of an answer up to a number. */
+export const acknowledgeMethod = method(
+  'agent.acknowledge',
+  z.object({id: z.string(), chunk: z.int().min(0)}),
+  z.object({}),
+);
--- a/packages/protocol/src/work.ts
+++ b/packages/protocol/src/work.ts
@@ -31,6 +31,8 @@
   /** Entry incarnation and sequence, unique for all time. */
   id: z.string(),
   entry: z.string(),
+  /** Incarnation of the agent that the request is meant for; absent before the first contact. */
+  agent: z.string().optional(),
   account: z.string(),
   class: z.string(),
   tier: tierSchema,
@@ -64,6 +66,8 @@
   z.object({kind: z.literal('queued'), load: loadSchema}),
   /** The endpoint has begun the work. */
   z.object({kind: z.literal('started')}),
+  /** Nothing else was to be said for a while; the connection and the agent live. */
+  z.object({kind: z.literal('alive')}),
   /** Status and headers of a plain service's answer. */
   z.object({
     kind: z.literal('head'),
