Forward requests on the platform: configuration, endpoints, one request of each kind

Cause: the product had no way to run on the users' platform, whose store, headers and settings differ from its own protocols. Change: routes, services and accounts as the product's types; a mirror of a store range that knows its age; endpoint client with typed send outcomes; forwarding exchange with repeats, resumption, drain; placement that keeps long and short prompts apart. platform/ decodes settings, records and headers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,7 @@
 }));
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**']},
+  {ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', 'coverage/**']},
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -0,0 +1,95 @@
+/** What this process knows of one endpoint. */
+import type {Clock} from '@marigoldfold/runtime';
+import type {EndpointRecord} from '@marigoldfold/state';
+import type {Flight} from './flight.js';
+import type {LoadReport} from './loadReport.js';
+import {PromptResidency} from './promptResidency.js';
+
+/** Time after which a report of slowness says nothing any more: neighbours change several times a second. */
+const SLOWNESS_AGE_LIMIT_MS = 400;
+/** Time after which a report of load says nothing any more, in milliseconds. */
+const LOAD_AGE_LIMIT_MS = 1500;
+/** First time that an unreachable endpoint is left out, in milliseconds. */
+const MIN_BAR_MS = 250;
+/** Longest time that an endpoint is left out before the next trial, in milliseconds. */
+const MAX_BAR_MS = 4000;
+/** Weight of the newest answer in the share of failures. */
+const FAILURE_WEIGHT = 0.1;
+
+/** One endpoint with its requests in flight and its condition. */
+export class Endpoint {
+  readonly #clock: Clock;
+  readonly flights = new Set<Flight>();
+  readonly residency = new PromptResidency();
+  record: EndpointRecord;
+  #load:
+    {readonly report: LoadReport; readonly atMs: number; readonly ownFlights: number} | undefined;
+  #failures = 0;
+  #barredUntilMs = Number.NEGATIVE_INFINITY;
+  /** Share of recent requests that the endpoint failed, from 0 to 1. */
+  failureShare = 0;
+
+  constructor(clock: Clock, record: EndpointRecord) {
+    this.#clock = clock;
+    this.record = record;
+  }
+
+  /** Takes a newer record; a restart under the same id forgets what was known. */
+  update(record: EndpointRecord): void {
+    const hasRestarted =
+      record.startedAtMs !== this.record.startedAtMs || record.address !== this.record.address;
+    this.record = record;
+    if (!hasRestarted) return;
+    this.residency.clear();
+    this.#load = undefined;
+    this.failureShare = 0;
+    this.trust();
+  }
+
+  /** Takes a load report. */
+  observe(report: LoadReport): void {
+    this.#load = {report, atMs: this.#clock.now(), ownFlights: this.flights.size};
+  }
+
+  /** Requests there, those of other processes by the last report. */
+  get occupancy(): number {
+    const load = this.#load;
+    if (load === undefined) return this.flights.size;
+    const ageMs = this.#clock.now() - load.atMs;
+    if (ageMs > LOAD_AGE_LIMIT_MS) return this.flights.size;
+    const others = Math.max(0, load.report.running + load.report.waiting - load.ownFlights);
+    return this.flights.size + others * (1 - ageMs / LOAD_AGE_LIMIT_MS);
+  }
+
+  /** How long work takes there; 1 is the usual time. */
+  get slowness(): number {
+    const load = this.#load;
+    if (load?.report.slowness === undefined) return 1;
+    if (this.#clock.now() - load.atMs > SLOWNESS_AGE_LIMIT_MS) return 1;
+    return Math.max(1, load.report.slowness);
+  }
+
+  /** Whether the endpoint is left out after failures to reach it. */
+  get isBarred(): boolean {
+    return this.#clock.now() < this.#barredUntilMs;
+  }
+
+  /** Leaves the endpoint out for a while; returns for how long, in milliseconds. */
+  bar(): number {
+    const limitMs = Math.min(MAX_BAR_MS, MIN_BAR_MS * 2 ** this.#failures);
+    this.#failures += 1;
+    this.#barredUntilMs = this.#clock.now() + limitMs;
+    return limitMs;
+  }
+
+  /** Notes that the endpoint answers. */
+  trust(): void {
+    this.#failures = 0;
+    this.#barredUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Notes whether an answer was a failure of the endpoint. */
+  noteAnswer(hasFailed: boolean): void {
+    this.failureShare += FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - this.failureShare);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -0,0 +1,138 @@
+/** Keeps a copy of a range of the key-value service, and knows how old it is. */
+import {type Clock, isAborted, type Logger, type Random, sleep} from '@marigoldfold/runtime';
+import type {KeyValue, KeyValueEntry, StoreError} from '@marigoldfold/state';
+
+/** What the copy needs. */
+export interface RangeMirrorOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly store: Pick<KeyValue, 'list' | 'watch'>;
+  readonly prefix: string;
+  /** Milliseconds that a watch waits before it confirms that nothing has changed. */
+  readonly watchMs: number;
+  /** Takes the entries that changed; removed ones have an empty value. */
+  readonly onChange: (changes: readonly KeyValueEntry[]) => void;
+  /** Called after each answer, also when nothing has changed. */
+  readonly onConfirmed?: () => void;
+  /** Called when the service answers again. */
+  readonly onRegained?: () => void;
+}
+
+/** First pause after a failed call, in milliseconds: a few round trips within a region. */
+const MIN_BACKOFF_MS = 50;
+/** Longest pause between tries, in milliseconds: a third of the shortest bound of the configuration. */
+const MAX_BACKOFF_MS = 600;
+/** Pause after a change, in milliseconds: changes that come together cost one call, not one each. */
+const BATCH_MS = 100;
+
+/** A copy that follows the range until it is disposed of. */
+export class RangeMirror implements Disposable {
+  readonly #options: RangeMirrorOptions;
+  readonly #controller = new AbortController();
+  readonly #revisions = new Map<string, number>();
+  #revision: number | undefined;
+  #confirmedAtMs: number | undefined;
+  #failures = 0;
+  #lostAtMs: number | undefined;
+
+  constructor(options: RangeMirrorOptions) {
+    this.#options = options;
+    void this.#follow();
+  }
+
+  /** Milliseconds since the copy was known to be current; infinite before the first reading. */
+  get ageMs(): number {
+    if (this.#confirmedAtMs === undefined) return Number.POSITIVE_INFINITY;
+    return this.#options.clock.now() - this.#confirmedAtMs;
+  }
+
+  [Symbol.dispose](): void {
+    this.#controller.abort();
+  }
+
+  async #follow(): Promise<void> {
+    const {clock} = this.#options;
+    const {signal} = this.#controller;
+    while (!signal.aborted) {
+      // The copy is as old as the start of the call: a change during it may be missing.
+      const startedAtMs = clock.now();
+      const error = await (this.#revision === undefined ? this.#read() : this.#watch());
+      if (isAborted(signal)) return;
+      if (error !== undefined) {
+        await this.#recover(error);
+        continue;
+      }
+      this.#confirmedAtMs = startedAtMs;
+      this.#noteRegained();
+      this.#options.onConfirmed?.();
+    }
+  }
+
+  async #read(): Promise<StoreError | undefined> {
+    const {store, prefix} = this.#options;
+    const listing = await store.list(prefix);
+    if (listing.isErr()) return listing.error;
+    const {entries, revision} = listing.value;
+    const present = new Set(entries.map(({key}) => key));
+    const changes = entries.filter((entry) => this.#isNewer(entry));
+    for (const key of this.#revisions.keys()) {
+      if (!present.has(key)) changes.push({key, value: '', revision});
+    }
+    this.#apply(changes, revision);
+    return undefined;
+  }
+
+  async #watch(): Promise<StoreError | undefined> {
+    const {clock, store, prefix, watchMs} = this.#options;
+    const {signal} = this.#controller;
+    const afterRevision = this.#revision ?? 0;
+    const changes = await store.watch(prefix, {afterRevision, timeoutMs: watchMs, signal});
+    if (changes.isErr()) return changes.error;
+    const {entries, revision} = changes.value;
+    this.#apply(
+      entries.filter((entry) => this.#isNewer(entry)),
+      Math.max(revision, afterRevision),
+    );
+    if (entries.length > 0) await sleep(clock, BATCH_MS, signal);
+    return undefined;
+  }
+
+  #isNewer({key, revision}: KeyValueEntry): boolean {
+    return revision > (this.#revisions.get(key) ?? 0);
+  }
+
+  #apply(changes: readonly KeyValueEntry[], revision: number): void {
+    this.#revision = revision;
+    for (const {key, value, revision: changedAt} of changes) {
+      if (value === '') this.#revisions.delete(key);
+      else this.#revisions.set(key, changedAt);
+    }
+    if (changes.length > 0) this.#options.onChange(changes);
+  }
+
+  async #recover(error: StoreError): Promise<void> {
+    const {clock, random, logger, prefix} = this.#options;
+    if (error.code === 'history_lost') {
+      this.#revision = undefined;
+      logger.warn('history of the key-value service lost, reading again', {prefix});
+      return;
+    }
+    if (this.#lostAtMs === undefined) {
+      this.#lostAtMs = clock.now();
+      logger.warn('key-value service lost', {prefix, ageMs: this.ageMs, reason: error.message});
+    }
+    const limitMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures);
+    this.#failures += 1;
+    await sleep(clock, limitMs * (0.5 + random() / 2), this.#controller.signal);
+  }
+
+  #noteRegained(): void {
+    this.#failures = 0;
+    if (this.#lostAtMs === undefined) return;
+    const {clock, logger, prefix, onRegained} = this.#options;
+    logger.info('key-value service regained', {prefix, outageMs: clock.now() - this.#lostAtMs});
+    this.#lostAtMs = undefined;
+    onRegained?.();
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -72,3 +72,11 @@
   createMembership,
   listAgeLimitMs,
 } from './spread/membership.js';
+export type {ForwardDemand, PromptPart, PromptSize} from './forwarding/demand.js';
+export type {Endpoint} from './forwarding/endpoint.js';
+export {EndpointRegistry} from './forwarding/endpointRegistry.js';
+export type {Flight} from './forwarding/flight.js';
+export type {LoadReport} from './forwarding/loadReport.js';
+export {Placement} from './forwarding/placement.js';
+export {RangeMirror} from './forwarding/rangeMirror.js';
+export {RepeatBudget, type RepeatBudgetBounds} from './forwarding/repeatBudget.js';
--- /dev/null
+++ b/packages/entry/src/forwarding/clientAnswer.ts
@@ -0,0 +1,78 @@
+/** The answer to one client: refusals, whole answers and streams, each begun at most once. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {endToEndHeaders} from './endToEndHeaders.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Writes the answer to a client. */
+export class ClientAnswer {
+  readonly #response: ServerResponse;
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+    response.sendDate = false;
+  }
+
+  /** Whether the client has been sent any part of an answer. */
+  get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  /** Whether the connection is gone. */
+  get isGone(): boolean {
+    return this.#response.destroyed;
+  }
+
+  /** Sends an answer of the router's own. */
+  refuse(status: number, reason: string, retryAfterMs?: number): void {
+    if (this.hasBegun || this.isGone) return;
+    const body = JSON.stringify({error: reason});
+    const headers = ['content-type', 'application/json', 'content-length', String(body.length)];
+    if (retryAfterMs !== undefined) {
+      headers.push('retry-after', String(retryAfterMs / MS_PER_SECOND));
+    }
+    this.#response.writeHead(status, headers);
+    this.#response.end(body);
+  }
+
+  /** Sends an endpoint's answer that has arrived whole. */
+  sendWhole(answer: IncomingMessage, body: Buffer): void {
+    if (this.isGone) return;
+    const headers = endToEndHeaders(answer.rawHeaders);
+    headers.push('content-length', String(body.length));
+    this.#response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
+    this.#response.end(body);
+  }
+
+  /** Sends the head of an endpoint's answer whose body follows in parts. */
+  begin(answer: IncomingMessage): void {
+    if (this.hasBegun || this.isGone) return;
+    const headers = endToEndHeaders(answer.rawHeaders);
+    this.#response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
+  }
+
+  /** Sends bytes; resolves at once unless the client does not read. */
+  async write(bytes: Buffer): Promise<void> {
+    if (this.isGone || this.#response.write(bytes)) return;
+    const response = this.#response;
+    await new Promise<void>((resolve) => {
+      const finish = () => {
+        response.off('drain', finish);
+        response.off('close', finish);
+        resolve();
+      };
+      response.on('drain', finish);
+      response.on('close', finish);
+    });
+  }
+
+  /** Ends a stream as complete. */
+  end(): void {
+    if (!this.isGone) this.#response.end();
+  }
+
+  /** Breaks off an answer so that it does not look complete. */
+  breakOff(): void {
+    this.#response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -0,0 +1,333 @@
+/** One request of a client from its arrival to the end of its answer. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ForwardDemand} from '@marigoldfold/coordination';
+import {hash64} from '@marigoldfold/coordination';
+import {isAborted} from '@marigoldfold/runtime';
+import type {Route, Service} from '@marigoldfold/state';
+import {type Admission, admit, type Refusal} from './admission.js';
+import {type AttemptEnd, type HeldAnswer, runAttempt} from './attempt.js';
+import {ClientAnswer} from './clientAnswer.js';
+import {endToEndHeaders} from './endToEndHeaders.js';
+import type {RequestFacts} from './forwardFormat.js';
+import type {ForwardOptions} from './forwardOptions.js';
+import {readRequestBody} from './requestBody.js';
+
+/** Time for an endpoint's own answer at the time limit to come through, in milliseconds. */
+const TIMEOUT_GRACE_MS = 100;
+/** Time left below which a send is not worth it, in milliseconds: a round trip and a token. */
+const MIN_LEFT_MS = 20;
+/** When to come back if no endpoint takes the request, in milliseconds. */
+const BUSY_RETRY_MS = 300;
+/** Lowest rank at an endpoint. */
+const MAX_RANK = 9;
+/** Ranks of one step of an account's priority: the routes' priorities order requests within it. */
+const RANKS_PER_ACCOUNT_PRIORITY = 3;
+
+/** How an exchange ended. */
+type End =
+  | {readonly kind: 'delivered'; readonly status: number}
+  | {readonly kind: 'refused'; readonly refusal: Refusal}
+  | {readonly kind: 'failed'; readonly status: number; readonly reason: string}
+  | {readonly kind: 'cut'; readonly reason: string}
+  | {readonly kind: 'gone'};
+
+/** Serves one request. */
+export async function serveExchange(
+  options: ForwardOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  await new Exchange(options, request, response).run();
+}
+
+class Exchange {
+  readonly #options: ForwardOptions;
+  readonly #request: IncomingMessage;
+  readonly #answer: ClientAnswer;
+  readonly #facts: RequestFacts;
+  readonly #arrivedAtMs: number;
+  readonly #gone = new AbortController();
+  readonly #over = new AbortController();
+  /** Endpoints that are not tried again. */
+  readonly #excluded = new Set<string>();
+  /** Sends that may have been run by an endpoint. */
+  #runs = 0;
+  #sends = 0;
+  #lastEventId: string | undefined;
+  #held: HeldAnswer | undefined;
+  #lastReason = '';
+  #routeName = '';
+
+  constructor(options: ForwardOptions, request: IncomingMessage, response: ServerResponse) {
+    this.#options = options;
+    this.#request = request;
+    this.#answer = new ClientAnswer(response);
+    this.#facts = options.format.readRequest(request.headers);
+    this.#arrivedAtMs = options.clock.now();
+    response.on('close', () => {
+      if (!response.writableFinished) this.#gone.abort();
+    });
+  }
+
+  async run(): Promise<void> {
+    const {metrics} = this.#options;
+    metrics.inFlight.inc();
+    const end = await this.#serve();
+    metrics.inFlight.dec();
+    this.#conclude(end);
+  }
+
+  async #serve(): Promise<End> {
+    if (this.#facts.id === undefined) {
+      return {kind: 'refused', refusal: {status: 400, reason: 'no_request_id'}};
+    }
+    const admitted = this.#admit();
+    if (admitted.isErr()) return {kind: 'refused', refusal: admitted.error};
+    const {route, table} = admitted.value;
+    this.#routeName = route.name;
+    const body = await readRequestBody(this.#request, table.configuration.limits.maxBodyBytes);
+    if (body === 'too_large') {
+      return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
+    }
+    if (body === 'aborted') return {kind: 'gone'};
+    const limitMs = Math.min(route.timeoutMs, this.#facts.deadlineMs ?? route.timeoutMs);
+    const deadlineMs = this.#arrivedAtMs + limitMs;
+    const timer = this.#options.clock.schedule(
+      deadlineMs - this.#options.clock.now() + TIMEOUT_GRACE_MS,
+      () => {
+        this.#over.abort();
+      },
+    );
+    this.#options.budget.earn(this.#chooseService(admitted.value)?.name ?? '');
+    try {
+      return await this.#forward(body, deadlineMs);
+    } finally {
+      timer[Symbol.dispose]();
+    }
+  }
+
+  #admit() {
+    const {belief, beliefLimits} = this.#options;
+    return admit(this.#request, this.#facts, belief(), beliefLimits());
+  }
+
+  /** Sends until an answer is delivered or no further send is allowed. */
+  async #forward(body: Buffer, deadlineMs: number): Promise<End> {
+    const signal = AbortSignal.any([this.#gone.signal, this.#over.signal]);
+    while (true) {
+      if (isAborted(this.#gone.signal)) return {kind: 'gone'};
+      const leftMs = deadlineMs - this.#options.clock.now();
+      if (leftMs < MIN_LEFT_MS) return this.#giveUp(504, 'time_over');
+      // The configuration may have changed since the arrival.
+      const admitted = this.#admit();
+      if (admitted.isErr()) return this.#giveUp(admitted.error.status, admitted.error.reason);
+      const {route} = admitted.value;
+      const isRepeatable = isIdempotent(route);
+      const end = await this.#sendOnce(admitted.value, body, leftMs, isRepeatable, signal);
+      if (end === undefined) return this.#giveUp(503, 'no_endpoint');
+      if (end.kind === 'delivered') return end;
+      if (!this.#mayRepeat(end, route, isRepeatable)) return this.#giveUp(502, this.#lastReason);
+    }
+  }
+
+  async #sendOnce(
+    {route, table, account}: Admission,
+    body: Buffer,
+    leftMs: number,
+    isRepeatable: boolean,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd | undefined> {
+    const {format, placement, budget, metrics, clock} = this.#options;
+    const service = this.#chooseService({route, table, account});
+    if (service === undefined) return undefined;
+    const priority = account?.priority ?? route.priority;
+    const demand: ForwardDemand = {
+      id: this.#facts.id ?? '',
+      service: service.name,
+      priority,
+      targetLeftMs: route.targetMs - (clock.now() - this.#arrivedAtMs),
+      pauseTargetMs: route.pauseTargetMs,
+      prompt: this.#facts.prompt,
+    };
+    const endpoint = placement.choose(demand, service.engine, this.#excluded);
+    if (endpoint === undefined) return undefined;
+    if (this.#sends > 0 && !budget.spend(service.name)) {
+      this.#log('repeat refused', {endpoint: endpoint.record.id, reason: 'budget'});
+      return undefined;
+    }
+    this.#sends += 1;
+    const headers = format.writeRequest(endToEndHeaders(this.#request.rawHeaders), {
+      deadlineMs: Math.max(1, Math.floor(leftMs)),
+      endpointId: endpoint.record.id,
+      accountName: account?.name,
+      rank: rankOf(account?.priority, route.priority),
+      lastEventId: this.#lastEventId,
+    });
+    const method = this.#request.method ?? 'GET';
+    if (body.length > 0 || method === 'POST' || method === 'PUT') {
+      headers.push('content-length', String(body.length));
+    }
+    this.#log('sent', {
+      endpoint: endpoint.record.id,
+      configuration: table.version,
+      occupancy: endpoint.occupancy,
+      send: this.#sends,
+      leftMs: Math.round(leftMs),
+    });
+    const end = await runAttempt(this.#options, {
+      endpoint,
+      engine: service.engine,
+      route,
+      demand,
+      method,
+      target: this.#request.url ?? '/',
+      headers,
+      body,
+      isRepeatable,
+      answer: this.#answer,
+      lastEventId: this.#lastEventId,
+      signal,
+    });
+    metrics.sends.inc({service: service.name, outcome: end.kind});
+    this.#excluded.add(endpoint.record.id);
+    this.#learn(endpoint, end);
+    return end;
+  }
+
+  /** Takes over what a send has shown. */
+  #learn(endpoint: Parameters<typeof runAttempt>[1]['endpoint'], end: AttemptEnd): void {
+    const isOurs = isAborted(this.#gone.signal) || isAborted(this.#over.signal);
+    switch (end.kind) {
+      case 'delivered':
+        endpoint.trust();
+        endpoint.noteAnswer(false);
+        return;
+      case 'failed':
+        this.#runs += 1;
+        this.#held = end.held;
+        this.#lastReason = 'endpoint_failed';
+        endpoint.trust();
+        endpoint.noteAnswer(true);
+        return;
+      case 'notExecuted':
+        this.#lastReason = 'not_executed';
+        if (end.isMisdirected) endpoint.bar();
+        break;
+      case 'notSent':
+        this.#lastReason = 'unreachable';
+        if (!isOurs) {
+          endpoint.bar();
+          this.#options.onUnreachable?.(endpoint);
+        }
+        break;
+      case 'broken':
+        this.#runs += 1;
+        this.#lastReason = 'answer_broken';
+        this.#lastEventId = end.lastEventId ?? this.#lastEventId;
+        if (!isOurs) endpoint.noteAnswer(true);
+        break;
+    }
+    if (isOurs) return;
+    this.#log('send failed', {
+      endpoint: endpoint.record.id,
+      outcome: end.kind,
+      reason: 'reason' in end ? end.reason : String(end.status),
+      failureShare: endpoint.failureShare,
+    });
+  }
+
+  #mayRepeat(end: AttemptEnd, route: Route, isRepeatable: boolean): boolean {
+    if (isAborted(this.#over.signal) || isAborted(this.#gone.signal)) return false;
+    if (end.kind === 'notSent' || end.kind === 'notExecuted') return true;
+    if (!isRepeatable) return false;
+    if (this.#answer.hasBegun && !route.isResumable) return false;
+    return this.#runs < route.maxAttempts;
+  }
+
+  #chooseService({route, table}: Admission): Service | undefined {
+    const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
+    let point = (Number(hash64(this.#facts.id ?? '') >> 40n) / 2 ** 24) * total;
+    for (const {service, weight} of route.shares) {
+      point -= weight;
+      if (point < 0) return table.findService(service);
+    }
+    return table.findService(route.shares.at(-1)?.service ?? '');
+  }
+
+  /** Ends an exchange for which no further send is made. */
+  #giveUp(status: number, reason: string): End {
+    if (isAborted(this.#gone.signal)) return {kind: 'gone'};
+    if (this.#answer.hasBegun) return {kind: 'cut', reason};
+    if (this.#held !== undefined) {
+      const {answer, body} = this.#held;
+      this.#answer.sendWhole(answer, body);
+      return {kind: 'delivered', status: answer.statusCode ?? 0};
+    }
+    // Only a request that no endpoint may have run is refused with a promise.
+    if (this.#runs > 0) {
+      const failure = isAborted(this.#over.signal) || status === 504 ? 504 : 502;
+      return {kind: 'failed', status: failure, reason};
+    }
+    const refused = status === 401 || status === 404 ? status : 503;
+    return {kind: 'refused', refusal: {status: refused, reason, retryAfterMs: BUSY_RETRY_MS}};
+  }
+
+  #conclude(end: End): void {
+    const {clock, metrics} = this.#options;
+    const fields = {
+      outcome: end.kind,
+      totalMs: Math.round(clock.now() - this.#arrivedAtMs),
+      sends: this.#sends,
+      runs: this.#runs,
+    };
+    let reason = '';
+    switch (end.kind) {
+      case 'delivered':
+        this.#log('answered', {...fields, status: end.status});
+        break;
+      case 'refused': {
+        const {status, retryAfterMs} = end.refusal;
+        reason = end.refusal.reason;
+        this.#answer.refuse(status, reason, retryAfterMs);
+        this.#log('refused', {...fields, status, reason, beliefAgeMs: this.#beliefAgeMs()});
+        break;
+      }
+      case 'failed':
+        reason = end.reason;
+        this.#answer.refuse(end.status, reason);
+        this.#log('failed', {...fields, status: end.status, reason});
+        break;
+      case 'cut':
+        reason = end.reason;
+        this.#answer.breakOff();
+        this.#log('cut', {...fields, reason, lastEventId: this.#lastEventId});
+        break;
+      case 'gone':
+        this.#log('client gone', fields);
+        break;
+    }
+    metrics.requests.inc({route: this.#routeName, outcome: end.kind, reason});
+  }
+
+  #beliefAgeMs(): number {
+    return Math.round(this.#options.belief().ageMs);
+  }
+
+  #log(message: string, fields: Readonly<Record<string, string | number | undefined>>): void {
+    this.#options.logger.info(message, {
+      request: this.#facts.id,
+      route: this.#routeName,
+      ...fields,
+    });
+  }
+}
+
+function isIdempotent({kind, isResumable}: Route): boolean {
+  return kind === 'idempotent' || (kind === 'stream' && isResumable);
+}
+
+/** An account's priority goes before the route's. */
+function rankOf(accountPriority: number | undefined, routePriority: number): number {
+  const account = (accountPriority ?? 0) * RANKS_PER_ACCOUNT_PRIORITY;
+  return Math.min(MAX_RANK, account + Math.min(RANKS_PER_ACCOUNT_PRIORITY - 1, routePriority));
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -0,0 +1,23 @@
+/** What forwarding needs from the process around it. */
+import type {Endpoint, Placement, RepeatBudget} from '@marigoldfold/coordination';
+import type {Clock, Logger} from '@marigoldfold/runtime';
+import type {EndpointClient} from '@marigoldfold/transport';
+import type {Belief, BeliefLimits} from './admission.js';
+import type {ForwardFormat} from './forwardFormat.js';
+import type {ForwardMetrics} from './forwardMetrics.js';
+
+/** What forwarding needs. */
+export interface ForwardOptions {
+  /** A steady clock. */
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly format: ForwardFormat;
+  readonly client: EndpointClient;
+  readonly placement: Placement;
+  readonly budget: RepeatBudget;
+  readonly metrics: ForwardMetrics;
+  readonly belief: () => Belief;
+  readonly beliefLimits: () => BeliefLimits;
+  /** Called when an endpoint cannot be reached. */
+  readonly onUnreachable?: (endpoint: Endpoint) => void;
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -0,0 +1,110 @@
+/** Accepts clients' requests for forwarding, and stops without cutting any of them. */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type Clock, type Logger, sleep} from '@marigoldfold/runtime';
+import type {ClientLimits} from '@marigoldfold/state';
+
+/** What the server needs. */
+export interface ForwardServerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly host: string;
+  readonly port: number;
+  readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+}
+
+/** Times of a planned stop, in milliseconds. */
+export interface StopTimes {
+  /** New connections may still come for so long after the stop began. */
+  readonly acceptMs: number;
+  /** What is in flight after so long is broken off. */
+  readonly limitMs: number;
+}
+
+/** Limits in force before the first configuration. */
+const INITIAL_IDLE_MS = 15_000;
+/** Time that an idle connection is kept beyond what clients are told, so that no request crosses the close. */
+const IDLE_SLACK_MS = 1000;
+/** Header bytes that Node refuses; the configured limit is below. */
+const MAX_HEADER_BYTES = 65_536;
+const CONNECTION_CHECK_MS = 1000;
+const STOP_CHECK_MS = 50;
+/** Time for requests that cross the close of idle connections to be answered, in milliseconds. */
+const CROSSING_MS = 300;
+
+/** A server for clients. */
+export class ForwardServer {
+  readonly #options: ForwardServerOptions;
+  readonly #server: Server;
+  readonly #unfinished = new Set<ServerResponse>();
+  #isStopping = false;
+
+  constructor(options: ForwardServerOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      {
+        noDelay: true,
+        maxHeaderSize: MAX_HEADER_BYTES,
+        keepAliveTimeout: INITIAL_IDLE_MS + IDLE_SLACK_MS,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+        requestTimeout: 0,
+      },
+      (request, response) => void this.#serve(request, response),
+    );
+  }
+
+  listen(): Promise<void> {
+    const {host, port} = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      // A full queue of new connections costs their clients seconds.
+      this.#server.listen({host, port, backlog: 1024}, () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Takes over the limits of a new configuration. */
+  limit({headerTimeoutMs, idleTimeoutMs}: ClientLimits): void {
+    this.#server.headersTimeout = headerTimeoutMs + IDLE_SLACK_MS;
+    this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_SLACK_MS;
+  }
+
+  /** Requests whose answer has not ended. */
+  get activeCount(): number {
+    return this.#unfinished.size;
+  }
+
+  /** Answers what is under way and what still comes, then closes. */
+  async stop({acceptMs, limitMs}: StopTimes): Promise<void> {
+    const {clock, logger} = this.#options;
+    const startedAtMs = clock.now();
+    this.#isStopping = true;
+    for (const response of this.#unfinished) this.#askToClose(response);
+    while (clock.now() - startedAtMs < limitMs) {
+      if (clock.now() - startedAtMs >= acceptMs && this.activeCount === 0) break;
+      await sleep(clock, STOP_CHECK_MS);
+    }
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    await sleep(clock, CROSSING_MS);
+    logger.info('server closed', {unfinished: this.activeCount, tookMs: clock.now() - startedAtMs});
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#unfinished.add(response);
+    response.once('close', () => this.#unfinished.delete(response));
+    if (this.#isStopping) this.#askToClose(response);
+    try {
+      await this.#options.serve(request, response);
+    } catch (error) {
+      this.#options.logger.error('request handling broke', {reason: String(error)});
+      response.destroy();
+    }
+  }
+
+  #askToClose(response: ServerResponse): void {
+    if (!response.headersSent) response.shouldKeepAlive = false;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/forwarding/index.ts
@@ -0,0 +1,13 @@
+/** Forwards requests to endpoints by host and path. */
+export {admit, type Admission, type Belief, type BeliefLimits, type Refusal} from './admission.js';
+export {serveExchange} from './exchange.js';
+export type {AnswerFacts, ForwardFormat, RequestFacts, SendFacts} from './forwardFormat.js';
+export {ForwardMetrics} from './forwardMetrics.js';
+export type {ForwardOptions} from './forwardOptions.js';
+export {ForwardServer, type StopTimes} from './forwardServer.js';
+export {
+  type ForwardBounds,
+  ForwardProcess,
+  type ForwardProcessOptions,
+  type ForwardSource,
+} from './forwardProcess.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -31,3 +31,4 @@
 export {type RoutedRequest, Router, type RouterOptions} from './router.js';
 export {type EntrySettings, entrySettingsSchema} from './settings.js';
 export {type TicketDesk, type TicketDeskOptions, openTicketDesk} from './ticketDesk.js';
+export * from './forwarding/index.js';
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -21,6 +21,9 @@
   },
 };
 
+/** The machine's steady clock, which a change of the time of day does not move. */
+export const steadyClock: Clock = {now: () => performance.now(), schedule: systemClock.schedule};
+
 /** Resolves after a delay, or at once when the signal is aborted. */
 export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,5 @@
 /** What every process needs: time, randomness, ownership, logs and settings. */
-export {type Clock, isAborted, repeat, sleep, systemClock} from './clock.js';
+export {type Clock, isAborted, repeat, sleep, steadyClock, systemClock} from './clock.js';
 export {VirtualClock, settle} from './virtualClock.js';
 export {type Random, seededRandom, systemRandom} from './random.js';
 export {DisposableStore} from './disposableStore.js';
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -123,3 +123,15 @@
   writeSegment,
   writeSnapshot,
 } from './recordArchive.js';
+export type {
+  ClientLimits,
+  Engine,
+  RequestKind,
+  Route,
+  RoutedAccount,
+  RoutingConfiguration,
+  Service,
+  ServiceShare,
+} from './routing/routingConfiguration.js';
+export type {EndpointRecord} from './routing/endpointRecord.js';
+export {RoutingTable} from './routing/routingTable.js';
--- a/packages/state/src/keyValue.ts
+++ b/packages/state/src/keyValue.ts
@@ -1,7 +1,7 @@
 /** The platform's key-value service, as the rest of the system sees it. */
 import type {Result} from 'neverthrow';
 
-/** A key with its value. */
+/** A key with its value; a watch reports a removed key with an empty value. */
 export interface KeyValueEntry {
   readonly key: string;
   readonly value: string;
@@ -11,7 +11,8 @@
 
 /** Why an operation has no answer. */
 export interface StoreError {
-  readonly code: 'unavailable' | 'timed_out' | 'rejected';
+  /** `history_lost`: the changes since the revision of a watch are not kept any more. */
+  readonly code: 'unavailable' | 'timed_out' | 'rejected' | 'history_lost';
   readonly message: string;
   /** Whether a write may have taken effect all the same. */
   readonly mayHaveTakenEffect: boolean;
--- /dev/null
+++ b/packages/state/src/routing/routingTable.ts
@@ -0,0 +1,62 @@
+/** Looks up routes, services and accounts of one configuration. */
+import type {RoutedAccount, Route, RoutingConfiguration, Service} from './routingConfiguration.js';
+
+/** An index over one version of the configuration. */
+export class RoutingTable {
+  readonly configuration: RoutingConfiguration;
+  /** Routes of each host, longest prefix first. */
+  readonly #routesByHost = new Map<string, Route[]>();
+  readonly #services = new Map<string, Service>();
+  readonly #accountsByKey = new Map<string, RoutedAccount>();
+
+  constructor(configuration: RoutingConfiguration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.#routesByHost.get(host);
+      if (routes === undefined) this.#routesByHost.set(host, [route]);
+      else routes.push(route);
+    }
+    for (const routes of this.#routesByHost.values()) {
+      routes.sort((a, b) => b.prefix.length - a.prefix.length);
+    }
+    for (const service of configuration.services) this.#services.set(service.name, service);
+    for (const account of configuration.accounts ?? []) {
+      for (const key of account.keys) this.#accountsByKey.set(key, account);
+    }
+  }
+
+  /** Version of the configuration. */
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  /** Whether requests need a key. */
+  get needsKeys(): boolean {
+    return this.configuration.accounts !== undefined;
+  }
+
+  /** The route with the longest prefix that begins the path; the query does not count. */
+  findRoute(host: string, target: string): Route | undefined {
+    const [path = ''] = target.split('?', 1);
+    const routes = this.#routesByHost.get(hostName(host)) ?? [];
+    for (const route of routes) {
+      if (path.startsWith(route.prefix)) return route;
+    }
+    return undefined;
+  }
+
+  findService(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+
+  /** The account that holds a key. */
+  findAccount(key: string): RoutedAccount | undefined {
+    return this.#accountsByKey.get(key);
+  }
+}
+
+/** The host without its port, in lower case. */
+function hostName(host: string): string {
+  return host.replace(/:\d*$/, '').toLowerCase();
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -35,3 +35,10 @@
   createControlServer,
   createPeer,
 } from './rpc.js';
+export {
+  type EndpointClient,
+  type EndpointRequest,
+  type SendOutcome,
+  createEndpointClient,
+} from './endpointClient.js';
+export {EventSplitter, type RawEvent} from './eventSplitter.js';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,10 @@
 export default defineConfig({
   resolve: {
     alias: [
+      {
+        find: '@marigoldfold/platform',
+        replacement: `${import.meta.dirname}/platform/src/index.ts`,
+      },
       {
         find: /^@marigoldfold\/(\w+)$/,
         replacement: `${import.meta.dirname}/packages/$1/src/index.ts`,
@@ -13,7 +17,11 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.test.ts', 'scripts/__tests__/*.test.js'],
+    include: [
+      'packages/*/src/**/__tests__/**/*.test.ts',
+      'platform/src/**/__tests__/**/*.test.ts',
+      'scripts/__tests__/*.test.js',
+    ],
     ...(reportFile === undefined
       ? {}
       : {reporters: ['default', ['json', {outputFile: reportFile}]]}),
