Tell other instances of sends, judge endpoints by risk, and never pass on a reset answer as whole

Ruled out: the endpoint closing early with FIN; the same bytes with a FIN are whole by the protocol. Change: isWhole notes an error before the end; after the accept time idle connections are closed again and again. Placement weighs the risk that a request or the streams beside it miss their objectives; instances tell each other of sends, first events and slow endpoints by JSON-RPC datagrams.

--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -7,8 +7,14 @@
 
 /** Time after which a report of slowness says nothing any more: neighbours change several times a second. */
 const SLOWNESS_AGE_LIMIT_MS = 400;
+/** Time after which a request of another process is taken to have ended if nothing told so, in milliseconds. */
+const REMOTE_FLIGHT_LIMIT_MS = 10_000;
 /** Time after which a report of load says nothing any more, in milliseconds. */
 const LOAD_AGE_LIMIT_MS = 1500;
+/** Time over which the pace of events is looked at, in milliseconds: some events at the usual pace. */
+const GAP_WINDOW_MS = 150;
+/** Neighbours slow an endpoint down to about this; more comes from prompts that are read. */
+const MAX_SLOWNESS = 3;
 /** First time that an unreachable endpoint is left out, in milliseconds. */
 const MIN_BAR_MS = 250;
 /** Longest time that an endpoint is left out before the next trial, in milliseconds. */
@@ -19,11 +25,15 @@
 /** One endpoint with its requests in flight and its condition. */
 export class Endpoint {
   readonly #clock: Clock;
+  /** Requests of this process. */
   readonly flights = new Set<Flight>();
+  /** Requests of other processes by their ids, as far as they tell. */
+  readonly remoteFlights = new Map<string, Flight>();
   readonly residency = new PromptResidency();
   record: EndpointRecord;
-  #load:
-    {readonly report: LoadReport; readonly atMs: number; readonly ownFlights: number} | undefined;
+  #load: {readonly report: LoadReport; readonly atMs: number; readonly known: number} | undefined;
+  #slowness: {readonly value: number; readonly atMs: number} | undefined;
+  readonly #gaps: {readonly gapMs: number; readonly atMs: number}[] = [];
   #failures = 0;
   #barredUntilMs = Number.NEGATIVE_INFINITY;
   /** Share of recent requests that the endpoint failed, from 0 to 1. */
@@ -48,25 +58,60 @@
 
   /** Takes a load report. */
   observe(report: LoadReport): void {
-    this.#load = {report, atMs: this.#clock.now(), ownFlights: this.flights.size};
+    this.#load = {report, atMs: this.#clock.now(), known: this.#knownFlights};
+    if (report.slowness !== undefined) this.observeSlowness(report.slowness);
   }
 
-  /** Requests there, those of other processes by the last report. */
+  /** Takes how long work takes there; 1 is the usual time. */
+  observeSlowness(value: number): void {
+    this.#slowness = {value, atMs: this.#clock.now()};
+  }
+
+  /** Requests there that this process knows of, its own and those of others. */
+  *knownFlights(): Generator<Flight, void> {
+    yield* this.flights;
+    const fromMs = this.#clock.now() - REMOTE_FLIGHT_LIMIT_MS;
+    for (const [id, flight] of this.remoteFlights) {
+      if (flight.sentAtMs < fromMs) this.remoteFlights.delete(id);
+      else yield flight;
+    }
+  }
+
+  get #knownFlights(): number {
+    return this.flights.size + this.remoteFlights.size;
+  }
+
+  /** Requests there; those that nobody told of are taken from the last report. */
   get occupancy(): number {
+    const known = this.#knownFlights;
     const load = this.#load;
-    if (load === undefined) return this.flights.size;
+    if (load === undefined) return known;
     const ageMs = this.#clock.now() - load.atMs;
-    if (ageMs > LOAD_AGE_LIMIT_MS) return this.flights.size;
-    const others = Math.max(0, load.report.running + load.report.waiting - load.ownFlights);
-    return this.flights.size + others * (1 - ageMs / LOAD_AGE_LIMIT_MS);
+    if (ageMs > LOAD_AGE_LIMIT_MS) return known;
+    const others = Math.max(0, load.report.running + load.report.waiting - load.known);
+    return known + others * (1 - ageMs / LOAD_AGE_LIMIT_MS);
   }
 
   /** How long work takes there; 1 is the usual time. */
   get slowness(): number {
-    const load = this.#load;
-    if (load?.report.slowness === undefined) return 1;
-    if (this.#clock.now() - load.atMs > SLOWNESS_AGE_LIMIT_MS) return 1;
-    return Math.max(1, load.report.slowness);
+    if (this.#slowness === undefined) return 1;
+    if (this.#clock.now() - this.#slowness.atMs > SLOWNESS_AGE_LIMIT_MS) return 1;
+    return Math.max(1, this.#slowness.value);
+  }
+
+  /** Takes the time between two events of a stream. */
+  observeGap(gapMs: number): void {
+    this.#gaps.push({gapMs, atMs: this.#clock.now()});
+  }
+
+  /** How long work takes there by the newest events, against the usual time between two. */
+  slownessBy(usualGapMs: number): number {
+    const fromMs = this.#clock.now() - GAP_WINDOW_MS;
+    while ((this.#gaps[0]?.atMs ?? fromMs) < fromMs) this.#gaps.shift();
+    if (this.#gaps.length === 0) return this.slowness;
+    // The reading of a prompt stretches single gaps, a slow endpoint all of them.
+    const leastMs = Math.min(...this.#gaps.map(({gapMs}) => gapMs));
+    return Math.min(MAX_SLOWNESS, Math.max(1, leastMs / usualGapMs));
   }
 
   /** Whether the endpoint is left out after failures to reach it. */
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -1,16 +1,27 @@
-/** Chooses the model engine for a generation, by what reading its prompt costs it and the others. */
+/** Chooses the model engine for a generation, by the risk that it or others miss their objectives. */
 import type {Clock} from '@marigoldfold/runtime';
-import type {ForwardDemand, PromptSize} from './demand.js';
-import type {Endpoint} from './endpoint.js';
 import {hash64} from '../hash.js';
 import {rankMembers} from '../rendezvous.js';
+import type {ForwardDemand, PromptSize} from './demand.js';
+import type {Endpoint} from './endpoint.js';
+import {EnginePace} from './enginePace.js';
 
 /** Tokens from which a prompt counts as long: three times what an engine reads between two tokens. */
 const LONG_PROMPT_TOKENS = 3000;
-/** Milliseconds that an engine takes to read a token before any were measured. */
-const READ_MS_PER_TOKEN = 0.025;
 /** Time constant with which the mix of long and short prompts is followed, in milliseconds. */
-const MIX_WINDOW_MS = 5000;
+const MIX_WINDOW_MS = 6000;
+/** How much more room a millisecond of reading needs where streams are short of patience. */
+const SHORT_WORK_FACTOR = 2;
+/** Part of a request's value that reading its shared parts once more costs; source: the platform's prices. */
+const REREAD_COST = 1.2;
+/** Risk of a short prompt between long ones: their reading stretches most of its pauses. */
+const SHORT_AMONG_LONG_RISK = 0.15;
+/** Risk that a long prompt among short ones brings to requests that come later. */
+const LONG_AMONG_SHORT_RISK = 0.3;
+/** Steepness of the risk around an objective: half at the objective, a sixteenth at half of it. */
+const RISK_POWER = 7;
+/** Tokens of output count so many times as much as those of a prompt. */
+const OUTPUT_TOKEN_VALUE = 10;
 
 /** What the choice needs. */
 export interface EnginePlacementOptions {
@@ -24,6 +35,7 @@
  */
 export class EnginePlacement {
   readonly #clock: Clock;
+  readonly #paces = new Map<string, EnginePace>();
   #longWork = 0;
   #shortWork = 0;
   #workAtMs = 0;
@@ -32,71 +44,133 @@
     this.#clock = clock;
   }
 
-  /** Milliseconds that reading a prompt takes at an endpoint. */
-  readMs(endpoint: Endpoint, prompt: PromptSize): number {
-    return endpoint.residency.unreadTokens(prompt) * READ_MS_PER_TOKEN;
+  /** The pace of a service's engines. */
+  pace(service: string): EnginePace {
+    let pace = this.#paces.get(service);
+    if (pace === undefined) {
+      pace = new EnginePace();
+      this.#paces.set(service, pace);
+    }
+    return pace;
   }
 
-  /** The endpoint with the least expected cost. */
+  /** The endpoint with the least expected loss. */
   choose(
     demand: ForwardDemand,
     prompt: PromptSize,
     candidates: readonly Endpoint[],
   ): Endpoint | undefined {
     const isLong = prompt.promptTokens >= LONG_PROMPT_TOKENS;
-    this.#noteWork(prompt, isLong);
-    const pool = this.#pool(candidates, isLong);
-    const home = homeOf(prompt, pool);
+    const ranked = [...candidates].sort((a, b) => rankOf(a) - rankOf(b));
+    const border = this.#border(ranked.length);
+    const own = isLong ? ranked.slice(0, border) : ranked.slice(border);
+    const home = homeOf(prompt, own);
     let best: Endpoint | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const endpoint of pool) {
-      const cost = this.#cost(endpoint, prompt, endpoint === home);
-      if (cost >= bestCost) continue;
+    let leastLoss = Number.POSITIVE_INFINITY;
+    for (const endpoint of ranked) {
+      const isForeign = !own.includes(endpoint);
+      const loss = this.#loss(demand, prompt, {
+        endpoint,
+        isLong,
+        isForeign,
+        isHome: endpoint === home,
+      });
+      if (loss >= leastLoss) continue;
       best = endpoint;
-      bestCost = cost;
+      leastLoss = loss;
     }
+    if (best !== undefined) this.#noteWork(demand.service, best, prompt, isLong);
     return best;
   }
 
-  #cost(endpoint: Endpoint, prompt: PromptSize, isHome: boolean): number {
+  /** Expected loss in values of requests, for this request and for those that run there. */
+  #loss(
+    {service, targetLeftMs}: ForwardDemand,
+    prompt: PromptSize,
+    place: {endpoint: Endpoint; isLong: boolean; isForeign: boolean; isHome: boolean},
+  ): number {
+    const {endpoint, isLong, isForeign, isHome} = place;
+    const pace = this.pace(service);
+    const slowness = endpoint.slownessBy(pace.eventMs);
+    const unread = isHome
+      ? (prompt.parts.at(-1)?.tokens ?? prompt.promptTokens)
+      : endpoint.residency.unreadTokens(prompt);
+    const readMs = unread * pace.readMsPerToken;
+    const backlogMs = this.#backlogMs(endpoint);
+    const firstEventMs = slowness * (backlogMs + readMs + pace.eventMs);
+    const value = valueOf(prompt);
+    let loss = value * riskOf(firstEventMs, targetLeftMs);
+    loss += value * REREAD_COST * rereadShare(prompt, unread);
+    const gapMs = slowness * (pace.eventMs + Math.min(backlogMs + readMs, 4 * pace.eventMs));
+    loss += this.#harm(endpoint, gapMs);
+    if (isForeign) loss += value * (isLong ? LONG_AMONG_SHORT_RISK : SHORT_AMONG_LONG_RISK);
+    return loss;
+  }
+
+  /** Milliseconds of reading that the endpoint has before it, as far as is known. */
+  #backlogMs(endpoint: Endpoint): number {
     const now = this.#clock.now();
     let backlogMs = 0;
-    let streams = 0;
-    for (const flight of endpoint.flights) {
-      if (flight.firstEventAtMs === undefined) {
-        backlogMs += Math.max(0, flight.readMs - (now - flight.sentAtMs) / 2);
-      } else {
-        streams += 1;
-      }
+    let oldestMs = now;
+    for (const flight of endpoint.knownFlights()) {
+      if (flight.firstEventAtMs !== undefined) continue;
+      backlogMs += flight.readMs;
+      oldestMs = Math.min(oldestMs, flight.sentAtMs);
+    }
+    return Math.max(0, backlogMs - (now - oldestMs));
+  }
+
+  /** Expected loss of the streams there if their next events are so far apart. */
+  #harm(endpoint: Endpoint, gapMs: number): number {
+    let loss = 0;
+    let known = 0;
+    for (const {firstEventAtMs, pauseTargetMs, longestPauseMs, prompt} of endpoint.knownFlights()) {
+      known += 1;
+      if (firstEventAtMs === undefined || prompt === undefined) continue;
+      // A stream that is late already loses nothing more.
+      if (pauseTargetMs === undefined || longestPauseMs > pauseTargetMs) continue;
+      loss += valueOf(prompt) * riskOf(gapMs, pauseTargetMs);
     }
-    const readMs = isHome ? 0 : this.readMs(endpoint, prompt);
-    return (backlogMs + readMs + endpoint.occupancy * 3 + streams) * endpoint.slowness;
+    // Streams that nobody told of are taken to be like the others.
+    return known === 0 ? loss : loss * Math.max(1, endpoint.occupancy / known);
   }
 
-  #noteWork(prompt: PromptSize, isLong: boolean): void {
+  #noteWork(service: string, endpoint: Endpoint, prompt: PromptSize, isLong: boolean): void {
     const now = this.#clock.now();
     const decay = Math.exp(-(now - this.#workAtMs) / MIX_WINDOW_MS);
     this.#workAtMs = now;
     this.#longWork *= decay;
     this.#shortWork *= decay;
-    if (isLong) this.#longWork += 4;
-    else this.#shortWork += 1;
+    const readMs = endpoint.residency.unreadTokens(prompt) * this.pace(service).readMsPerToken;
+    if (isLong) this.#longWork += readMs;
+    else this.#shortWork += readMs * SHORT_WORK_FACTOR;
   }
 
-  #pool(candidates: readonly Endpoint[], isLong: boolean): readonly Endpoint[] {
-    if (candidates.length < 2) return candidates;
-    const ranked = [...candidates].sort((a, b) => rankOf(a) - rankOf(b));
-    const share = this.#longWork / (this.#longWork + this.#shortWork);
-    const border = Math.min(
-      ranked.length - 1,
-      Math.max(1, Math.round(ranked.length * Math.min(0.75, share))),
-    );
-    return isLong ? ranked.slice(0, border) : ranked.slice(border);
+  /** Number of endpoints for long prompts. */
+  #border(count: number): number {
+    if (count < 2) return count;
+    const work = this.#longWork + this.#shortWork;
+    const share = work === 0 ? 0.5 : this.#longWork / work;
+    return Math.min(count - 1, Math.max(1, Math.round(count * share)));
   }
 }
 
-function rankOf({record}: Endpoint): number {
-  return Number(hash64(record.id) >> 12n);
+/** The chance that a time over an objective is missed. */
+function riskOf(timeMs: number, objectiveMs: number): number {
+  if (objectiveMs <= 0) return 1;
+  const ratio = (timeMs / objectiveMs) ** RISK_POWER;
+  return ratio / (1 + ratio);
+}
+
+/** The value of a generation in tokens, a thousand being one. */
+function valueOf({promptTokens, maxOutputTokens}: PromptSize): number {
+  return (promptTokens + OUTPUT_TOKEN_VALUE * maxOutputTokens) / 1000;
+}
+
+/** Part of a prompt that is read although requests share it. */
+function rereadShare({parts, promptTokens}: PromptSize, unread: number): number {
+  const own = parts.at(-1)?.tokens ?? promptTokens;
+  return Math.max(0, unread - own) / Math.max(1, promptTokens);
 }
 
 /** The endpoint on which all processes agree for the shared parts of a prompt. */
@@ -105,3 +179,8 @@
   if (shared === undefined) return undefined;
   return rankMembers(shared.id, pool, ({record}) => record.id)[0];
 }
+
+/** An order of the endpoints on which all processes agree. */
+function rankOf({record}: Endpoint): number {
+  return Number(hash64(record.id) >> 12n);
+}
--- a/packages/coordination/src/forwarding/flight.ts
+++ b/packages/coordination/src/forwarding/flight.ts
@@ -7,9 +7,14 @@
   readonly sentAtMs: number;
   /** Milliseconds that reading its prompt should take there. */
   readonly readMs: number;
-  /** Priority, 0 is the most urgent. */
-  readonly priority: number;
   readonly prompt: PromptSize | undefined;
+  /** Longest pause between its events within the objective, in milliseconds. */
+  readonly pauseTargetMs: number | undefined;
+  /** Tokens of its prompt that were not in the cache when it was sent. */
+  readonly unreadTokens: number;
   /** Set when its first event has come. */
   firstEventAtMs: number | undefined;
+  lastEventAtMs: number | undefined;
+  /** Longest time between two of its events, in milliseconds. */
+  longestPauseMs: number;
 }
--- /dev/null
+++ b/packages/coordination/src/forwarding/peerExchange.ts
@@ -0,0 +1,154 @@
+/** Tells other instances of sends, first events and slow endpoints by datagrams; a lost one is not missed. */
+import {createSocket, type Socket} from 'node:dgram';
+import {splitAddress} from '@marigoldfold/transport';
+import type {Clock, Logger} from '@marigoldfold/runtime';
+import {createJSONRPCNotification} from 'json-rpc-2.0';
+import {NEWS_METHOD, type News, newsSchema} from './peerMessages.js';
+
+/** What the exchange needs. */
+export interface PeerExchangeOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly self: string;
+  /** `host:port` of the socket. */
+  readonly address: string;
+  readonly onNews: (news: News) => void;
+}
+
+/** Time over which news are gathered for each peer, in milliseconds: a message costs some 20 µs. */
+const GATHER_MS_PER_PEER = 2.5;
+/** Longest time that news wait, in milliseconds. */
+const MAX_GATHER_MS = 80;
+/** Largest datagram, in bytes: what fits a packet without being split. */
+const MAX_DATAGRAM_BYTES = 1400;
+
+interface Gathering {
+  readonly sent: News['sent'][number][];
+  readonly begun: string[];
+  readonly ended: string[];
+  readonly slowness: Map<string, number>;
+}
+
+/** A socket with the peers that it tells. */
+export class PeerExchange implements Disposable {
+  readonly #options: PeerExchangeOptions;
+  readonly #socket: Socket;
+  /** Addresses by instance. */
+  readonly #peers = new Map<string, string>();
+  #gathering = emptyGathering();
+  #timer: Disposable | undefined;
+  #isClosed = false;
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    this.#socket = createSocket('udp4');
+    this.#socket.on('message', (message) => {
+      this.#receive(message);
+    });
+    this.#socket.on('error', (error) => {
+      options.logger.warn('peer socket failed', {reason: error.message});
+    });
+    const [host, port] = splitAddress(options.address);
+    this.#socket.bind(port, host);
+  }
+
+  /** Adds a peer or takes over its new address. */
+  add(peer: string, address: string): void {
+    if (peer === this.#options.self) return;
+    this.#peers.set(peer, address);
+    this.#options.logger.info('peer', {belief: 'peer', peer, address});
+  }
+
+  remove(peer: string): void {
+    if (!this.#peers.delete(peer)) return;
+    this.#options.logger.info('peer', {belief: 'peer', peer, state: 'gone'});
+  }
+
+  tellSent(sent: News['sent'][number]): void {
+    this.#gather().sent.push(sent);
+  }
+
+  tellBegun(requestId: string): void {
+    this.#gather().begun.push(requestId);
+  }
+
+  tellEnded(requestId: string): void {
+    this.#gather().ended.push(requestId);
+  }
+
+  tellSlowness(endpointId: string, slowness: number): void {
+    this.#gather().slowness.set(endpointId, slowness);
+  }
+
+  [Symbol.dispose](): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#timer?.[Symbol.dispose]();
+    this.#socket.close();
+  }
+
+  #gather(): Gathering {
+    if (this.#peers.size > 0 && !this.#isClosed) {
+      const waitMs = Math.min(MAX_GATHER_MS, GATHER_MS_PER_PEER * this.#peers.size);
+      this.#timer ??= this.#options.clock.schedule(waitMs, () => {
+        this.#flush();
+      });
+      return this.#gathering;
+    }
+    return emptyGathering();
+  }
+
+  #flush(): void {
+    this.#timer = undefined;
+    const {sent, begun, ended, slowness} = this.#gathering;
+    this.#gathering = emptyGathering();
+    const news = {from: this.#options.self, sent, begun, ended, slowness: [...slowness]};
+    for (const part of splitNews(news)) {
+      const message = Buffer.from(JSON.stringify(createJSONRPCNotification(NEWS_METHOD, part)));
+      for (const address of this.#peers.values()) {
+        const [host, port] = splitAddress(address);
+        this.#socket.send(message, port, host);
+      }
+    }
+  }
+
+  #receive(message: Buffer): void {
+    const news = readNews(message);
+    if (news !== undefined) this.#options.onNews(news);
+    else this.#options.logger.warn('news of a peer cannot be read', {bytes: message.length});
+  }
+}
+
+function emptyGathering(): Gathering {
+  return {sent: [], begun: [], ended: [], slowness: new Map()};
+}
+
+/** Halves the news until each part fits a datagram. */
+function splitNews(news: News): readonly News[] {
+  const count = news.sent.length + news.begun.length + news.ended.length + news.slowness.length;
+  if (count < 2 || JSON.stringify(news).length < MAX_DATAGRAM_BYTES) return [news];
+  const halves = [0, 1].map((half): News => {
+    const cut = <T>(items: readonly T[]) => {
+      const middle = Math.ceil(items.length / 2);
+      return half === 0 ? items.slice(0, middle) : items.slice(middle);
+    };
+    return {
+      from: news.from,
+      sent: cut(news.sent),
+      begun: cut(news.begun),
+      ended: cut(news.ended),
+      slowness: cut(news.slowness),
+    };
+  });
+  return halves.flatMap(splitNews);
+}
+
+function readNews(message: Buffer): News | undefined {
+  try {
+    const {method, params} = JSON.parse(message.toString()) as {method?: unknown; params?: unknown};
+    if (method !== NEWS_METHOD) return undefined;
+    return newsSchema.safeParse(params).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -6,13 +6,21 @@
 import type {EndpointRegistry} from './endpointRegistry.js';
 import {EnginePlacement} from './enginePlacement.js';
 import type {Flight} from './flight.js';
+import type {LoadReport} from './loadReport.js';
+import type {PeerExchange} from './peerExchange.js';
+import type {News} from './peerMessages.js';
 
 /** What the placement needs. */
 export interface PlacementOptions {
   readonly clock: Clock;
   readonly registry: EndpointRegistry;
+  /** Tells other instances; absent where there are none. */
+  readonly tell?: PeerNews;
 }
 
+/** What other instances are told. */
+export type PeerNews = Pick<PeerExchange, 'tellSent' | 'tellBegun' | 'tellEnded' | 'tellSlowness'>;
+
 /** Share of failures beyond that of the other endpoints that makes an endpoint unattractive. */
 const FAILURE_TOLERANCE = 0.15;
 
@@ -20,6 +28,8 @@
 export class Placement {
   readonly #options: PlacementOptions;
   readonly #engines: EnginePlacement;
+  /** Endpoints of the requests of other instances. */
+  readonly #remote = new Map<string, Endpoint>();
 
   constructor(options: PlacementOptions) {
     this.#options = options;
@@ -45,30 +55,99 @@
 
   /** Notes a request that is sent to an endpoint. */
   begin(endpoint: Endpoint, demand: ForwardDemand, engine: Engine | undefined): Flight {
-    const {prompt, priority, id} = demand;
+    const {prompt, id, pauseTargetMs, service} = demand;
+    const unreadTokens = prompt === undefined ? 0 : endpoint.residency.unreadTokens(prompt);
     const flight: Flight = {
       requestId: id,
       sentAtMs: this.#options.clock.now(),
-      readMs: prompt === undefined ? 0 : this.#engines.readMs(endpoint, prompt),
-      priority,
+      readMs: unreadTokens * this.#engines.pace(service).readMsPerToken,
       prompt,
+      pauseTargetMs,
+      unreadTokens,
       firstEventAtMs: undefined,
+      lastEventAtMs: undefined,
+      longestPauseMs: 0,
     };
     endpoint.flights.add(flight);
+    if (prompt !== undefined) {
+      this.#options.tell?.tellSent([
+        id,
+        endpoint.record.id,
+        unreadTokens,
+        prompt.promptTokens,
+        prompt.maxOutputTokens,
+        pauseTargetMs ?? 0,
+        prompt.parts.slice(0, -1).map((part) => [part.id, part.tokens]),
+      ]);
+    }
     if (engine !== undefined && prompt !== undefined) {
-      endpoint.residency.use(prompt, engine.cacheTokens);
+      endpoint.residency.capacityTokens = engine.cacheTokens;
+      endpoint.residency.use(prompt);
     }
     return flight;
   }
 
-  /** Notes the first event of a stream. */
-  noteFirstEvent(flight: Flight): void {
-    flight.firstEventAtMs ??= this.#options.clock.now();
+  /** Notes an event of a stream. */
+  noteEvent(endpoint: Endpoint, flight: Flight): void {
+    const now = this.#options.clock.now();
+    const pace = this.#engines.pace(endpoint.record.service);
+    if (flight.lastEventAtMs === undefined) {
+      flight.firstEventAtMs = now;
+      this.#options.tell?.tellBegun(flight.requestId);
+      pace.observeFirstEvent(flight.unreadTokens, now - flight.sentAtMs);
+    } else {
+      const gapMs = now - flight.lastEventAtMs;
+      flight.longestPauseMs = Math.max(flight.longestPauseMs, gapMs);
+      pace.observeGap(gapMs);
+      endpoint.observeGap(gapMs);
+    }
+    flight.lastEventAtMs = now;
   }
 
   /** Notes that an endpoint does not work on a request any more. */
   end(endpoint: Endpoint, flight: Flight): void {
     endpoint.flights.delete(flight);
+    if (flight.prompt !== undefined) this.#options.tell?.tellEnded(flight.requestId);
+  }
+
+  /** Takes the load report of an answer. */
+  observe(endpoint: Endpoint, report: LoadReport): void {
+    endpoint.observe(report);
+    if (report.slowness === undefined) return;
+    this.#options.tell?.tellSlowness(endpoint.record.id, report.slowness);
+  }
+
+  /** Takes what another instance tells. */
+  takeNews({sent, begun, ended, slowness}: News): void {
+    const {registry, clock} = this.#options;
+    for (const [id, endpointId, unread, promptTokens, output, pauseMs, shared] of sent) {
+      const endpoint = registry.find(endpointId);
+      if (endpoint === undefined) continue;
+      const parts = shared.map(([part, tokens]) => ({id: part, tokens}));
+      const prompt = {parts, promptTokens, maxOutputTokens: output};
+      this.#remote.set(id, endpoint);
+      endpoint.remoteFlights.set(id, {
+        requestId: id,
+        sentAtMs: clock.now(),
+        readMs: unread * this.#engines.pace(endpoint.record.service).readMsPerToken,
+        prompt,
+        pauseTargetMs: pauseMs === 0 ? undefined : pauseMs,
+        unreadTokens: unread,
+        firstEventAtMs: undefined,
+        lastEventAtMs: undefined,
+        longestPauseMs: 0,
+      });
+      endpoint.residency.use(prompt);
+    }
+    for (const id of begun) {
+      const flight = this.#remote.get(id)?.remoteFlights.get(id);
+      if (flight !== undefined) flight.firstEventAtMs = clock.now();
+    }
+    for (const id of ended) {
+      this.#remote.get(id)?.remoteFlights.delete(id);
+      this.#remote.delete(id);
+    }
+    for (const [endpointId, value] of slowness) registry.find(endpointId)?.observeSlowness(value);
   }
 }
 
--- a/packages/coordination/src/forwarding/promptResidency.ts
+++ b/packages/coordination/src/forwarding/promptResidency.ts
@@ -9,6 +9,8 @@
   /** Tokens of each part, least recently used first. */
   readonly #parts = new Map<string, number>();
   #tokens = 0;
+  /** The engine's memory in tokens. */
+  capacityTokens = Number.POSITIVE_INFINITY;
 
   /** Forgets all, as after a restart of the endpoint. */
   clear(): void {
@@ -26,15 +28,15 @@
     return Math.max(0, promptTokens - cached);
   }
 
-  /** Notes that a prompt was sent; `capacity` is the engine's memory in tokens. */
-  use({parts}: PromptSize, capacity: number): void {
+  /** Notes that a prompt was sent. */
+  use({parts}: Pick<PromptSize, 'parts'>): void {
     for (const {id, tokens} of parts) {
       this.#tokens += tokens - (this.#parts.get(id) ?? 0);
       this.#parts.delete(id);
       this.#parts.set(id, tokens);
     }
     for (const [id, tokens] of this.#parts) {
-      if (this.#tokens <= capacity * CACHE_SHARE) return;
+      if (this.#tokens <= this.capacityTokens * CACHE_SHARE) return;
       this.#parts.delete(id);
       this.#tokens -= tokens;
     }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -77,6 +77,8 @@
 export {EndpointRegistry} from './forwarding/endpointRegistry.js';
 export type {Flight} from './forwarding/flight.js';
 export type {LoadReport} from './forwarding/loadReport.js';
+export {PeerExchange} from './forwarding/peerExchange.js';
+export {PeerRegistration} from './forwarding/peerRegistration.js';
 export {Placement} from './forwarding/placement.js';
 export {RangeMirror} from './forwarding/rangeMirror.js';
 export {RepeatBudget, type RepeatBudgetBounds} from './forwarding/repeatBudget.js';
--- a/packages/entry/src/forwarding/answerReader.ts
+++ b/packages/entry/src/forwarding/answerReader.ts
@@ -1,5 +1,5 @@
 /** Reads the answer of an endpoint, whole or part by part. */
-import type {IncomingMessage} from 'node:http';
+import type {EndpointAnswer} from '@marigoldfold/transport';
 
 /** Answers up to this size are read whole before they are passed on, in bytes. */
 const WHOLE_ANSWER_LIMIT_BYTES = 262_144;
@@ -12,32 +12,32 @@
   | {readonly kind: 'large'; readonly body: Buffer};
 
 /** Reads an answer to its end; a large one is paused after its first bytes. */
-export function readWhole(answer: IncomingMessage): Promise<WholeRead> {
+export function readWhole({message, isWhole}: EndpointAnswer): Promise<WholeRead> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let size = 0;
     const finish = (read: WholeRead) => {
-      answer.off('data', take);
-      answer.off('end', end);
-      answer.off('close', close);
+      message.off('data', take);
+      message.off('end', end);
+      message.off('close', close);
       resolve(read);
     };
     const take = (part: Buffer) => {
       parts.push(part);
       size += part.length;
       if (size <= WHOLE_ANSWER_LIMIT_BYTES) return;
-      answer.pause();
+      message.pause();
       finish({kind: 'large', body: Buffer.concat(parts)});
     };
     const end = () => {
-      finish(answer.complete ? {kind: 'whole', body: Buffer.concat(parts)} : {kind: 'broken'});
+      finish(isWhole() ? {kind: 'whole', body: Buffer.concat(parts)} : {kind: 'broken'});
     };
     const close = () => {
       finish({kind: 'broken'});
     };
-    answer.on('data', take);
-    answer.on('end', end);
-    answer.on('close', close);
+    message.on('data', take);
+    message.on('end', end);
+    message.on('close', close);
   });
 }
 
@@ -45,13 +45,16 @@
 export type TakePart = (part: Buffer) => Promise<'next' | 'stop'>;
 
 /** Passes on the parts of an answer as they arrive; resolves to whether its end was reached. */
-export async function readParts(answer: IncomingMessage, take: TakePart): Promise<boolean> {
+export async function readParts(
+  {message, isWhole}: EndpointAnswer,
+  take: TakePart,
+): Promise<boolean> {
   try {
-    for await (const part of answer) {
+    for await (const part of message) {
       if ((await take(part as Buffer)) === 'stop') return false;
     }
   } catch {
-    // A broken connection ends the answer; `complete` below tells it from a whole one.
+    // A broken connection ends the answer; `isWhole` tells it from a whole one.
   }
-  return answer.complete;
+  return isWhole();
 }
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Endpoint, Flight, ForwardDemand} from '@marigoldfold/coordination';
 import type {Engine, Route} from '@marigoldfold/state';
-import {EventSplitter, type RawEvent} from '@marigoldfold/transport';
+import {type EndpointAnswer, EventSplitter, type RawEvent} from '@marigoldfold/transport';
 import {readParts, readWhole} from './answerReader.js';
 import type {ClientAnswer} from './clientAnswer.js';
 import type {AnswerFacts} from './forwardFormat.js';
@@ -35,7 +35,7 @@
 
 /** What became of a send. */
 export type AttemptEnd =
-  | {readonly kind: 'delivered'; readonly status: number}
+  | {readonly kind: 'delivered'; readonly status: number; readonly flight: Flight}
   | {readonly kind: 'notSent'; readonly reason: string}
   | {readonly kind: 'notExecuted'; readonly status: number; readonly isMisdirected: boolean}
   | {readonly kind: 'failed'; readonly held: HeldAnswer}
@@ -114,13 +114,14 @@
     this.#lastEventId = request.lastEventId;
   }
 
-  async take(answer: IncomingMessage): Promise<AttemptEnd> {
-    const status = answer.statusCode ?? 0;
-    const facts = this.#options.format.readAnswer(status, answer.headers);
+  async take(answer: EndpointAnswer): Promise<AttemptEnd> {
+    const {message} = answer;
+    const status = message.statusCode ?? 0;
+    const facts = this.#options.format.readAnswer(status, message.headers);
     const {endpoint, route, demand} = this.#request;
-    if (facts.load !== undefined) endpoint.observe(facts.load);
+    if (facts.load !== undefined) this.#options.placement.observe(endpoint, facts.load);
     if (facts.isNotExecuted) {
-      answer.resume();
+      message.resume();
       return {kind: 'notExecuted', status, isMisdirected: status === MISDIRECTED};
     }
     const fault = findFault(status, facts, demand.id);
@@ -134,42 +135,42 @@
     return {kind: 'broken', reason, lastEventId: this.#lastEventId};
   }
 
-  async #takeWhole(answer: IncomingMessage, status: number): Promise<AttemptEnd> {
+  async #takeWhole(answer: EndpointAnswer, status: number): Promise<AttemptEnd> {
     const read = await readWhole(answer);
     switch (read.kind) {
       case 'broken':
         return this.#broken('the answer was cut off');
       case 'whole':
         if (status >= FIRST_SERVER_ERROR || this.#request.answer.hasBegun) {
-          return {kind: 'failed', held: {answer, body: read.body}};
+          return {kind: 'failed', held: {answer: answer.message, body: read.body}};
         }
-        this.#request.answer.sendWhole(answer, read.body);
-        return {kind: 'delivered', status};
+        this.#request.answer.sendWhole(answer.message, read.body);
+        return {kind: 'delivered', status, flight: this.#flight};
       case 'large':
         return this.#passOn(answer, read.body);
     }
   }
 
   /** Passes on an answer that is not repeated once its first part is with the client. */
-  async #passOn(answer: IncomingMessage, first: Buffer | undefined): Promise<AttemptEnd> {
+  async #passOn(answer: EndpointAnswer, first: Buffer | undefined): Promise<AttemptEnd> {
     const {answer: client} = this.#request;
     if (first !== undefined) {
-      client.begin(answer);
+      client.begin(answer.message);
       await client.write(first);
     }
     const isWhole = await readParts(answer, async (part) => {
-      this.#options.placement.noteFirstEvent(this.#flight);
-      client.begin(answer);
+      this.#options.placement.noteEvent(this.#request.endpoint, this.#flight);
+      client.begin(answer.message);
       await client.write(part);
       return 'next';
     });
     if (!isWhole) return this.#broken('the answer was cut off');
-    client.begin(answer);
+    client.begin(answer.message);
     client.end();
-    return {kind: 'delivered', status: answer.statusCode ?? 0};
+    return {kind: 'delivered', status: answer.message.statusCode ?? 0, flight: this.#flight};
   }
 
-  async #takeStream(answer: IncomingMessage): Promise<AttemptEnd> {
+  async #takeStream(answer: EndpointAnswer): Promise<AttemptEnd> {
     if (!this.#request.route.isResumable) return this.#passOn(answer, undefined);
     const {answer: client} = this.#request;
     const splitter = new EventSplitter();
@@ -178,21 +179,21 @@
       const events = splitter.push(part);
       if (events === undefined) return 'stop';
       stall.restart();
-      for (const event of events) await this.#passEvent(answer, event);
+      for (const event of events) await this.#passEvent(answer.message, event);
       return 'next';
     });
     stall.stop();
     if (!isWhole || splitter.hasRest) return this.#broken('the stream was cut off');
-    client.begin(answer);
+    client.begin(answer.message);
     client.end();
-    return {kind: 'delivered', status: answer.statusCode ?? 0};
+    return {kind: 'delivered', status: answer.message.statusCode ?? 0, flight: this.#flight};
   }
 
   async #passEvent(answer: IncomingMessage, {bytes, id}: RawEvent): Promise<void> {
     if (id !== undefined && this.#lastEventId !== undefined && isUpTo(id, this.#lastEventId))
       return;
     const {answer: client} = this.#request;
-    this.#options.placement.noteFirstEvent(this.#flight);
+    this.#options.placement.noteEvent(this.#request.endpoint, this.#flight);
     client.begin(answer);
     await client.write(bytes);
     if (id !== undefined) this.#lastEventId = id;
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,6 +1,6 @@
 /** One request of a client from its arrival to the end of its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ForwardDemand} from '@marigoldfold/coordination';
+import type {Flight, ForwardDemand} from '@marigoldfold/coordination';
 import {hash64} from '@marigoldfold/coordination';
 import {isAborted} from '@marigoldfold/runtime';
 import type {Route, Service} from '@marigoldfold/state';
@@ -25,7 +25,7 @@
 
 /** How an exchange ended. */
 type End =
-  | {readonly kind: 'delivered'; readonly status: number}
+  | {readonly kind: 'delivered'; readonly status: number; readonly flight?: Flight}
   | {readonly kind: 'refused'; readonly refusal: Refusal}
   | {readonly kind: 'failed'; readonly status: number; readonly reason: string}
   | {readonly kind: 'cut'; readonly reason: string}
@@ -283,7 +283,7 @@
     let reason = '';
     switch (end.kind) {
       case 'delivered':
-        this.#log('answered', {...fields, status: end.status});
+        this.#log('answered', {...fields, status: end.status, ...this.#describePace(end.flight)});
         break;
       case 'refused': {
         const {status, retryAfterMs} = end.refusal;
@@ -309,6 +309,16 @@
     metrics.requests.inc({route: this.#routeName, outcome: end.kind, reason});
   }
 
+  /** When the first event came, counted from the request's arrival, and the longest pause after it. */
+  #describePace(flight: Flight | undefined) {
+    if (flight?.firstEventAtMs === undefined) return {};
+    return {
+      firstEventMs: Math.round(flight.firstEventAtMs - this.#arrivedAtMs),
+      longestPauseMs: Math.round(flight.longestPauseMs),
+      readMs: Math.round(flight.readMs),
+    };
+  }
+
   #beliefAgeMs(): number {
     return Math.round(this.#options.belief().ageMs);
   }
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -2,6 +2,8 @@
 import {createServer, type Server} from 'node:http';
 import {
   EndpointRegistry,
+  PeerExchange,
+  PeerRegistration,
   Placement,
   RangeMirror,
   RepeatBudget,
@@ -26,9 +28,13 @@
 
 /** Where the configuration and the endpoints are found. */
 export interface ForwardSource {
-  readonly store: Pick<KeyValue, 'list' | 'watch'>;
+  readonly store: KeyValue;
+  /** Begins all keys below. */
+  readonly prefix: string;
   readonly configurationKey: string;
   readonly endpointsPrefix: string;
+  /** Other instances of the router register below it. */
+  readonly peersPrefix: string;
   readonly decodeConfiguration: (text: string) => Result<RoutingConfiguration, string>;
   readonly decodeEndpoint: (key: string, text: string) => Result<EndpointRecord, string>;
   readonly endpointIdOf: (key: string) => string;
@@ -53,6 +59,9 @@
   readonly logger: Logger;
   readonly format: ForwardFormat;
   readonly source: ForwardSource;
+  readonly name: string;
+  /** `host:port` for news of other instances. */
+  readonly peerAddress: string;
   /** `host:port` for clients. */
   readonly clientAddress: string;
   /** `host:port` for readiness and metrics. */
@@ -67,7 +76,7 @@
 /** Wait of a watch as a part of the bound of the configuration: a silent connection is noticed within it. */
 const WATCH_SHARE = 0.6;
 /** Time for new connections to end after readiness is lost, in milliseconds: two missed checks and a spare one. */
-const ACCEPT_AFTER_STOP_MS = 3200;
+const ACCEPT_AFTER_STOP_MS = 2700;
 /** Time kept before the kill for the last writes, in milliseconds. */
 const STOP_RESERVE_MS = 700;
 
@@ -78,10 +87,11 @@
   readonly #metricsRegistry = new Registry();
   readonly #registry: EndpointRegistry;
   readonly #budget: RepeatBudget;
+  readonly #peers: PeerExchange;
   readonly #server: ForwardServer;
   readonly #status: Server;
   #bounds: ForwardBounds;
-  #configuration: RangeMirror | undefined;
+  #mirror: RangeMirror | undefined;
   #table: RoutingTable | undefined;
   #isStopping = false;
 
@@ -91,12 +101,24 @@
     const {clock, logger} = options;
     this.#registry = new EndpointRegistry({clock, logger});
     this.#budget = new RepeatBudget(clock, options.bounds.repeats);
+    this.#peers = this.#owned.add(
+      new PeerExchange({
+        clock,
+        logger,
+        self: options.name,
+        address: options.peerAddress,
+        onNews: (news) => {
+          placement.takeNews(news);
+        },
+      }),
+    );
+    const placement = new Placement({clock, registry: this.#registry, tell: this.#peers});
     const forward = {
       clock,
       logger,
       format: options.format,
       client: this.#owned.add(createEndpointClient()),
-      placement: new Placement({clock, registry: this.#registry}),
+      placement,
       budget: this.#budget,
       metrics: new ForwardMetrics(this.#metricsRegistry),
       belief: () => this.#belief(),
@@ -145,77 +167,83 @@
   }
 
   #follow(): void {
-    const {clock, random, logger, source} = this.#options;
-    const {store} = source;
-    const watchMs = this.#bounds.configurationMs * WATCH_SHARE;
-    const common = {clock, random, logger, store, watchMs};
-    this.#configuration = this.#owned.add(
-      new RangeMirror({
-        ...common,
-        prefix: source.configurationKey,
-        onChange: (changes) => {
-          this.#takeConfiguration(changes);
-        },
-      }),
-    );
-    this.#owned.add(
+    const {clock, random, logger, source, name, peerAddress} = this.#options;
+    const {store, prefix, peersPrefix} = source;
+    this.#mirror = this.#owned.add(
       new RangeMirror({
-        ...common,
-        prefix: source.endpointsPrefix,
+        clock,
+        random,
+        logger,
+        store,
+        prefix,
+        watchMs: this.#bounds.configurationMs * WATCH_SHARE,
         onChange: (changes) => {
-          this.#takeEndpoints(changes);
+          this.#takeChanges(changes);
         },
         onRegained: () => {
           this.#registry.beginGrace();
         },
       }),
     );
+    const key = peersPrefix + name;
+    this.#owned.add(new PeerRegistration({clock, random, logger, store, key, value: peerAddress}));
   }
 
-  #takeConfiguration(changes: readonly KeyValueEntry[]): void {
+  #takeChanges(changes: readonly KeyValueEntry[]): void {
+    const {configurationKey, endpointsPrefix, peersPrefix} = this.#options.source;
+    for (const change of changes) {
+      const {key} = change;
+      if (key === configurationKey) this.#takeConfiguration(change);
+      else if (key.startsWith(endpointsPrefix)) this.#takeEndpoint(change);
+      else if (key.startsWith(peersPrefix)) this.#takePeer(change);
+    }
+  }
+
+  #takeConfiguration({value, revision}: KeyValueEntry): void {
     const {logger, source} = this.#options;
-    for (const {key, value, revision} of changes) {
-      if (key !== source.configurationKey) continue;
-      const decoded = source.decodeConfiguration(value);
-      if (decoded.isErr()) {
-        logger.error('configuration cannot be read', {revision, reason: decoded.error});
-        continue;
-      }
-      const {version, routes, limits} = decoded.value;
-      const isNewer = this.#table === undefined || version > this.#table.version;
-      logger.info('configuration', {
-        belief: 'configuration',
-        version,
-        revision,
-        routes: routes.length,
-        inForce: isNewer,
-      });
-      if (!isNewer) continue;
-      this.#table = new RoutingTable(decoded.value);
-      this.#server.limit(limits);
+    const decoded = source.decodeConfiguration(value);
+    if (decoded.isErr()) {
+      logger.error('configuration cannot be read', {revision, reason: decoded.error});
+      return;
     }
+    const {version, routes, limits} = decoded.value;
+    const isNewer = this.#table === undefined || version > this.#table.version;
+    logger.info('configuration', {
+      belief: 'configuration',
+      version,
+      revision,
+      routes: routes.length,
+      inForce: isNewer,
+    });
+    if (!isNewer) return;
+    this.#table = new RoutingTable(decoded.value);
+    this.#server.limit(limits);
   }
 
-  #takeEndpoints(changes: readonly KeyValueEntry[]): void {
+  #takeEndpoint({key, value, revision}: KeyValueEntry): void {
     const {logger, source} = this.#options;
-    for (const {key, value, revision} of changes) {
-      const id = source.endpointIdOf(key);
-      if (value === '') {
-        this.#registry.remove(id);
-        continue;
-      }
-      const decoded = source.decodeEndpoint(key, value);
-      if (decoded.isOk()) {
-        this.#registry.put(decoded.value);
-        continue;
-      }
-      logger.warn('endpoint record cannot be read', {key, revision, reason: decoded.error});
+    const id = source.endpointIdOf(key);
+    if (value === '') {
       this.#registry.remove(id);
+      return;
+    }
+    const decoded = source.decodeEndpoint(key, value);
+    if (decoded.isOk()) {
+      this.#registry.put(decoded.value);
+      return;
     }
+    logger.warn('endpoint record cannot be read', {key, revision, reason: decoded.error});
+    this.#registry.remove(id);
+  }
+
+  #takePeer({key, value}: KeyValueEntry): void {
+    const peer = key.slice(this.#options.source.peersPrefix.length);
+    if (value === '') this.#peers.remove(peer);
+    else this.#peers.add(peer, value);
   }
 
   #belief(): Belief {
-    return {table: this.#table, ageMs: this.#configuration?.ageMs ?? Number.POSITIVE_INFINITY};
+    return {table: this.#table, ageMs: this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY};
   }
 
   #beliefLimits(): BeliefLimits {
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -81,13 +81,16 @@
     const startedAtMs = clock.now();
     this.#isStopping = true;
     for (const response of this.#unfinished) this.#askToClose(response);
-    while (clock.now() - startedAtMs < limitMs) {
-      if (clock.now() - startedAtMs >= acceptMs && this.activeCount === 0) break;
-      await sleep(clock, STOP_CHECK_MS);
-    }
+    await sleep(clock, acceptMs);
     this.#server.close();
+    // What is sent on an idle connection from now on might not be done before the limit.
     this.#server.closeIdleConnections();
     await sleep(clock, CROSSING_MS);
+    while (this.activeCount > 0 && clock.now() - startedAtMs < limitMs) {
+      await sleep(clock, STOP_CHECK_MS);
+      // A connection whose answer began before the stop was not told to close after it.
+      this.#server.closeIdleConnections();
+    }
     logger.info('server closed', {unfinished: this.activeCount, tookMs: clock.now() - startedAtMs});
     this.#server.closeAllConnections();
   }
--- /dev/null
+++ b/packages/transport/src/__tests__/endpointClient.test.ts
@@ -0,0 +1,159 @@
+import {type AddressInfo, createServer, type Server, type Socket} from 'node:net';
+import {afterEach, describe, expect, test} from 'vitest';
+import {createEndpointClient, type EndpointRequest, type SendOutcome} from '../endpointClient.js';
+
+/** An endpoint whose answer to each request on each connection is written by hand. */
+type Answer = (socket: Socket, requestNumber: number) => void;
+
+const servers: Server[] = [];
+const sockets = new Set<Socket>();
+
+async function startEndpoint(answer: Answer): Promise<string> {
+  let count = 0;
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      count += 1;
+      answer(socket, count);
+    });
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function requestTo(address: string, overrides: Partial<EndpointRequest> = {}): EndpointRequest {
+  return {
+    address,
+    method: 'GET',
+    target: '/a',
+    headers: ['host', 'a.example'],
+    body: undefined,
+    signal: new AbortController().signal,
+    connectTimeoutMs: 5000,
+    allowsKept: true,
+    ...overrides,
+  };
+}
+
+async function readBody(outcome: SendOutcome): Promise<{text: string; isWhole: boolean}> {
+  if (outcome.kind !== 'answered') throw new Error(`no answer: ${outcome.reason}`);
+  let text = '';
+  try {
+    for await (const part of outcome.answer.message) text += String(part);
+  } catch {
+    text += '!';
+  }
+  return {text, isWhole: outcome.answer.isWhole()};
+}
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy();
+  for (const server of servers.splice(0)) server.close();
+  sockets.clear();
+});
+
+describe('outcome of a send', () => {
+  test('is notSent when nothing listens', async () => {
+    const address = await startEndpoint(() => undefined);
+    servers.splice(0)[0]?.close();
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect(outcome.kind).toBe('notSent');
+  });
+
+  test('is notSent when it was given up before', async () => {
+    const address = await startEndpoint(() => undefined);
+    const outcome = await createEndpointClient().send(
+      requestTo(address, {signal: AbortSignal.abort()}),
+    );
+    expect(outcome.kind).toBe('notSent');
+  });
+
+  test('is unknown when the connection closes without an answer', async () => {
+    const address = await startEndpoint((socket) => socket.destroy());
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect(outcome.kind).toBe('unknown');
+  });
+
+  test('is unknown when the bytes are no answer', async () => {
+    const address = await startEndpoint((socket) => socket.write('what is this\r\n\r\n'));
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect(outcome.kind).toBe('unknown');
+  });
+});
+
+describe('end of an answer', () => {
+  test('without a length is whole when the connection closes', async () => {
+    const address = await startEndpoint((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nabc'));
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect(await readBody(outcome)).toEqual({text: 'abc', isWhole: true});
+  });
+
+  test('without a length is not whole when the connection is reset', async () => {
+    const address = await startEndpoint((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nabc');
+    });
+    const outcome = await createEndpointClient().send(requestTo(address));
+    for (const socket of sockets) socket.resetAndDestroy();
+    expect((await readBody(outcome)).isWhole).toBe(false);
+  });
+
+  test('with a length is not whole when bytes are missing', async () => {
+    const address = await startEndpoint((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc'),
+    );
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect((await readBody(outcome)).isWhole).toBe(false);
+  });
+
+  test('is whole when other bytes follow it, which are dropped', async () => {
+    const address = await startEndpoint((socket, number) => {
+      const extra = number === 1 ? 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra' : '';
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${number}${extra}`);
+    });
+    const client = createEndpointClient();
+    expect(await readBody(await client.send(requestTo(address)))).toEqual({
+      text: '1',
+      isWhole: true,
+    });
+    expect((await readBody(await client.send(requestTo(address)))).text).toBe('2');
+  });
+});
+
+describe('kept connections', () => {
+  test('carry the next request', async () => {
+    const address = await startEndpoint((socket, number) => {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${number}`);
+    });
+    const client = createEndpointClient();
+    await readBody(await client.send(requestTo(address)));
+    expect((await readBody(await client.send(requestTo(address)))).text).toBe('2');
+    expect(client.openedCount()).toBe(1);
+  });
+
+  test('are dropped when bytes arrive that nobody asked for', async () => {
+    const address = await startEndpoint((socket, number) => {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${number}`);
+    });
+    const client = createEndpointClient();
+    await readBody(await client.send(requestTo(address)));
+    const [socket] = sockets;
+    socket!.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra');
+    await new Promise((resolve) => socket!.once('close', resolve));
+    expect((await readBody(await client.send(requestTo(address)))).text).toBe('2');
+    expect(client.openedCount()).toBe(2);
+  });
+
+  test('do not carry a request that may run only once', async () => {
+    const address = await startEndpoint((socket, number) => {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${number}`);
+    });
+    const client = createEndpointClient();
+    await readBody(await client.send(requestTo(address)));
+    await readBody(await client.send(requestTo(address, {allowsKept: false})));
+    expect(client.openedCount()).toBe(2);
+  });
+});
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -29,7 +29,14 @@
   | {readonly kind: 'notSent'; readonly reason: string}
   /** The request may have been read, and no answer came. */
   | {readonly kind: 'unknown'; readonly reason: string}
-  | {readonly kind: 'answered'; readonly answer: IncomingMessage};
+  | {readonly kind: 'answered'; readonly answer: EndpointAnswer};
+
+/** An answer whose head has arrived. */
+export interface EndpointAnswer {
+  readonly message: IncomingMessage;
+  /** Whether the body has arrived to its end; an answer without a length may also end by a reset. */
+  readonly isWhole: () => boolean;
+}
 
 /** A client with kept connections to many endpoints. */
 export interface EndpointClient extends Disposable {
@@ -129,15 +136,21 @@
       if (socket.connecting) socket.once('connect', connected);
       else connected();
     });
-    outgoing.on('response', (answer) => {
-      // A reader of the answer sees a break as its end without `complete`.
-      answer.on('error', () => undefined);
-      resolve({kind: 'answered', answer});
+    let message: IncomingMessage | undefined;
+    let isBroken = false;
+    outgoing.on('response', (response) => {
+      message = response;
+      // A reader of the answer asks `isWhole` at its end.
+      response.on('error', () => undefined);
+      const isWhole = () => response.complete && !isBroken;
+      resolve({kind: 'answered', answer: {message: response, isWhole}});
     });
     const fail = (reason: string) => {
       resolve({kind: isConnected ? 'unknown' : 'notSent', reason});
     };
     outgoing.on('error', (error) => {
+      // Node ends an answer without a length as complete also when its connection is reset.
+      if (message?.complete === false) isBroken = true;
       fail(error.message);
     });
     outgoing.on('close', () => {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -36,6 +36,7 @@
   createPeer,
 } from './rpc.js';
 export {
+  type EndpointAnswer,
   type EndpointClient,
   type EndpointRequest,
   type SendOutcome,
