Detect a reset that arrives with the last bytes; logs within a budget; forwarding tested between real sockets

Found by a loopback test that writes and resets in one go. Change: the peer's name is asked at the end of the stream; it is gone after a reset. A record that lapsed during an outage kept its endpoint only if the removal came after the first answer; the grace now begins before the changes are applied. Log lines go through a byte budget and never wait for their reader.

--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -11,9 +11,7 @@
 const REMOTE_FLIGHT_LIMIT_MS = 10_000;
 /** Time after which a report of load says nothing any more, in milliseconds. */
 const LOAD_AGE_LIMIT_MS = 1500;
-/** Time over which the pace of events is looked at, in milliseconds: some events at the usual pace. */
-const GAP_WINDOW_MS = 150;
-/** Neighbours slow an endpoint down to about this; more comes from prompts that are read. */
+/** Neighbours slow an endpoint down to about this; more comes from prompts that nobody told of. */
 const MAX_SLOWNESS = 3;
 /** First time that an unreachable endpoint is left out, in milliseconds. */
 const MIN_BAR_MS = 250;
@@ -33,7 +31,6 @@
   record: EndpointRecord;
   #load: {readonly report: LoadReport; readonly atMs: number; readonly known: number} | undefined;
   #slowness: {readonly value: number; readonly atMs: number} | undefined;
-  readonly #gaps: {readonly gapMs: number; readonly atMs: number}[] = [];
   #failures = 0;
   #barredUntilMs = Number.NEGATIVE_INFINITY;
   /** Share of recent requests that the endpoint failed, from 0 to 1. */
@@ -64,7 +61,7 @@
 
   /** Takes how long work takes there; 1 is the usual time. */
   observeSlowness(value: number): void {
-    this.#slowness = {value, atMs: this.#clock.now()};
+    this.#slowness = {value: Math.min(MAX_SLOWNESS, value), atMs: this.#clock.now()};
   }
 
   /** Requests there that this process knows of, its own and those of others. */
@@ -99,21 +96,6 @@
     return Math.max(1, this.#slowness.value);
   }
 
-  /** Takes the time between two events of a stream. */
-  observeGap(gapMs: number): void {
-    this.#gaps.push({gapMs, atMs: this.#clock.now()});
-  }
-
-  /** How long work takes there by the newest events, against the usual time between two. */
-  slownessBy(usualGapMs: number): number {
-    const fromMs = this.#clock.now() - GAP_WINDOW_MS;
-    while ((this.#gaps[0]?.atMs ?? fromMs) < fromMs) this.#gaps.shift();
-    if (this.#gaps.length === 0) return this.slowness;
-    // The reading of a prompt stretches single gaps, a slow endpoint all of them.
-    const leastMs = Math.min(...this.#gaps.map(({gapMs}) => gapMs));
-    return Math.min(MAX_SLOWNESS, Math.max(1, leastMs / usualGapMs));
-  }
-
   /** Whether the endpoint is left out after failures to reach it. */
   get isBarred(): boolean {
     return this.#clock.now() < this.#barredUntilMs;
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -8,10 +8,16 @@
 
 /** Tokens from which a prompt counts as long: three times what an engine reads between two tokens. */
 const LONG_PROMPT_TOKENS = 3000;
+/** Tokens of prompts that an engine reads at most between two events of a stream. */
+const EVENT_READ_TOKENS = 3072;
+/** Silence counts as slowness up to this: a longer one is not explained by neighbours. */
+const MAX_SILENCE = 3;
 /** Time constant with which the mix of long and short prompts is followed, in milliseconds. */
 const MIX_WINDOW_MS = 6000;
-/** How much more room a millisecond of reading needs where streams are short of patience. */
-const SHORT_WORK_FACTOR = 2;
+/** How much more room a token of a short prompt needs: its answer is longer and its pauses are shorter. */
+const SHORT_WORK_FACTOR = 0.8;
+/** Largest part of the endpoints for long prompts: the short ones are the urgent ones. */
+const MAX_LONG_SHARE = 0.75;
 /** Part of a request's value that reading its shared parts once more costs; source: the platform's prices. */
 const REREAD_COST = 1.2;
 /** Risk of a short prompt between long ones: their reading stretches most of its pauses. */
@@ -79,7 +85,7 @@
       best = endpoint;
       leastLoss = loss;
     }
-    if (best !== undefined) this.#noteWork(demand.service, best, prompt, isLong);
+    this.#noteWork(prompt, isLong);
     return best;
   }
 
@@ -91,22 +97,56 @@
   ): number {
     const {endpoint, isLong, isForeign, isHome} = place;
     const pace = this.pace(service);
-    const slowness = endpoint.slownessBy(pace.eventMs);
-    const unread = isHome
-      ? (prompt.parts.at(-1)?.tokens ?? prompt.promptTokens)
-      : endpoint.residency.unreadTokens(prompt);
+    const slowness = this.slowness(endpoint);
+    const unread = isHome ? ownTokens(prompt) : endpoint.residency.unreadTokens(prompt);
     const readMs = unread * pace.readMsPerToken;
     const backlogMs = this.#backlogMs(endpoint);
     const firstEventMs = slowness * (backlogMs + readMs + pace.eventMs);
     const value = valueOf(prompt);
     let loss = value * riskOf(firstEventMs, targetLeftMs);
     loss += value * REREAD_COST * rereadShare(prompt, unread);
-    const gapMs = slowness * (pace.eventMs + Math.min(backlogMs + readMs, 4 * pace.eventMs));
+    const stretchMs = Math.min(backlogMs + readMs, EVENT_READ_TOKENS * pace.readMsPerToken);
+    const gapMs = slowness * (pace.eventMs + stretchMs);
     loss += this.#harm(endpoint, gapMs);
     if (isForeign) loss += value * (isLong ? LONG_AMONG_SHORT_RISK : SHORT_AMONG_LONG_RISK);
     return loss;
   }
 
+  /**
+   * Takes the time between two events of a stream and returns how slow that was; 1 is usual. What was read
+   * meanwhile explains a part of it.
+   */
+  observeGap(endpoint: Endpoint, gapMs: number): number {
+    const pace = this.pace(endpoint.record.service);
+    const slowness = Math.max(1, gapMs / this.#usualGapMs(endpoint, gapMs));
+    pace.observeGap(gapMs);
+    endpoint.observeSlowness(slowness);
+    return slowness;
+  }
+
+  /** How long work takes at an endpoint, also by the time that no event has come. */
+  slowness(endpoint: Endpoint): number {
+    let lastEventMs = 0;
+    for (const {lastEventAtMs} of endpoint.flights) {
+      lastEventMs = Math.max(lastEventMs, lastEventAtMs ?? 0);
+    }
+    if (lastEventMs === 0) return endpoint.slowness;
+    const silentMs = this.#clock.now() - lastEventMs;
+    const silence = silentMs / this.#usualGapMs(endpoint, silentMs);
+    return Math.min(MAX_SILENCE, Math.max(endpoint.slowness, silence));
+  }
+
+  /** The time between two events at the usual pace, with what was read in that time. */
+  #usualGapMs(endpoint: Endpoint, gapMs: number): number {
+    const pace = this.pace(endpoint.record.service);
+    const fromMs = this.#clock.now() - gapMs;
+    let tokens = 0;
+    for (const {firstEventAtMs, unreadTokens} of endpoint.knownFlights()) {
+      if ((firstEventAtMs ?? fromMs) >= fromMs) tokens += unreadTokens;
+    }
+    return pace.eventMs + Math.min(tokens, EVENT_READ_TOKENS) * pace.readMsPerToken;
+  }
+
   /** Milliseconds of reading that the endpoint has before it, as far as is known. */
   #backlogMs(endpoint: Endpoint): number {
     const now = this.#clock.now();
@@ -120,13 +160,14 @@
     return Math.max(0, backlogMs - (now - oldestMs));
   }
 
-  /** Expected loss of the streams there if their next events are so far apart. */
+  /** Expected loss of the streams there if their events are so far apart. */
   #harm(endpoint: Endpoint, gapMs: number): number {
     let loss = 0;
     let known = 0;
-    for (const {firstEventAtMs, pauseTargetMs, longestPauseMs, prompt} of endpoint.knownFlights()) {
+    // Prompts that are still being read count as well: their streams are disturbed soon after.
+    for (const {pauseTargetMs, longestPauseMs, prompt} of endpoint.knownFlights()) {
       known += 1;
-      if (firstEventAtMs === undefined || prompt === undefined) continue;
+      if (prompt === undefined) continue;
       // A stream that is late already loses nothing more.
       if (pauseTargetMs === undefined || longestPauseMs > pauseTargetMs) continue;
       loss += valueOf(prompt) * riskOf(gapMs, pauseTargetMs);
@@ -135,22 +176,23 @@
     return known === 0 ? loss : loss * Math.max(1, endpoint.occupancy / known);
   }
 
-  #noteWork(service: string, endpoint: Endpoint, prompt: PromptSize, isLong: boolean): void {
+  /** Counts what must be read in any case, so that reading again does not move the border. */
+  #noteWork(prompt: PromptSize, isLong: boolean): void {
     const now = this.#clock.now();
     const decay = Math.exp(-(now - this.#workAtMs) / MIX_WINDOW_MS);
     this.#workAtMs = now;
     this.#longWork *= decay;
     this.#shortWork *= decay;
-    const readMs = endpoint.residency.unreadTokens(prompt) * this.pace(service).readMsPerToken;
-    if (isLong) this.#longWork += readMs;
-    else this.#shortWork += readMs * SHORT_WORK_FACTOR;
+    const tokens = ownTokens(prompt);
+    if (isLong) this.#longWork += tokens;
+    else this.#shortWork += tokens * SHORT_WORK_FACTOR;
   }
 
   /** Number of endpoints for long prompts. */
   #border(count: number): number {
     if (count < 2) return count;
     const work = this.#longWork + this.#shortWork;
-    const share = work === 0 ? 0.5 : this.#longWork / work;
+    const share = work === 0 ? 0.5 : Math.min(MAX_LONG_SHARE, this.#longWork / work);
     return Math.min(count - 1, Math.max(1, Math.round(count * share)));
   }
 }
@@ -168,9 +210,13 @@
 }
 
 /** Part of a prompt that is read although requests share it. */
-function rereadShare({parts, promptTokens}: PromptSize, unread: number): number {
-  const own = parts.at(-1)?.tokens ?? promptTokens;
-  return Math.max(0, unread - own) / Math.max(1, promptTokens);
+function rereadShare(prompt: PromptSize, unread: number): number {
+  return Math.max(0, unread - ownTokens(prompt)) / Math.max(1, prompt.promptTokens);
+}
+
+/** Tokens that belong to the request or its session alone. */
+function ownTokens({parts, promptTokens}: PromptSize): number {
+  return parts.at(-1)?.tokens ?? promptTokens;
 }
 
 /** The endpoint on which all processes agree for the shared parts of a prompt. */
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -24,6 +24,9 @@
 /** Share of failures beyond that of the other endpoints that makes an endpoint unattractive. */
 const FAILURE_TOLERANCE = 0.15;
 
+/** Slowness from which others are told: between the usual pace and that beside a busy neighbour. */
+const SLOW = 1.7;
+
 /** Chooses endpoints and keeps count of what was sent to them. */
 export class Placement {
   readonly #options: PlacementOptions;
@@ -98,8 +101,11 @@
     } else {
       const gapMs = now - flight.lastEventAtMs;
       flight.longestPauseMs = Math.max(flight.longestPauseMs, gapMs);
-      pace.observeGap(gapMs);
-      endpoint.observeGap(gapMs);
+      const before = endpoint.slowness;
+      const slowness = this.#engines.observeGap(endpoint, gapMs);
+      if (isSlow(slowness) !== isSlow(before)) {
+        this.#options.tell?.tellSlowness(endpoint.record.id, slowness);
+      }
     }
     flight.lastEventAtMs = now;
   }
@@ -151,6 +157,10 @@
   }
 }
 
+function isSlow(slowness: number): boolean {
+  return slowness >= SLOW;
+}
+
 /** Leaves out endpoints that fail clearly more often than the best one. */
 function withoutFailing(candidates: readonly Endpoint[]): readonly Endpoint[] {
   const least = Math.min(...candidates.map(({failureShare}) => failureShare));
--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -15,7 +15,7 @@
   readonly onChange: (changes: readonly KeyValueEntry[]) => void;
   /** Called after each answer, also when nothing has changed. */
   readonly onConfirmed?: () => void;
-  /** Called when the service answers again. */
+  /** Called when the service answers again, before the changes that it tells. */
   readonly onRegained?: () => void;
 }
 
@@ -64,7 +64,6 @@
         continue;
       }
       this.#confirmedAtMs = startedAtMs;
-      this.#noteRegained();
       this.#options.onConfirmed?.();
     }
   }
@@ -73,6 +72,7 @@
     const {store, prefix} = this.#options;
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
+    this.#noteRegained();
     const {entries, revision} = listing.value;
     const present = new Set(entries.map(({key}) => key));
     const changes = entries.filter((entry) => this.#isNewer(entry));
@@ -89,6 +89,7 @@
     const afterRevision = this.#revision ?? 0;
     const changes = await store.watch(prefix, {afterRevision, timeoutMs: watchMs, signal});
     if (changes.isErr()) return changes.error;
+    this.#noteRegained();
     const {entries, revision} = changes.value;
     this.#apply(
       entries.filter((entry) => this.#isNewer(entry)),
--- /dev/null
+++ b/packages/entry/src/forwarding/__tests__/forwarding.test.ts
@@ -0,0 +1,398 @@
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {
+  configurationOf,
+  type EndpointScript,
+  ForwardRig,
+  routeOf,
+  signed,
+  type TestEndpoint,
+  until,
+} from '../__fixtures__/forwardRig.js';
+
+let rig: ForwardRig;
+
+beforeEach(() => {
+  rig = new ForwardRig();
+});
+
+afterEach(async () => {
+  await rig.stop();
+});
+
+const answerWell: EndpointScript = (response, {request}) => {
+  response.writeHead(200, signed(request)).end('well');
+};
+
+const closeUnanswered: EndpointScript = (response) => {
+  response.destroy();
+};
+
+/** Answers differently by the number of the request over all endpoints. */
+function inTurn(...scripts: readonly EndpointScript[]): EndpointScript {
+  let count = 0;
+  return (response, seen) => {
+    const script = scripts[Math.min(count, scripts.length - 1)];
+    count += 1;
+    return script?.(response, seen);
+  };
+}
+
+async function startWith(
+  script: EndpointScript,
+  route: Parameters<typeof routeOf>[0] = {},
+  endpoints = ['e1', 'e2'],
+) {
+  const started: TestEndpoint[] = [];
+  for (const id of endpoints) started.push(await rig.addEndpoint(id, script));
+  await rig.start(configurationOf({routes: [routeOf(route)]}));
+  return {
+    seen: () => started.flatMap(({seen}) => seen),
+  };
+}
+
+describe('a request', () => {
+  test('reaches an endpoint unchanged and its answer comes back unchanged', async () => {
+    const {seen} = await startWith(answerWell, {kind: 'nonIdempotent'});
+    const result = await rig.ask(
+      {'x-other': 'kept', 'x-account': 'forged'},
+      {method: 'POST', path: '/x?y=1', body: 'order'},
+    );
+    expect(result).toMatchObject({status: 200, body: 'well', isWhole: true});
+    expect(result.headers['x-signed']).toBe('yes');
+    const [{request, body}] = seen() as [ReturnType<typeof seen>[number]];
+    expect(request.method).toBe('POST');
+    expect(request.url).toBe('/x?y=1');
+    expect(body).toBe('order');
+    expect(request.headers['x-other']).toBe('kept');
+  });
+
+  test('without a route is refused, and so is one whose key nobody holds', async () => {
+    await startWith(answerWell, {prefix: '/x/'});
+    expect((await rig.ask({}, {path: '/y/'})).status).toBe(404);
+    expect((await rig.ask({'x-key': 'other'}, {path: '/x/'})).status).toBe(401);
+    expect((await rig.ask({}, {path: '/x/'})).status).toBe(200);
+  });
+
+  test('with a body over the limit is refused', async () => {
+    const {seen} = await startWith(answerWell);
+    const result = await rig.ask({}, {method: 'POST', body: 'x'.repeat(2000)});
+    expect(result.status).toBe(413);
+    expect(seen()).toHaveLength(0);
+  });
+
+  test('is refused with a promise before the first configuration', async () => {
+    await rig.start('none');
+    expect(rig.process.isReady).toBe(false);
+    const result = await rig.ask();
+    expect(result.status).toBe(503);
+    expect(Number(result.headers['retry-after'])).toBeGreaterThan(0);
+  });
+});
+
+describe('a request that may run only once', () => {
+  const route = {kind: 'nonIdempotent'} as const;
+
+  test('is not sent again when the connection closes without an answer', async () => {
+    const {seen} = await startWith(closeUnanswered, route);
+    expect((await rig.ask({}, {method: 'POST'})).status).toBe(502);
+    expect(seen()).toHaveLength(1);
+  });
+
+  test('goes to another endpoint on the word that it was not executed', async () => {
+    const refuse: EndpointScript = (response) => {
+      response.writeHead(503, {'x-not-executed': '1'}).end();
+    };
+    const {seen} = await startWith(inTurn(refuse, answerWell), route);
+    expect((await rig.ask({}, {method: 'POST'})).status).toBe(200);
+    expect(seen()).toHaveLength(2);
+  });
+
+  test('is refused with a promise when no endpoint executed it', async () => {
+    const refuse: EndpointScript = (response) => {
+      response.writeHead(503, {'x-not-executed': '1'}).end();
+    };
+    await startWith(refuse, route);
+    const result = await rig.ask({}, {method: 'POST'});
+    expect(result.status).toBe(503);
+    expect(result.headers['retry-after']).toBeDefined();
+  });
+
+  test('is not refused with a promise that no endpoint gave', async () => {
+    const unclear: EndpointScript = (response, {request}) => {
+      response.writeHead(503, signed(request)).end();
+    };
+    const {seen} = await startWith(unclear, route);
+    expect((await rig.ask({}, {method: 'POST'})).status).toBe(502);
+    expect(seen()).toHaveLength(1);
+  });
+
+  test('goes to another endpoint when the first cannot be reached', async () => {
+    const {seen} = await startWith(answerWell, route, ['e2']);
+    await rig.register({id: 'e1', address: '127.0.0.1:1'});
+    await rig.follow();
+    for (let count = 0; count < 4; count += 1) {
+      expect((await rig.ask({}, {method: 'POST'})).status).toBe(200);
+    }
+    expect(seen()).toHaveLength(4);
+  });
+});
+
+describe('an idempotent request', () => {
+  test('is sent again after a failure of an endpoint', async () => {
+    const fail: EndpointScript = (response, {request}) => {
+      response.writeHead(500, signed(request)).end('bad');
+    };
+    const {seen} = await startWith(inTurn(fail, answerWell));
+    expect(await rig.ask()).toMatchObject({status: 200, body: 'well'});
+    expect(seen()).toHaveLength(2);
+  });
+
+  test('gets the endpoint’s own failure when no attempt is left', async () => {
+    const fail: EndpointScript = (response, {request}) => {
+      response.writeHead(500, signed(request)).end('bad');
+    };
+    const {seen} = await startWith(fail);
+    expect(await rig.ask()).toMatchObject({status: 500, body: 'bad'});
+    expect(seen()).toHaveLength(2);
+  });
+
+  test('is sent again when the answer belongs to another request', async () => {
+    const wrong: EndpointScript = (response) => {
+      response.writeHead(200, {'x-id': 'other', 'x-signed': 'yes'}).end('wrong');
+    };
+    await startWith(inTurn(wrong, answerWell));
+    expect(await rig.ask()).toMatchObject({status: 200, body: 'well'});
+  });
+
+  test('is sent again when the answer is cut off', async () => {
+    const cut: EndpointScript = (response, {request}) => {
+      response.writeHead(200, {...signed(request), 'content-length': '10'});
+      response.write('half');
+      setImmediate(() => response.destroy());
+    };
+    await startWith(inTurn(cut, answerWell));
+    expect(await rig.ask()).toMatchObject({status: 200, body: 'well', isWhole: true});
+  });
+
+  test('is not answered with success that bears no signature', async () => {
+    const unsigned: EndpointScript = (response) => {
+      response.writeHead(200).end('whose');
+    };
+    await startWith(unsigned);
+    expect((await rig.ask()).status).toBe(502);
+  });
+});
+
+/** Writes events with their numbers as ids. */
+function events(from: number, to: number): string {
+  let text = '';
+  for (let number = from; number <= to; number += 1) text += `id: ${number}\ndata: ${number}\n\n`;
+  return text;
+}
+
+describe('a stream', () => {
+  const route = {kind: 'stream', isResumable: true, pauseTargetMs: 100} as const;
+
+  const streamAndCut: EndpointScript = (response, {request}) => {
+    response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
+    response.write(`${events(1, 3)}id: 4\nda`);
+    setImmediate(() => response.destroy());
+  };
+
+  test('that breaks off is resumed at another endpoint, each event once', async () => {
+    const resume: EndpointScript = (response, {request}) => {
+      const from = Number(request.headers['last-event-id']) + 1;
+      response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
+      response.end(events(from, 6));
+    };
+    const {seen} = await startWith(inTurn(streamAndCut, resume), route);
+    const result = await rig.ask();
+    expect(result).toMatchObject({status: 200, isWhole: true, body: events(1, 6)});
+    expect(seen().map(({request}) => request.headers['last-event-id'])).toContain('3');
+  });
+
+  test('drops events that the client has already', async () => {
+    const repeat: EndpointScript = (response, {request}) => {
+      response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
+      response.end(events(2, 6));
+    };
+    await startWith(inTurn(streamAndCut, repeat), route);
+    expect((await rig.ask()).body).toBe(events(1, 6));
+  });
+
+  test('that may not be resumed breaks off and does not look complete', async () => {
+    const {seen} = await startWith(streamAndCut, {...route, isResumable: false});
+    const result = await rig.ask();
+    expect(result.isWhole).toBe(false);
+    expect(seen()).toHaveLength(1);
+  });
+
+  test('that falls silent is resumed at another endpoint', async () => {
+    const fallSilent: EndpointScript = (response, {request}) => {
+      response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
+      response.write(events(1, 2));
+    };
+    const resume: EndpointScript = (response, {request}) => {
+      response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
+      response.end(events(3, 4));
+    };
+    const {seen} = await startWith(inTurn(fallSilent, resume), route);
+    const result = rig.ask();
+    await until(() => seen().length === 1);
+    await rig.pass(1500);
+    expect(await result).toMatchObject({isWhole: true, body: events(1, 4)});
+  });
+});
+
+describe('a client that leaves', () => {
+  test('ends the work at the endpoint', async () => {
+    let isClosed = false;
+    const neverAnswer: EndpointScript = (response) => {
+      response.on('close', () => (isClosed = true));
+    };
+    const {seen} = await startWith(neverAnswer);
+    const controller = new AbortController();
+    const result = rig.ask({}, {signal: controller.signal});
+    await until(() => seen().length === 1);
+    controller.abort();
+    await expect(result).rejects.toThrow();
+    await until(() => isClosed);
+    expect(seen()).toHaveLength(1);
+  });
+});
+
+describe('time limits', () => {
+  test('of a request shrink by the time that it was held', async () => {
+    let release: (() => void) | undefined;
+    const failLater: EndpointScript = async (response, {request}) => {
+      await new Promise<void>((resolve) => (release = resolve));
+      response.writeHead(500, signed(request)).end();
+    };
+    const {seen} = await startWith(inTurn(failLater, answerWell));
+    const result = rig.ask({'x-deadline': '2000'});
+    await until(() => release !== undefined);
+    await rig.pass(700);
+    release?.();
+    expect((await result).status).toBe(200);
+    const left = seen().map(({request}) => Number(request.headers['x-left']));
+    expect(left.toSorted((a, b) => a - b)).toEqual([1300, 2000]);
+  });
+
+  test('of a route end a request that nobody answers', async () => {
+    const {seen} = await startWith(() => undefined, {timeoutMs: 1000});
+    const result = rig.ask();
+    await until(() => seen().length === 1);
+    await rig.pass(1200);
+    expect((await result).status).toBe(504);
+  });
+});
+
+describe('the configuration', () => {
+  test('that is not confirmed any more stops requests with a key, not anonymous ones', async () => {
+    await rig.addEndpoint('e1', answerWell);
+    const routes = [
+      routeOf({prefix: '/keyed/'}),
+      routeOf({prefix: '/open/', allowsAnonymous: true}),
+    ];
+    await rig.start(configurationOf({routes}));
+    rig.access.isDown = true;
+    await rig.pass(3000);
+    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(200);
+    await rig.pass(1000);
+    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(503);
+    expect((await rig.ask({}, {path: '/open/'})).status).toBe(200);
+    expect((await rig.ask({}, {path: '/unknown/'})).status).toBe(503);
+    expect(rig.process.isReady).toBe(false);
+    rig.access.isDown = false;
+    await rig.pass(2000);
+    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(200);
+  });
+
+  test('never goes back to an older version', async () => {
+    await startWith(answerWell);
+    await rig.configure(
+      configurationOf({version: 7, accounts: [{name: 'a', keys: ['new'], priority: 1}]}),
+    );
+    await rig.follow();
+    await rig.configure(configurationOf({version: 6}));
+    await rig.follow();
+    expect((await rig.ask()).status).toBe(401);
+    expect((await rig.ask({'x-key': 'new'})).status).toBe(200);
+  });
+
+  test('takes a key away also from a request that waits for its next attempt', async () => {
+    let release: (() => void) | undefined;
+    const failLater: EndpointScript = async (response, {request}) => {
+      await new Promise<void>((resolve) => (release = resolve));
+      response.writeHead(500, signed(request)).end();
+    };
+    const {seen} = await startWith(failLater);
+    const result = rig.ask();
+    await until(() => release !== undefined);
+    await rig.configure(configurationOf({version: 2, accounts: []}));
+    await rig.follow();
+    release?.();
+    expect((await result).status).toBe(500);
+    expect(seen()).toHaveLength(1);
+  });
+});
+
+describe('an endpoint', () => {
+  test('that is leaving gets no new request', async () => {
+    const e1 = await rig.addEndpoint('e1', answerWell);
+    const e2 = await rig.addEndpoint('e2', answerWell);
+    await rig.start();
+    await rig.register({id: 'e1', isLeaving: true});
+    await rig.follow();
+    for (let count = 0; count < 5; count += 1) await rig.ask();
+    expect([e1.seen.length, e2.seen.length]).toEqual([0, 5]);
+  });
+
+  test('whose record cannot be read is not used, the others are', async () => {
+    const e1 = await rig.addEndpoint('e1', answerWell);
+    await rig.addEndpoint('e2', answerWell);
+    await rig.start();
+    await rig.put('endpoints/e1', 'garbage');
+    await rig.follow();
+    for (let count = 0; count < 5; count += 1) expect((await rig.ask()).status).toBe(200);
+    expect(e1.seen).toHaveLength(0);
+    expect(rig.lines.map(({message}) => message)).toContain('endpoint record cannot be read');
+  });
+
+  test('whose record lapsed while the store was away is used until its grace is over', async () => {
+    const {seen} = await startWith(answerWell, {}, ['e1']);
+    rig.access.isDown = true;
+    await rig.pass(2000);
+    await rig.remove('endpoints/e1');
+    rig.access.isDown = false;
+    await rig.pass(1500);
+    expect((await rig.ask()).status).toBe(200);
+    await rig.pass(3000);
+    expect((await rig.ask()).status).toBe(503);
+    expect(seen()).toHaveLength(1);
+  });
+});
+
+describe('a planned stop', () => {
+  test('finishes what is under way and what still comes, and asks clients to close', async () => {
+    let release: (() => void) | undefined;
+    const answerLater: EndpointScript = async (response, {request}) => {
+      await new Promise<void>((resolve) => (release = resolve));
+      response.writeHead(200, signed(request)).end('late');
+    };
+    const {seen} = await startWith(inTurn(answerLater, answerWell), {}, ['e1']);
+    const first = rig.ask();
+    await until(() => seen().length === 1);
+    const stopped = rig.process.stop();
+    expect(rig.process.isReady).toBe(false);
+    await rig.pass(1000);
+    const second = await rig.ask();
+    expect(second.status).toBe(200);
+    expect(second.headers.connection).toBe('close');
+    await rig.pass(4000);
+    release?.();
+    expect(await first).toMatchObject({status: 200, body: 'late', isWhole: true});
+    await rig.pass(1000);
+    await stopped;
+  });
+});
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -167,13 +167,17 @@
     if (body.length > 0 || method === 'POST' || method === 'PUT') {
       headers.push('content-length', String(body.length));
     }
-    this.#log('sent', {
-      endpoint: endpoint.record.id,
-      configuration: table.version,
-      occupancy: endpoint.occupancy,
-      send: this.#sends,
-      leftMs: Math.round(leftMs),
-    });
+    this.#log(
+      'sent',
+      {
+        endpoint: endpoint.record.id,
+        configuration: table.version,
+        occupancy: endpoint.occupancy,
+        send: this.#sends,
+        leftMs: Math.round(leftMs),
+      },
+      'debug',
+    );
     const end = await runAttempt(this.#options, {
       endpoint,
       engine: service.engine,
@@ -283,7 +287,11 @@
     let reason = '';
     switch (end.kind) {
       case 'delivered':
-        this.#log('answered', {...fields, status: end.status, ...this.#describePace(end.flight)});
+        this.#log(
+          'answered',
+          {...fields, status: end.status, ...this.#describePace(end.flight)},
+          'debug',
+        );
         break;
       case 'refused': {
         const {status, retryAfterMs} = end.refusal;
@@ -323,12 +331,14 @@
     return Math.round(this.#options.belief().ageMs);
   }
 
-  #log(message: string, fields: Readonly<Record<string, string | number | undefined>>): void {
-    this.#options.logger.info(message, {
-      request: this.#facts.id,
-      route: this.#routeName,
-      ...fields,
-    });
+  /** Routine lines are of the lowest level: they are the first to be left out under load. */
+  #log(
+    message: string,
+    fields: Readonly<Record<string, string | number | undefined>>,
+    level: 'debug' | 'info' = 'info',
+  ): void {
+    const line = {request: this.#facts.id, route: this.#routeName, ...fields};
+    this.#options.logger[level](message, line);
   }
 }
 
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -150,6 +150,17 @@
     });
   }
 
+  /** The port for clients. */
+  get clientPort(): number {
+    return this.#server.port;
+  }
+
+  /** Whether new connections should come to this process. */
+  get isReady(): boolean {
+    const {table, ageMs} = this.#belief();
+    return !this.#isStopping && table !== undefined && ageMs < this.#beliefLimits().keyedMs;
+  }
+
   /** Takes over bounds that have changed. */
   reload(bounds: ForwardBounds): void {
     this.#bounds = bounds;
@@ -251,14 +262,9 @@
     return {keyedMs: revocationMs * KEYED_AGE_SHARE, unknownMs: configurationMs};
   }
 
-  #isReady(): boolean {
-    const {table, ageMs} = this.#belief();
-    return !this.#isStopping && table !== undefined && ageMs < this.#beliefLimits().keyedMs;
-  }
-
   async #answerStatus(path: string): Promise<readonly [status: number, body: string]> {
     const {readyPath, metricsPath} = this.#options;
-    if (path === readyPath) return this.#isReady() ? [200, 'ready'] : [503, 'not ready'];
+    if (path === readyPath) return this.isReady ? [200, 'ready'] : [503, 'not ready'];
     if (path === metricsPath) return [200, await this.#metricsRegistry.metrics()];
     return [404, 'no such path'];
   }
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -1,5 +1,6 @@
 /** Accepts clients' requests for forwarding, and stops without cutting any of them. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {type Clock, type Logger, sleep} from '@marigoldfold/runtime';
 import type {ClientLimits} from '@marigoldfold/state';
 
@@ -64,6 +65,11 @@
     });
   }
 
+  /** The port that the server listens on. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
   /** Takes over the limits of a new configuration. */
   limit({headerTimeoutMs, idleTimeoutMs}: ClientLimits): void {
     this.#server.headersTimeout = headerTimeoutMs + IDLE_SLACK_MS;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -13,3 +13,5 @@
   silentLogger,
 } from './logger.js';
 export {type SettingsProblem, checkDocument, formatProblem, parseSettings} from './settings.js';
+export {BoundedOutput, type BoundedOutputOptions, type WriteBytes} from './boundedOutput.js';
+export {writeDescriptor} from './writeDescriptor.js';
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -25,7 +25,7 @@
   readonly process: string;
   readonly level: LogLevel;
   /** Receives each finished line, without its line feed. */
-  readonly write?: (line: string) => void;
+  readonly write?: (line: string, level: LogLevel) => void;
 }
 
 /** Creates a logger that writes flat JSON objects with `time`, `level`, `process` and `message`. */
@@ -52,15 +52,9 @@
       _meta: {level: string};
       message: string;
     };
-    write(
-      JSON.stringify({
-        time: new Date().toISOString(),
-        level: _meta.level.toLowerCase(),
-        process: options.process,
-        message,
-        ...fields,
-      }),
-    );
+    const level = _meta.level.toLowerCase() as LogLevel;
+    const time = new Date().toISOString();
+    write(JSON.stringify({time, level, process: options.process, message, ...fields}), level);
   });
   return {
     debug: (message, fields) => void logger.debug({message, ...fields}),
--- /dev/null
+++ b/packages/runtime/src/writeDescriptor.ts
@@ -0,0 +1,20 @@
+/** Writes to a file descriptor off the main thread: Node's own standard streams block on a full pipe. */
+import {write} from 'node:fs';
+import type {WriteBytes} from './boundedOutput.js';
+
+const RETRY_MS = 20;
+
+/** Creates a writer for a descriptor; an error ends the output, since there is nowhere to report it. */
+export function writeDescriptor(descriptor: number): WriteBytes {
+  return (bytes) =>
+    new Promise((resolve) => {
+      const writeFrom = (offset: number) => {
+        write(descriptor, bytes, offset, bytes.length - offset, null, (error, written) => {
+          if (error?.code === 'EAGAIN') setTimeout(writeFrom, RETRY_MS, offset);
+          else if (error !== null || offset + written >= bytes.length) resolve();
+          else writeFrom(offset + written);
+        });
+      };
+      writeFrom(0);
+    });
+}
--- a/packages/transport/src/__tests__/endpointClient.test.ts
+++ b/packages/transport/src/__tests__/endpointClient.test.ts
@@ -101,6 +101,31 @@
     expect((await readBody(outcome)).isWhole).toBe(false);
   });
 
+  test('without a length is not whole when the reset arrives together with the last bytes', async () => {
+    const address = await startEndpoint((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nabc');
+      socket.resetAndDestroy();
+    });
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect((await readBody(outcome)).isWhole).toBe(false);
+  });
+
+  test('without a length on a kept connection is not whole when the connection is reset', async () => {
+    const address = await startEndpoint((socket, number) => {
+      if (number === 1) {
+        socket.write('HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1');
+        return;
+      }
+      socket.write('HTTP/1.1 200 OK\r\n\r\nabc');
+      socket.resetAndDestroy();
+    });
+    const client = createEndpointClient();
+    await readBody(await client.send(requestTo(address)));
+    const outcome = await client.send(requestTo(address));
+    expect((await readBody(outcome)).isWhole).toBe(false);
+    expect(client.openedCount()).toBe(1);
+  });
+
   test('with a length is not whole when bytes are missing', async () => {
     const address = await startEndpoint((socket) =>
       socket.end('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc'),
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -142,6 +142,15 @@
       message = response;
       // A reader of the answer asks `isWhole` at its end.
       response.on('error', () => undefined);
+      // A reset that is polled together with the last bytes is reported as an end; the peer is gone then.
+      const {socket} = response;
+      const checkEnd = () => {
+        if (socket.remoteAddress === undefined && !response.complete) isBroken = true;
+      };
+      socket.prependListener('end', checkEnd);
+      response.once('close', () => {
+        socket.off('end', checkEnd);
+      });
       const isWhole = () => response.complete && !isBroken;
       resolve({kind: 'answered', answer: {message: response, isWhole}});
     });
