Count prompts until their first event in an endpoint's backlog

Cause: predicted first events were compared with actual ones by log: the expected reading of an endpoint shrank to zero while prompts there had not begun, so that further ones were stacked on them (predicted 138 ms, actual 268 ms in the median). The home of shared parts was taken to have them when it had not.

--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -5,11 +5,16 @@
 import type {ForwardDemand, PromptSize} from './demand.js';
 import type {Endpoint} from './endpoint.js';
 import {EnginePace} from './enginePace.js';
+import type {Flight} from './flight.js';
 
 /** Tokens from which a prompt counts as long: three times what an engine reads between two tokens. */
 const LONG_PROMPT_TOKENS = 3000;
 /** Tokens of prompts that an engine reads at most between two events of a stream. */
 const EVENT_READ_TOKENS = 3072;
+/** First events come later than expected in so far as requests arrive that nobody told of yet. */
+const FIRST_EVENT_CAUTION = 1.3;
+/** Part of a prompt that is taken to be read at most before its first event shows that it is. */
+const MAX_READ_SHARE = 0.8;
 /** Silence counts as slowness up to this: a longer one is not explained by neighbours. */
 const MAX_SILENCE = 3;
 /** Time constant with which the mix of long and short prompts is followed, in milliseconds. */
@@ -20,6 +25,11 @@
 const MAX_LONG_SHARE = 0.75;
 /** Part of a request's value that reading its shared parts once more costs; source: the platform's prices. */
 const REREAD_COST = 1.2;
+/**
+ * Part of that cost at the endpoint on which all processes agree for the shared parts: what others have
+ * sent there may not be known yet.
+ */
+const HOME_DISCOUNT = 0.7;
 /** Risk of a short prompt between long ones: their reading stretches most of its pauses. */
 const SHORT_AMONG_LONG_RISK = 0.15;
 /** Risk that a long prompt among short ones brings to requests that come later. */
@@ -103,8 +113,9 @@
     const backlogMs = this.#backlogMs(endpoint);
     const firstEventMs = slowness * (backlogMs + readMs + pace.eventMs);
     const value = valueOf(prompt);
-    let loss = value * riskOf(firstEventMs, targetLeftMs);
-    loss += value * REREAD_COST * rereadShare(prompt, unread);
+    let loss = value * riskOf(FIRST_EVENT_CAUTION * firstEventMs, targetLeftMs);
+    const rereadCost = isHome ? REREAD_COST * HOME_DISCOUNT : REREAD_COST;
+    loss += value * rereadCost * rereadShare(prompt, unread);
     const stretchMs = Math.min(backlogMs + readMs, EVENT_READ_TOKENS * pace.readMsPerToken);
     const gapMs = slowness * (pace.eventMs + stretchMs);
     loss += this.#harm(endpoint, gapMs);
@@ -151,13 +162,20 @@
   #backlogMs(endpoint: Endpoint): number {
     const now = this.#clock.now();
     let backlogMs = 0;
-    let oldestMs = now;
+    let oldest: Flight | undefined;
+    let lastBegunMs = 0;
     for (const flight of endpoint.knownFlights()) {
-      if (flight.firstEventAtMs !== undefined) continue;
+      if (flight.firstEventAtMs !== undefined) {
+        lastBegunMs = Math.max(lastBegunMs, flight.firstEventAtMs);
+        continue;
+      }
       backlogMs += flight.readMs;
-      oldestMs = Math.min(oldestMs, flight.sentAtMs);
+      if (oldest === undefined || flight.sentAtMs < oldest.sentAtMs) oldest = flight;
     }
-    return Math.max(0, backlogMs - (now - oldestMs));
+    if (oldest === undefined) return 0;
+    // Prompts are read one after the other: only the first of them can be partly read.
+    const elapsedMs = now - Math.max(oldest.sentAtMs, lastBegunMs);
+    return backlogMs - Math.min(elapsedMs, oldest.readMs * MAX_READ_SHARE);
   }
 
   /** Expected loss of the streams there if their events are so far apart. */
