Let requests that cannot meet their objective go behind those that can

Cause: at high load long prompts that need more than their objective for reading alone hold up others. Ruled out: refusing early; the runners' places are mostly free then, and an answer that is late is still of use to the caller. Change: three ranks a step of an account's priority: most urgent route, can meet its objective, cannot.

--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -70,6 +70,13 @@
     return pace;
   }
 
+  /** Whether a request can meet its objective at an endpoint, if it is read there at once. */
+  canMeetTarget(endpoint: Endpoint, {service, targetLeftMs}: ForwardDemand, prompt: PromptSize) {
+    const pace = this.pace(service);
+    const readMs = endpoint.residency.unreadTokens(prompt) * pace.readMsPerToken;
+    return readMs + pace.eventMs <= targetLeftMs;
+  }
+
   /** The endpoint with the least expected loss. */
   choose(
     demand: ForwardDemand,
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -56,6 +56,13 @@
     return leastOccupied(candidates);
   }
 
+  /** Whether a request can meet its objective at an endpoint; without a prompt nothing is known of it. */
+  canMeetTarget(endpoint: Endpoint, demand: ForwardDemand): boolean {
+    const {prompt, targetLeftMs} = demand;
+    if (prompt === undefined) return targetLeftMs > 0;
+    return this.#engines.canMeetTarget(endpoint, demand, prompt);
+  }
+
   /** Notes a request that is sent to an endpoint. */
   begin(endpoint: Endpoint, demand: ForwardDemand, engine: Engine | undefined): Flight {
     const {prompt, id, pauseTargetMs, service} = demand;
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -20,7 +20,7 @@
 const BUSY_RETRY_MS = 300;
 /** Lowest rank at an endpoint. */
 const MAX_RANK = 9;
-/** Ranks of one step of an account's priority: the routes' priorities order requests within it. */
+/** Ranks of one step of an account's priority: the routes' priorities and what is late order requests within it. */
 const RANKS_PER_ACCOUNT_PRIORITY = 3;
 
 /** How an exchange ended. */
@@ -160,7 +160,7 @@
       deadlineMs: Math.max(1, Math.floor(leftMs)),
       endpointId: endpoint.record.id,
       accountName: account?.name,
-      rank: rankOf(account?.priority, route.priority),
+      rank: rankOf(account?.priority, route.priority, placement.canMeetTarget(endpoint, demand)),
       lastEventId: this.#lastEventId,
     });
     const method = this.#request.method ?? 'GET';
@@ -346,8 +346,16 @@
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
 }
 
-/** An account's priority goes before the route's. */
-function rankOf(accountPriority: number | undefined, routePriority: number): number {
+/**
+ * An account's priority goes before the route's. Of requests that are not the most urgent, those that
+ * cannot meet their objective any more go behind the others.
+ */
+function rankOf(
+  accountPriority: number | undefined,
+  routePriority: number,
+  canMeetTarget: boolean,
+): number {
   const account = (accountPriority ?? 0) * RANKS_PER_ACCOUNT_PRIORITY;
-  return Math.min(MAX_RANK, account + Math.min(RANKS_PER_ACCOUNT_PRIORITY - 1, routePriority));
+  const route = routePriority === 0 ? 0 : canMeetTarget ? 1 : 2;
+  return Math.min(MAX_RANK, account + route);
 }
--- a/packages/runtime/src/boundedOutput.ts
+++ b/packages/runtime/src/boundedOutput.ts
@@ -30,7 +30,7 @@
   #budgetAtMs: number;
   #lines: string[] = [];
   #waitingBytes = 0;
-  #timer: Disposable | undefined;
+  #isScheduled = false;
   #writing: Promise<void> | undefined;
   #dropped: Record<LogLevel, number> = {debug: 0, info: 0, warn: 0, error: 0};
 
@@ -49,8 +49,10 @@
     }
     this.#waitingBytes += size;
     this.#lines.push(line);
-    this.#timer ??= this.#options.clock.schedule(GATHER_MS, () => {
-      this.#timer = undefined;
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    this.#options.clock.schedule(GATHER_MS, () => {
+      this.#isScheduled = false;
       void this.flush();
     });
   }
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -22,7 +22,10 @@
 };
 
 /** The machine's steady clock, which a change of the time of day does not move. */
-export const steadyClock: Clock = {now: () => performance.now(), schedule: systemClock.schedule};
+export const steadyClock: Clock = {
+  now: () => performance.now(),
+  schedule: (delayMs, action) => systemClock.schedule(delayMs, action),
+};
 
 /** Resolves after a delay, or at once when the signal is aborted. */
 export function sleep(clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
