Refuse what arrives too late in a planned stop

Ruled out: a longer stop; the platform kills after its grace. Change: once the listener is closed, a request that is still read gets 503 and a closed connection. Test: a kept connection whose answer ends after the listener was closed; it failed first (200).

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -1,5 +1,6 @@
 /** A router on a virtual clock, between real sockets: clients on one side, scripted endpoints on the other. */
 import {
+  type Agent,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -133,6 +134,8 @@
   readonly access = new SwitchableKeyValue(this.store, this.clock);
   readonly lines: (LogFields & {readonly message: string})[] = [];
   readonly #servers: Server[] = [];
+  /** Kept, since a server that is closed does not tell it any more. */
+  #port = 0;
   readonly process: ForwardProcess;
 
   constructor() {
@@ -169,6 +172,7 @@
   async start(configuration: RoutingConfiguration | 'none' = configurationOf()): Promise<void> {
     if (configuration !== 'none') await this.configure(configuration);
     await this.process.start();
+    this.#port = this.process.clientPort;
     await this.follow();
   }
 
@@ -233,17 +237,23 @@
   /** Sends a request of a client and waits for the end of its answer. */
   ask(
     headers: Readonly<Record<string, string>> = {},
-    options: {method?: string; path?: string; body?: string; signal?: AbortSignal} = {},
+    options: {
+      method?: string;
+      path?: string;
+      body?: string;
+      signal?: AbortSignal;
+      agent?: Agent;
+    } = {},
   ): Promise<ClientResult> {
-    const {method = 'GET', path = '/x', body, signal} = options;
+    const {method = 'GET', path = '/x', body, signal, agent = false} = options;
     return new Promise((resolve, reject) => {
       const outgoing = httpRequest(
         {
           host: '127.0.0.1',
-          port: this.process.clientPort,
+          port: this.#port,
           method,
           path,
-          agent: false,
+          agent,
           headers: {host: 'a.example', 'x-id': 'id-1', 'x-key': 'key-1', ...headers},
           ...(signal === undefined ? {} : {signal}),
         },
--- a/packages/entry/src/forwarding/__tests__/forwarding.test.ts
+++ b/packages/entry/src/forwarding/__tests__/forwarding.test.ts
@@ -1,3 +1,4 @@
+import {Agent} from 'node:http';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {
   configurationOf,
@@ -395,4 +396,30 @@
     await rig.pass(1000);
     await stopped;
   });
+
+  test('refuses what comes too late on a connection that was kept', async () => {
+    let release: (() => void) | undefined;
+    const streamLong: EndpointScript = async (response, {request}) => {
+      response.writeHead(200, signed(request)).write(events(1, 1));
+      await new Promise<void>((resolve) => (release = resolve));
+      response.end(events(2, 2));
+    };
+    const {seen} = await startWith(inTurn(streamLong, answerWell), {kind: 'stream'}, ['e1']);
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    const first = rig.ask({}, {agent});
+    await until(() => seen().length === 1 && release !== undefined);
+    await rig.pass(100);
+    const stopped = rig.process.stop();
+    await rig.pass(4000);
+    const second = rig.ask({'x-id': 'id-2'}, {agent});
+    release?.();
+    expect(await first).toMatchObject({body: events(1, 2), isWhole: true});
+    const refused = await second;
+    expect(refused.status).toBe(503);
+    expect(refused.headers.connection).toBe('close');
+    expect(seen()).toHaveLength(1);
+    await rig.pass(1000);
+    await stopped;
+    agent.destroy();
+  });
 });
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {type Clock, type Logger, sleep} from '@marigoldfold/runtime';
 import type {ClientLimits} from '@marigoldfold/state';
+import {ClientAnswer} from './clientAnswer.js';
 
 /** What the server needs. */
 export interface ForwardServerOptions {
@@ -29,6 +30,9 @@
 const MAX_HEADER_BYTES = 65_536;
 const CONNECTION_CHECK_MS = 1000;
 const STOP_CHECK_MS = 50;
+const UNAVAILABLE = 503;
+/** When a refused client is to come back to another instance, in milliseconds. */
+const STOPPING_RETRY_MS = 50;
 /** Time for requests that cross the close of idle connections to be answered, in milliseconds. */
 const CROSSING_MS = 300;
 
@@ -38,6 +42,7 @@
   readonly #server: Server;
   readonly #unfinished = new Set<ServerResponse>();
   #isStopping = false;
+  #isClosed = false;
 
   constructor(options: ForwardServerOptions) {
     this.#options = options;
@@ -88,6 +93,7 @@
     this.#isStopping = true;
     for (const response of this.#unfinished) this.#askToClose(response);
     await sleep(clock, acceptMs);
+    this.#isClosed = true;
     this.#server.close();
     // What is sent on an idle connection from now on might not be done before the limit.
     this.#server.closeIdleConnections();
@@ -105,6 +111,12 @@
     this.#unfinished.add(response);
     response.once('close', () => this.#unfinished.delete(response));
     if (this.#isStopping) this.#askToClose(response);
+    if (this.#isClosed) {
+      // There may not be time for it, and another instance can take it at once.
+      this.#options.logger.info('refused', {reason: 'stopping', status: UNAVAILABLE});
+      new ClientAnswer(response).refuse(UNAVAILABLE, 'stopping', STOPPING_RETRY_MS);
+      return;
+    }
     try {
       await this.#options.serve(request, response);
     } catch (error) {
