--- /dev/null
+++ b/packages/cli/src/commands/explain.ts
@@ -0,0 +1,40 @@
+/** `marigoldfold explain ID [FILE...]`. */
+import {readFileSync} from 'node:fs';
+import {Args, Command} from '@oclif/core';
+import {explainRequest} from '../explainRequest.js';
+
+const STANDARD_INPUT = 0;
+
+/** Prints the story of one request. */
+export class Explain extends Command {
+  static override description =
+    'Tell from log files, or from standard input, what became of a request and what decided it.';
+
+  static override strict = false;
+
+  static override args = {
+    id: Args.string({description: 'Id of the request.', required: true}),
+    files: Args.string({description: 'Log files of all processes; standard input without any.'}),
+  };
+
+  async run(): Promise<void> {
+    const {args, argv} = await this.parse(Explain);
+    const files = (argv as string[]).slice(1);
+    const texts = files.length === 0 ? [this.#read(STANDARD_INPUT)] : files.map(this.#read, this);
+    const story = explainRequest(
+      args.id,
+      texts.flatMap((text) => text.split('\n')),
+    );
+    if (story.isErr()) this.error(story.error.message, {exit: 1});
+    for (const line of story.value) this.log(line);
+  }
+
+  #read(file: string | number): string {
+    try {
+      return readFileSync(file, 'utf8');
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return this.error(`${file}: cannot be read: ${reason}`, {exit: 2});
+    }
+  }
+}
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,6 +1,7 @@
 /** The commands of `marigoldfold` by name. */
 import {ClaimList, ClaimSettle, ClaimShow} from './claim.js';
 import {Dev} from './dev.js';
+import {Explain} from './explain.js';
 import {KeyGenerate} from './keyGenerate.js';
 import {ReportBurn} from './reportBurn.js';
 import {SettingsCheck} from './settingsCheck.js';
@@ -16,6 +17,7 @@
   'claim:settle': ClaimSettle,
   'claim:show': ClaimShow,
   dev: Dev,
+  explain: Explain,
   'key:generate': KeyGenerate,
   'report:burn': ReportBurn,
   'settings:check': SettingsCheck,
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -64,9 +64,11 @@
   readonly peerAddress: string;
   /** `host:port` for clients. */
   readonly clientAddress: string;
-  /** `host:port` for readiness and metrics. */
-  readonly statusAddress: string;
+  /** `host:port` for readiness. */
+  readonly readyAddress: string;
   readonly readyPath: string;
+  /** `host:port` for metrics. */
+  readonly metricsAddress: string;
   readonly metricsPath: string;
   readonly bounds: ForwardBounds;
 }
@@ -89,7 +91,7 @@
   readonly #budget: RepeatBudget;
   readonly #peers: PeerExchange;
   readonly #server: ForwardServer;
-  readonly #status: Server;
+  readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
   #mirror: RangeMirror | undefined;
   #table: RoutingTable | undefined;
@@ -132,22 +134,30 @@
       port,
       serve: (request, response) => serveExchange(forward, request, response),
     });
-    this.#status = createServer((request, response) => {
-      void this.#answerStatus(request.url ?? '').then(([status, body]) => {
-        response.writeHead(status, {'content-length': Buffer.byteLength(body)});
-        response.end(body);
-      });
-    });
+    this.#statusServers = [
+      createStatusServer(options.readyPath, () =>
+        Promise.resolve(this.isReady ? [200, 'ready'] : [503, 'not ready']),
+      ),
+      createStatusServer(options.metricsPath, async () => [
+        200,
+        await this.#metricsRegistry.metrics(),
+      ]),
+    ];
   }
 
   /** Starts to follow the store and to listen. */
   async start(): Promise<void> {
     this.#follow();
     await this.#server.listen();
-    const [host, port] = splitAddress(this.#options.statusAddress);
-    await new Promise<void>((resolve) => {
-      this.#status.listen({host, port}, resolve);
-    });
+    const {readyAddress, metricsAddress, logger} = this.#options;
+    const addresses = [readyAddress, metricsAddress];
+    for (const [index, server] of this.#statusServers.entries()) {
+      const [host, port] = splitAddress(addresses[index] ?? '');
+      server.on('error', (error) => {
+        logger.error('status address not served', {host, port, reason: error.message});
+      });
+      server.listen({host, port});
+    }
   }
 
   /** The port for clients. */
@@ -172,8 +182,10 @@
     this.#isStopping = true;
     const limitMs = this.#bounds.stopMs - STOP_RESERVE_MS;
     await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
-    this.#status.closeAllConnections();
-    this.#status.close();
+    for (const server of this.#statusServers) {
+      server.closeAllConnections();
+      server.close();
+    }
     this.#owned[Symbol.dispose]();
   }
 
@@ -261,11 +273,18 @@
     const {revocationMs, configurationMs} = this.#bounds;
     return {keyedMs: revocationMs * KEYED_AGE_SHARE, unknownMs: configurationMs};
   }
+}
 
-  async #answerStatus(path: string): Promise<readonly [status: number, body: string]> {
-    const {readyPath, metricsPath} = this.#options;
-    if (path === readyPath) return this.isReady ? [200, 'ready'] : [503, 'not ready'];
-    if (path === metricsPath) return [200, await this.#metricsRegistry.metrics()];
-    return [404, 'no such path'];
-  }
+/** Serves one path; any other is not there. */
+function createStatusServer(
+  path: string,
+  answer: () => Promise<readonly [status: number, body: string]>,
+): Server {
+  return createServer((request, response) => {
+    const found = request.url === path ? answer() : Promise.resolve([404, 'no such path'] as const);
+    void found.then(([status, body]) => {
+      response.writeHead(status, {'content-length': Buffer.byteLength(body)});
+      response.end(body);
+    });
+  });
 }
