Confirm the copy of the store soon after an outage; count that clients leave

Cause: tests of the mirror showed that after an outage it was confirmed only at the end of a whole watch, 1.2 s later, so that requests with a key were refused for longer than needed. A test of the placement showed that a home with two seconds of backlog was kept, beyond which clients leave. Change: the first watch after a failure waits 10 ms; the loss of a request grows again at its patience; the repeat budget rounds down.

--- /dev/null
+++ b/packages/coordination/src/forwarding/__tests__/rangeMirror.test.ts
@@ -0,0 +1,124 @@
+import {seededRandom, silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {faultyKeyValue, MemoryKeyValue, type StoreFault} from '@marigoldfold/standin';
+import type {KeyValue, KeyValueEntry} from '@marigoldfold/state';
+import {err} from 'neverthrow';
+import {describe, expect, test} from 'vitest';
+import {RangeMirror} from '../rangeMirror.js';
+
+function open() {
+  const clock = new VirtualClock(1000);
+  const memory = new MemoryKeyValue(clock);
+  const faults: StoreFault[] = [];
+  let isDown = false;
+  const faulty = faultyKeyValue({
+    clock,
+    store: memory,
+    chooseFault: () => (isDown ? 'refused' : (faults.shift() ?? 'none')),
+  });
+  let isHistoryLost = false;
+  const store: Pick<KeyValue, 'list' | 'watch'> = {
+    list: (prefix) => faulty.list(prefix),
+    async watch(prefix, options) {
+      const changes = await faulty.watch(prefix, options);
+      if (!isHistoryLost) return changes;
+      isHistoryLost = false;
+      return err({code: 'history_lost', message: 'compacted', mayHaveTakenEffect: false});
+    },
+  };
+  const held = new Map<string, string>();
+  const events: string[] = [];
+  const mirror = new RangeMirror({
+    clock,
+    random: seededRandom(1),
+    logger: silentLogger,
+    store,
+    prefix: 'a/',
+    watchMs: 1000,
+    onChange: (changes: readonly KeyValueEntry[]) => {
+      events.push('change');
+      for (const {key, value} of changes) {
+        if (value === '') held.delete(key);
+        else held.set(key, value);
+      }
+    },
+    onRegained: () => events.push('regained'),
+  });
+  const put = async (key: string, value: string) => {
+    const current = (await memory.get(key))._unsafeUnwrap();
+    await memory.write(key, value, {ifRevision: current?.revision ?? 0});
+  };
+  const remove = async (key: string) => {
+    const current = (await memory.get(key))._unsafeUnwrap();
+    await memory.remove(key, current?.revision ?? 0);
+  };
+  return {
+    clock,
+    mirror,
+    held,
+    events,
+    put,
+    remove,
+    setDown: (value: boolean) => (isDown = value),
+    loseHistory: () => (isHistoryLost = true),
+  };
+}
+
+describe('the copy of a range', () => {
+  test('follows changes and removals below its prefix', async () => {
+    const {clock, held, put, remove} = open();
+    await put('a/1', 'x');
+    await clock.advance(200);
+    await put('a/2', 'y');
+    await put('b/1', 'z');
+    await remove('a/1');
+    await clock.advance(500);
+    expect(Object.fromEntries(held)).toEqual({'a/2': 'y'});
+  });
+
+  test('is as old as the start of the call that confirmed it', async () => {
+    const {clock, mirror} = open();
+    expect(mirror.ageMs).toBe(Number.POSITIVE_INFINITY);
+    await clock.advance(900);
+    expect(mirror.ageMs).toBe(900);
+    await clock.advance(200);
+    // The watch of one second began at once and has just been answered.
+    expect(mirror.ageMs).toBe(1100);
+    await clock.advance(1000);
+    expect(mirror.ageMs).toBe(1100);
+  });
+
+  test('grows old while the service is away, and is confirmed on its return', async () => {
+    const {clock, mirror, setDown, events} = open();
+    await clock.advance(500);
+    setDown(true);
+    await clock.advance(5000);
+    expect(mirror.ageMs).toBeGreaterThan(4000);
+    setDown(false);
+    await clock.advance(1000);
+    expect(mirror.ageMs).toBeLessThan(2000);
+    expect(events).toEqual(['regained']);
+  });
+
+  test('tells the return of the service before the changes that it brings', async () => {
+    const {clock, setDown, events, put} = open();
+    await clock.advance(100);
+    setDown(true);
+    await clock.advance(3000);
+    await put('a/1', 'x');
+    setDown(false);
+    await clock.advance(1000);
+    expect(events).toEqual(['regained', 'change']);
+  });
+
+  test('reads again when the history is lost, and finds what was removed meanwhile', async () => {
+    const {clock, held, put, remove, loseHistory} = open();
+    await put('a/1', 'x');
+    await put('a/2', 'y');
+    await clock.advance(200);
+    expect([...held.keys()]).toEqual(['a/1', 'a/2']);
+    loseHistory();
+    await remove('a/1');
+    await clock.advance(2500);
+    expect([...held.keys()]).toEqual(['a/2']);
+  });
+});
--- a/packages/coordination/src/forwarding/demand.ts
+++ b/packages/coordination/src/forwarding/demand.ts
@@ -21,6 +21,8 @@
   readonly priority: number;
   /** Milliseconds left until the latency objective is missed; negative when it is. */
   readonly targetLeftMs: number;
+  /** Milliseconds after which the client is expected to leave if nothing has come. */
+  readonly patienceLeftMs: number;
   /** Longest pause between events within the objective, in milliseconds. */
   readonly pauseTargetMs: number | undefined;
   readonly prompt: PromptSize | undefined;
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -108,7 +108,7 @@
 
   /** Expected loss in values of requests, for this request and for those that run there. */
   #loss(
-    {service, targetLeftMs}: ForwardDemand,
+    {service, targetLeftMs, patienceLeftMs}: ForwardDemand,
     prompt: PromptSize,
     place: {endpoint: Endpoint; isLong: boolean; isForeign: boolean; isHome: boolean},
   ): number {
@@ -120,7 +120,8 @@
     const backlogMs = this.#backlogMs(endpoint);
     const firstEventMs = slowness * (backlogMs + readMs + pace.eventMs);
     const value = valueOf(prompt);
-    let loss = value * riskOf(FIRST_EVENT_CAUTION * firstEventMs, targetLeftMs);
+    const cautiousMs = FIRST_EVENT_CAUTION * firstEventMs;
+    let loss = value * (riskOf(cautiousMs, targetLeftMs) + riskOf(cautiousMs, patienceLeftMs));
     const rereadCost = isHome ? REREAD_COST * HOME_DISCOUNT : REREAD_COST;
     loss += value * rereadCost * rereadShare(prompt, unread);
     const stretchMs = Math.min(backlogMs + readMs, EVENT_READ_TOKENS * pace.readMsPerToken);
--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -23,6 +23,8 @@
 const MIN_BACKOFF_MS = 50;
 /** Longest pause between tries, in milliseconds: a third of the shortest bound of the configuration. */
 const MAX_BACKOFF_MS = 600;
+/** Wait of the first watch after a failure, in milliseconds. */
+const CONFIRMATION_MS = 10;
 /** Pause after a change, in milliseconds: changes that come together cost one call, not one each. */
 const BATCH_MS = 100;
 
@@ -87,7 +89,9 @@
     const {clock, store, prefix, watchMs} = this.#options;
     const {signal} = this.#controller;
     const afterRevision = this.#revision ?? 0;
-    const changes = await store.watch(prefix, {afterRevision, timeoutMs: watchMs, signal});
+    // After a failure the copy is to be confirmed soon, and not at the end of a whole watch.
+    const timeoutMs = this.#failures === 0 ? watchMs : CONFIRMATION_MS;
+    const changes = await store.watch(prefix, {afterRevision, timeoutMs, signal});
     if (changes.isErr()) return changes.error;
     this.#noteRegained();
     const {entries, revision} = changes.value;
--- a/packages/coordination/src/forwarding/repeatBudget.ts
+++ b/packages/coordination/src/forwarding/repeatBudget.ts
@@ -44,8 +44,9 @@
   /** Takes one repeat; false when the budget is spent. */
   spend(service: string): boolean {
     const {requests, repeats} = this.#window(service);
-    const allowed = this.bounds.ratio * USED_RATIO * requests.length;
-    if (repeats.length >= allowed + this.bounds.slack * SLACK_SHARE) return false;
+    const earned = this.bounds.ratio * USED_RATIO * requests.length;
+    const allowed = Math.floor(earned + this.bounds.slack * SLACK_SHARE);
+    if (repeats.length >= allowed) return false;
     repeats.push(this.#clock.now());
     return true;
   }
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -23,6 +23,11 @@
 /** Ranks of one step of an account's priority: the routes' priorities and what is late order requests within it. */
 const RANKS_PER_ACCOUNT_PRIORITY = 3;
 
+/** Shortest patience of clients, and its multiples of the objectives; source: the platform's protocol. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_PAUSES = 8;
+
 /** How an exchange ended. */
 type End =
   | {readonly kind: 'delivered'; readonly status: number; readonly flight?: Flight}
@@ -141,11 +146,13 @@
     const service = this.#chooseService({route, table, account});
     if (service === undefined) return undefined;
     const priority = account?.priority ?? route.priority;
+    const elapsedMs = clock.now() - this.#arrivedAtMs;
     const demand: ForwardDemand = {
       id: this.#facts.id ?? '',
       service: service.name,
       priority,
-      targetLeftMs: route.targetMs - (clock.now() - this.#arrivedAtMs),
+      targetLeftMs: route.targetMs - elapsedMs,
+      patienceLeftMs: patienceMs(route) - elapsedMs,
       pauseTargetMs: route.pauseTargetMs,
       prompt: this.#facts.prompt,
     };
@@ -342,6 +349,11 @@
   }
 }
 
+/** When clients leave a stream that brings nothing, in milliseconds. */
+function patienceMs({targetMs, pauseTargetMs = 0}: Route): number {
+  return Math.max(MIN_PATIENCE_MS, PATIENCE_TARGETS * targetMs, PATIENCE_PAUSES * pauseTargetMs);
+}
+
 function isIdempotent({kind, isResumable}: Route): boolean {
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
 }
--- /dev/null
+++ b/packages/transport/src/__tests__/eventSplitter.test.ts
@@ -0,0 +1,36 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {EventSplitter} from '../eventSplitter.js';
+
+const stream = 'id: 1\ndata: a\n\ndata: no id\n\nid: 3\r\ndata: b\r\n\r\nid: 4\ndata: c\n\n';
+
+describe('events of a stream', () => {
+  test('are the same wherever the bytes are cut', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(stream.length), {maxLength: 10}), (cuts) => {
+        const splitter = new EventSplitter();
+        const events = [];
+        let from = 0;
+        for (const to of [...cuts.toSorted((a, b) => a - b), stream.length]) {
+          events.push(...(splitter.push(Buffer.from(stream.slice(from, to))) ?? []));
+          from = to;
+        }
+        expect(events.map(({id}) => id)).toEqual(['1', undefined, '3', '4']);
+        expect(Buffer.concat(events.map(({bytes}) => bytes)).toString()).toBe(stream);
+        expect(splitter.hasRest).toBe(false);
+      }),
+      {seed: 3, numRuns: 100},
+    );
+  });
+
+  test('that are not whole are held back', () => {
+    const splitter = new EventSplitter();
+    expect(splitter.push(Buffer.from('id: 1\nda'))).toEqual([]);
+    expect(splitter.hasRest).toBe(true);
+  });
+
+  test('that never end are refused', () => {
+    const splitter = new EventSplitter();
+    expect(splitter.push(Buffer.alloc(2_000_000, 'x'))).toBeUndefined();
+  });
+});
