Take the wait of a watch from both bounds, and pause longer after changes

Change: two watches, a pause and slow answers fit the age allowed; the pause after a change is 0.15 of the configuration's bound.

--- a/packages/coordination/src/forwarding/__tests__/rangeMirror.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/rangeMirror.test.ts
@@ -34,6 +34,7 @@
     store,
     prefix: 'a/',
     watchMs: 1000,
+    batchMs: 100,
     onChange: (changes: readonly KeyValueEntry[]) => {
       events.push('change');
       for (const {key, value} of changes) {
--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -11,6 +11,8 @@
   readonly prefix: string;
   /** Milliseconds that a watch waits before it confirms that nothing has changed. */
   readonly watchMs: number;
+  /** Pause after a change, in milliseconds: changes that come together cost one call, not one each. */
+  readonly batchMs: number;
   /** Takes the entries that changed; removed ones have an empty value. */
   readonly onChange: (changes: readonly KeyValueEntry[]) => void;
   /** Called after each answer, also when nothing has changed. */
@@ -25,8 +27,6 @@
 const MAX_BACKOFF_MS = 600;
 /** Wait of the first watch after a failure, in milliseconds. */
 const CONFIRMATION_MS = 10;
-/** Pause after a change, in milliseconds: changes that come together cost one call, not one each. */
-const BATCH_MS = 100;
 
 /** A copy that follows the range until it is disposed of. */
 export class RangeMirror implements Disposable {
@@ -86,7 +86,7 @@
   }
 
   async #watch(): Promise<StoreError | undefined> {
-    const {clock, store, prefix, watchMs} = this.#options;
+    const {clock, store, prefix, watchMs, batchMs} = this.#options;
     const {signal} = this.#controller;
     const afterRevision = this.#revision ?? 0;
     // After a failure the copy is to be confirmed soon, and not at the end of a whole watch.
@@ -99,7 +99,7 @@
       entries.filter((entry) => this.#isNewer(entry)),
       Math.max(revision, afterRevision),
     );
-    if (entries.length > 0) await sleep(clock, BATCH_MS, signal);
+    if (entries.length > 0) await sleep(clock, batchMs, signal);
     return undefined;
   }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -80,5 +80,5 @@
 export {PeerExchange} from './forwarding/peerExchange.js';
 export {PeerRegistration} from './forwarding/peerRegistration.js';
 export {Placement} from './forwarding/placement.js';
-export {RangeMirror} from './forwarding/rangeMirror.js';
+export {RangeMirror, type RangeMirrorOptions} from './forwarding/rangeMirror.js';
 export {RepeatBudget, type RepeatBudgetBounds} from './forwarding/repeatBudget.js';
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -179,7 +179,8 @@
       {
         endpoint: endpoint.record.id,
         configuration: table.version,
-        occupancy: endpoint.occupancy,
+        occupancy: Math.round(endpoint.occupancy),
+        slowness: endpoint.slowness,
         send: this.#sends,
         leftMs: Math.round(leftMs),
       },
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -6,6 +6,7 @@
   PeerRegistration,
   Placement,
   RangeMirror,
+  type RangeMirrorOptions,
   RepeatBudget,
   type RepeatBudgetBounds,
 } from '@marigoldfold/coordination';
@@ -74,9 +75,13 @@
 }
 
 /** Part of the revocation bound after which requests with a key are refused: the rest is for their way. */
-const KEYED_AGE_SHARE = 0.7;
+const KEYED_AGE_SHARE = 0.75;
 /** Wait of a watch as a part of the bound of the configuration: a silent connection is noticed within it. */
 const WATCH_SHARE = 0.6;
+/** Pause after a change as a part of the bound of the configuration. */
+const BATCH_SHARE = 0.15;
+/** Time that an answer of the store may take beyond the wait, in milliseconds: a slow one of 50 times 4 ms. */
+const ANSWER_ALLOWANCE_MS = 200;
 /** Time for new connections to end after readiness is lost, in milliseconds: two missed checks and a spare one. */
 const ACCEPT_AFTER_STOP_MS = 2700;
 /** Time kept before the kill for the last writes, in milliseconds. */
@@ -199,7 +204,7 @@
         logger,
         store,
         prefix,
-        watchMs: this.#bounds.configurationMs * WATCH_SHARE,
+        ...mirrorTimes(this.#bounds),
         onChange: (changes) => {
           this.#takeChanges(changes);
         },
@@ -270,11 +275,27 @@
   }
 
   #beliefLimits(): BeliefLimits {
-    const {revocationMs, configurationMs} = this.#bounds;
-    return {keyedMs: revocationMs * KEYED_AGE_SHARE, unknownMs: configurationMs};
+    const {configurationMs} = this.#bounds;
+    return {keyedMs: keyedAgeMs(this.#bounds), unknownMs: configurationMs};
   }
 }
 
+function keyedAgeMs({revocationMs}: ForwardBounds): number {
+  return revocationMs * KEYED_AGE_SHARE;
+}
+
+/**
+ * Times of the copy of the store. A watch confirms the copy as of its start, so that it is as old as two
+ * watches and a pause before the next one is answered; requests with a key must be taken until then.
+ */
+export function mirrorTimes(
+  bounds: ForwardBounds,
+): Pick<RangeMirrorOptions, 'watchMs' | 'batchMs'> {
+  const batchMs = bounds.configurationMs * BATCH_SHARE;
+  const longestMs = (keyedAgeMs(bounds) - batchMs) / 2 - ANSWER_ALLOWANCE_MS;
+  return {batchMs, watchMs: Math.min(bounds.configurationMs * WATCH_SHARE, longestMs)};
+}
+
 /** Serves one path; any other is not there. */
 function createStatusServer(
   path: string,
