Split what a route asks for from the exchange; read bodies and wait for clients by the existing functions

Change: routePolicy chooses the service, the rank and the patience; readBody and drained are reused. Conclusion: no change of behaviour but for a body that does not arrive in the route's time (408).

--- /dev/null
+++ b/packages/entry/src/forwarding/__tests__/routePolicy.test.ts
@@ -0,0 +1,62 @@
+import {RoutingTable} from '@marigoldfold/state';
+import {describe, expect, test} from 'vitest';
+import {configurationOf, routeOf} from '../__fixtures__/forwardRig.js';
+import {chooseService, isIdempotent, patienceMs, rankOf} from '../routePolicy.js';
+
+describe('a split route', () => {
+  const services = ['a', 'b'].map((name) => ({
+    name,
+    healthPath: '/',
+    connectionLimit: 1,
+    engine: undefined,
+  }));
+  const table = new RoutingTable(configurationOf({services}));
+
+  test('gives each service its part of the requests, and a request always the same', () => {
+    const route = routeOf({
+      shares: [
+        {service: 'a', weight: 90},
+        {service: 'b', weight: 10},
+      ],
+    });
+    const names = Array.from({length: 2000}, (_, number) =>
+      chooseService({route, table}, `id-${number}`),
+    ).map((service) => service?.name);
+    const share = names.filter((name) => name === 'b').length / names.length;
+    expect(share).toBeGreaterThan(0.07);
+    expect(share).toBeLessThan(0.13);
+    expect(chooseService({route, table}, 'id-1')).toBe(chooseService({route, table}, 'id-1'));
+  });
+});
+
+describe('the rank of a request', () => {
+  test('goes by the account first, then by the route, then by what can still be met', () => {
+    const ranks = [
+      rankOf(0, 0, false),
+      rankOf(0, 1, true),
+      rankOf(0, 1, false),
+      rankOf(1, 0, true),
+      rankOf(1, 2, true),
+    ];
+    expect(ranks).toEqual(ranks.toSorted((a, b) => a - b));
+    expect(new Set(ranks).size).toBe(5);
+  });
+
+  test('never is beyond the last one', () => {
+    expect(rankOf(7, 2, false)).toBe(9);
+  });
+});
+
+describe('a stream', () => {
+  test('may be repeated only if it can be resumed', () => {
+    expect(isIdempotent(routeOf({kind: 'stream'}))).toBe(false);
+    expect(isIdempotent(routeOf({kind: 'stream', isResumable: true}))).toBe(true);
+    expect(isIdempotent(routeOf({kind: 'nonIdempotent', isResumable: true}))).toBe(false);
+  });
+
+  test('is given up by clients at the longest of three times', () => {
+    expect(patienceMs(routeOf({targetMs: 100}))).toBe(2000);
+    expect(patienceMs(routeOf({targetMs: 600}))).toBe(2400);
+    expect(patienceMs(routeOf({targetMs: 100, pauseTargetMs: 400}))).toBe(3200);
+  });
+});
--- a/packages/entry/src/forwarding/clientAnswer.ts
+++ b/packages/entry/src/forwarding/clientAnswer.ts
@@ -1,5 +1,6 @@
 /** The answer to one client: refusals, whole answers and streams, each begun at most once. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {drained} from '@marigoldfold/transport';
 import {endToEndHeaders} from './endToEndHeaders.js';
 
 const MS_PER_SECOND = 1000;
@@ -54,16 +55,7 @@
   /** Sends bytes; resolves at once unless the client does not read. */
   async write(bytes: Buffer): Promise<void> {
     if (this.isGone || this.#response.write(bytes)) return;
-    const response = this.#response;
-    await new Promise<void>((resolve) => {
-      const finish = () => {
-        response.off('drain', finish);
-        response.off('close', finish);
-        resolve();
-      };
-      response.on('drain', finish);
-      response.on('close', finish);
-    });
+    await drained(this.#response);
   }
 
   /** Ends a stream as complete. */
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,16 +1,16 @@
 /** One request of a client from its arrival to the end of its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Flight, ForwardDemand} from '@marigoldfold/coordination';
-import {hash64} from '@marigoldfold/coordination';
 import {isAborted} from '@marigoldfold/runtime';
-import type {Route, Service} from '@marigoldfold/state';
+import type {Route} from '@marigoldfold/state';
+import {type BodyError, readBody} from '@marigoldfold/transport';
 import {type Admission, admit, type Refusal} from './admission.js';
 import {type AttemptEnd, type HeldAnswer, runAttempt} from './attempt.js';
 import {ClientAnswer} from './clientAnswer.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {RequestFacts} from './forwardFormat.js';
 import type {ForwardOptions} from './forwardOptions.js';
-import {readRequestBody} from './requestBody.js';
+import {chooseService, isIdempotent, patienceMs, rankOf} from './routePolicy.js';
 
 /** Time for an endpoint's own answer at the time limit to come through, in milliseconds. */
 const TIMEOUT_GRACE_MS = 100;
@@ -18,15 +18,6 @@
 const MIN_LEFT_MS = 20;
 /** When to come back if no endpoint takes the request, in milliseconds. */
 const BUSY_RETRY_MS = 300;
-/** Lowest rank at an endpoint. */
-const MAX_RANK = 9;
-/** Ranks of one step of an account's priority: the routes' priorities and what is late order requests within it. */
-const RANKS_PER_ACCOUNT_PRIORITY = 3;
-
-/** Shortest patience of clients, and its multiples of the objectives; source: the platform's protocol. */
-const MIN_PATIENCE_MS = 2000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_PAUSES = 8;
 
 /** How an exchange ended. */
 type End =
@@ -90,11 +81,11 @@
     if (admitted.isErr()) return {kind: 'refused', refusal: admitted.error};
     const {route, table} = admitted.value;
     this.#routeName = route.name;
-    const body = await readRequestBody(this.#request, table.configuration.limits.maxBodyBytes);
-    if (body === 'too_large') {
-      return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
-    }
-    if (body === 'aborted') return {kind: 'gone'};
+    const body = await readBody(this.#request, {
+      maxBodyBytes: table.configuration.limits.maxBodyBytes,
+      requestTimeoutMs: route.timeoutMs,
+    });
+    if (body.isErr()) return describeBodyError(body.error);
     const limitMs = Math.min(route.timeoutMs, this.#facts.deadlineMs ?? route.timeoutMs);
     const deadlineMs = this.#arrivedAtMs + limitMs;
     const timer = this.#options.clock.schedule(
@@ -103,9 +94,9 @@
         this.#over.abort();
       },
     );
-    this.#options.budget.earn(this.#chooseService(admitted.value)?.name ?? '');
+    this.#options.budget.earn(chooseService(admitted.value, this.#facts.id ?? '')?.name ?? '');
     try {
-      return await this.#forward(body, deadlineMs);
+      return await this.#forward(body.value, deadlineMs);
     } finally {
       timer[Symbol.dispose]();
     }
@@ -143,7 +134,7 @@
     signal: AbortSignal,
   ): Promise<AttemptEnd | undefined> {
     const {format, placement, budget, metrics, clock} = this.#options;
-    const service = this.#chooseService({route, table, account});
+    const service = chooseService({route, table}, this.#facts.id ?? '');
     if (service === undefined) return undefined;
     const priority = account?.priority ?? route.priority;
     const elapsedMs = clock.now() - this.#arrivedAtMs;
@@ -256,16 +247,6 @@
     return this.#runs < route.maxAttempts;
   }
 
-  #chooseService({route, table}: Admission): Service | undefined {
-    const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
-    let point = (Number(hash64(this.#facts.id ?? '') >> 40n) / 2 ** 24) * total;
-    for (const {service, weight} of route.shares) {
-      point -= weight;
-      if (point < 0) return table.findService(service);
-    }
-    return table.findService(route.shares.at(-1)?.service ?? '');
-  }
-
   /** Ends an exchange for which no further send is made. */
   #giveUp(status: number, reason: string): End {
     if (isAborted(this.#gone.signal)) return {kind: 'gone'};
@@ -350,25 +331,13 @@
   }
 }
 
-/** When clients leave a stream that brings nothing, in milliseconds. */
-function patienceMs({targetMs, pauseTargetMs = 0}: Route): number {
-  return Math.max(MIN_PATIENCE_MS, PATIENCE_TARGETS * targetMs, PATIENCE_PAUSES * pauseTargetMs);
-}
-
-function isIdempotent({kind, isResumable}: Route): boolean {
-  return kind === 'idempotent' || (kind === 'stream' && isResumable);
-}
-
-/**
- * An account's priority goes before the route's. Of requests that are not the most urgent, those that
- * cannot meet their objective any more go behind the others.
- */
-function rankOf(
-  accountPriority: number | undefined,
-  routePriority: number,
-  canMeetTarget: boolean,
-): number {
-  const account = (accountPriority ?? 0) * RANKS_PER_ACCOUNT_PRIORITY;
-  const route = routePriority === 0 ? 0 : canMeetTarget ? 1 : 2;
-  return Math.min(MAX_RANK, account + route);
+function describeBodyError(error: BodyError): End {
+  switch (error) {
+    case 'too_large':
+      return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
+    case 'timed_out':
+      return {kind: 'refused', refusal: {status: 408, reason: 'body_not_in_time'}};
+    case 'aborted':
+      return {kind: 'gone'};
+  }
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -26,7 +26,7 @@
   sendJson,
   serverLimitsSchema,
 } from './httpServer.js';
-export {type BodyError, readBody} from './requestBody.js';
+export {type BodyError, type BodyLimits, readBody} from './requestBody.js';
 export {
   type CallError,
   type ControlServer,
--- a/packages/transport/src/requestBody.ts
+++ b/packages/transport/src/requestBody.ts
@@ -3,6 +3,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {ServerLimits} from './httpServer.js';
 
+/** Limits of one body. */
+export type BodyLimits = Pick<ServerLimits, 'maxBodyBytes' | 'requestTimeoutMs'>;
+
 /** Why a body was not read. */
 export type BodyError = 'too_large' | 'timed_out' | 'aborted';
 
@@ -12,7 +15,7 @@
 /** Reads a request's body up to a limit. */
 export async function readBody(
   request: IncomingMessage,
-  limits: ServerLimits,
+  limits: BodyLimits,
 ): Promise<Result<Buffer, BodyError>> {
   const body = await collect(request, limits);
   if (body.isErr() && body.error !== 'aborted') linger(request);
@@ -21,7 +24,7 @@
 
 function collect(
   request: IncomingMessage,
-  {maxBodyBytes, requestTimeoutMs}: ServerLimits,
+  {maxBodyBytes, requestTimeoutMs}: BodyLimits,
 ): Promise<Result<Buffer, BodyError>> {
   if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
     return Promise.resolve(err('too_large'));
