--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -94,7 +94,7 @@
         this.#over.abort();
       },
     );
-    this.#options.budget.earn(chooseService(admitted.value, this.#facts.id ?? '')?.name ?? '');
+    this.#options.budget.earn(chooseService(admitted.value, this.#facts.id)?.name ?? '');
     try {
       return await this.#forward(body.value, deadlineMs);
     } finally {
