Observe first bytes and the age of the configuration in metrics; leave out what nothing uses

Cause: the histogram of first bytes was declared and never observed; a hook and a field had no reader. Change: both metrics are served, a test reads them; the hook and the field are gone.

--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -46,7 +46,6 @@
   return {
     id: `r${sequence}`,
     service,
-    priority: 1,
     targetLeftMs: 600,
     patienceLeftMs: 2400,
     pauseTargetMs: (prompt?.promptTokens ?? 0) < 3000 ? 100 : 200,
--- a/packages/coordination/src/forwarding/demand.ts
+++ b/packages/coordination/src/forwarding/demand.ts
@@ -17,8 +17,6 @@
 export interface ForwardDemand {
   readonly id: string;
   readonly service: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
   /** Milliseconds left until the latency objective is missed; negative when it is. */
   readonly targetLeftMs: number;
   /** Milliseconds after which the client is expected to leave if nothing has come. */
--- a/packages/entry/src/forwarding/__tests__/forwarding.test.ts
+++ b/packages/entry/src/forwarding/__tests__/forwarding.test.ts
@@ -246,6 +246,20 @@
   });
 });
 
+describe('metrics', () => {
+  test('count requests by outcome and reason, and the time to the first byte', async () => {
+    await startWith(answerWell, {prefix: '/x/'});
+    await rig.ask({}, {path: '/x/'});
+    await rig.ask({}, {path: '/y/'});
+    const text = await rig.process.metrics();
+    expect(text).toContain('requests_total{route="route",outcome="delivered",reason=""} 1');
+    expect(text).toContain('requests_total{route="",outcome="refused",reason="no_route"} 1');
+    expect(text).toContain('first_byte_seconds_count{route="route"} 1');
+    expect(text).toContain('sends_total{service="app",outcome="delivered"} 1');
+    expect(text).toMatch(/configuration_age_seconds \d/);
+  });
+});
+
 describe('a client that leaves', () => {
   test('ends the work at the endpoint', async () => {
     let isClosed = false;
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,6 +1,6 @@
 /** One request of a client from its arrival to the end of its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Flight, ForwardDemand} from '@marigoldfold/coordination';
+import type {Endpoint, Flight, ForwardDemand} from '@marigoldfold/coordination';
 import {isAborted} from '@marigoldfold/runtime';
 import type {Route} from '@marigoldfold/state';
 import {type BodyError, readBody} from '@marigoldfold/transport';
@@ -136,12 +136,10 @@
     const {format, placement, budget, metrics, clock} = this.#options;
     const service = chooseService({route, table}, this.#facts.id ?? '');
     if (service === undefined) return undefined;
-    const priority = account?.priority ?? route.priority;
     const elapsedMs = clock.now() - this.#arrivedAtMs;
     const demand: ForwardDemand = {
       id: this.#facts.id ?? '',
       service: service.name,
-      priority,
       targetLeftMs: route.targetMs - elapsedMs,
       patienceLeftMs: patienceMs(route) - elapsedMs,
       pauseTargetMs: route.pauseTargetMs,
@@ -198,7 +196,7 @@
   }
 
   /** Takes over what a send has shown. */
-  #learn(endpoint: Parameters<typeof runAttempt>[1]['endpoint'], end: AttemptEnd): void {
+  #learn(endpoint: Endpoint, end: AttemptEnd): void {
     const isOurs = isAborted(this.#gone.signal) || isAborted(this.#over.signal);
     switch (end.kind) {
       case 'delivered':
@@ -218,10 +216,7 @@
         break;
       case 'notSent':
         this.#lastReason = 'unreachable';
-        if (!isOurs) {
-          endpoint.bar();
-          this.#options.onUnreachable?.(endpoint);
-        }
+        if (!isOurs) endpoint.bar();
         break;
       case 'broken':
         this.#runs += 1;
@@ -267,21 +262,28 @@
 
   #conclude(end: End): void {
     const {clock, metrics} = this.#options;
+    const totalMs = clock.now() - this.#arrivedAtMs;
     const fields = {
       outcome: end.kind,
-      totalMs: Math.round(clock.now() - this.#arrivedAtMs),
+      totalMs: Math.round(totalMs),
       sends: this.#sends,
       runs: this.#runs,
     };
     let reason = '';
     switch (end.kind) {
-      case 'delivered':
+      case 'delivered': {
+        const firstAtMs = end.flight?.firstEventAtMs;
+        metrics.observeFirstByte(
+          this.#routeName,
+          firstAtMs === undefined ? totalMs : firstAtMs - this.#arrivedAtMs,
+        );
         this.#log(
           'answered',
           {...fields, status: end.status, ...this.#describePace(end.flight)},
           'debug',
         );
         break;
+      }
       case 'refused': {
         const {status, retryAfterMs} = end.refusal;
         reason = end.refusal.reason;
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -1,5 +1,5 @@
 /** What forwarding needs from the process around it. */
-import type {Endpoint, Placement, RepeatBudget} from '@marigoldfold/coordination';
+import type {Placement, RepeatBudget} from '@marigoldfold/coordination';
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import type {EndpointClient} from '@marigoldfold/transport';
 import type {Belief, BeliefLimits} from './admission.js';
@@ -18,6 +18,4 @@
   readonly metrics: ForwardMetrics;
   readonly belief: () => Belief;
   readonly beliefLimits: () => BeliefLimits;
-  /** Called when an endpoint cannot be reached. */
-  readonly onUnreachable?: (endpoint: Endpoint) => void;
 }
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -127,7 +127,7 @@
       client: this.#owned.add(createEndpointClient()),
       placement,
       budget: this.#budget,
-      metrics: new ForwardMetrics(this.#metricsRegistry),
+      metrics: new ForwardMetrics(this.#metricsRegistry, () => this.#belief().ageMs),
       belief: () => this.#belief(),
       beliefLimits: () => this.#beliefLimits(),
     };
@@ -143,10 +143,7 @@
       createStatusServer(options.readyPath, () =>
         Promise.resolve(this.isReady ? [200, 'ready'] : [503, 'not ready']),
       ),
-      createStatusServer(options.metricsPath, async () => [
-        200,
-        await this.#metricsRegistry.metrics(),
-      ]),
+      createStatusServer(options.metricsPath, async () => [200, await this.metrics()]),
     ];
   }
 
@@ -176,6 +173,11 @@
     return !this.#isStopping && table !== undefined && ageMs < this.#beliefLimits().keyedMs;
   }
 
+  /** The metrics as text. */
+  metrics(): Promise<string> {
+    return this.#metricsRegistry.metrics();
+  }
+
   /** Takes over bounds that have changed. */
   reload(bounds: ForwardBounds): void {
     this.#bounds = bounds;
