Split the tests of forwarding by matter

Change: what the router believes and how it stops have a file of their own; scripts of endpoints are a fixture. Conclusion: no change of what is checked.

--- a/packages/entry/src/forwarding/__tests__/forwarding.test.ts
+++ b/packages/entry/src/forwarding/__tests__/forwarding.test.ts
@@ -1,15 +1,12 @@
-import {Agent} from 'node:http';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {
-  configurationOf,
-  type EndpointScript,
-  ForwardRig,
-  routeOf,
-  signed,
-  type TestEndpoint,
-  until,
-} from '../__fixtures__/forwardRig.js';
-import {mirrorTimes} from '../forwardProcess.js';
+  answerWell,
+  closeUnanswered,
+  events,
+  inTurn,
+  startWith,
+} from '../__fixtures__/endpointScripts.js';
+import {type EndpointScript, ForwardRig, signed, until} from '../__fixtures__/forwardRig.js';
 
 let rig: ForwardRig;
 
@@ -21,40 +18,9 @@
   await rig.stop();
 });
 
-const answerWell: EndpointScript = (response, {request}) => {
-  response.writeHead(200, signed(request)).end('well');
-};
-
-const closeUnanswered: EndpointScript = (response) => {
-  response.destroy();
-};
-
-/** Answers differently by the number of the request over all endpoints. */
-function inTurn(...scripts: readonly EndpointScript[]): EndpointScript {
-  let count = 0;
-  return (response, seen) => {
-    const script = scripts[Math.min(count, scripts.length - 1)];
-    count += 1;
-    return script?.(response, seen);
-  };
-}
-
-async function startWith(
-  script: EndpointScript,
-  route: Parameters<typeof routeOf>[0] = {},
-  endpoints = ['e1', 'e2'],
-) {
-  const started: TestEndpoint[] = [];
-  for (const id of endpoints) started.push(await rig.addEndpoint(id, script));
-  await rig.start(configurationOf({routes: [routeOf(route)]}));
-  return {
-    seen: () => started.flatMap(({seen}) => seen),
-  };
-}
-
 describe('a request', () => {
   test('reaches an endpoint unchanged and its answer comes back unchanged', async () => {
-    const {seen} = await startWith(answerWell, {kind: 'nonIdempotent'});
+    const {seen} = await startWith(rig, answerWell, {kind: 'nonIdempotent'});
     const result = await rig.ask(
       {'x-other': 'kept', 'x-account': 'forged'},
       {method: 'POST', path: '/x?y=1', body: 'order'},
@@ -69,14 +35,14 @@
   });
 
   test('without a route is refused, and so is one whose key nobody holds', async () => {
-    await startWith(answerWell, {prefix: '/x/'});
+    await startWith(rig, answerWell, {prefix: '/x/'});
     expect((await rig.ask({}, {path: '/y/'})).status).toBe(404);
     expect((await rig.ask({'x-key': 'other'}, {path: '/x/'})).status).toBe(401);
     expect((await rig.ask({}, {path: '/x/'})).status).toBe(200);
   });
 
   test('with a body over the limit is refused', async () => {
-    const {seen} = await startWith(answerWell);
+    const {seen} = await startWith(rig, answerWell);
     const result = await rig.ask({}, {method: 'POST', body: 'x'.repeat(2000)});
     expect(result.status).toBe(413);
     expect(seen()).toHaveLength(0);
@@ -95,7 +61,7 @@
   const route = {kind: 'nonIdempotent'} as const;
 
   test('is not sent again when the connection closes without an answer', async () => {
-    const {seen} = await startWith(closeUnanswered, route);
+    const {seen} = await startWith(rig, closeUnanswered, route);
     expect((await rig.ask({}, {method: 'POST'})).status).toBe(502);
     expect(seen()).toHaveLength(1);
   });
@@ -104,7 +70,7 @@
     const refuse: EndpointScript = (response) => {
       response.writeHead(503, {'x-not-executed': '1'}).end();
     };
-    const {seen} = await startWith(inTurn(refuse, answerWell), route);
+    const {seen} = await startWith(rig, inTurn(refuse, answerWell), route);
     expect((await rig.ask({}, {method: 'POST'})).status).toBe(200);
     expect(seen()).toHaveLength(2);
   });
@@ -113,7 +79,7 @@
     const refuse: EndpointScript = (response) => {
       response.writeHead(503, {'x-not-executed': '1'}).end();
     };
-    await startWith(refuse, route);
+    await startWith(rig, refuse, route);
     const result = await rig.ask({}, {method: 'POST'});
     expect(result.status).toBe(503);
     expect(result.headers['retry-after']).toBeDefined();
@@ -123,13 +89,13 @@
     const unclear: EndpointScript = (response, {request}) => {
       response.writeHead(503, signed(request)).end();
     };
-    const {seen} = await startWith(unclear, route);
+    const {seen} = await startWith(rig, unclear, route);
     expect((await rig.ask({}, {method: 'POST'})).status).toBe(502);
     expect(seen()).toHaveLength(1);
   });
 
   test('goes to another endpoint when the first cannot be reached', async () => {
-    const {seen} = await startWith(answerWell, route, ['e2']);
+    const {seen} = await startWith(rig, answerWell, route, ['e2']);
     await rig.register({id: 'e1', address: '127.0.0.1:1'});
     await rig.follow();
     for (let count = 0; count < 4; count += 1) {
@@ -144,7 +110,7 @@
     const fail: EndpointScript = (response, {request}) => {
       response.writeHead(500, signed(request)).end('bad');
     };
-    const {seen} = await startWith(inTurn(fail, answerWell));
+    const {seen} = await startWith(rig, inTurn(fail, answerWell));
     expect(await rig.ask()).toMatchObject({status: 200, body: 'well'});
     expect(seen()).toHaveLength(2);
   });
@@ -153,7 +119,7 @@
     const fail: EndpointScript = (response, {request}) => {
       response.writeHead(500, signed(request)).end('bad');
     };
-    const {seen} = await startWith(fail);
+    const {seen} = await startWith(rig, fail);
     expect(await rig.ask()).toMatchObject({status: 500, body: 'bad'});
     expect(seen()).toHaveLength(2);
   });
@@ -162,7 +128,7 @@
     const wrong: EndpointScript = (response) => {
       response.writeHead(200, {'x-id': 'other', 'x-signed': 'yes'}).end('wrong');
     };
-    await startWith(inTurn(wrong, answerWell));
+    await startWith(rig, inTurn(wrong, answerWell));
     expect(await rig.ask()).toMatchObject({status: 200, body: 'well'});
   });
 
@@ -172,7 +138,7 @@
       response.write('half');
       setImmediate(() => response.destroy());
     };
-    await startWith(inTurn(cut, answerWell));
+    await startWith(rig, inTurn(cut, answerWell));
     expect(await rig.ask()).toMatchObject({status: 200, body: 'well', isWhole: true});
   });
 
@@ -180,18 +146,11 @@
     const unsigned: EndpointScript = (response) => {
       response.writeHead(200).end('whose');
     };
-    await startWith(unsigned);
+    await startWith(rig, unsigned);
     expect((await rig.ask()).status).toBe(502);
   });
 });
 
-/** Writes events with their numbers as ids. */
-function events(from: number, to: number): string {
-  let text = '';
-  for (let number = from; number <= to; number += 1) text += `id: ${number}\ndata: ${number}\n\n`;
-  return text;
-}
-
 describe('a stream', () => {
   const route = {kind: 'stream', isResumable: true, pauseTargetMs: 100} as const;
 
@@ -207,7 +166,7 @@
       response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
       response.end(events(from, 6));
     };
-    const {seen} = await startWith(inTurn(streamAndCut, resume), route);
+    const {seen} = await startWith(rig, inTurn(streamAndCut, resume), route);
     const result = await rig.ask();
     expect(result).toMatchObject({status: 200, isWhole: true, body: events(1, 6)});
     expect(seen().map(({request}) => request.headers['last-event-id'])).toContain('3');
@@ -218,12 +177,12 @@
       response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
       response.end(events(2, 6));
     };
-    await startWith(inTurn(streamAndCut, repeat), route);
+    await startWith(rig, inTurn(streamAndCut, repeat), route);
     expect((await rig.ask()).body).toBe(events(1, 6));
   });
 
   test('that may not be resumed breaks off and does not look complete', async () => {
-    const {seen} = await startWith(streamAndCut, {...route, isResumable: false});
+    const {seen} = await startWith(rig, streamAndCut, {...route, isResumable: false});
     const result = await rig.ask();
     expect(result.isWhole).toBe(false);
     expect(seen()).toHaveLength(1);
@@ -238,7 +197,7 @@
       response.writeHead(200, {...signed(request), 'content-type': 'text/event-stream'});
       response.end(events(3, 4));
     };
-    const {seen} = await startWith(inTurn(fallSilent, resume), route);
+    const {seen} = await startWith(rig, inTurn(fallSilent, resume), route);
     const result = rig.ask();
     await until(() => seen().length === 1);
     await rig.pass(1500);
@@ -248,7 +207,7 @@
 
 describe('metrics', () => {
   test('count requests by outcome and reason, and the time to the first byte', async () => {
-    await startWith(answerWell, {prefix: '/x/'});
+    await startWith(rig, answerWell, {prefix: '/x/'});
     await rig.ask({}, {path: '/x/'});
     await rig.ask({}, {path: '/y/'});
     const text = await rig.process.metrics();
@@ -266,7 +225,7 @@
     const neverAnswer: EndpointScript = (response) => {
       response.on('close', () => (isClosed = true));
     };
-    const {seen} = await startWith(neverAnswer);
+    const {seen} = await startWith(rig, neverAnswer);
     const controller = new AbortController();
     const result = rig.ask({}, {signal: controller.signal});
     await until(() => seen().length === 1);
@@ -284,7 +243,7 @@
       await new Promise<void>((resolve) => (release = resolve));
       response.writeHead(500, signed(request)).end();
     };
-    const {seen} = await startWith(inTurn(failLater, answerWell));
+    const {seen} = await startWith(rig, inTurn(failLater, answerWell));
     const result = rig.ask({'x-deadline': '2000'});
     await until(() => release !== undefined);
     await rig.pass(700);
@@ -295,162 +254,10 @@
   });
 
   test('of a route end a request that nobody answers', async () => {
-    const {seen} = await startWith(() => undefined, {timeoutMs: 1000});
+    const {seen} = await startWith(rig, () => undefined, {timeoutMs: 1000});
     const result = rig.ask();
     await until(() => seen().length === 1);
     await rig.pass(1200);
     expect((await result).status).toBe(504);
   });
 });
-
-describe('the configuration', () => {
-  test('that is not confirmed any more stops requests with a key, not anonymous ones', async () => {
-    await rig.addEndpoint('e1', answerWell);
-    const routes = [
-      routeOf({prefix: '/keyed/'}),
-      routeOf({prefix: '/open/', allowsAnonymous: true}),
-    ];
-    await rig.start(configurationOf({routes}));
-    rig.access.isDown = true;
-    await rig.pass(2500);
-    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(200);
-    await rig.pass(1000);
-    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(503);
-    expect((await rig.ask({}, {path: '/open/'})).status).toBe(200);
-    expect((await rig.ask({}, {path: '/unknown/'})).status).toBe(503);
-    expect(rig.process.isReady).toBe(false);
-    rig.access.isDown = false;
-    await rig.pass(2000);
-    expect((await rig.ask({}, {path: '/keyed/'})).status).toBe(200);
-  });
-
-  test('never goes back to an older version', async () => {
-    await startWith(answerWell);
-    await rig.configure(
-      configurationOf({version: 7, accounts: [{name: 'a', keys: ['new'], priority: 1}]}),
-    );
-    await rig.follow();
-    await rig.configure(configurationOf({version: 6}));
-    await rig.follow();
-    expect((await rig.ask()).status).toBe(401);
-    expect((await rig.ask({'x-key': 'new'})).status).toBe(200);
-  });
-
-  test('takes a key away also from a request that waits for its next attempt', async () => {
-    let release: (() => void) | undefined;
-    const failLater: EndpointScript = async (response, {request}) => {
-      await new Promise<void>((resolve) => (release = resolve));
-      response.writeHead(500, signed(request)).end();
-    };
-    const {seen} = await startWith(failLater);
-    const result = rig.ask();
-    await until(() => release !== undefined);
-    await rig.configure(configurationOf({version: 2, accounts: []}));
-    await rig.follow();
-    release?.();
-    expect((await result).status).toBe(500);
-    expect(seen()).toHaveLength(1);
-  });
-});
-
-describe('the wait of a watch', () => {
-  const repeats = {ratio: 0, windowMs: 1, slack: 0};
-
-  test.each([
-    [2000, 5000],
-    [3000, 5000],
-    [1000, 2000],
-  ])('leaves keyed requests served at bounds of %i and %i ms', (configurationMs, revocationMs) => {
-    const {watchMs, batchMs} = mirrorTimes({configurationMs, revocationMs, stopMs: 1, repeats});
-    expect(watchMs).toBeGreaterThan(0);
-    // Two watches and a pause, each answered late by what a slow store takes.
-    expect(2 * (watchMs + 200) + batchMs).toBeLessThanOrEqual(0.75 * revocationMs);
-    expect(watchMs + batchMs).toBeLessThan(configurationMs);
-  });
-});
-
-describe('an endpoint', () => {
-  test('that is leaving gets no new request', async () => {
-    const e1 = await rig.addEndpoint('e1', answerWell);
-    const e2 = await rig.addEndpoint('e2', answerWell);
-    await rig.start();
-    await rig.register({id: 'e1', isLeaving: true});
-    await rig.follow();
-    for (let count = 0; count < 5; count += 1) await rig.ask();
-    expect([e1.seen.length, e2.seen.length]).toEqual([0, 5]);
-  });
-
-  test('whose record cannot be read is not used, the others are', async () => {
-    const e1 = await rig.addEndpoint('e1', answerWell);
-    await rig.addEndpoint('e2', answerWell);
-    await rig.start();
-    await rig.put('endpoints/e1', 'garbage');
-    await rig.follow();
-    for (let count = 0; count < 5; count += 1) expect((await rig.ask()).status).toBe(200);
-    expect(e1.seen).toHaveLength(0);
-    expect(rig.lines.map(({message}) => message)).toContain('endpoint record cannot be read');
-  });
-
-  test('whose record lapsed while the store was away is used until its grace is over', async () => {
-    const {seen} = await startWith(answerWell, {}, ['e1']);
-    rig.access.isDown = true;
-    await rig.pass(2000);
-    await rig.remove('endpoints/e1');
-    rig.access.isDown = false;
-    await rig.pass(1500);
-    expect((await rig.ask()).status).toBe(200);
-    await rig.pass(3000);
-    expect((await rig.ask()).status).toBe(503);
-    expect(seen()).toHaveLength(1);
-  });
-});
-
-describe('a planned stop', () => {
-  test('finishes what is under way and what still comes, and asks clients to close', async () => {
-    let release: (() => void) | undefined;
-    const answerLater: EndpointScript = async (response, {request}) => {
-      await new Promise<void>((resolve) => (release = resolve));
-      response.writeHead(200, signed(request)).end('late');
-    };
-    const {seen} = await startWith(inTurn(answerLater, answerWell), {}, ['e1']);
-    const first = rig.ask();
-    await until(() => seen().length === 1);
-    const stopped = rig.process.stop();
-    expect(rig.process.isReady).toBe(false);
-    await rig.pass(1000);
-    const second = await rig.ask();
-    expect(second.status).toBe(200);
-    expect(second.headers.connection).toBe('close');
-    await rig.pass(4000);
-    release?.();
-    expect(await first).toMatchObject({status: 200, body: 'late', isWhole: true});
-    await rig.pass(1000);
-    await stopped;
-  });
-
-  test('refuses what comes too late on a connection that was kept', async () => {
-    let release: (() => void) | undefined;
-    const streamLong: EndpointScript = async (response, {request}) => {
-      response.writeHead(200, signed(request)).write(events(1, 1));
-      await new Promise<void>((resolve) => (release = resolve));
-      response.end(events(2, 2));
-    };
-    const {seen} = await startWith(inTurn(streamLong, answerWell), {kind: 'stream'}, ['e1']);
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    const first = rig.ask({}, {agent});
-    await until(() => seen().length === 1 && release !== undefined);
-    await rig.pass(100);
-    const stopped = rig.process.stop();
-    await rig.pass(4000);
-    const second = rig.ask({'x-id': 'id-2'}, {agent});
-    release?.();
-    expect(await first).toMatchObject({body: events(1, 2), isWhole: true});
-    const refused = await second;
-    expect(refused.status).toBe(503);
-    expect(refused.headers.connection).toBe('close');
-    expect(seen()).toHaveLength(1);
-    await rig.pass(1000);
-    await stopped;
-    agent.destroy();
-  });
-});
