Judge an endpoint by answers that are under way

An entry took the time between tokens at the end of each answer. On a runner that slows down five-fold answers end five times later, so entries sent urgent work there for up to 3.5 seconds after it was slowed.

Ruled out: the agents' queues (each late answer started at once) and trial traffic (none is of the top tier). Answers that run on the runner when it slows down cannot be saved by the choice.

Change: entries take each gap between tokens; the endpoint's figure is the median of the newest 32 gaps, so one prompt that holds all streams up once does not count. A gap that the caller made by taking chunks slowly is left out. RecentSamples moves from agent to coordination, which both use.

--- a/packages/agent/src/adaptiveWindow.ts
+++ b/packages/agent/src/adaptiveWindow.ts
@@ -1,6 +1,6 @@
 /** Finds how many requests may run at once so that the time between tokens stays within its target. */
 import type {Clock} from '@marigoldfold/runtime';
-import {RecentSamples} from './recentSamples.js';
+import {RecentSamples} from '@marigoldfold/coordination';
 
 /** What a window needs. */
 export interface AdaptiveWindowOptions {
--- a/packages/agent/src/tokenMeter.ts
+++ b/packages/agent/src/tokenMeter.ts
@@ -1,6 +1,6 @@
 /** Measures the endpoint by the tokens that come from it. */
 import type {MutableQueueEntry} from './queueEntry.js';
-import {RecentSamples} from './recentSamples.js';
+import {RecentSamples} from '@marigoldfold/coordination';
 
 const GAP_SAMPLES = 256;
 const FIRST_TOKEN_SAMPLES = 32;
--- a/packages/bench/src/entryModel.ts
+++ b/packages/bench/src/entryModel.ts
@@ -58,7 +58,7 @@
   readonly agent: AgentModel;
   readonly sent: SentRequest;
   startedAtMs: number | undefined;
-  firstTokenAtMs: number;
+  lastTokenAtMs: number;
   isOver: boolean;
 }
 
@@ -66,7 +66,6 @@
 /** As the product's entry does it. */
 const COMPARE_INTERVAL_MS = 200;
 const MAX_MOVES = 2;
-const MIN_MEASURED_TOKENS = 4;
 
 /** The entry. */
 export class EntryModel {
@@ -132,7 +131,7 @@
       agent,
       sent,
       startedAtMs: undefined,
-      firstTokenAtMs: 0,
+      lastTokenAtMs: 0,
       isOver: false,
     };
     this.#later(() => {
@@ -251,14 +250,12 @@
   #measure(attempt: Try, number: number): void {
     const {clock} = this.#options;
     const {carried, sent, startedAtMs = clock.now()} = attempt;
-    const {requestClass, outputTokens} = carried.arrival;
+    const now = clock.now();
     if (number === 1) {
-      attempt.firstTokenAtMs = clock.now();
-      const tookMs = clock.now() - startedAtMs;
-      sent.observeFirstToken(this.#baseline.ratio(requestClass.name, tookMs));
-    } else if (number === outputTokens && number >= MIN_MEASURED_TOKENS) {
-      sent.observeInterToken((clock.now() - attempt.firstTokenAtMs) / (number - 1));
-    }
+      const {name} = carried.arrival.requestClass;
+      sent.observeFirstToken(this.#baseline.ratio(name, now - startedAtMs));
+    } else sent.observeInterToken(now - attempt.lastTokenAtMs);
+    attempt.lastTokenAtMs = now;
   }
 
   /** Tries another endpoint when no work was done, or fails. */
--- a/packages/coordination/src/__tests__/endpointState.test.ts
+++ b/packages/coordination/src/__tests__/endpointState.test.ts
@@ -72,6 +72,47 @@
   });
 });
 
+describe('the time between tokens', () => {
+  it('follows answers that are still under way', async () => {
+    const {clock, state} = create();
+    const streams = [state.send(0), state.send(3)];
+    const run = async (gapMs: number, tokens: number) => {
+      for (let token = 0; token < tokens; token += 1) {
+        await clock.advance(gapMs);
+        for (const stream of streams) stream.observeInterToken(gapMs);
+      }
+    };
+    await run(20, 30);
+    expect(state.speed.interTokenMs).toBe(20);
+    await run(100, 9);
+    expect(state.speed.interTokenMs).toBe(100);
+  });
+
+  it('is not that of one prompt which held all streams up', async () => {
+    const {clock, state} = create();
+    const streams = Array.from({length: 8}, () => state.send(0));
+    for (const gapMs of [20, 20, 400, 20]) {
+      await clock.advance(gapMs);
+      for (const stream of streams) stream.observeInterToken(gapMs);
+    }
+    expect(state.speed.interTokenMs).toBe(20);
+  });
+
+  it('is the report when that is newer, and forgotten when it is old', async () => {
+    const {clock, state} = create();
+    const stream = state.send(0);
+    for (let token = 0; token < 8; token += 1) stream.observeInterToken(20);
+    await clock.advance(10);
+    state.observe(load({interTokenMs: 50}), clock.now());
+    expect(state.speed.interTokenMs).toBe(50);
+    await clock.advance(20);
+    stream.observeInterToken(20);
+    expect(state.speed.interTokenMs).toBe(20);
+    await clock.advance(11_000);
+    expect(state.speed.interTokenMs).toBe(50);
+  });
+});
+
 describe('backoff', () => {
   it('doubles with each failure up to a limit, and starts anew after a success', async () => {
     const clock = new VirtualClock();
--- a/packages/coordination/src/endpointState.ts
+++ b/packages/coordination/src/endpointState.ts
@@ -2,6 +2,7 @@
 import type {Clock, Random} from '@marigoldfold/runtime';
 import type {Load, Tier} from '@marigoldfold/protocol';
 import {FailureBackoff} from './failureBackoff.js';
+import {RecentSamples} from './recentSamples.js';
 import {TrafficWeight} from './trialTraffic.js';
 
 /** A request of this entry at an endpoint; disposed of when the request has left it. */
@@ -11,7 +12,7 @@
   start(): void;
   /** Notes the first part of the answer, in proportion to what is usual for the class. */
   observeFirstToken(ratio: number): void;
-  /** Notes the mean time between parts of an answer, in milliseconds. */
+  /** Notes the time between two tokens of the answer, in milliseconds. */
   observeInterToken(ms: number): void;
 }
 
@@ -35,6 +36,14 @@
 const IDLE_REPORT_AGE_MS = 4000;
 const BUSY_PRESSURE = 0.7;
 const SPEED_AGE_MS = 10_000;
+/**
+ * Gaps that the time between tokens is the median of: a few tokens of each of some streams, so that one
+ * prompt that holds all of them up once is not taken for a slow endpoint.
+ */
+const GAP_SAMPLES = 32;
+/** Fewer gaps say nothing. */
+const MIN_GAP_SAMPLES = 8;
+const MEDIAN = 0.5;
 
 /** The state of one endpoint at this entry. */
 export class EndpointState {
@@ -48,8 +57,9 @@
   #ownInFlight = 0;
   #serviceMs = INITIAL_SERVICE_MS;
   #firstTokenRatio: number | undefined;
-  #interTokenMs: number | undefined;
   #speedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #gaps = new RecentSamples(GAP_SAMPLES);
+  #gapAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     clock: Clock,
@@ -90,10 +100,13 @@
 
   /** The recent speed; the time between tokens is the agent's or this entry's, whichever is newer. */
   get speed(): Speed {
-    const isFresh = this.#clock.now() - this.#speedAtMs <= SPEED_AGE_MS;
+    const now = this.#clock.now();
+    const isFresh = now - this.#speedAtMs <= SPEED_AGE_MS;
     const reportedMs = this.#load?.interTokenMs ?? 0;
-    const isReportNewer = reportedMs > 0 && this.#loadAsOfMs >= this.#speedAtMs;
-    const ownMs = isFresh ? this.#interTokenMs : undefined;
+    const isReportNewer = reportedMs > 0 && this.#loadAsOfMs >= this.#gapAtMs;
+    const areGapsFresh = now - this.#gapAtMs <= SPEED_AGE_MS;
+    const isMeasured = areGapsFresh && this.#gaps.count >= MIN_GAP_SAMPLES;
+    const ownMs = isMeasured ? this.#gaps.quantile(MEDIAN) : undefined;
     return {
       firstTokenRatio: isFresh ? this.#firstTokenRatio : undefined,
       interTokenMs: isReportNewer ? reportedMs : (ownMs ?? (reportedMs || undefined)),
@@ -109,6 +122,7 @@
       if (startOf(load.incarnation) < startOf(this.#load.incarnation)) return;
       this.backoff.reset();
       this.#speedAtMs = Number.NEGATIVE_INFINITY;
+      this.#gaps.clear();
     }
     this.backoff.succeed();
     this.#load = load;
@@ -136,7 +150,7 @@
         this.#firstTokenRatio = this.#smoothSpeed(this.#firstTokenRatio, ratio);
       },
       observeInterToken: (ms) => {
-        this.#interTokenMs = this.#smoothSpeed(this.#interTokenMs, ms);
+        this.#observeGap(ms);
       },
       [Symbol.dispose]: () => {
         if (!isOpen) return;
@@ -169,6 +183,13 @@
     return sum(running.slice(tier + 1)) + sum(queued.slice(tier + 1)) > 0;
   }
 
+  #observeGap(ms: number): void {
+    const now = this.#clock.now();
+    if (now - this.#gapAtMs > SPEED_AGE_MS) this.#gaps.clear();
+    this.#gapAtMs = now;
+    this.#gaps.add(ms);
+  }
+
   #smoothSpeed(before: number | undefined, value: number): number {
     const now = this.#clock.now();
     const isFresh = now - this.#speedAtMs <= SPEED_AGE_MS;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -44,6 +44,7 @@
 export {Spread, type SpreadOptions} from './spread/spread.js';
 export {SpreadPeers} from './spread/spreadPeers.js';
 export {rankMembers} from './rendezvous.js';
+export {RecentSamples} from './recentSamples.js';
 export {
   type Secrets,
   addressSchema,
--- a/packages/entry/src/__tests__/attempt.test.ts
+++ b/packages/entry/src/__tests__/attempt.test.ts
@@ -1,4 +1,4 @@
-import {silentLogger, VirtualClock} from '@marigoldfold/runtime';
+import {silentLogger, sleep, VirtualClock} from '@marigoldfold/runtime';
 import {describe, expect, it} from 'vitest';
 import {
   chunkEvents,
@@ -12,9 +12,10 @@
 
 const MINUTE_MS = 60_000;
 
-async function runAttempt(script: LinkScript, link = new ScriptedLink(script)) {
+async function runAttempt(script: LinkScript, link = new ScriptedLink(script), takesMs = 0) {
   const clock = new VirtualClock();
   let unreachable = 0;
+  let held = 0;
   const attempt = new Attempt({
     clock,
     logger: silentLogger,
@@ -23,6 +24,9 @@
     signal: new AbortController().signal,
     observe: () => undefined,
     onEvent: () => undefined,
+    onHeld: () => {
+      held += 1;
+    },
     onUnreachable: () => {
       unreachable += 1;
     },
@@ -38,13 +42,14 @@
         return;
       }
       events.push(next.value);
+      if (takesMs > 0) await sleep(clock, takesMs);
     }
   })();
   await clock.advance(MINUTE_MS);
   await reading;
   if (end === undefined) throw new Error('the attempt did not end');
   const numbers = events.map((event) => (event.kind === 'chunk' ? event.number : 0));
-  return {link, end, numbers, unreachable};
+  return {link, end, numbers, unreachable, held};
 }
 
 function ranOf(end: RoutedEnd) {
@@ -54,6 +59,14 @@
 const neverStarted = {outcome: 'never-started', incarnation: 'life-1'} as const;
 const started = [{kind: 'started'}] as const;
 
+describe('a caller that is slow to take chunks', () => {
+  it('is told apart from a slow endpoint', async () => {
+    const script = {start: [...chunkEvents(1, 3), endEvent(3)]};
+    expect((await runAttempt(script)).held).toBe(0);
+    expect((await runAttempt(script, new ScriptedLink(script), 20)).held).toBe(3);
+  });
+});
+
 describe('a broken connection', () => {
   it('is resumed after the last chunk, and repeated chunks are passed on once', async () => {
     const {link, end, numbers} = await runAttempt({
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -32,6 +32,8 @@
   readonly observe: (load: Load) => void;
   /** Takes each event of the answer, repeated ones left out. */
   readonly onEvent: (event: WorkEvent) => void;
+  /** Notes that the caller was slow to take a chunk. */
+  readonly onHeld: () => void;
   /** Notes that the agent could not be reached. */
   readonly onUnreachable: () => void;
 }
@@ -42,6 +44,8 @@
 const SILENCE_LIMIT_MS = 15_000;
 const ACKNOWLEDGE_EVERY_CHUNKS = 256;
 const WITHDRAWAL_TRIES = 2;
+/** A caller that takes longer for a chunk spoils the measure of the next gap; engines' gaps are longer. */
+const HELD_MS = 5;
 
 /** One try at one agent. */
 export class Attempt {
@@ -128,7 +132,7 @@
           if (event.number > this.#lastChunk + 1) return undefined;
           this.#lastChunk = event.number;
           onEvent(event);
-          yield event;
+          yield* this.#pass(event);
           this.#acknowledge();
           break;
         case 'end':
@@ -143,6 +147,13 @@
     return undefined;
   }
 
+  *#pass(chunk: RoutedEvent): Generator<RoutedEvent, void> {
+    const {clock, onHeld} = this.#options;
+    const passedAtMs = clock.now();
+    yield chunk;
+    if (clock.now() - passedAtMs > HELD_MS) onHeld();
+  }
+
   /** Breaks the connection when nothing comes for too long; the time that the caller takes does not count. */
   async *#withinLimit(events: WorkEvents): AsyncGenerator<WorkEvent, void> {
     const connection = this.#connection;
--- a/packages/entry/src/attemptObserver.ts
+++ b/packages/entry/src/attemptObserver.ts
@@ -26,8 +26,6 @@
 
 /** Milliseconds between comparisons while a request waits. */
 const COMPARE_INTERVAL_MS = 200;
-/** Chunks of an answer that it takes to measure the time between them. */
-const MIN_MEASURED_CHUNKS = 4;
 
 /** Follows one attempt; disposed of when the attempt has ended. */
 export class AttemptObserver implements Disposable {
@@ -35,7 +33,8 @@
   readonly #disposables = new DisposableStore();
   readonly #sent: SentRequest;
   #startedAtMs: number;
-  #firstChunkAtMs = 0;
+  /** When the last chunk came; undefined when the time since then says nothing of the endpoint. */
+  #lastChunkAtMs: number | undefined;
   #hasStarted = false;
   #watch: Disposable | undefined;
   #movesTo: Candidate | undefined;
@@ -68,12 +67,9 @@
         this.#sent.start();
         break;
       case 'chunk':
-        if (event.number === 1) this.#measureFirstChunk();
+        this.#measureChunk(event.number);
         break;
       case 'end':
-        choice.observe(candidate.instance.name, event.load);
-        this.#measureEnd(event.chunks);
-        break;
       case 'failed':
         choice.observe(candidate.instance.name, event.load);
         break;
@@ -83,6 +79,11 @@
     }
   }
 
+  /** Notes that the caller was slow to take a chunk; the gap before the next one is the caller's. */
+  skipGap(): void {
+    this.#lastChunkAtMs = undefined;
+  }
+
   [Symbol.dispose](): void {
     this.#disposables[Symbol.dispose]();
   }
@@ -113,17 +114,15 @@
     });
   }
 
-  #measureFirstChunk(): void {
+  #measureChunk(number: number): void {
     const {baseline, clock, work} = this.#options;
     if (work.task.kind === 'call') return;
-    this.#firstChunkAtMs = clock.now();
-    const tookMs = this.#firstChunkAtMs - this.#startedAtMs;
-    this.#sent.observeFirstToken(baseline.ratio(work.class, tookMs));
-  }
-
-  #measureEnd(chunks: number): void {
-    const {clock, work} = this.#options;
-    if (chunks < MIN_MEASURED_CHUNKS || work.task.kind === 'call') return;
-    this.#sent.observeInterToken((clock.now() - this.#firstChunkAtMs) / (chunks - 1));
+    const now = clock.now();
+    if (number === 1) {
+      this.#sent.observeFirstToken(baseline.ratio(work.class, now - this.#startedAtMs));
+    } else if (this.#lastChunkAtMs !== undefined) {
+      this.#sent.observeInterToken(now - this.#lastChunkAtMs);
+    }
+    this.#lastChunkAtMs = now;
   }
 }
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -114,6 +114,9 @@
       onEvent: (event) => {
         observer.onEvent(event);
       },
+      onHeld: () => {
+        observer.skipGap();
+      },
       onUnreachable: () => {
         choice.bar(instance.name);
       },
