--- a/packages/bench/src/commands/index.ts
+++ b/packages/bench/src/commands/index.ts
@@ -1,5 +1,6 @@
 /** The commands of `marigoldfold-bench` by name. */
 import {Claims} from './claims.js';
+import {FaultSoakCommand} from './faultSoak.js';
 import {Matrix} from './matrix.js';
 import {OverheadCommand} from './overhead.js';
 import {Run} from './run.js';
@@ -11,6 +12,7 @@
 /** Commands by id. */
 export const commands = {
   claims: Claims,
+  'fault-soak': FaultSoakCommand,
   matrix: Matrix,
   overhead: OverheadCommand,
   run: Run,
--- /dev/null
+++ b/packages/bench/src/faultSoak/__tests__/history.test.ts
@@ -0,0 +1,139 @@
+import {describe, expect, test} from 'vitest';
+import {answerOf, History, type Got, type Run, type SentRequest} from '../history.js';
+
+const bounds = {revocationMs: 5000, drainMs: 2000, regressMs: 250};
+
+function create() {
+  const history = new History(bounds);
+  return {
+    history,
+    send: (more: Partial<SentRequest> = {}) => {
+      history.onSent({id: 'r', kind: 'idempotent', key: 'k', lifetime: 'a.1', atMs: 0, ...more});
+    },
+    run: (more: Partial<Run> = {}, isInTouch = true) => {
+      history.onRun({id: 'r', endpoint: 'e1', version: 1, atMs: 10, ...more}, () => isInTouch);
+    },
+    get: (more: Partial<Got> = {}) => {
+      const body = answerOf('r', 'e1');
+      history.onGot({
+        id: 'r',
+        status: 200,
+        isWhole: true,
+        body,
+        atMs: 50,
+        isPlannedOnly: true,
+        ...more,
+      });
+    },
+    rules: () => history.breaches.map(({rule}) => rule),
+  };
+}
+
+describe('the checker of a soak', () => {
+  test('finds nothing wrong with a request that is answered by the endpoint that ran it', () => {
+    const {send, run, get, rules} = create();
+    send();
+    run();
+    get();
+    expect(rules()).toEqual([]);
+  });
+
+  test('finds a run that nobody asked for', () => {
+    const {run, rules} = create();
+    run();
+    expect(rules()).toEqual(['unasked']);
+  });
+
+  test('finds a second run, and lets what may be repeated run twice', () => {
+    const {send, run, rules} = create();
+    send();
+    run();
+    run({endpoint: 'e2'});
+    send({id: 'p', kind: 'nonIdempotent'});
+    run({id: 'p'});
+    run({id: 'p', endpoint: 'e2'});
+    expect(rules()).toEqual(['twice']);
+  });
+
+  test.each([429, 503, 408, 421])('finds status %d of a request that ran before', (status) => {
+    const {send, run, get, rules} = create();
+    send({kind: 'nonIdempotent'});
+    run();
+    get({status, body: ''});
+    expect(rules()).toEqual(['not run']);
+  });
+
+  test('finds a run after a refusal', () => {
+    const {send, run, get, rules} = create();
+    send({kind: 'nonIdempotent'});
+    get({status: 503, body: ''});
+    run();
+    expect(rules()).toEqual(['not run']);
+  });
+
+  test("finds another request's answer, and one that only looks whole", () => {
+    const {send, run, get, rules} = create();
+    send();
+    run();
+    get({body: answerOf('other', 'e1')});
+    get({body: answerOf('r', 'e1').slice(0, -1)});
+    expect(rules()).toEqual(['mixed', 'mixed']);
+  });
+
+  test('finds a stream with a missing event, and one without its end', () => {
+    const {send, run, get, rules} = create();
+    send({kind: 'stream'});
+    run();
+    get({body: 'id: 1\ndata: part 1\n\nid: 2\ndata: end of r\n\n'});
+    expect(rules()).toEqual([]);
+    get({body: 'id: 1\ndata: part 1\n\nid: 3\ndata: end of r\n\n'});
+    get({body: 'id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n'});
+    expect(rules()).toEqual(['order', 'order']);
+  });
+
+  test('finds a revoked key that works after the bound', () => {
+    const {history, send, run, rules} = create();
+    history.onRevoked('k', 0);
+    send({atMs: 4900});
+    run({atMs: 9000});
+    expect(rules()).toEqual([]);
+    send({atMs: 5100});
+    run({atMs: 5150});
+    expect(rules()).toEqual(['revoked']);
+  });
+
+  test('finds new work for a leaving endpoint, unless the router was out of touch', () => {
+    const {history, send, run, rules} = create();
+    history.onLeaving('e1', 0);
+    send();
+    run({atMs: 1900});
+    run({atMs: 2100}, false);
+    expect(rules()).toEqual([]);
+    run({atMs: 2100});
+    expect(rules()).toEqual(['leaving']);
+  });
+
+  test('finds a configuration that goes back, but not in a new lifetime', () => {
+    const {send, run, rules} = create();
+    send({atMs: 100});
+    run({version: 5, atMs: 100});
+    send({atMs: 200});
+    run({version: 4, atMs: 900});
+    send({atMs: 900, lifetime: 'a.2'});
+    run({version: 4, atMs: 900});
+    expect(rules()).toEqual([]);
+    send({atMs: 900});
+    run({version: 4, atMs: 900});
+    expect(rules()).toEqual(['regress']);
+  });
+
+  test('finds what planned work cuts, but not what a fault cuts', () => {
+    const {send, run, get, rules} = create();
+    send();
+    run();
+    get({status: 0, isWhole: false, body: '', isPlannedOnly: false});
+    expect(rules()).toEqual([]);
+    get({status: 0, isWhole: false, body: ''});
+    expect(rules()).toEqual(['cut']);
+  });
+});
--- /dev/null
+++ b/packages/bench/src/faultSoak/endpointFarm.ts
@@ -0,0 +1,126 @@
+/** Endpoints of the soak: each notes what it runs, and some misbehave for a while. */
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {forwardHeaders} from '@marigoldfold/entry';
+import type {Random} from '@marigoldfold/runtime';
+import {answerOf} from './history.js';
+
+/** How an endpoint answers. */
+export type Conduct = 'well' | 'garbage' | 'extraAnswer' | 'halfAnswer' | 'full' | 'resetAfterRun';
+
+const EVENTS = 12;
+const EVENT_MS = 15;
+const WORK_MS = 40;
+
+/** What an endpoint is given. */
+export interface SoakEndpointOptions {
+  readonly random: Random;
+  readonly onRun: (endpoint: string, id: string) => void;
+}
+
+/** One endpoint. */
+export class SoakEndpoint implements Disposable {
+  readonly #options: SoakEndpointOptions;
+  readonly #server: Server;
+  /** Name under which it is registered now. */
+  id = '';
+  conduct: Conduct = 'well';
+  address = '';
+
+  constructor(options: SoakEndpointOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      request.resume();
+      request.on('end', () => {
+        this.#serve(request, response);
+      });
+    });
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    const address = this.#server.address();
+    this.address = typeof address === 'object' ? `127.0.0.1:${address?.port}` : '';
+  }
+
+  [Symbol.dispose](): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    const id = header(request, forwardHeaders.requestId);
+    if (header(request, forwardHeaders.endpointId) !== this.id) {
+      response.writeHead(421, {[forwardHeaders.requestId]: id}).end();
+      return;
+    }
+    if (this.conduct === 'full') {
+      const headers = {[forwardHeaders.requestId]: id, [forwardHeaders.notExecuted]: 'full'};
+      response.writeHead(503, headers).end();
+      return;
+    }
+    const {id: endpoint} = this;
+    this.#options.onRun(endpoint, id);
+    if (request.url?.startsWith('/stream/') === true) void this.#stream(request, response, id);
+    else
+      setTimeout(() => {
+        this.#answer(response, id, endpoint);
+      }, WORK_MS * this.#options.random());
+  }
+
+  #answer(response: ServerResponse, id: string, endpoint: string): void {
+    const {socket} = response;
+    const body = answerOf(id, endpoint);
+    const headers = {...signed(id), 'content-length': String(body.length)};
+    switch (this.conduct) {
+      case 'garbage':
+        socket?.end('this is no answer\r\n\r\n');
+        return;
+      case 'resetAfterRun':
+        socket?.resetAndDestroy();
+        return;
+      case 'halfAnswer':
+        response.writeHead(200, headers);
+        response.write(body.slice(0, 100));
+        setTimeout(() => socket?.destroy(), 5);
+        return;
+      case 'extraAnswer': {
+        response.writeHead(200, headers).end(body);
+        const extra = `HTTP/1.1 200 OK\r\ncontent-length: 5\r\n${forwardHeaders.requestId}: old\r\n\r\nextra`;
+        setTimeout(() => socket?.write(extra), 3);
+        return;
+      }
+      case 'full':
+      case 'well':
+        response.writeHead(200, headers).end(body);
+    }
+  }
+
+  async #stream(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
+    response.writeHead(200, {...signed(id), 'content-type': 'text/event-stream'});
+    const breaksAt =
+      this.conduct === 'halfAnswer' ? 1 + Math.floor(this.#options.random() * EVENTS) : 0;
+    const from = Number(header(request, forwardHeaders.lastEventId) || 0) + 1;
+    for (let number = from; number <= EVENTS; number += 1) {
+      await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
+      if (response.destroyed) return;
+      const data = number === EVENTS ? `end of ${id}` : `part ${number}`;
+      const event = `id: ${number}\ndata: ${data}\n\n`;
+      if (number === breaksAt) {
+        response.write(event.slice(0, 9));
+        setTimeout(() => response.socket?.destroy(), 3);
+        return;
+      }
+      response.write(event);
+    }
+    response.end();
+  }
+}
+
+function signed(id: string): Record<string, string> {
+  return {[forwardHeaders.requestId]: id, [forwardHeaders.signature]: 'soak'};
+}
+
+function header(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
--- /dev/null
+++ b/packages/bench/src/faultSoak/faultInjector.ts
@@ -0,0 +1,193 @@
+/** Brings planned work and faults over a running soak, as the seed says. */
+import {type Random, sleep, systemClock} from '@marigoldfold/runtime';
+import type {Conduct} from './endpointFarm.js';
+import type {LinkedEndpoint} from './faultSoak.js';
+import type {FaultyLink, LinkMode} from './faultyLink.js';
+import type {History} from './history.js';
+import type {RouterProcess} from './routerProcess.js';
+import type {SoakStore} from './soakStore.js';
+
+/** What the injector works on. */
+export interface FaultInjectorOptions {
+  readonly random: Random;
+  readonly store: SoakStore;
+  readonly routers: readonly RouterProcess[];
+  readonly endpoints: readonly LinkedEndpoint[];
+  readonly history: History;
+}
+
+/** Longest pause between two actions, in milliseconds. */
+const MAX_PAUSE_MS = 700;
+/** Length of a phase with planned work only, and of one with everything, in milliseconds. */
+const PHASE_MS = 6000;
+/** Pause between phases, in milliseconds: what was harmed is in touch again. */
+const BETWEEN_PHASES_MS = 3500;
+const MAX_FAULT_MS = 2500;
+const RESTART_MS = 300;
+/** An endpoint that leaves serves on for this long, in milliseconds. */
+const LEAVE_MS = 3500;
+const MAX_STEP = 2;
+
+type Action = () => Promise<void>;
+
+/** The injector of one soak. */
+export class FaultInjector {
+  readonly counts: Record<string, number> = {};
+  readonly revokedKeys: string[] = [];
+  readonly #options: FaultInjectorOptions;
+  readonly #pending = new Set<Promise<void>>();
+  readonly #busy = new Set<unknown>();
+  #unplanned = 0;
+  #unplannedEndMs = Number.NEGATIVE_INFINITY;
+  #names = 0;
+
+  constructor(options: FaultInjectorOptions) {
+    this.#options = options;
+  }
+
+  /** Whether no unplanned fault has been there for so many milliseconds. */
+  isCalm(forMs: number): boolean {
+    return this.#unplanned === 0 && systemClock.now() - this.#unplannedEndMs >= forMs;
+  }
+
+  /** Acts for a time, then ends what it has begun. */
+  async run(durationMs: number): Promise<void> {
+    const endMs = systemClock.now() + durationMs;
+    let isPlanned = true;
+    while (systemClock.now() < endMs) {
+      const phaseEndMs = Math.min(endMs, systemClock.now() + PHASE_MS);
+      while (systemClock.now() < phaseEndMs) {
+        this.#act(isPlanned);
+        await sleep(systemClock, this.#options.random() * MAX_PAUSE_MS);
+      }
+      await Promise.all(this.#pending);
+      if (systemClock.now() < endMs) await sleep(systemClock, BETWEEN_PHASES_MS);
+      isPlanned = !isPlanned;
+    }
+    await Promise.all(this.#pending);
+  }
+
+  #act(isPlanned: boolean): void {
+    const planned: Record<string, Action> = {
+      configuration: () => this.#configure(false),
+      revocation: () => this.#configure(true),
+      leaving: () => this.#leave(),
+      planned_stop: () => this.#restart('SIGTERM'),
+      reload: () => this.#reload(),
+    };
+    const unplanned: Record<string, Action> = {
+      kill: () => this.#restart('SIGKILL'),
+      pause: () => this.#pause(),
+      store_link: () => this.#harmLink(this.#pick(this.#options.routers)?.storeLink),
+      endpoint_link: () => this.#harmLink(this.#pick(this.#options.endpoints)?.link),
+      conduct: () => this.#misbehave(),
+    };
+    const actions = Object.entries(isPlanned ? planned : {...planned, ...unplanned});
+    const [name, action] = this.#pick(actions) ?? ['', () => Promise.resolve()];
+    this.counts[name] = (this.counts[name] ?? 0) + 1;
+    const isFault = name in unplanned;
+    if (isFault) this.#unplanned += 1;
+    const pending = action().then(() => {
+      this.#pending.delete(pending);
+      if (!isFault) return;
+      this.#unplanned -= 1;
+      this.#unplannedEndMs = systemClock.now();
+    });
+    this.#pending.add(pending);
+  }
+
+  async #configure(revokes: boolean): Promise<void> {
+    const {store, history} = this.#options;
+    const revoked = await store.configure(
+      1 + Math.floor(this.#options.random() * MAX_STEP),
+      revokes,
+    );
+    if (revoked === undefined) return;
+    this.revokedKeys.push(revoked);
+    history.onRevoked(revoked, systemClock.now());
+  }
+
+  /** An endpoint says that it leaves, serves on, and comes back under a new id. */
+  async #leave(): Promise<void> {
+    const {store, history, endpoints} = this.#options;
+    const linked = this.#pick(endpoints);
+    if (linked === undefined) return;
+    await this.#alone(linked, async () => {
+      const {endpoint, service, link} = linked;
+      const {id} = endpoint;
+      await store.register(id, service, link.address, true);
+      history.onLeaving(id, systemClock.now());
+      await sleep(systemClock, LEAVE_MS);
+      await store.remove(id);
+      this.#names += 1;
+      endpoint.id = `n${this.#names}`;
+      await store.register(endpoint.id, service, link.address);
+    });
+  }
+
+  async #restart(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const router = this.#pick(this.#options.routers);
+    if (router === undefined) return;
+    await this.#alone(router, async () => {
+      router.signal(signal);
+      await router.ended();
+      await sleep(systemClock, RESTART_MS);
+      router.start();
+    });
+  }
+
+  async #pause(): Promise<void> {
+    const router = this.#pick(this.#options.routers);
+    if (router === undefined) return;
+    await this.#alone(router, async () => {
+      router.signal('SIGSTOP');
+      await sleep(systemClock, this.#options.random() * MAX_FAULT_MS);
+      router.signal('SIGCONT');
+    });
+  }
+
+  #reload(): Promise<void> {
+    const router = this.#pick(this.#options.routers);
+    // Before its handlers are there, the signal would end a process that has just been started.
+    if (router !== undefined && !this.#busy.has(router) && router.isListening) {
+      router.signal('SIGHUP');
+    }
+    return Promise.resolve();
+  }
+
+  async #harmLink(link: FaultyLink | undefined): Promise<void> {
+    if (link === undefined) return;
+    await this.#alone(link, async () => {
+      const modes: LinkMode[] = [
+        {kind: 'delay', ms: 50 + this.#options.random() * 500},
+        {kind: 'silent'},
+        {kind: 'noAnswers'},
+        {kind: 'reset'},
+      ];
+      link.mode = this.#pick(modes) ?? {kind: 'pass'};
+      await sleep(systemClock, this.#options.random() * MAX_FAULT_MS);
+      link.mode = {kind: 'pass'};
+    });
+  }
+
+  async #misbehave(): Promise<void> {
+    const linked = this.#pick(this.#options.endpoints);
+    if (linked === undefined) return;
+    const conducts: Conduct[] = ['garbage', 'extraAnswer', 'halfAnswer', 'full', 'resetAfterRun'];
+    linked.endpoint.conduct = this.#pick(conducts) ?? 'well';
+    await sleep(systemClock, this.#options.random() * MAX_FAULT_MS);
+    linked.endpoint.conduct = 'well';
+  }
+
+  /** Does nothing when the subject is harmed already. */
+  async #alone(subject: unknown, action: Action): Promise<void> {
+    if (this.#busy.has(subject)) return;
+    this.#busy.add(subject);
+    await action();
+    this.#busy.delete(subject);
+  }
+
+  #pick<T>(items: readonly T[]): T | undefined {
+    return items[Math.floor(this.#options.random() * items.length)];
+  }
+}
--- /dev/null
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -0,0 +1,202 @@
+/** Runs routers as processes between callers and endpoints while faults come from outside, and checks what is seen. */
+import {mkdirSync} from 'node:fs';
+import {Agent} from 'node:http';
+import {type Random, seededRandom, sleep, systemClock} from '@marigoldfold/runtime';
+import {type KeyValueStandIn, startKeyValue} from '@marigoldfold/standin';
+import {SoakEndpoint} from './endpointFarm.js';
+import {FaultInjector} from './faultInjector.js';
+import {FaultyLink} from './faultyLink.js';
+import {type Breach, History, type SentRequest} from './history.js';
+import {RouterProcess} from './routerProcess.js';
+import {call} from './soakCaller.js';
+import {SERVICES, SoakStore} from './soakStore.js';
+
+/** How a soak runs. */
+export interface FaultSoakOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly routers: number;
+  readonly callers: number;
+  /** Where settings and logs of the routers go. */
+  readonly folder: string;
+}
+
+/** What a soak saw. */
+export interface FaultSoakResult {
+  readonly seed: number;
+  readonly requests: number;
+  readonly served: number;
+  /** Faults by kind. */
+  readonly faults: Readonly<Record<string, number>>;
+  readonly breaches: readonly Breach[];
+}
+
+/** An endpoint with the link through which routers reach it. */
+export interface LinkedEndpoint {
+  readonly service: string;
+  readonly endpoint: SoakEndpoint;
+  readonly link: FaultyLink;
+}
+
+const ENDPOINTS_PER_SERVICE = 2;
+/** As the routers' settings have it by default, in milliseconds. */
+const REVOCATION_MS = 5000;
+/** Time in which a router in touch learns of a leaving endpoint, in milliseconds: that of a configuration. */
+const DRAIN_MS = 2000;
+const REGRESS_MS = 250;
+/** After the last unplanned fault, all are in touch again after this time, in milliseconds. */
+const CALM_MS = 3000;
+const READY_POLL_MS = 50;
+const RETRY_MS = 30;
+/** A planned stop may end what takes longer than this, in milliseconds: the callers' own deadline. */
+const LONGEST_CALL_MS = 3500;
+
+/** Runs one seed to its end. */
+export async function faultSoak(options: FaultSoakOptions): Promise<FaultSoakResult> {
+  mkdirSync(options.folder, {recursive: true});
+  const store = (await startKeyValue(systemClock))._unsafeUnwrap();
+  const run = new FaultSoak(options, store);
+  try {
+    return await run.toEnd();
+  } finally {
+    await run.stop();
+    store[Symbol.dispose]();
+  }
+}
+
+class FaultSoak {
+  readonly #options: FaultSoakOptions;
+  readonly #random: Random;
+  readonly #history = new History({
+    revocationMs: REVOCATION_MS,
+    drainMs: DRAIN_MS,
+    regressMs: REGRESS_MS,
+  });
+  readonly #store: SoakStore;
+  readonly #routers: RouterProcess[] = [];
+  readonly #endpoints: LinkedEndpoint[] = [];
+  readonly #injector: FaultInjector;
+  #isOver = false;
+  #served = 0;
+  #lastId = 0;
+
+  constructor(options: FaultSoakOptions, store: KeyValueStandIn) {
+    this.#options = options;
+    this.#random = seededRandom(options.seed);
+    this.#store = new SoakStore(store.subject);
+    for (let index = 1; index <= options.routers; index += 1) {
+      this.#routers.push(new RouterProcess(`router-${index}`, options.folder, store.address));
+    }
+    this.#injector = new FaultInjector({
+      random: seededRandom(options.seed + 1),
+      store: this.#store,
+      routers: this.#routers,
+      endpoints: this.#endpoints,
+      history: this.#history,
+    });
+  }
+
+  async toEnd(): Promise<FaultSoakResult> {
+    await this.#start();
+    const callers = Array.from({length: this.#options.callers}, () => this.#call());
+    await this.#injector.run(this.#options.durationMs);
+    this.#isOver = true;
+    await Promise.all(callers);
+    const {seed} = this.#options;
+    const {requests, breaches} = this.#history;
+    return {seed, requests, served: this.#served, faults: this.#injector.counts, breaches};
+  }
+
+  async stop(): Promise<void> {
+    for (const router of this.#routers) await router.stop();
+    for (const {endpoint, link} of this.#endpoints) {
+      link[Symbol.dispose]();
+      endpoint[Symbol.dispose]();
+    }
+  }
+
+  async #start(): Promise<void> {
+    for (let index = 0; index < SERVICES * ENDPOINTS_PER_SERVICE; index += 1) {
+      await this.#addEndpoint(`app-${index % SERVICES}`, `e${index + 1}`);
+    }
+    await this.#store.configure(1, false);
+    for (const router of this.#routers) {
+      await router.prepare();
+      router.start();
+    }
+    for (const router of this.#routers) await this.#untilReady(router);
+  }
+
+  async #addEndpoint(service: string, id: string): Promise<void> {
+    const endpoint = new SoakEndpoint({
+      random: this.#random,
+      onRun: (name, requestId) => {
+        const version = this.#store.versionOf(service);
+        const run = {id: requestId, endpoint: name, version, atMs: systemClock.now()};
+        this.#history.onRun(run, () => this.#injector.isCalm(CALM_MS));
+      },
+    });
+    await endpoint.listen();
+    endpoint.id = id;
+    const link = new FaultyLink(() => endpoint.address);
+    await link.listen();
+    this.#endpoints.push({service, endpoint, link});
+    await this.#store.register(id, service, link.address);
+  }
+
+  async #untilReady({readyPort}: RouterProcess): Promise<void> {
+    while (true) {
+      const ready = await fetch(`http://127.0.0.1:${readyPort}/ready`).catch(() => undefined);
+      if (ready?.ok === true) return;
+      await sleep(systemClock, READY_POLL_MS);
+    }
+  }
+
+  async #call(): Promise<void> {
+    const agents = new Map<RouterProcess, Agent>();
+    while (!this.#isOver) {
+      const router = this.#routers[Math.floor(this.#random() * this.#routers.length)];
+      if (router === undefined) return;
+      let agent = agents.get(router);
+      if (agent === undefined) {
+        agent = new Agent({keepAlive: true, maxSockets: 1});
+        agents.set(router, agent);
+      }
+      const status = await this.#callOnce(router, agent);
+      if (status !== 200) await sleep(systemClock, RETRY_MS);
+    }
+    for (const agent of agents.values()) agent.destroy();
+  }
+
+  async #callOnce(router: RouterProcess, agent: Agent): Promise<number> {
+    const request = this.#nextRequest(router);
+    this.#history.onSent(request);
+    const {id, key, kind} = request;
+    const [method, path] = {
+      idempotent: ['GET', '/read/x'],
+      nonIdempotent: ['POST', '/post/x'],
+      stream: ['GET', '/stream/x'],
+    }[kind] as [string, string];
+    const {clientPort: port} = router;
+    const outcome = await call({agent, port, method, path, id, key});
+    const atMs = systemClock.now();
+    const isPlannedOnly =
+      this.#injector.isCalm(atMs - request.atMs + CALM_MS) &&
+      atMs - request.atMs < LONGEST_CALL_MS &&
+      router.lifetime === request.lifetime;
+    this.#history.onGot({id, ...outcome, atMs, isPlannedOnly});
+    if (outcome.status === 200 && outcome.isWhole) this.#served += 1;
+    return outcome.status;
+  }
+
+  #nextRequest(router: RouterProcess): SentRequest {
+    this.#lastId += 1;
+    const kinds = ['idempotent', 'nonIdempotent', 'stream'] as const;
+    const kind = kinds[Math.floor(this.#random() * kinds.length)] ?? 'idempotent';
+    // Some callers go on with a key that was taken away.
+    const keys = [...this.#store.keys, ...this.#injector.revokedKeys.slice(-1)];
+    const key = keys[Math.floor(this.#random() * keys.length)] ?? '';
+    const id = `s${this.#options.seed}-${this.#lastId}`;
+    return {id, kind, key, lifetime: router.lifetime, atMs: systemClock.now()};
+  }
+}
--- /dev/null
+++ b/packages/bench/src/faultSoak/routerProcess.ts
@@ -0,0 +1,106 @@
+/** A router of the soak: the real program as a process of its own, with what the soak does to it. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {FaultyLink} from './faultyLink.js';
+
+const program = fileURLToPath(new URL('../../../entry/bin/forward.js', import.meta.url));
+
+/** One router over its lifetimes. */
+export class RouterProcess {
+  readonly name: string;
+  readonly storeLink: FaultyLink;
+  readonly #folder: string;
+  #child: ChildProcess | undefined;
+  #lifetimes = 0;
+  #settings = '';
+  clientPort = 0;
+  readyPort = 0;
+  /** Whether the present process has said that it has started. */
+  isListening = false;
+
+  constructor(name: string, folder: string, storeAddress: string) {
+    this.name = name;
+    this.#folder = folder;
+    this.storeLink = new FaultyLink(() => storeAddress);
+  }
+
+  /** Name of the present lifetime. */
+  get lifetime(): string {
+    return `${this.name}.${this.#lifetimes}`;
+  }
+
+  async prepare(): Promise<void> {
+    const keyValue = await this.storeLink.listen();
+    const [client, ready, metrics, peer] = await Promise.all([1, 2, 3, 4].map(freePort));
+    this.clientPort = client ?? 0;
+    this.readyPort = ready ?? 0;
+    this.#settings = join(this.#folder, `${this.name}.toml`);
+    const lines = [
+      `name = "${this.name}"`,
+      `listen = "127.0.0.1:${client}"`,
+      `readyListen = "127.0.0.1:${ready}"`,
+      `metricsListen = "127.0.0.1:${metrics}"`,
+      `peerListen = "127.0.0.1:${peer}"`,
+      `keyValue = "${keyValue}"`,
+      'log = {level = "info"}',
+    ];
+    writeFileSync(this.#settings, `${lines.join('\n')}\n`);
+  }
+
+  start(): void {
+    this.#lifetimes += 1;
+    this.isListening = false;
+    const child = spawn(process.execPath, [program, '--settings', this.#settings], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const log = createWriteStream(join(this.#folder, `${this.lifetime}.log`));
+    child.stdout.on('data', (data: Buffer) => {
+      if (data.includes('"message":"started"')) this.isListening = true;
+    });
+    child.stdout.pipe(log, {end: false});
+    child.stderr.pipe(log, {end: false});
+    this.#child = child;
+    child.once('exit', () => {
+      log.end();
+      if (this.#child === child) this.#child = undefined;
+    });
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    if (signal === 'SIGTERM') this.isListening = false;
+    this.#child?.kill(signal);
+  }
+
+  /** Resolves when the present process has ended. */
+  async ended(): Promise<void> {
+    const child = this.#child;
+    if (child?.exitCode !== null || child.signalCode !== null) return;
+    await new Promise<void>((resolve) => {
+      child.once('exit', () => {
+        resolve();
+      });
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.signal('SIGCONT');
+    this.signal('SIGKILL');
+    await this.ended();
+    this.storeLink[Symbol.dispose]();
+  }
+}
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      server.close(() => {
+        resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
+      });
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/faultSoak/soakCaller.ts
@@ -0,0 +1,50 @@
+/** A caller of the soak: it keeps its connection for as long as that works. */
+import {Agent, request} from 'node:http';
+import {forwardHeaders} from '@marigoldfold/entry';
+
+/** What one request is. */
+export interface CallOptions {
+  readonly agent: Agent;
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly id: string;
+  readonly key: string;
+}
+
+/** What came of it. */
+export interface CallOutcome {
+  readonly status: number;
+  readonly isWhole: boolean;
+  readonly body: string;
+}
+
+const DEADLINE_MS = 4000;
+/** Callers give a request up only some time after its deadline. */
+const GIVE_UP_MS = 6000;
+
+/** Sends one request and waits for the end of its answer. */
+export function call({agent, port, method, path, id, key}: CallOptions): Promise<CallOutcome> {
+  return new Promise((resolve) => {
+    const headers = {
+      host: 'soak.example',
+      [forwardHeaders.requestId]: id,
+      [forwardHeaders.key]: key,
+      [forwardHeaders.deadline]: String(DEADLINE_MS),
+    };
+    const outgoing = request({host: '127.0.0.1', port, method, path, agent, headers}, (answer) => {
+      let body = '';
+      answer.setEncoding('utf8');
+      answer.on('data', (part: string) => (body += part));
+      answer.on('error', () => undefined);
+      answer.on('close', () => {
+        resolve({status: answer.statusCode ?? 0, isWhole: answer.complete, body});
+      });
+    });
+    outgoing.setTimeout(GIVE_UP_MS, () => outgoing.destroy());
+    outgoing.on('error', () => {
+      resolve({status: 0, isWhole: false, body: ''});
+    });
+    outgoing.end(method === 'POST' ? id : undefined);
+  });
+}
--- /dev/null
+++ b/packages/bench/src/faultSoak/soakStore.ts
@@ -0,0 +1,96 @@
+/** What the operator and the endpoints of a soak write to the key-value service. */
+import {forwardKeys} from '@marigoldfold/entry';
+import type {MemoryKeyValue} from '@marigoldfold/standin';
+
+/** Services that the versions of the configuration lead to by turns. */
+export const SERVICES = 3;
+
+const timeouts = {timeoutMs: 4000, targetMs: 500};
+
+/** Writes documents, and knows the newest configuration. */
+export class SoakStore {
+  readonly #store: MemoryKeyValue;
+  readonly #keys = ['key-1', 'key-2'];
+  #lastKey = 2;
+  version = 0;
+
+  constructor(store: MemoryKeyValue) {
+    this.#store = store;
+  }
+
+  /** Keys that work. */
+  get keys(): readonly string[] {
+    return this.#keys;
+  }
+
+  /** Writes the next version, in unequal steps; returns a key that it takes away. */
+  async configure(step: number, revokes: boolean): Promise<string | undefined> {
+    const revoked = revokes ? this.#keys.shift() : undefined;
+    if (revokes) {
+      this.#lastKey += 1;
+      this.#keys.push(`key-${this.#lastKey}`);
+    }
+    this.version += step;
+    await this.#put(forwardKeys.configuration, JSON.stringify(this.#configuration()));
+    return revoked;
+  }
+
+  /** Registers an endpoint, or says that it leaves. */
+  async register(id: string, service: string, address: string, isLeaving = false): Promise<void> {
+    const record = {service, address, slots: 64, isLeaving, startedAtMs: 1};
+    await this.#put(forwardKeys.endpoints + id, JSON.stringify(record));
+  }
+
+  async remove(id: string): Promise<void> {
+    const key = forwardKeys.endpoints + id;
+    const current = (await this.#store.get(key))._unsafeUnwrap();
+    if (current !== undefined) await this.#store.remove(key, current.revision);
+  }
+
+  /** The newest version that leads to a service. */
+  versionOf(service: string): number {
+    const number = Number(service.slice('app-'.length));
+    const behind = (((this.version - number) % SERVICES) + SERVICES) % SERVICES;
+    return this.version - behind;
+  }
+
+  #configuration() {
+    const service = `app-${this.version % SERVICES}`;
+    const route = {
+      host: 'soak.example',
+      ...timeouts,
+      priority: 1,
+      shares: [{service, weight: 1}],
+      maxAttempts: 2,
+      allowsAnonymous: false,
+      hasPromptParts: false,
+      isResumable: false,
+    };
+    const services = Array.from({length: SERVICES}, (_, index) => ({
+      name: `app-${index}`,
+      healthPath: '/health',
+      connectionLimit: 400,
+    }));
+    return {
+      version: this.version,
+      routes: [
+        {...route, name: 'read', prefix: '/read/', kind: 'idempotent'},
+        {...route, name: 'post', prefix: '/post/', kind: 'nonIdempotent'},
+        {...route, name: 'stream', prefix: '/stream/', kind: 'stream', isResumable: true},
+      ],
+      services,
+      accounts: [{name: 'caller', keys: this.#keys}],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 65_536,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+    };
+  }
+
+  async #put(key: string, value: string): Promise<void> {
+    const current = (await this.#store.get(key))._unsafeUnwrap();
+    await this.#store.write(key, value, {ifRevision: current?.revision ?? 0});
+  }
+}
--- a/packages/cli/src/__tests__/examples.test.ts
+++ b/packages/cli/src/__tests__/examples.test.ts
@@ -2,7 +2,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {agentSettingsSchema} from '@marigoldfold/agent';
-import {entrySettingsSchema} from '@marigoldfold/entry';
+import {entrySettingsSchema, forwardSettingsSchema} from '@marigoldfold/entry';
 import {parseSettings} from '@marigoldfold/runtime';
 import {Configuration, type Draft, draftSchema, maxTicketBytes} from '@marigoldfold/state';
 import {format, resolveConfig} from 'prettier';
@@ -22,6 +22,13 @@
   );
 }
 
+describe('the example of a forwarding router', () => {
+  it('has valid settings', () => {
+    const settings = parseSettings(forwardSettingsSchema, read('brescia', 'forward.toml'));
+    expect(settings._unsafeUnwrap().bounds.revocationMs).toBe(5000);
+  });
+});
+
 describe.each([
   ['brescia', 'order-desk'],
   ['authority', 'ledger'],
--- a/packages/cli/src/commands/settingsCheck.ts
+++ b/packages/cli/src/commands/settingsCheck.ts
@@ -1,11 +1,15 @@
 /** `marigoldfold settings check`. */
 import {readFileSync} from 'node:fs';
 import {agentSettingsSchema} from '@marigoldfold/agent';
-import {entrySettingsSchema} from '@marigoldfold/entry';
+import {entrySettingsSchema, forwardSettingsSchema} from '@marigoldfold/entry';
 import {formatProblem, parseSettings} from '@marigoldfold/runtime';
 import {Args, Command, Flags} from '@oclif/core';
 
-const schemas = {entry: entrySettingsSchema, agent: agentSettingsSchema} as const;
+const schemas = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+  forward: forwardSettingsSchema,
+} as const;
 
 /** Checks a settings file. */
 export class SettingsCheck extends Command {
@@ -17,7 +21,7 @@
   static override readonly flags = {
     role: Flags.string({
       description: 'whose settings they are; told from the file when absent',
-      options: ['entry', 'agent'],
+      options: ['entry', 'agent', 'forward'],
     }),
   };
 
@@ -29,14 +33,24 @@
     } catch {
       this.error(`${args.file} cannot be read`, {exit: 2});
     }
-    // Only the settings of an agent have an endpoint.
-    const guessed = /^\s*\[endpoint\]/m.test(text) ? 'agent' : 'entry';
-    const role = (flags.role ?? guessed) as keyof typeof schemas;
+    const role = (flags.role ?? guessRole(text)) as keyof typeof schemas;
     const settings = parseSettings<unknown>(schemas[role], text);
     if (settings.isErr()) {
       const lines = settings.error.map((problem) => `  ${formatProblem(problem)}`);
       this.error([`${args.file} has ${lines.length} problem(s):`, ...lines].join('\n'), {exit: 2});
     }
-    this.log(`${args.file}: valid settings of an ${role}`);
+    this.log(`${args.file}: valid settings of ${roleNames[role]}`);
   }
 }
+
+const roleNames = {
+  entry: 'an entry',
+  agent: 'an agent',
+  forward: 'a forwarding router',
+} as const;
+
+/** Only the settings of an agent have an endpoint, only those of a router an address for readiness. */
+function guessRole(text: string): keyof typeof schemas {
+  if (/^\s*\[endpoint\]/m.test(text)) return 'agent';
+  return /^\s*readyListen\s*=/m.test(text) ? 'forward' : 'entry';
+}
--- a/packages/cli/src/settingsReference.ts
+++ b/packages/cli/src/settingsReference.ts
@@ -1,6 +1,6 @@
 /** The reference of all settings, written from the schemas. */
 import {agentSettingsSchema} from '@marigoldfold/agent';
-import {entrySettingsSchema} from '@marigoldfold/entry';
+import {entrySettingsSchema, forwardSettingsSchema} from '@marigoldfold/entry';
 import {z} from 'zod';
 
 interface JsonSchema {
@@ -22,12 +22,13 @@
   return [
     '# Settings',
     '',
-    'Entry and agent each take one TOML file by `--settings`. This page is made from the schemas that',
+    'Entry, agent and forwarding router each take one TOML file by `--settings`. This page is made from the schemas that',
     'check those files (`npm run docs:settings`). Unknown keys are errors, and all errors of a file are',
     'reported at once. Secrets stand in files or in the environment, never in the settings.',
     '',
     ...section('Entry (`marigoldfold-entry`)', entrySettingsSchema),
     ...section('Agent (`marigoldfold-agent`)', agentSettingsSchema),
+    ...section('Forwarding router (`marigoldfold-forward`)', forwardSettingsSchema),
   ].join('\n');
 }
 
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -7,6 +7,8 @@
 export interface EndpointRegistryOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Told of each endpoint that is gone for good. */
+  readonly onGone?: (id: string) => void;
 }
 
 /**
@@ -37,6 +39,11 @@
     return usable;
   }
 
+  /** Number of endpoints. */
+  get size(): number {
+    return this.#endpoints.size;
+  }
+
   find(id: string): Endpoint | undefined {
     return this.#endpoints.get(id);
   }
@@ -77,6 +84,7 @@
   #drop(id: string): void {
     this.#lapsed.delete(id);
     this.#endpoints.delete(id);
+    this.#options.onGone?.(id);
     this.#options.logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'gone'});
   }
 }
--- a/packages/coordination/src/forwarding/peerExchange.ts
+++ b/packages/coordination/src/forwarding/peerExchange.ts
@@ -52,6 +52,11 @@
     this.#socket.bind(port, host);
   }
 
+  /** Number of peers. */
+  get size(): number {
+    return this.#peers.size;
+  }
+
   /** Adds a peer or takes over its new address. */
   add(peer: string, address: string): void {
     if (peer === this.#options.self) return;
--- a/packages/coordination/src/forwarding/repeatBudget.ts
+++ b/packages/coordination/src/forwarding/repeatBudget.ts
@@ -43,12 +43,21 @@
 
   /** Takes one repeat; false when the budget is spent. */
   spend(service: string): boolean {
+    if (this.left(service) <= 0) return false;
+    this.#window(service).repeats.push(this.#clock.now());
+    return true;
+  }
+
+  /** Repeats that are allowed now. */
+  left(service: string): number {
     const {requests, repeats} = this.#window(service);
     const earned = this.bounds.ratio * USED_RATIO * requests.length;
-    const allowed = Math.floor(earned + this.bounds.slack * SLACK_SHARE);
-    if (repeats.length >= allowed) return false;
-    repeats.push(this.#clock.now());
-    return true;
+    return Math.floor(earned + this.bounds.slack * SLACK_SHARE) - repeats.length;
+  }
+
+  /** Services that requests were noted for. */
+  get services(): Iterable<string> {
+    return this.#windows.keys();
   }
 
   #window(service: string): Window {
--- a/packages/entry/src/forwarding/__tests__/beliefsAndStop.test.ts
+++ b/packages/entry/src/forwarding/__tests__/beliefsAndStop.test.ts
@@ -172,3 +172,20 @@
     agent.destroy();
   });
 });
+
+describe('the metrics', () => {
+  test('tell of endpoints, store calls and the budget, and forget an endpoint that is gone', async () => {
+    await rig.addEndpoint('e1', answerWell);
+    await rig.start();
+    expect((await rig.ask()).status).toBe(200);
+    const sends = 'marigoldfold_forward_endpoint_sends_total{endpoint="e1",outcome="delivered"} 1';
+    const metrics = await rig.process.metrics();
+    expect(metrics).toContain(sends);
+    expect(metrics).toMatch(/store_calls_total\{call="watch",outcome="answered"\} [1-9]/);
+    expect(metrics).toContain('marigoldfold_forward_endpoints 1');
+    expect(metrics).toMatch(/repeats_left\{service="app"\} [1-9]/);
+    await rig.remove('endpoints/e1');
+    await rig.follow();
+    expect(await rig.process.metrics()).not.toContain('endpoint="e1"');
+  });
+});
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -189,7 +189,7 @@
       lastEventId: this.#lastEventId,
       signal,
     });
-    metrics.sends.inc({service: service.name, outcome: end.kind});
+    metrics.countSend(service.name, endpoint.record.id, end.kind);
     this.#excluded.add(endpoint.record.id);
     this.#learn(endpoint, end);
     return end;
--- /dev/null
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -0,0 +1,116 @@
+/** The command `marigoldfold-forward`. */
+import {readFileSync} from 'node:fs';
+import {
+  BoundedOutput,
+  createLogger,
+  formatProblem,
+  parseSettings,
+  steadyClock,
+  systemRandom,
+  writeDescriptor,
+} from '@marigoldfold/runtime';
+import {createEtcdKeyValue} from '@marigoldfold/state';
+import {createHttpClient} from '@marigoldfold/transport';
+import {Command, Flags} from '@oclif/core';
+import {err, ok, type Result} from 'neverthrow';
+import {type ForwardBounds, ForwardProcess} from './forwardProcess.js';
+import {type ForwardSettings, forwardSettingsSchema} from './forwardSettings.js';
+import {ownFormat, ownSource} from './ownFormat.js';
+
+const STANDARD_OUTPUT = 1;
+/** Bytes of log lines a second: three lines for each of some hundred requests. */
+const LOG_BYTES_PER_SECOND = 65_536;
+/** Milliseconds until a call of the key-value service is given up. */
+const STORE_TIMEOUT_MS = 1000;
+
+/** Runs a forwarding router until it is told to stop. */
+export default class ForwardCommand extends Command {
+  static override readonly description =
+    'Forwards requests to endpoints by host and path, as the configuration in the key-value service says.';
+  static override readonly examples = ['marigoldfold-forward --settings forward.toml'];
+  static override readonly flags = {
+    settings: Flags.string({description: 'settings file (TOML)', required: true}),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(ForwardCommand);
+    const loaded = readForwardSettings(flags.settings);
+    if (loaded.isErr()) this.error(loaded.error, {exit: 2});
+    const {name, log, keyValue, bounds, ...settings} = loaded.value;
+    const output = new BoundedOutput({
+      clock: steadyClock,
+      write: writeDescriptor(STANDARD_OUTPUT),
+      bytesPerSecond: LOG_BYTES_PER_SECOND,
+    });
+    const logger = createLogger({
+      process: name,
+      level: log.level,
+      write: (line, level) => {
+        output.write(line, level);
+      },
+    });
+    const store = createEtcdKeyValue({
+      client: createHttpClient(),
+      address: keyValue,
+      timeoutMs: STORE_TIMEOUT_MS,
+    });
+    const router = new ForwardProcess({
+      clock: steadyClock,
+      random: systemRandom(),
+      logger,
+      format: ownFormat,
+      source: {store, ...ownSource},
+      name,
+      clientAddress: settings.listen,
+      readyAddress: settings.readyListen,
+      metricsAddress: settings.metricsListen,
+      peerAddress: settings.peerListen,
+      readyPath: '/ready',
+      metricsPath: '/metrics',
+      bounds: toBounds(bounds),
+    });
+    const stopped = new Promise<void>((resolve) => {
+      process.once('SIGTERM', () => {
+        logger.info('stopping', {signal: 'SIGTERM'});
+        void router.stop().then(resolve);
+      });
+    });
+    process.on('SIGHUP', () => {
+      readForwardSettings(flags.settings).match(
+        (reread) => {
+          router.reload(toBounds(reread.bounds));
+          logger.info('settings reloaded', {path: flags.settings});
+        },
+        (problems) => {
+          logger.error('settings not reloaded', {path: flags.settings, problems});
+        },
+      );
+    });
+    await router.start();
+    logger.info('started', {name, clientAddress: settings.listen, store: keyValue});
+    await stopped;
+    logger.info('stopped');
+    await output.flush();
+    this.exit(0);
+  }
+}
+
+/** Reads a settings file; the error has a line for each problem. */
+export function readForwardSettings(file: string): Result<ForwardSettings, string> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch {
+    return err(`${file} cannot be read`);
+  }
+  const settings = parseSettings(forwardSettingsSchema, text);
+  if (settings.isOk()) return ok(settings.value);
+  const lines = settings.error.map((problem) => `  ${formatProblem(problem)}`);
+  return err([`${file} has ${lines.length} problem(s):`, ...lines].join('\n'));
+}
+
+function toBounds(bounds: ForwardSettings['bounds']): ForwardBounds {
+  const {revocationMs, configurationMs, stopMs, repeatRatio, repeatWindowMs, repeatSlack} = bounds;
+  const repeats = {ratio: repeatRatio, windowMs: repeatWindowMs, slack: repeatSlack};
+  return {revocationMs, configurationMs, stopMs, repeats};
+}
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -1,21 +1,48 @@
 /** Counters and latency histograms of forwarding. */
+import type {AttemptEnd} from './attempt.js';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 /** Upper bounds in seconds: around the objectives of short and long requests. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
 const MS_PER_SECOND = 1000;
+const sendOutcomes: readonly AttemptEnd['kind'][] = [
+  'delivered',
+  'notSent',
+  'notExecuted',
+  'failed',
+  'broken',
+];
+
+/** What is read when the metrics are. */
+export interface ForwardReadings {
+  /** Age of the configuration in milliseconds. */
+  readonly configurationAgeMs: () => number;
+  readonly peers: () => number;
+  readonly endpoints: () => number;
+  /** Repeats that are left, by service. */
+  readonly repeatsLeft: () => Iterable<readonly [service: string, left: number]>;
+}
 
 /** The metrics of one process. */
 export class ForwardMetrics {
   readonly requests: Counter<'route' | 'outcome' | 'reason'>;
   readonly sends: Counter<'service' | 'outcome'>;
+  readonly endpointSends: Counter<'endpoint' | 'outcome'>;
+  readonly storeCalls: Counter<'call' | 'outcome'>;
   readonly #firstByte: Histogram<'route'>;
   readonly inFlight: Gauge;
 
-  /** `beliefAgeMs` is the age of the configuration in milliseconds. */
-  constructor(registry: Registry, beliefAgeMs: () => number) {
+  constructor(registry: Registry, readings: ForwardReadings) {
     const registers = [registry];
+    const readLater = ({read, ...gauge}: {name: string; help: string; read: () => number}) =>
+      new Gauge({
+        ...gauge,
+        registers,
+        collect() {
+          this.set(read());
+        },
+      });
     this.requests = new Counter({
       name: 'marigoldfold_forward_requests_total',
       help: 'Requests of clients by route, outcome and reason.',
@@ -35,14 +62,42 @@
       buckets: LATENCY_BUCKETS,
       registers,
     });
+    this.endpointSends = new Counter({
+      name: 'marigoldfold_forward_endpoint_sends_total',
+      help: 'Sends to each endpoint that is known now, by outcome.',
+      labelNames: ['endpoint', 'outcome'],
+      registers,
+    });
+    this.storeCalls = new Counter({
+      name: 'marigoldfold_forward_store_calls_total',
+      help: 'Calls of the key-value service by kind and outcome.',
+      labelNames: ['call', 'outcome'],
+      registers,
+    });
     new Gauge({
-      name: 'marigoldfold_forward_configuration_age_seconds',
-      help: 'Time since the configuration was known to be the newest; infinite before the first.',
+      name: 'marigoldfold_forward_repeats_left',
+      help: 'Repeated sends that the budget of a service allows now.',
+      labelNames: ['service'],
       registers,
       collect() {
-        this.set(beliefAgeMs() / MS_PER_SECOND);
+        for (const [service, left] of readings.repeatsLeft()) this.set({service}, left);
       },
     });
+    readLater({
+      name: 'marigoldfold_forward_configuration_age_seconds',
+      help: 'Time since the configuration was known to be the newest; infinite before the first.',
+      read: () => readings.configurationAgeMs() / MS_PER_SECOND,
+    });
+    readLater({
+      name: 'marigoldfold_forward_peers',
+      help: 'Other instances that are told of sends.',
+      read: readings.peers,
+    });
+    readLater({
+      name: 'marigoldfold_forward_endpoints',
+      help: 'Endpoints that are known.',
+      read: readings.endpoints,
+    });
     this.inFlight = new Gauge({
       name: 'marigoldfold_forward_in_flight',
       help: 'Requests whose answer has not ended.',
@@ -50,6 +105,17 @@
     });
   }
 
+  /** Notes what became of a send. */
+  countSend(service: string, endpoint: string, outcome: AttemptEnd['kind']): void {
+    this.sends.inc({service, outcome});
+    this.endpointSends.inc({endpoint, outcome});
+  }
+
+  /** Leaves out the counts of an endpoint that is gone, so that restarts do not add up. */
+  forgetEndpoint(endpoint: string): void {
+    for (const outcome of sendOutcomes) this.endpointSends.remove({endpoint, outcome});
+  }
+
   /** Notes an answer whose first byte went to the client after so many milliseconds. */
   observeFirstByte(route: string, elapsedMs: number): void {
     this.#firstByte.observe({route}, elapsedMs / MS_PER_SECOND);
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -22,6 +22,7 @@
 import type {Result} from 'neverthrow';
 import {Registry} from 'prom-client';
 import type {Belief, BeliefLimits} from './admission.js';
+import {countCalls} from './countedStore.js';
 import {serveExchange} from './exchange.js';
 import type {ForwardFormat} from './forwardFormat.js';
 import {ForwardMetrics} from './forwardMetrics.js';
@@ -92,6 +93,7 @@
   readonly #options: ForwardProcessOptions;
   readonly #owned = new DisposableStore();
   readonly #metricsRegistry = new Registry();
+  readonly #metrics: ForwardMetrics;
   readonly #registry: EndpointRegistry;
   readonly #budget: RepeatBudget;
   readonly #peers: PeerExchange;
@@ -106,7 +108,13 @@
     this.#options = options;
     this.#bounds = options.bounds;
     const {clock, logger} = options;
-    this.#registry = new EndpointRegistry({clock, logger});
+    this.#registry = new EndpointRegistry({
+      clock,
+      logger,
+      onGone: (id) => {
+        this.#metrics.forgetEndpoint(id);
+      },
+    });
     this.#budget = new RepeatBudget(clock, options.bounds.repeats);
     this.#peers = this.#owned.add(
       new PeerExchange({
@@ -120,6 +128,13 @@
       }),
     );
     const placement = new Placement({clock, registry: this.#registry, tell: this.#peers});
+    this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
+      configurationAgeMs: () => this.#belief().ageMs,
+      peers: () => this.#peers.size,
+      endpoints: () => this.#registry.size,
+      repeatsLeft: () =>
+        [...this.#budget.services].map((service) => [service, this.#budget.left(service)]),
+    });
     const forward = {
       clock,
       logger,
@@ -127,7 +142,7 @@
       client: this.#owned.add(createEndpointClient()),
       placement,
       budget: this.#budget,
-      metrics: new ForwardMetrics(this.#metricsRegistry, () => this.#belief().ageMs),
+      metrics: this.#metrics,
       belief: () => this.#belief(),
       beliefLimits: () => this.#beliefLimits(),
     };
@@ -198,7 +213,8 @@
 
   #follow(): void {
     const {clock, random, logger, source, name, peerAddress} = this.#options;
-    const {store, prefix, peersPrefix} = source;
+    const {prefix, peersPrefix} = source;
+    const store = countCalls(source.store, this.#metrics.storeCalls);
     this.#mirror = this.#owned.add(
       new RangeMirror({
         clock,
--- /dev/null
+++ b/packages/entry/src/forwarding/headerFormat.ts
@@ -0,0 +1,128 @@
+/** A format in which requests and answers carry their facts as headers, by the names of an installation. */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {LoadReport, PromptPart, PromptSize} from '@marigoldfold/coordination';
+import type {AnswerFacts, ForwardFormat, RequestFacts, SendFacts} from './forwardFormat.js';
+
+/** Names of headers, in lower case. */
+export interface HeaderNames {
+  readonly requestId: string;
+  /** Milliseconds that are left. */
+  readonly deadline: string;
+  readonly key: string;
+  /** Prompt tokens and the largest number of output tokens, separated by a comma. */
+  readonly promptTokens: string;
+  /** Parts of the prompt as ID:TOKENS, separated by commas. */
+  readonly promptParts: string;
+  readonly account: string;
+  readonly endpointId: string;
+  readonly rank: string;
+  readonly lastEventId: string;
+  readonly signature: string;
+  readonly notExecuted: string;
+  /** Running, waiting, slots and slowness in hundredths, separated by commas. */
+  readonly load: string;
+}
+
+const MISDIRECTED = 421;
+/** The fourth figure of a load report at the usual speed. */
+const USUAL_SLOWNESS = 100;
+
+/** Creates a format; headers of clients that the system alone may set are left out. */
+export function createHeaderFormat(
+  names: HeaderNames,
+  otherSystemHeaders: readonly string[] = [],
+): ForwardFormat {
+  const {deadline, key, account, endpointId, rank} = names;
+  const systemHeaders = new Set([deadline, key, account, endpointId, rank, ...otherSystemHeaders]);
+  return {
+    readRequest: (headers) => readRequest(names, headers),
+    writeRequest: (headers, facts) => writeRequest(names, systemHeaders, headers, facts),
+    readAnswer: (status, headers) => readAnswer(names, status, headers),
+  };
+}
+
+function readRequest(names: HeaderNames, headers: IncomingHttpHeaders): RequestFacts {
+  return {
+    id: text(headers[names.requestId]),
+    deadlineMs: number(headers[names.deadline]),
+    key: text(headers[names.key]),
+    prompt: readPrompt(names, headers),
+  };
+}
+
+function writeRequest(
+  names: HeaderNames,
+  systemHeaders: ReadonlySet<string>,
+  headers: readonly string[],
+  facts: SendFacts,
+): string[] {
+  const written: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    const lower = name.toLowerCase();
+    if (systemHeaders.has(lower)) continue;
+    if (lower === names.lastEventId && facts.lastEventId !== undefined) continue;
+    written.push(name, headers[index + 1] ?? '');
+  }
+  written.push(names.deadline, String(facts.deadlineMs));
+  written.push(names.endpointId, facts.endpointId);
+  written.push(names.rank, String(facts.rank));
+  if (facts.accountName !== undefined) written.push(names.account, facts.accountName);
+  if (facts.lastEventId !== undefined) written.push(names.lastEventId, facts.lastEventId);
+  return written;
+}
+
+function readAnswer(names: HeaderNames, status: number, headers: IncomingHttpHeaders): AnswerFacts {
+  return {
+    requestId: text(headers[names.requestId]),
+    isSigned: headers[names.signature] !== undefined,
+    // A 421 comes from another endpoint at the address, which did not run the request.
+    isNotExecuted: headers[names.notExecuted] !== undefined || status === MISDIRECTED,
+    load: readLoad(text(headers[names.load])),
+  };
+}
+
+function readPrompt(names: HeaderNames, headers: IncomingHttpHeaders): PromptSize | undefined {
+  const usage = text(headers[names.promptTokens]);
+  if (usage === undefined) return undefined;
+  const [promptTokens, maxOutputTokens] = usage.split(',').map(Number);
+  if (!isCount(promptTokens) || !isCount(maxOutputTokens)) return undefined;
+  return {promptTokens, maxOutputTokens, parts: readParts(text(headers[names.promptParts]))};
+}
+
+function readParts(header: string | undefined): readonly PromptPart[] {
+  const parts: PromptPart[] = [];
+  if (header === undefined) return parts;
+  for (const part of header.split(',')) {
+    const [id, tokens] = part.trim().split(':');
+    const count = Number(tokens);
+    if (id === undefined || id === '' || !isCount(count)) return [];
+    parts.push({id, tokens: count});
+  }
+  return parts;
+}
+
+function readLoad(header: string | undefined): LoadReport | undefined {
+  if (header === undefined) return undefined;
+  const [running, waiting, slots, slowness] = header.split(',').map(Number);
+  if (!isCount(running) || !isCount(waiting) || !isCount(slots)) return undefined;
+  return {
+    running,
+    waiting,
+    slots,
+    slowness: isCount(slowness) ? slowness / USUAL_SLOWNESS : undefined,
+  };
+}
+
+function isCount(value: number | undefined): value is number {
+  return value !== undefined && Number.isFinite(value) && value >= 0;
+}
+
+function text(header: string | string[] | undefined): string | undefined {
+  return typeof header === 'string' ? header : undefined;
+}
+
+function number(header: string | string[] | undefined): number | undefined {
+  const value = Number(text(header) ?? 'absent');
+  return isCount(value) ? value : undefined;
+}
--- a/packages/entry/src/forwarding/index.ts
+++ b/packages/entry/src/forwarding/index.ts
@@ -12,3 +12,6 @@
   type ForwardSource,
 } from './forwardProcess.js';
 export {rankOf} from './routePolicy.js';
+export {createHeaderFormat, type HeaderNames} from './headerFormat.js';
+export {forwardHeaders, forwardKeys} from './ownFormat.js';
+export {type ForwardSettings, forwardSettingsSchema} from './forwardSettings.js';
--- /dev/null
+++ b/packages/entry/src/forwarding/ownFormat.ts
@@ -0,0 +1,131 @@
+/** The product's own headers, keys and documents of forwarding, where no platform brings others. */
+import type {EndpointRecord, RoutingConfiguration} from '@marigoldfold/state';
+import {formatProblem, checkDocument} from '@marigoldfold/runtime';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {createHeaderFormat, type HeaderNames} from './headerFormat.js';
+import type {ForwardSource} from './forwardProcess.js';
+
+/** Names of the headers. */
+export const forwardHeaders: HeaderNames = {
+  requestId: 'x-request-id',
+  deadline: 'x-deadline-ms',
+  key: 'x-api-key',
+  promptTokens: 'x-prompt-tokens',
+  promptParts: 'x-prompt-parts',
+  account: 'x-account',
+  endpointId: 'x-endpoint-id',
+  rank: 'x-rank',
+  lastEventId: 'last-event-id',
+  signature: 'x-endpoint-signature',
+  notExecuted: 'x-not-executed',
+  load: 'x-endpoint-load',
+};
+
+/** The format of the headers. */
+export const ownFormat = createHeaderFormat(forwardHeaders);
+
+/** Keys in the key-value service. */
+export const forwardKeys = {
+  prefix: 'forward/',
+  configuration: 'forward/configuration',
+  endpoints: 'forward/endpoints/',
+  peers: 'forward/peers/',
+} as const;
+
+const positive = z.number().positive();
+
+const routeSchema = z.object({
+  name: z.string().min(1),
+  host: z.string().min(1),
+  prefix: z.string().regex(/^\/(?:.*\/)?$/, 'a path that begins and ends with a slash'),
+  kind: z.enum(['idempotent', 'nonIdempotent', 'stream']),
+  timeoutMs: positive,
+  targetMs: positive,
+  pauseTargetMs: positive.optional(),
+  priority: z.int().min(0),
+  shares: z.array(z.object({service: z.string().min(1), weight: positive})).min(1),
+  maxAttempts: z.int().min(1),
+  allowsAnonymous: z.boolean(),
+  hasPromptParts: z.boolean(),
+  isResumable: z.boolean(),
+});
+
+const configurationSchema = z.object({
+  version: z.int().min(1),
+  routes: z.array(routeSchema),
+  services: z.array(
+    z.object({
+      name: z.string().min(1),
+      healthPath: z.string(),
+      connectionLimit: z.int().min(1),
+      engine: z
+        .object({
+          slots: z.int().min(1),
+          cacheTokens: z.int().min(0),
+          tokensPerEvent: z.int().min(1),
+        })
+        .optional(),
+    }),
+  ),
+  accounts: z
+    .array(
+      z.object({
+        name: z.string().min(1),
+        keys: z.array(z.string().min(1)),
+        priority: z.int().min(0).optional(),
+      }),
+    )
+    .optional(),
+  limits: z.object({
+    maxHeaderBytes: z.int().min(1),
+    maxBodyBytes: z.int().min(0),
+    headerTimeoutMs: positive,
+    idleTimeoutMs: positive,
+  }),
+});
+
+const endpointSchema = z.object({
+  service: z.string().min(1),
+  address: z.string().regex(/^[^:\s]+:\d{1,5}$/, 'an address such as 10.0.0.5:8080'),
+  failureDomain: z.string().default(''),
+  slots: z.int().min(1),
+  isLeaving: z.boolean().default(false),
+  startedAtMs: z.number().default(0),
+});
+
+/** How the documents in the key-value service are read. */
+export const ownSource: Omit<ForwardSource, 'store'> = {
+  prefix: forwardKeys.prefix,
+  configurationKey: forwardKeys.configuration,
+  endpointsPrefix: forwardKeys.endpoints,
+  peersPrefix: forwardKeys.peers,
+  decodeConfiguration: (text) =>
+    parse(configurationSchema, text).map(
+      ({accounts, routes, services, ...rest}): RoutingConfiguration => ({
+        ...rest,
+        routes: routes.map((route) => ({...route, pauseTargetMs: route.pauseTargetMs})),
+        services: services.map((service) => ({...service, engine: service.engine})),
+        accounts: accounts?.map((account) => ({...account, priority: account.priority})),
+      }),
+    ),
+  decodeEndpoint: (key, text) =>
+    parse(endpointSchema, text).map((record): EndpointRecord => ({...record, id: idOf(key)})),
+  endpointIdOf: idOf,
+};
+
+function idOf(key: string): string {
+  return key.slice(forwardKeys.endpoints.length);
+}
+
+function parse<T>(schema: z.ZodType<T>, text: string): Result<T, string> {
+  let document: unknown;
+  try {
+    document = JSON.parse(text);
+  } catch {
+    return err('not JSON');
+  }
+  const checked = checkDocument(schema, document);
+  if (checked.isOk()) return ok(checked.value);
+  return err(checked.error.map(formatProblem).join('; '));
+}
