Bound how many instances are told of sends

Cause: news went to every other instance. The wait for gathering ends at 80 ms, so from 32 instances on the datagrams grew with the square of the fleet; at 300 each would send and take some 3,700 a second.

Ruled out: a longer wait, which makes the news too old to decide by.

Change: an instance tells 40 others at most, chosen by rendezvous hashing of its own name, so that all are heard of evenly. Fleets of 41 and fewer do as before.

--- a/packages/coordination/src/forwarding/peerExchange.ts
+++ b/packages/coordination/src/forwarding/peerExchange.ts
@@ -3,6 +3,7 @@
 import {splitAddress} from '@marigoldfold/transport';
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
+import {rankMembers} from '../rendezvous.js';
 import {NEWS_METHOD, type News, newsSchema} from './peerMessages.js';
 
 /** What the exchange needs. */
@@ -19,6 +20,11 @@
 const GATHER_MS_PER_PEER = 2.5;
 /** Longest time that news wait, in milliseconds. */
 const MAX_GATHER_MS = 80;
+/**
+ * Peers that are told at most, so that the cost does not grow with the fleet: beyond this an instance sends
+ * so small a part of the requests that its news decide little.
+ */
+const MAX_TOLD_PEERS = 40;
 /** Largest datagram, in bytes: what fits a packet without being split. */
 const MAX_DATAGRAM_BYTES = 1400;
 
@@ -35,6 +41,8 @@
   readonly #socket: Socket;
   /** Addresses by instance. */
   readonly #peers = new Map<string, string>();
+  /** Addresses of the peers that are told. */
+  #told: readonly string[] = [];
   #gathering = emptyGathering();
   #timer: Disposable | undefined;
   #isClosed = false;
@@ -61,11 +69,13 @@
   add(peer: string, address: string): void {
     if (peer === this.#options.self) return;
     this.#peers.set(peer, address);
+    this.#chooseTold();
     this.#options.logger.info('peer', {belief: 'peer', peer, address});
   }
 
   remove(peer: string): void {
     if (!this.#peers.delete(peer)) return;
+    this.#chooseTold();
     this.#options.logger.info('peer', {belief: 'peer', peer, state: 'gone'});
   }
 
@@ -92,9 +102,15 @@
     this.#socket.close();
   }
 
+  /** Each instance tells others, so that all together are heard of evenly. */
+  #chooseTold(): void {
+    const ranked = rankMembers(this.#options.self, [...this.#peers], ([peer]) => peer);
+    this.#told = ranked.slice(0, MAX_TOLD_PEERS).map(([, address]) => address);
+  }
+
   #gather(): Gathering {
     if (this.#peers.size > 0 && !this.#isClosed) {
-      const waitMs = Math.min(MAX_GATHER_MS, GATHER_MS_PER_PEER * this.#peers.size);
+      const waitMs = Math.min(MAX_GATHER_MS, GATHER_MS_PER_PEER * this.#told.length);
       this.#timer ??= this.#options.clock.schedule(waitMs, () => {
         this.#flush();
       });
@@ -110,7 +126,7 @@
     const news = {from: this.#options.self, sent, begun, ended, slowness: [...slowness]};
     for (const part of splitNews(news)) {
       const message = Buffer.from(JSON.stringify(createJSONRPCNotification(NEWS_METHOD, part)));
-      for (const address of this.#peers.values()) {
+      for (const address of this.#told) {
         const [host, port] = splitAddress(address);
         this.#socket.send(message, port, host);
       }
