--- /dev/null
+++ b/packages/bench/src/commands/placement.ts
@@ -0,0 +1,58 @@
+/** `marigoldfold-bench placement`. */
+import {readFileSync} from 'node:fs';
+import {formatProblem} from '@marigoldfold/runtime';
+import {Args, Command, Flags} from '@oclif/core';
+import type {PlacementResult} from '../placement/placementMeasures.js';
+import {runPlacement} from '../placement/runPlacement.js';
+import {parseWorkload, type Workload} from '../placement/workload.js';
+
+const EXIT_USAGE = 2;
+
+/** Runs a placement experiment. */
+export class Placement extends Command {
+  static override readonly description =
+    "Runs the forwarding router's choice of engines over simulated engines, on a virtual clock.";
+  static override readonly examples = [
+    'marigoldfold-bench placement experiments/placement/copying-calm.toml --seeds 4',
+  ];
+  static override readonly args = {
+    file: Args.string({description: 'placement experiment (TOML)', required: true}),
+  };
+  static override readonly flags = {
+    seed: Flags.integer({description: 'first seed', default: 1}),
+    seeds: Flags.integer({description: 'number of seeds', default: 1, min: 1}),
+  };
+
+  override async run(): Promise<void> {
+    const {args, flags} = await this.parse(Placement);
+    const workload = this.#read(args.file);
+    for (let seed = flags.seed; seed < flags.seed + flags.seeds; seed += 1) {
+      this.#print(seed, runPlacement(workload, seed));
+    }
+  }
+
+  #read(file: string): Workload {
+    let text: string;
+    try {
+      text = readFileSync(file, 'utf8');
+    } catch {
+      this.error(`${file} cannot be read`, {exit: EXIT_USAGE});
+    }
+    const workload = parseWorkload(text);
+    if (workload.isOk()) return workload.value;
+    const lines = workload.error.map((problem) => `  ${formatProblem(problem)}`);
+    this.error([`${file} has ${lines.length} problem(s):`, ...lines].join('\n'), {
+      exit: EXIT_USAGE,
+    });
+  }
+
+  #print(seed: number, {worth, rereadThousands, kinds}: PlacementResult): void {
+    const reread = Math.round(rereadThousands);
+    this.log(`seed ${seed}: worth ${worth.toFixed(3)}, ${reread} thousand shared tokens read again`);
+    for (const [name, {offered, inTime, lateFirst, latePause, lost}] of Object.entries(kinds)) {
+      this.log(
+        `  ${name}: ${offered} streams, ${inTime} in time, ${lateFirst} late at the first event, ${latePause} by a pause, ${lost} lost`,
+      );
+    }
+  }
+}
--- a/packages/bench/src/faultSoak/faultSoak.ts
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -47,6 +47,8 @@
 /** After the last unplanned fault, all are in touch again after this time, in milliseconds. */
 const CALM_MS = 3000;
 const READY_POLL_MS = 50;
+/** A router that is not ready by then has not started, in milliseconds. */
+const START_LIMIT_MS = 30_000;
 const RETRY_MS = 30;
 /** A planned stop may end what takes longer than this, in milliseconds: the callers' own deadline. */
 const LONGEST_CALL_MS = 3500;
@@ -144,12 +146,13 @@
     await this.#store.register(id, service, link.address);
   }
 
-  async #untilReady({readyPort}: RouterProcess): Promise<void> {
-    while (true) {
+  async #untilReady({readyPort, lifetime}: RouterProcess): Promise<void> {
+    for (let waitedMs = 0; waitedMs < START_LIMIT_MS; waitedMs += READY_POLL_MS) {
       const ready = await fetch(`http://127.0.0.1:${readyPort}/ready`).catch(() => undefined);
       if (ready?.ok === true) return;
       await sleep(systemClock, READY_POLL_MS);
     }
+    throw new Error(`${lifetime} is not ready after ${START_LIMIT_MS} ms, see its log`);
   }
 
   async #call(): Promise<void> {
--- a/packages/bench/src/faultSoak/routerProcess.ts
+++ b/packages/bench/src/faultSoak/routerProcess.ts
@@ -1,5 +1,6 @@
 /** A router of the soak: the real program as a process of its own, with what the soak does to it. */
 import {type ChildProcess, spawn} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {createWriteStream, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import {join} from 'node:path';
@@ -93,13 +94,25 @@
   }
 }
 
-function freePort(): Promise<number> {
+/** Ports below those that connections get by themselves, so that none takes one while its router is down. */
+const PORTS = {from: 20_000, to: 32_000} as const;
+
+async function freePort(): Promise<number> {
+  while (true) {
+    const port = randomInt(PORTS.from, PORTS.to);
+    if (await canListen(port)) return port;
+  }
+}
+
+function canListen(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
       server.close(() => {
-        resolve(typeof address === 'object' ? (address?.port ?? 0) : 0);
+        resolve(true);
       });
     });
   });
