--- a/packages/bench/src/commands/placement.ts
+++ b/packages/bench/src/commands/placement.ts
@@ -48,7 +48,9 @@
 
   #print(seed: number, {worth, rereadThousands, kinds}: PlacementResult): void {
     const reread = Math.round(rereadThousands);
-    this.log(`seed ${seed}: worth ${worth.toFixed(3)}, ${reread} thousand shared tokens read again`);
+    this.log(
+      `seed ${seed}: worth ${worth.toFixed(3)}, ${reread} thousand shared tokens read again`,
+    );
     for (const [name, {offered, inTime, lateFirst, latePause, lost}] of Object.entries(kinds)) {
       this.log(
         `  ${name}: ${offered} streams, ${inTime} in time, ${lateFirst} late at the first event, ${latePause} by a pause, ${lost} lost`,
