--- a/packages/bench/src/placement/placementFleet.ts
+++ b/packages/bench/src/placement/placementFleet.ts
@@ -26,7 +26,7 @@
 const SERVICE = 'model';
 /** As the product gathers news: milliseconds for each peer. */
 const GATHER_MS_PER_PEER = 2.5;
-/** As the product's clients leave, in milliseconds. */
+/** Streams are not sent again, so no engine is left out. */
 const none: ReadonlySet<string> = new Set();
 
 /** Instances and engines. */
