Let explain read standard input

On call, 'marigoldfold explain ID < LOG' and 'cat LOG | marigoldfold explain ID' ended with 'ID: cannot be read: ENOENT', although the help and docs/OPERATIONS.md say that standard input is read. Cause: for an argument that is not given the parser takes what a pipe holds, so the log became the first word and the id the name of a file. No test ran the command itself; the story's function alone was tested. Other commands have only required arguments and flags.

--- /dev/null
+++ b/packages/cli/src/__tests__/explainCommand.test.ts
@@ -0,0 +1,52 @@
+import {spawnSync} from 'node:child_process';
+import {mkdtempSync, openSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, test} from 'vitest';
+
+const program = join(import.meta.dirname, '../../bin/run.js');
+const log = `${JSON.stringify({
+  time: '2026-01-01T00:00:00.000Z',
+  level: 'info',
+  process: 'front-1',
+  message: 'client gone',
+  request: 'r-1',
+})}\n`;
+
+let folder: string;
+let file: string;
+
+beforeAll(() => {
+  folder = mkdtempSync(join(tmpdir(), 'marigoldfold-explain-'));
+  file = join(folder, 'front.log');
+  writeFileSync(file, log);
+});
+
+afterAll(() => {
+  rmSync(folder, {recursive: true});
+});
+
+function explain(files: readonly string[], input: {input: string} | {stdio: [number]}) {
+  const words = [program, 'explain', 'r-1', ...files];
+  return spawnSync(process.execPath, words, {encoding: 'utf8', ...input});
+}
+
+describe('explain looks for a file instead of reading its input', () => {
+  test.each([
+    ['a pipe', () => explain([], {input: log})],
+    ['a redirected file', () => explain([], {stdio: [openSync(file, 'r')]})],
+    ['a file beside a pipe that is not read', () => explain([file], {input: ''})],
+    ['two files', () => explain([file, file], {input: ''})],
+  ])('never for %s', (_name, run) => {
+    const {status, stdout, stderr} = run();
+    expect(stderr).toBe('');
+    expect(stdout).toContain('front-1  client gone');
+    expect(status).toBe(0);
+  });
+
+  test('though a file that is not there is named', () => {
+    const {status, stderr} = explain([join(folder, 'none.log')], {input: log});
+    expect(stderr).toContain('none.log: cannot be read');
+    expect(status).toBe(2);
+  });
+});
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -13,8 +13,12 @@
   static override strict = false;
 
   static override args = {
-    id: Args.string({description: 'Id of the request.', required: true}),
-    files: Args.string({description: 'Log files of all processes; standard input without any.'}),
+    id: Args.string({description: 'Id of the request.', required: true, ignoreStdin: true}),
+    // The parser would take what a pipe holds for an argument that is not given.
+    files: Args.string({
+      description: 'Log files of all processes; standard input without any.',
+      ignoreStdin: true,
+    }),
   };
 
   async run(): Promise<void> {
