Tell how long requests wait to be accepted and read

On call, a request that was sent on after its client had left could not be explained: totalMs begins when the process reads the request. Now each line of a request's end has unacceptedMs and unreadMs, the longest times that it can have waited, a client that left tells where its request stood (stage) and how long it went on (passedOnMs), and long turns of the event loop are logged; histograms of the same.

--- /dev/null
+++ b/packages/entry/src/forwarding/acceptQueue.ts
@@ -0,0 +1,27 @@
+/** Tells how long new connections may have waited to be accepted. */
+import type {Clock, EventLoop} from '@marigoldfold/runtime';
+
+/**
+ * The queue of new connections in the kernel, as far as it can be seen: libuv accepts one a turn, so
+ * a turn without a new connection shows that the queue was empty.
+ */
+export class AcceptQueue {
+  readonly #clock: Clock;
+  readonly #eventLoop: EventLoop;
+  #lastTurn = Number.NEGATIVE_INFINITY;
+  #emptyAtMs = 0;
+
+  constructor(clock: Clock, eventLoop: EventLoop) {
+    this.#clock = clock;
+    this.#eventLoop = eventLoop;
+  }
+
+  /** Notes a new connection; returns the longest time that it can have waited, in milliseconds. */
+  accept(): number {
+    const {turn, earliestArrivalMs} = this.#eventLoop;
+    const isNext = turn - this.#lastTurn <= 1;
+    this.#lastTurn = turn;
+    if (!isNext) this.#emptyAtMs = earliestArrivalMs;
+    return this.#clock.now() - this.#emptyAtMs;
+  }
+}
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -159,6 +159,7 @@
       await client.write(first);
     }
     const isWhole = await readParts(answer, async (part) => {
+      this.#options.eventLoop.enter();
       this.#options.placement.noteEvent(this.#request.endpoint, this.#flight);
       client.begin(answer.message);
       await client.write(part);
@@ -176,6 +177,7 @@
     const splitter = new EventSplitter();
     const stall = this.#watchForStall();
     const isWhole = await readParts(answer, async (part) => {
+      this.#options.eventLoop.enter();
       const events = splitter.push(part);
       if (events === undefined) return 'stop';
       stall.restart();
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -10,6 +10,7 @@
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {RequestFacts} from './forwardFormat.js';
 import type {ForwardOptions} from './forwardOptions.js';
+import type {ArrivalWaits} from './forwardServer.js';
 import {chooseService, isIdempotent, patienceMs, rankOf} from './routePolicy.js';
 
 /** Time for an endpoint's own answer at the time limit to come through, in milliseconds. */
@@ -27,13 +28,17 @@
   | {readonly kind: 'cut'; readonly reason: string}
   | {readonly kind: 'gone'};
 
+/** Where a request stands; logged when its client leaves. */
+type Stage = 'reading' | 'choosing' | 'sent' | 'answering';
+
 /** Serves one request. */
 export async function serveExchange(
   options: ForwardOptions,
   request: IncomingMessage,
   response: ServerResponse,
+  waits: ArrivalWaits,
 ): Promise<void> {
-  await new Exchange(options, request, response).run();
+  await new Exchange(options, request, response, waits).run();
 }
 
 class Exchange {
@@ -42,6 +47,7 @@
   readonly #answer: ClientAnswer;
   readonly #facts: RequestFacts;
   readonly #arrivedAtMs: number;
+  readonly #waits: ArrivalWaits;
   readonly #gone = new AbortController();
   readonly #over = new AbortController();
   /** Endpoints that are not tried again. */
@@ -53,15 +59,26 @@
   #held: HeldAnswer | undefined;
   #lastReason = '';
   #routeName = '';
+  #stage: Stage = 'reading';
+  #leftAtMs: number | undefined;
 
-  constructor(options: ForwardOptions, request: IncomingMessage, response: ServerResponse) {
+  constructor(
+    options: ForwardOptions,
+    request: IncomingMessage,
+    response: ServerResponse,
+    waits: ArrivalWaits,
+  ) {
     this.#options = options;
     this.#request = request;
     this.#answer = new ClientAnswer(response);
     this.#facts = options.format.readRequest(request.headers);
     this.#arrivedAtMs = options.clock.now();
+    this.#waits = waits;
+    options.metrics.observeArrival(waits);
     response.on('close', () => {
-      if (!response.writableFinished) this.#gone.abort();
+      if (response.writableFinished) return;
+      this.#leftAtMs = options.clock.now();
+      this.#gone.abort();
     });
   }
 
@@ -152,6 +169,7 @@
       return undefined;
     }
     this.#sends += 1;
+    this.#stage = 'sent';
     const headers = format.writeRequest(endToEndHeaders(this.#request.rawHeaders), {
       deadlineMs: Math.max(1, Math.floor(leftMs)),
       endpointId: endpoint.record.id,
@@ -172,6 +190,7 @@
         slowness: endpoint.slowness,
         send: this.#sends,
         leftMs: Math.round(leftMs),
+        ...this.#describeWaits(),
       },
       'debug',
     );
@@ -189,6 +208,7 @@
       lastEventId: this.#lastEventId,
       signal,
     });
+    this.#stage = 'choosing';
     metrics.countSend(service.name, endpoint.record.id, end.kind);
     this.#excluded.add(endpoint.record.id);
     this.#learn(endpoint, end);
@@ -268,6 +288,7 @@
       totalMs: Math.round(totalMs),
       sends: this.#sends,
       runs: this.#runs,
+      ...this.#describeWaits(),
     };
     let reason = '';
     switch (end.kind) {
@@ -302,7 +323,11 @@
         this.#log('cut', {...fields, reason, lastEventId: this.#lastEventId});
         break;
       case 'gone':
-        this.#log('client gone', fields);
+        this.#log('client gone', {
+          ...fields,
+          stage: this.#answer.hasBegun ? 'answering' : this.#stage,
+          passedOnMs: Math.round(clock.now() - (this.#leftAtMs ?? clock.now())),
+        });
         break;
     }
     metrics.requests.inc({route: this.#routeName, outcome: end.kind, reason});
@@ -318,6 +343,11 @@
     };
   }
 
+  #describeWaits() {
+    const {unacceptedMs, unreadMs} = this.#waits;
+    return {unacceptedMs: Math.round(unacceptedMs), unreadMs: Math.round(unreadMs)};
+  }
+
   #beliefAgeMs(): number {
     return Math.round(this.#options.belief().ageMs);
   }
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -1,10 +1,14 @@
 /** Counters and latency histograms of forwarding. */
 import type {AttemptEnd} from './attempt.js';
+import type {ArrivalWaits} from './forwardServer.js';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 /** Upper bounds in seconds: around the objectives of short and long requests. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
+/** Upper bounds in seconds: from what nobody notices to the patience of clients. */
+const WAIT_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
+
 const MS_PER_SECOND = 1000;
 const sendOutcomes: readonly AttemptEnd['kind'][] = [
   'delivered',
@@ -31,6 +35,9 @@
   readonly endpointSends: Counter<'endpoint' | 'outcome'>;
   readonly storeCalls: Counter<'call' | 'outcome'>;
   readonly #firstByte: Histogram<'route'>;
+  readonly #unaccepted: Histogram;
+  readonly #unread: Histogram;
+  readonly #turn: Histogram;
   readonly inFlight: Gauge;
 
   constructor(registry: Registry, readings: ForwardReadings) {
@@ -62,6 +69,24 @@
       buckets: LATENCY_BUCKETS,
       registers,
     });
+    this.#unaccepted = new Histogram({
+      name: 'marigoldfold_forward_unaccepted_seconds',
+      help: 'Longest time that a new connection can have waited to be accepted.',
+      buckets: WAIT_BUCKETS,
+      registers,
+    });
+    this.#unread = new Histogram({
+      name: 'marigoldfold_forward_unread_seconds',
+      help: 'Longest time that a request can have waited before it was read.',
+      buckets: WAIT_BUCKETS,
+      registers,
+    });
+    this.#turn = new Histogram({
+      name: 'marigoldfold_forward_loop_turn_seconds',
+      help: 'Length of the turns of the event loop that had input.',
+      buckets: WAIT_BUCKETS,
+      registers,
+    });
     this.endpointSends = new Counter({
       name: 'marigoldfold_forward_endpoint_sends_total',
       help: 'Sends to each endpoint that is known now, by outcome.',
@@ -116,6 +141,17 @@
     for (const outcome of sendOutcomes) this.endpointSends.remove({endpoint, outcome});
   }
 
+  /** Notes how long a request can have waited before it was read. */
+  observeArrival({unacceptedMs, unreadMs}: ArrivalWaits): void {
+    this.#unaccepted.observe(unacceptedMs / MS_PER_SECOND);
+    this.#unread.observe(unreadMs / MS_PER_SECOND);
+  }
+
+  /** Notes the length of a turn of the event loop, in milliseconds. */
+  observeTurn(durationMs: number): void {
+    this.#turn.observe(durationMs / MS_PER_SECOND);
+  }
+
   /** Notes an answer whose first byte went to the client after so many milliseconds. */
   observeFirstByte(route: string, elapsedMs: number): void {
     this.#firstByte.observe({route}, elapsedMs / MS_PER_SECOND);
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -1,6 +1,6 @@
 /** What forwarding needs from the process around it. */
 import type {Placement, RepeatBudget} from '@marigoldfold/coordination';
-import type {Clock, Logger} from '@marigoldfold/runtime';
+import type {Clock, EventLoop, Logger} from '@marigoldfold/runtime';
 import type {EndpointClient} from '@marigoldfold/transport';
 import type {Belief, BeliefLimits} from './admission.js';
 import type {ForwardFormat} from './forwardFormat.js';
@@ -11,6 +11,7 @@
   /** A steady clock. */
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly eventLoop: EventLoop;
   readonly format: ForwardFormat;
   readonly client: EndpointClient;
   readonly placement: Placement;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -10,7 +10,13 @@
   RepeatBudget,
   type RepeatBudgetBounds,
 } from '@marigoldfold/coordination';
-import {type Clock, DisposableStore, type Logger, type Random} from '@marigoldfold/runtime';
+import {
+  type Clock,
+  DisposableStore,
+  EventLoop,
+  type Logger,
+  type Random,
+} from '@marigoldfold/runtime';
 import {
   type EndpointRecord,
   type KeyValue,
@@ -88,6 +94,9 @@
 /** Time kept before the kill for the last writes, in milliseconds. */
 const STOP_RESERVE_MS = 700;
 
+/** Turn of the event loop that is logged, in milliseconds: the shortest objectives are met or missed by it. */
+const LONG_TURN_MS = 100;
+
 /** A running router. */
 export class ForwardProcess {
   readonly #options: ForwardProcessOptions;
@@ -135,9 +144,17 @@
       repeatsLeft: () =>
         [...this.#budget.services].map((service) => [service, this.#budget.left(service)]),
     });
+    const eventLoop = new EventLoop({
+      clock,
+      onTurn: (durationMs) => {
+        this.#metrics.observeTurn(durationMs);
+        if (durationMs >= LONG_TURN_MS) logger.info('long turn of the event loop', {durationMs});
+      },
+    });
     const forward = {
       clock,
       logger,
+      eventLoop,
       format: options.format,
       client: this.#owned.add(createEndpointClient()),
       placement,
@@ -150,9 +167,10 @@
     this.#server = new ForwardServer({
       clock,
       logger,
+      eventLoop,
       host,
       port,
-      serve: (request, response) => serveExchange(forward, request, response),
+      serve: (request, response, waits) => serveExchange(forward, request, response, waits),
     });
     this.#statusServers = [
       createStatusServer(options.readyPath, () =>
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -1,17 +1,31 @@
 /** Accepts clients' requests for forwarding, and stops without cutting any of them. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {type Clock, type Logger, sleep} from '@marigoldfold/runtime';
+import type {AddressInfo, Socket} from 'node:net';
+import {type Clock, type EventLoop, type Logger, sleep} from '@marigoldfold/runtime';
 import type {ClientLimits} from '@marigoldfold/state';
+import {AcceptQueue} from './acceptQueue.js';
 import {ClientAnswer} from './clientAnswer.js';
 
 /** What the server needs. */
 export interface ForwardServerOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly eventLoop: EventLoop;
   readonly host: string;
   readonly port: number;
-  readonly serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+  readonly serve: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    waits: ArrivalWaits,
+  ) => Promise<void>;
+}
+
+/** Longest times that a request can have waited before it was read, in milliseconds. */
+export interface ArrivalWaits {
+  /** Its connection, to be accepted; 0 on one that was open already. */
+  readonly unacceptedMs: number;
+  /** Its bytes, behind the work of the event loop. */
+  readonly unreadMs: number;
 }
 
 /** Times of a planned stop, in milliseconds. */
@@ -41,6 +55,8 @@
   readonly #options: ForwardServerOptions;
   readonly #server: Server;
   readonly #unfinished = new Set<ServerResponse>();
+  /** Waits of connections on which nothing was read yet. */
+  readonly #unacceptedMs = new WeakMap<Socket, number>();
   #isStopping = false;
   #isClosed = false;
 
@@ -56,6 +72,10 @@
       },
       (request, response) => void this.#serve(request, response),
     );
+    const accepts = new AcceptQueue(options.clock, options.eventLoop);
+    this.#server.on('connection', (socket) => {
+      this.#unacceptedMs.set(socket, accepts.accept());
+    });
   }
 
   listen(): Promise<void> {
@@ -108,6 +128,7 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const waits = this.#takeWaits(request.socket);
     this.#unfinished.add(response);
     response.once('close', () => this.#unfinished.delete(response));
     if (this.#isStopping) this.#askToClose(response);
@@ -118,13 +139,20 @@
       return;
     }
     try {
-      await this.#options.serve(request, response);
+      await this.#options.serve(request, response, waits);
     } catch (error) {
       this.#options.logger.error('request handling broke', {reason: String(error)});
       response.destroy();
     }
   }
 
+  #takeWaits(socket: Socket): ArrivalWaits {
+    const {clock, eventLoop} = this.#options;
+    const unacceptedMs = this.#unacceptedMs.get(socket) ?? 0;
+    this.#unacceptedMs.delete(socket);
+    return {unacceptedMs, unreadMs: clock.now() - eventLoop.earliestArrivalMs};
+  }
+
   #askToClose(response: ServerResponse): void {
     if (!response.headersSent) response.shouldKeepAlive = false;
   }
--- /dev/null
+++ b/packages/runtime/src/eventLoop.ts
@@ -0,0 +1,66 @@
+/** Follows the turns of the event loop, to tell how long input may have waited before it was read. */
+import type {Clock} from './clock.js';
+
+/** What following the loop needs. */
+export interface EventLoopOptions {
+  readonly clock: Clock;
+  /** Milliseconds that the loop has waited for input since the process started. */
+  readonly idleMs?: () => number;
+  /** Calls back once all input of the current turn is read. */
+  readonly afterInput?: (action: () => void) => void;
+  /** Takes the length of each turn, in milliseconds. */
+  readonly onTurn?: (durationMs: number) => void;
+}
+
+/** Wait for input from which a turn began with nothing unread, in milliseconds: a timer's resolution. */
+const IDLE_MS = 1;
+
+/** The turns of the event loop that had input. */
+export class EventLoop {
+  readonly #options: Required<EventLoopOptions>;
+  #isInTurn = false;
+  #startedAtMs: number;
+  #idleAtEndMs = 0;
+  #earliestMs: number;
+  #turn = 0;
+
+  constructor(options: EventLoopOptions) {
+    this.#options = {
+      idleMs: () => performance.nodeTiming.idleTime,
+      afterInput: setImmediate,
+      onTurn: () => undefined,
+      ...options,
+    };
+    this.#startedAtMs = this.#earliestMs = options.clock.now();
+  }
+
+  /** Called by whatever takes input, before it works on it. */
+  enter(): void {
+    if (this.#isInTurn) return;
+    this.#isInTurn = true;
+    const {clock, idleMs, afterInput, onTurn} = this.#options;
+    const now = clock.now();
+    this.#turn += 1;
+    const hasWaited = idleMs() - this.#idleAtEndMs >= IDLE_MS;
+    // What came during the turn before was not read by it.
+    this.#earliestMs = hasWaited ? now : this.#startedAtMs;
+    this.#startedAtMs = now;
+    afterInput(() => {
+      this.#isInTurn = false;
+      this.#idleAtEndMs = idleMs();
+      onTurn(clock.now() - this.#startedAtMs);
+    });
+  }
+
+  /** Number of the current turn. */
+  get turn(): number {
+    this.enter();
+    return this.#turn;
+  }
+
+  /** When input that is read now can have come at the earliest, on the clock. */
+  get earliestArrivalMs(): number {
+    this.enter();
+    return this.#earliestMs;
+  }
+}
