Notice a client's close on its connection, not on the answer

Callers that sent a second request on a connection while the first was unanswered and then left had the second one worked on to its end: Node attaches an answer to its connection only when the one before has ended, so the answer's 'close' never came. For others the close was noticed two turns of the event loop after it had been read, when the connection had been shut down as well. Now each connection tells its requests when its input ends or it closes, one listener for each connection.

--- /dev/null
+++ b/packages/entry/src/forwarding/__fixtures__/heldUpProcess.ts
@@ -0,0 +1,27 @@
+/** Clients that come and leave while this process gets no processor time. */
+import {Worker} from 'node:worker_threads';
+
+const clients = `
+const {connect} = require('node:net');
+const {workerData: {port, requests, done}} = require('node:worker_threads');
+for (const request of requests) {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.resume();
+  socket.on('finish', () => {
+    Atomics.add(done, 0, 1);
+    Atomics.notify(done, 0);
+  });
+  socket.end(request);
+}
+`;
+
+/** Holds this process up until clients of a thread have sent their requests and closed. */
+export function holdUpWhileClientsLeave(port: number, requests: readonly string[]): Worker {
+  const done = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  const worker = new Worker(clients, {eval: true, workerData: {port, requests, done}});
+  for (let count = 0; count < requests.length; count = Atomics.load(done, 0)) {
+    Atomics.wait(done, 0, count);
+  }
+  return worker;
+}
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -10,7 +10,7 @@
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {RequestFacts} from './forwardFormat.js';
 import type {ForwardOptions} from './forwardOptions.js';
-import type {ArrivalWaits} from './forwardServer.js';
+import type {Arrival} from './forwardServer.js';
 import {chooseService, isIdempotent, patienceMs, rankOf} from './routePolicy.js';
 
 /** Time for an endpoint's own answer at the time limit to come through, in milliseconds. */
@@ -36,9 +36,9 @@
   options: ForwardOptions,
   request: IncomingMessage,
   response: ServerResponse,
-  waits: ArrivalWaits,
+  arrival: Arrival,
 ): Promise<void> {
-  await new Exchange(options, request, response, waits).run();
+  await new Exchange(options, request, response, arrival).run();
 }
 
 class Exchange {
@@ -47,7 +47,7 @@
   readonly #answer: ClientAnswer;
   readonly #facts: RequestFacts;
   readonly #arrivedAtMs: number;
-  readonly #waits: ArrivalWaits;
+  readonly #arrival: Arrival;
   readonly #gone = new AbortController();
   readonly #over = new AbortController();
   /** Endpoints that are not tried again. */
@@ -66,26 +66,26 @@
     options: ForwardOptions,
     request: IncomingMessage,
     response: ServerResponse,
-    waits: ArrivalWaits,
+    arrival: Arrival,
   ) {
     this.#options = options;
     this.#request = request;
     this.#answer = new ClientAnswer(response);
     this.#facts = options.format.readRequest(request.headers);
     this.#arrivedAtMs = options.clock.now();
-    this.#waits = waits;
-    options.metrics.observeArrival(waits);
-    response.on('close', () => {
-      if (response.writableFinished) return;
-      this.#leftAtMs = options.clock.now();
-      this.#gone.abort();
-    });
+    this.#arrival = arrival;
+    options.metrics.observeArrival(arrival);
   }
 
   async run(): Promise<void> {
     const {metrics} = this.#options;
     metrics.inFlight.inc();
+    const leaving = this.#arrival.connection.onLeave(() => {
+      this.#leftAtMs = this.#options.clock.now();
+      this.#gone.abort();
+    });
     const end = await this.#serve();
+    leaving[Symbol.dispose]();
     metrics.inFlight.dec();
     this.#conclude(end);
   }
@@ -344,7 +344,7 @@
   }
 
   #describeWaits() {
-    const {unacceptedMs, unreadMs} = this.#waits;
+    const {unacceptedMs, unreadMs} = this.#arrival;
     return {unacceptedMs: Math.round(unacceptedMs), unreadMs: Math.round(unreadMs)};
   }
 
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -1,6 +1,6 @@
 /** Counters and latency histograms of forwarding. */
 import type {AttemptEnd} from './attempt.js';
-import type {ArrivalWaits} from './forwardServer.js';
+import type {Arrival} from './forwardServer.js';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 /** Upper bounds in seconds: around the objectives of short and long requests. */
@@ -142,7 +142,7 @@
   }
 
   /** Notes how long a request can have waited before it was read. */
-  observeArrival({unacceptedMs, unreadMs}: ArrivalWaits): void {
+  observeArrival({unacceptedMs, unreadMs}: Omit<Arrival, 'connection'>): void {
     this.#unaccepted.observe(unacceptedMs / MS_PER_SECOND);
     this.#unread.observe(unreadMs / MS_PER_SECOND);
   }
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -170,7 +170,7 @@
       eventLoop,
       host,
       port,
-      serve: (request, response, waits) => serveExchange(forward, request, response, waits),
+      serve: (request, response, arrival) => serveExchange(forward, request, response, arrival),
     });
     this.#statusServers = [
       createStatusServer(options.readyPath, () =>
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -5,6 +5,7 @@
 import type {ClientLimits} from '@marigoldfold/state';
 import {AcceptQueue} from './acceptQueue.js';
 import {ClientAnswer} from './clientAnswer.js';
+import {ClientConnection} from './clientConnection.js';
 
 /** What the server needs. */
 export interface ForwardServerOptions {
@@ -16,15 +17,16 @@
   readonly serve: (
     request: IncomingMessage,
     response: ServerResponse,
-    waits: ArrivalWaits,
+    arrival: Arrival,
   ) => Promise<void>;
 }
 
-/** Longest times that a request can have waited before it was read, in milliseconds. */
-export interface ArrivalWaits {
-  /** Its connection, to be accepted; 0 on one that was open already. */
+/** How a request came. */
+export interface Arrival {
+  readonly connection: ClientConnection;
+  /** Longest time that its connection can have waited to be accepted; 0 on one that was open already. */
   readonly unacceptedMs: number;
-  /** Its bytes, behind the work of the event loop. */
+  /** Longest time that its bytes can have waited behind the work of the event loop, in milliseconds. */
   readonly unreadMs: number;
 }
 
@@ -55,8 +57,9 @@
   readonly #options: ForwardServerOptions;
   readonly #server: Server;
   readonly #unfinished = new Set<ServerResponse>();
-  /** Waits of connections on which nothing was read yet. */
-  readonly #unacceptedMs = new WeakMap<Socket, number>();
+  readonly #connections = new WeakMap<Socket, ClientConnection>();
+  /** Connections on which no request has come yet. */
+  readonly #fresh = new WeakSet<ClientConnection>();
   #isStopping = false;
   #isClosed = false;
 
@@ -74,7 +77,9 @@
     );
     const accepts = new AcceptQueue(options.clock, options.eventLoop);
     this.#server.on('connection', (socket) => {
-      this.#unacceptedMs.set(socket, accepts.accept());
+      const connection = new ClientConnection(socket, accepts.accept());
+      this.#connections.set(socket, connection);
+      this.#fresh.add(connection);
     });
   }
 
@@ -128,7 +133,7 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const waits = this.#takeWaits(request.socket);
+    const arrival = this.#describeArrival(request.socket);
     this.#unfinished.add(response);
     response.once('close', () => this.#unfinished.delete(response));
     if (this.#isStopping) this.#askToClose(response);
@@ -139,18 +144,23 @@
       return;
     }
     try {
-      await this.#options.serve(request, response, waits);
+      await this.#options.serve(request, response, arrival);
     } catch (error) {
       this.#options.logger.error('request handling broke', {reason: String(error)});
       response.destroy();
     }
   }
 
-  #takeWaits(socket: Socket): ArrivalWaits {
+  #describeArrival(socket: Socket): Arrival {
     const {clock, eventLoop} = this.#options;
-    const unacceptedMs = this.#unacceptedMs.get(socket) ?? 0;
-    this.#unacceptedMs.delete(socket);
-    return {unacceptedMs, unreadMs: clock.now() - eventLoop.earliestArrivalMs};
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) throw new Error('a request on a connection that was not noted');
+    const isFirst = this.#fresh.delete(connection);
+    return {
+      connection,
+      unacceptedMs: isFirst ? connection.unacceptedMs : 0,
+      unreadMs: clock.now() - eventLoop.earliestArrivalMs,
+    };
   }
 
   #askToClose(response: ServerResponse): void {
