Read a client's close before its request is sent

Cause: a request and the close behind it wait in the kernel together; the process sent the request in the turn of the event loop that read it, and the loop reads the close one turn later. Ruled out: a close that is read is passed on within a turn (passedOnMs, median 1 ms).

A request whose client has left costs its parsing only.

Connections still wait to be accepted for seconds; that is a fault of its own.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -74,6 +74,11 @@
   listAgeLimitMs,
 } from './spread/membership.js';
 export type {ForwardDemand, PromptPart, PromptSize} from './forwarding/demand.js';
+export {
+  type DispatchEnd,
+  DispatchQueue,
+  type DispatchQueueOptions,
+} from './forwarding/dispatchQueue.js';
 export type {Endpoint} from './forwarding/endpoint.js';
 export {EndpointRegistry} from './forwarding/endpointRegistry.js';
 export type {Flight} from './forwarding/flight.js';
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -29,7 +29,7 @@
   | {readonly kind: 'gone'};
 
 /** Where a request stands; logged when its client leaves. */
-type Stage = 'reading' | 'choosing' | 'sent' | 'answering';
+type Stage = 'reading' | 'queued' | 'sent' | 'answering';
 
 /** Serves one request. */
 export async function serveExchange(
@@ -59,6 +59,9 @@
   #held: HeldAnswer | undefined;
   #lastReason = '';
   #routeName = '';
+  /** Order among the requests that wait for a send. */
+  #rank = 0;
+  #queuedAtMs = 0;
   #stage: Stage = 'reading';
   #leftAtMs: number | undefined;
 
@@ -96,8 +99,9 @@
     }
     const admitted = this.#admit();
     if (admitted.isErr()) return {kind: 'refused', refusal: admitted.error};
-    const {route, table} = admitted.value;
+    const {route, table, account} = admitted.value;
     this.#routeName = route.name;
+    this.#rank = rankOf(account?.priority, route.priority, true);
     const body = await readBody(this.#request, {
       maxBodyBytes: table.configuration.limits.maxBodyBytes,
       requestTimeoutMs: route.timeoutMs,
@@ -127,22 +131,38 @@
   /** Sends until an answer is delivered or no further send is allowed. */
   async #forward(body: Buffer, deadlineMs: number): Promise<End> {
     const signal = AbortSignal.any([this.#gone.signal, this.#over.signal]);
+    const send = {rank: this.#rank, isOver: () => isAborted(signal)};
     while (true) {
-      if (isAborted(this.#gone.signal)) return {kind: 'gone'};
-      const leftMs = deadlineMs - this.#options.clock.now();
-      if (leftMs < MIN_LEFT_MS) return this.#giveUp(504, 'time_over');
-      // The configuration may have changed since the arrival.
-      const admitted = this.#admit();
-      if (admitted.isErr()) return this.#giveUp(admitted.error.status, admitted.error.reason);
-      const {route} = admitted.value;
-      const isRepeatable = isIdempotent(route);
-      const end = await this.#sendOnce(admitted.value, body, leftMs, isRepeatable, signal);
-      if (end === undefined) return this.#giveUp(503, 'no_endpoint');
-      if (end.kind === 'delivered') return end;
-      if (!this.#mayRepeat(end, route, isRepeatable)) return this.#giveUp(502, this.#lastReason);
+      this.#stage = 'queued';
+      this.#queuedAtMs = this.#options.clock.now();
+      const turn = await this.#options.dispatch.run(send, () =>
+        this.#sendInTurn(body, deadlineMs, signal),
+      );
+      if (turn.kind === 'over') return this.#giveUp(504, 'time_over');
+      if (turn.result !== undefined) return turn.result;
     }
   }
 
+  /** Sends once; resolves to undefined when another send may follow. */
+  async #sendInTurn(
+    body: Buffer,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<End | undefined> {
+    const leftMs = deadlineMs - this.#options.clock.now();
+    if (leftMs < MIN_LEFT_MS) return this.#giveUp(504, 'time_over');
+    // The configuration may have changed since the arrival.
+    const admitted = this.#admit();
+    if (admitted.isErr()) return this.#giveUp(admitted.error.status, admitted.error.reason);
+    const {route} = admitted.value;
+    const isRepeatable = isIdempotent(route);
+    const end = await this.#sendOnce(admitted.value, body, leftMs, isRepeatable, signal);
+    if (end === undefined) return this.#giveUp(503, 'no_endpoint');
+    if (end.kind === 'delivered') return end;
+    if (!this.#mayRepeat(end, route, isRepeatable)) return this.#giveUp(502, this.#lastReason);
+    return undefined;
+  }
+
   async #sendOnce(
     {route, table, account}: Admission,
     body: Buffer,
@@ -190,6 +210,7 @@
         slowness: endpoint.slowness,
         send: this.#sends,
         leftMs: Math.round(leftMs),
+        queuedMs: Math.round(clock.now() - this.#queuedAtMs),
         ...this.#describeWaits(),
       },
       'debug',
@@ -208,7 +229,6 @@
       lastEventId: this.#lastEventId,
       signal,
     });
-    this.#stage = 'choosing';
     metrics.countSend(service.name, endpoint.record.id, end.kind);
     this.#excluded.add(endpoint.record.id);
     this.#learn(endpoint, end);
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -23,6 +23,8 @@
   /** Age of the configuration in milliseconds. */
   readonly configurationAgeMs: () => number;
   readonly peers: () => number;
+  /** Requests that wait for a send. */
+  readonly queued: () => number;
   readonly endpoints: () => number;
   /** Repeats that are left, by service. */
   readonly repeatsLeft: () => Iterable<readonly [service: string, left: number]>;
@@ -118,6 +120,11 @@
       help: 'Other instances that are told of sends.',
       read: readings.peers,
     });
+    readLater({
+      name: 'marigoldfold_forward_queued',
+      help: 'Requests that wait in this instance for a send.',
+      read: readings.queued,
+    });
     readLater({
       name: 'marigoldfold_forward_endpoints',
       help: 'Endpoints that are known.',
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -1,5 +1,5 @@
 /** What forwarding needs from the process around it. */
-import type {Placement, RepeatBudget} from '@marigoldfold/coordination';
+import type {DispatchQueue, Placement, RepeatBudget} from '@marigoldfold/coordination';
 import type {Clock, EventLoop, Logger} from '@marigoldfold/runtime';
 import type {EndpointClient} from '@marigoldfold/transport';
 import type {Belief, BeliefLimits} from './admission.js';
@@ -13,6 +13,8 @@
   readonly logger: Logger;
   readonly eventLoop: EventLoop;
   readonly format: ForwardFormat;
+  /** Every send waits there for its turn. */
+  readonly dispatch: DispatchQueue;
   readonly client: EndpointClient;
   readonly placement: Placement;
   readonly budget: RepeatBudget;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -1,6 +1,7 @@
 /** The forwarding router as one process: what it follows, serves and tells. */
 import {createServer, type Server} from 'node:http';
 import {
+  DispatchQueue,
   EndpointRegistry,
   PeerExchange,
   PeerRegistration,
@@ -137,9 +138,11 @@
       }),
     );
     const placement = new Placement({clock, registry: this.#registry, tell: this.#peers});
+    const dispatch = new DispatchQueue({clock});
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#belief().ageMs,
       peers: () => this.#peers.size,
+      queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
       repeatsLeft: () =>
         [...this.#budget.services].map((service) => [service, this.#budget.left(service)]),
@@ -156,6 +159,7 @@
       logger,
       eventLoop,
       format: options.format,
+      dispatch,
       client: this.#owned.add(createEndpointClient()),
       placement,
       budget: this.#budget,
