Accept connections that wait before requests are sent

Cause: libuv 1.46 accepts one connection a turn of the event loop (its change for fairness between servers; Node.js 20 has no setting for it), so connections are accepted at the rate of the turns, and a turn did the sends of all requests that it had read. Ruled out: long turns (none over 100 ms after 14 s).

While turns bring new connections, sends now wait, for 20 ms at most; such turns only accept and parse, so that what waits in the kernel comes to where closes are seen and urgent requests go first.

--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -138,7 +138,10 @@
       }),
     );
     const placement = new Placement({clock, registry: this.#registry, tell: this.#peers});
-    const dispatch = new DispatchQueue({clock});
+    const dispatch = new DispatchQueue({
+      clock,
+      acceptedCount: () => this.#server.acceptedCount,
+    });
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#belief().ageMs,
       peers: () => this.#peers.size,
