--- a/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
@@ -7,16 +7,10 @@
 let endTurn: (() => void) | undefined;
 let begun: string[];
 let over: string[];
-let accepted: number;
 
 beforeEach(() => {
   clock = new VirtualClock();
-  accepted = 0;
-  queue = new DispatchQueue({
-    clock,
-    acceptedCount: () => accepted,
-    afterInput: (action) => (endTurn = action),
-  });
+  queue = new DispatchQueue({clock, afterInput: (action) => (endTurn = action)});
   begun = [];
   over = [];
 });
@@ -87,28 +81,6 @@
   });
 });
 
-describe('connections wait to be accepted, one a turn, while sends take the turns', () => {
-  test('though the turn before accepted one', async () => {
-    add('a');
-    for (let count = 1; count <= 5; count += 1) {
-      accepted = count;
-      await turn();
-    }
-    expect(begun).toEqual([]);
-    await turn();
-    expect(begun).toEqual(['a']);
-  });
-
-  test('or sends never begin while connections come', async () => {
-    add('a');
-    for (accepted = 1; begun.length === 0; accepted += 1) {
-      await clock.advance(5);
-      await turn();
-    }
-    expect(clock.now()).toBe(25);
-  });
-});
-
 test('one turn begins all that waits, so that nothing is read meanwhile', async () => {
   for (let index = 0; index < 10; index += 1) add(`r-${index}`, 0, () => false, 2);
   await turn();
--- a/packages/coordination/src/forwarding/dispatchQueue.ts
+++ b/packages/coordination/src/forwarding/dispatchQueue.ts
@@ -4,8 +4,6 @@
 /** What the queue needs. */
 export interface DispatchQueueOptions {
   readonly clock: Clock;
-  /** Connections of clients that were accepted so far. */
-  readonly acceptedCount: () => number;
   /** Calls back once all input of the current turn of the event loop is read. */
   readonly afterInput?: (action: () => void) => void;
 }
@@ -26,8 +24,6 @@
  * streams wait meanwhile.
  */
 const SEND_BUDGET_MS = 5;
-/** Longest time that sends wait for connections to be accepted, in milliseconds. */
-const INTAKE_MS = 20;
 /** One in so many sends is that of the oldest request, so that no rank starves. */
 const OLDEST_EVERY = 8;
 
@@ -42,18 +38,14 @@
 /** Sends that wait for their turn. */
 export class DispatchQueue {
   readonly #clock: Clock;
-  readonly #acceptedCount: () => number;
   readonly #afterInput: (action: () => void) => void;
   /** In the order of arrival. */
   readonly #waiting = new Set<Entry>();
   #isScheduled = false;
   #sends = 0;
-  #acceptedBefore = 0;
-  #takesInSinceMs: number | undefined;
 
-  constructor({clock, acceptedCount, afterInput = setImmediate}: DispatchQueueOptions) {
+  constructor({clock, afterInput = setImmediate}: DispatchQueueOptions) {
     this.#clock = clock;
-    this.#acceptedCount = acceptedCount;
     this.#afterInput = afterInput;
   }
 
@@ -92,7 +84,7 @@
 
   #dispatch(): void {
     this.#dropOver();
-    if (!this.#takesIn()) this.#beginSends();
+    this.#beginSends();
     for (const entry of this.#waiting) entry.isSettled = true;
     if (this.#waiting.size > 0) this.#schedule();
   }
@@ -105,20 +97,6 @@
     }
   }
 
-  /** Whether more connections may wait: the event loop accepts one a turn, so turns without a send are short. */
-  #takesIn(): boolean {
-    const accepted = this.#acceptedCount();
-    const hasAccepted = accepted !== this.#acceptedBefore;
-    this.#acceptedBefore = accepted;
-    const now = this.#clock.now();
-    if (hasAccepted) {
-      this.#takesInSinceMs ??= now;
-      if (now - this.#takesInSinceMs < INTAKE_MS) return true;
-    }
-    this.#takesInSinceMs = undefined;
-    return false;
-  }
-
   #beginSends(): void {
     const startedAtMs = this.#clock.now();
     while (this.#clock.now() - startedAtMs < SEND_BUDGET_MS) {
--- a/packages/entry/src/forwarding/acceptQueue.ts
+++ b/packages/entry/src/forwarding/acceptQueue.ts
@@ -10,21 +10,14 @@
   readonly #eventLoop: EventLoop;
   #lastTurn = Number.NEGATIVE_INFINITY;
   #emptyAtMs = 0;
-  #count = 0;
 
   constructor(clock: Clock, eventLoop: EventLoop) {
     this.#clock = clock;
     this.#eventLoop = eventLoop;
   }
 
-  /** Connections that were accepted so far. */
-  get count(): number {
-    return this.#count;
-  }
-
   /** Notes a new connection; returns the longest time that it can have waited, in milliseconds. */
   accept(): number {
-    this.#count += 1;
     const {turn, earliestArrivalMs} = this.#eventLoop;
     const isNext = turn - this.#lastTurn <= 1;
     this.#lastTurn = turn;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -138,10 +138,7 @@
       }),
     );
     const placement = new Placement({clock, registry: this.#registry, tell: this.#peers});
-    const dispatch = new DispatchQueue({
-      clock,
-      acceptedCount: () => this.#server.acceptedCount,
-    });
+    const dispatch = new DispatchQueue({clock});
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#belief().ageMs,
       peers: () => this.#peers.size,
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -56,7 +56,6 @@
 export class ForwardServer {
   readonly #options: ForwardServerOptions;
   readonly #server: Server;
-  readonly #acceptQueue: AcceptQueue;
   readonly #unfinished = new Set<ServerResponse>();
   readonly #connections = new WeakMap<Socket, ClientConnection>();
   /** Connections on which no request has come yet. */
@@ -66,7 +65,6 @@
 
   constructor(options: ForwardServerOptions) {
     this.#options = options;
-    this.#acceptQueue = new AcceptQueue(options.clock, options.eventLoop);
     this.#server = createServer(
       {
         noDelay: true,
@@ -77,8 +75,9 @@
       },
       (request, response) => void this.#serve(request, response),
     );
+    const accepts = new AcceptQueue(options.clock, options.eventLoop);
     this.#server.on('connection', (socket) => {
-      const connection = new ClientConnection(socket, this.#acceptQueue.accept());
+      const connection = new ClientConnection(socket, accepts.accept());
       this.#connections.set(socket, connection);
       this.#fresh.add(connection);
     });
@@ -107,11 +106,6 @@
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_SLACK_MS;
   }
 
-  /** Connections that were accepted so far. */
-  get acceptedCount(): number {
-    return this.#acceptQueue.count;
-  }
-
   /** Requests whose answer has not ended. */
   get activeCount(): number {
     return this.#unfinished.size;
