Abort a send without making errors that nobody reads

What an instance spends on a client that has left is what it lacks for the others. Now a request has plain state and one controller for each send, which is aborted with a constant.

--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -23,8 +23,8 @@
   readonly answer: ClientAnswer;
   /** The last event that the client has of an earlier send. */
   readonly lastEventId: string | undefined;
-  /** Aborted when the client has gone or the time is over. */
-  readonly signal: AbortSignal;
+  /** Aborted when the client has gone or the time is over, and at the end of the attempt. */
+  readonly controller: AbortController;
 }
 
 /** A failure that the endpoint answered with; it has not been passed on yet. */
@@ -42,6 +42,8 @@
   /** Sent, and no whole answer; nothing or part of a stream was passed on. */
   | {readonly kind: 'broken'; readonly reason: string; readonly lastEventId: string | undefined};
 
+/** Reason of an abort; without one, each abort would make an error with a stack trace. */
+export const NOT_WANTED = 'the answer is not wanted any more';
 /** Time to open a connection within a region, in milliseconds: a lost packet is sent again after 200 or more. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Pause in a resumable stream after which another endpoint is tried, in pause objectives. */
@@ -60,13 +62,8 @@
   request: AttemptRequest,
 ): Promise<AttemptEnd> {
   const {placement, client} = options;
-  const {endpoint, demand, engine} = request;
+  const {endpoint, demand, engine, controller} = request;
   const flight = placement.begin(endpoint, demand, engine);
-  const controller = new AbortController();
-  const abort = () => {
-    controller.abort();
-  };
-  request.signal.addEventListener('abort', abort, {once: true});
   try {
     const sent = await client.send({
       address: endpoint.record.address,
@@ -84,11 +81,10 @@
       case 'unknown':
         return {kind: 'broken', reason: sent.reason, lastEventId: undefined};
       case 'answered':
-        return await new AnswerTaker(options, request, flight, controller).take(sent.answer);
+        return await new AnswerTaker(options, request, flight).take(sent.answer);
     }
   } finally {
-    request.signal.removeEventListener('abort', abort);
-    controller.abort();
+    controller.abort(NOT_WANTED);
     placement.end(endpoint, flight);
   }
 }
@@ -98,19 +94,12 @@
   readonly #options: ForwardOptions;
   readonly #request: AttemptRequest;
   readonly #flight: Flight;
-  readonly #controller: AbortController;
   #lastEventId: string | undefined;
 
-  constructor(
-    options: ForwardOptions,
-    request: AttemptRequest,
-    flight: Flight,
-    controller: AbortController,
-  ) {
+  constructor(options: ForwardOptions, request: AttemptRequest, flight: Flight) {
     this.#options = options;
     this.#request = request;
     this.#flight = flight;
-    this.#controller = controller;
     this.#lastEventId = request.lastEventId;
   }
 
@@ -207,7 +196,7 @@
     const limitMs = Math.max(MIN_STALL_MS, pauseTargetMs * STALL_PAUSES);
     const schedule = () =>
       this.#options.clock.schedule(limitMs, () => {
-        this.#controller.abort();
+        this.#request.controller.abort(NOT_WANTED);
       });
     let timer = schedule();
     return {
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,11 +1,10 @@
 /** One request of a client from its arrival to the end of its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Endpoint, Flight, ForwardDemand} from '@marigoldfold/coordination';
-import {isAborted} from '@marigoldfold/runtime';
 import type {Route} from '@marigoldfold/state';
 import {type BodyError, readBody} from '@marigoldfold/transport';
 import {type Admission, admit, type Refusal} from './admission.js';
-import {type AttemptEnd, type HeldAnswer, runAttempt} from './attempt.js';
+import {type AttemptEnd, type HeldAnswer, NOT_WANTED, runAttempt} from './attempt.js';
 import {ClientAnswer} from './clientAnswer.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {RequestFacts} from './forwardFormat.js';
@@ -48,8 +47,10 @@
   readonly #facts: RequestFacts;
   readonly #arrivedAtMs: number;
   readonly #arrival: Arrival;
-  readonly #gone = new AbortController();
-  readonly #over = new AbortController();
+  #hasLeft = false;
+  #isTimeOver = false;
+  /** The send that is under way. */
+  #sending: AbortController | undefined;
   /** Endpoints that are not tried again. */
   readonly #excluded = new Set<string>();
   /** Sends that may have been run by an endpoint. */
@@ -85,7 +86,8 @@
     metrics.inFlight.inc();
     const leaving = this.#arrival.connection.onLeave(() => {
       this.#leftAtMs = this.#options.clock.now();
-      this.#gone.abort();
+      this.#hasLeft = true;
+      this.#sending?.abort(NOT_WANTED);
     });
     const end = await this.#serve();
     leaving[Symbol.dispose]();
@@ -112,7 +114,8 @@
     const timer = this.#options.clock.schedule(
       deadlineMs - this.#options.clock.now() + TIMEOUT_GRACE_MS,
       () => {
-        this.#over.abort();
+        this.#isTimeOver = true;
+        this.#sending?.abort(NOT_WANTED);
       },
     );
     this.#options.budget.earn(chooseService(admitted.value, this.#facts.id)?.name ?? '');
@@ -123,6 +126,11 @@
     }
   }
 
+  /** Whether nobody waits for the answer any more. */
+  get #isUnwanted(): boolean {
+    return this.#hasLeft || this.#isTimeOver;
+  }
+
   #admit() {
     const {belief, beliefLimits} = this.#options;
     return admit(this.#request, this.#facts, belief(), beliefLimits());
@@ -130,25 +138,18 @@
 
   /** Sends until an answer is delivered or no further send is allowed. */
   async #forward(body: Buffer, deadlineMs: number): Promise<End> {
-    const signal = AbortSignal.any([this.#gone.signal, this.#over.signal]);
-    const send = {rank: this.#rank, isOver: () => isAborted(signal)};
+    const send = {rank: this.#rank, isOver: () => this.#isUnwanted};
     while (true) {
       this.#stage = 'queued';
       this.#queuedAtMs = this.#options.clock.now();
-      const turn = await this.#options.dispatch.run(send, () =>
-        this.#sendInTurn(body, deadlineMs, signal),
-      );
+      const turn = await this.#options.dispatch.run(send, () => this.#sendInTurn(body, deadlineMs));
       if (turn.kind === 'over') return this.#giveUp(504, 'time_over');
       if (turn.result !== undefined) return turn.result;
     }
   }
 
   /** Sends once; resolves to undefined when another send may follow. */
-  async #sendInTurn(
-    body: Buffer,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Promise<End | undefined> {
+  async #sendInTurn(body: Buffer, deadlineMs: number): Promise<End | undefined> {
     const leftMs = deadlineMs - this.#options.clock.now();
     if (leftMs < MIN_LEFT_MS) return this.#giveUp(504, 'time_over');
     // The configuration may have changed since the arrival.
@@ -156,7 +157,7 @@
     if (admitted.isErr()) return this.#giveUp(admitted.error.status, admitted.error.reason);
     const {route} = admitted.value;
     const isRepeatable = isIdempotent(route);
-    const end = await this.#sendOnce(admitted.value, body, leftMs, isRepeatable, signal);
+    const end = await this.#sendOnce(admitted.value, body, leftMs, isRepeatable);
     if (end === undefined) return this.#giveUp(503, 'no_endpoint');
     if (end.kind === 'delivered') return end;
     if (!this.#mayRepeat(end, route, isRepeatable)) return this.#giveUp(502, this.#lastReason);
@@ -168,7 +169,6 @@
     body: Buffer,
     leftMs: number,
     isRepeatable: boolean,
-    signal: AbortSignal,
   ): Promise<AttemptEnd | undefined> {
     const {format, placement, budget, metrics, clock} = this.#options;
     const service = chooseService({route, table}, this.#facts.id ?? '');
@@ -215,6 +215,8 @@
       },
       'debug',
     );
+    const controller = new AbortController();
+    this.#sending = controller;
     const end = await runAttempt(this.#options, {
       endpoint,
       engine: service.engine,
@@ -227,8 +229,9 @@
       isRepeatable,
       answer: this.#answer,
       lastEventId: this.#lastEventId,
-      signal,
+      controller,
     });
+    this.#sending = undefined;
     metrics.countSend(service.name, endpoint.record.id, end.kind);
     this.#excluded.add(endpoint.record.id);
     this.#learn(endpoint, end);
@@ -237,7 +240,7 @@
 
   /** Takes over what a send has shown. */
   #learn(endpoint: Endpoint, end: AttemptEnd): void {
-    const isOurs = isAborted(this.#gone.signal) || isAborted(this.#over.signal);
+    const isOurs = this.#isUnwanted;
     switch (end.kind) {
       case 'delivered':
         endpoint.trust();
@@ -275,7 +278,7 @@
   }
 
   #mayRepeat(end: AttemptEnd, route: Route, isRepeatable: boolean): boolean {
-    if (isAborted(this.#over.signal) || isAborted(this.#gone.signal)) return false;
+    if (this.#isUnwanted) return false;
     if (end.kind === 'notSent' || end.kind === 'notExecuted') return true;
     if (!isRepeatable) return false;
     if (this.#answer.hasBegun && !route.isResumable) return false;
@@ -284,7 +287,7 @@
 
   /** Ends an exchange for which no further send is made. */
   #giveUp(status: number, reason: string): End {
-    if (isAborted(this.#gone.signal)) return {kind: 'gone'};
+    if (this.#hasLeft) return {kind: 'gone'};
     if (this.#answer.hasBegun) return {kind: 'cut', reason};
     if (this.#held !== undefined) {
       const {answer, body} = this.#held;
@@ -293,7 +296,7 @@
     }
     // Only a request that no endpoint may have run is refused with a promise.
     if (this.#runs > 0) {
-      const failure = isAborted(this.#over.signal) || status === 504 ? 504 : 502;
+      const failure = this.#isTimeOver || status === 504 ? 504 : 502;
       return {kind: 'failed', status: failure, reason};
     }
     const refused = status === 401 || status === 404 ? status : 503;
