Refuse what waits here for half of its objective

Nothing bounded what an instance takes in. Now a request that has waited half of its latency objective, unread and in the queue, is refused: not run, come back after as long as it waited, which leads to another instance. A request is not refused while less urgent ones are sent, and one that has been sent before is not refused for its wait.

Tests: on the queue (2), and through a router whose turns take 200 ms (with no limit of the wait it gets 200 instead of 503).

--- a/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
@@ -7,22 +7,25 @@
 let endTurn: (() => void) | undefined;
 let begun: string[];
 let over: string[];
+let overdue: string[];
 
 beforeEach(() => {
   clock = new VirtualClock();
   queue = new DispatchQueue({clock, afterInput: (action) => (endTurn = action)});
   begun = [];
   over = [];
+  overdue = [];
 });
 
 function add(name: string, rank = 0, isOver: () => boolean = () => false, takesMs = 0): void {
-  const send = {rank, isOver};
+  const send = {rank, isOver, overdueAtMs: 100};
   const wait = queue.run(send, () => {
     begun.push(name);
     return advanceNow(takesMs);
   });
   void wait.then(({kind}) => {
     if (kind === 'over') over.push(name);
+    if (kind === 'overdue') overdue.push(name);
   });
 }
 
@@ -89,3 +92,32 @@
   await turn();
   expect(begun).toHaveLength(6);
 });
+
+describe('a request waits for longer than it has', () => {
+  test('when a turn takes so long that it is late', async () => {
+    add('a');
+    await clock.advance(99);
+    await turn();
+    await clock.advance(1);
+    await turn();
+    await Promise.resolve();
+    expect(overdue).toEqual(['a']);
+    expect(begun).toEqual([]);
+  });
+
+  test('and is refused although a less urgent one was sent', async () => {
+    for (let index = 0; index < 7; index += 1) add(`first-${index}`, 0, () => false, 1);
+    add('low', 5, () => false, 5);
+    await turn();
+    add('urgent', 0);
+    await turn();
+    await turn();
+    expect(begun.at(-1)).toBe('low');
+    add('later', 5);
+    await clock.advance(200);
+    await turn();
+    await Promise.resolve();
+    expect(begun.at(-1)).toBe('urgent');
+    expect(overdue).toEqual(['later']);
+  });
+});
--- a/packages/coordination/src/forwarding/dispatchQueue.ts
+++ b/packages/coordination/src/forwarding/dispatchQueue.ts
@@ -12,12 +12,17 @@
 export interface WaitingSend {
   /** Lower ranks go first. */
   readonly rank: number;
+  /** When the request is better tried at another instance, on the clock. */
+  readonly overdueAtMs: number;
   /** Whether nobody waits for the answer any more. */
   readonly isOver: () => boolean;
 }
 
-/** What became of a wait; `over` means that the send was not begun. */
-export type DispatchEnd<T> = {readonly kind: 'sent'; readonly result: T} | {readonly kind: 'over'};
+/** What became of a wait; only `sent` means that the send was begun. */
+export type DispatchEnd<T> =
+  | {readonly kind: 'sent'; readonly result: T}
+  | {readonly kind: 'over'}
+  | {readonly kind: 'overdue'};
 
 /**
  * Time that the sends of one turn may take, in milliseconds: a part of the shortest pause objective, since
@@ -30,7 +35,9 @@
 interface Entry {
   readonly send: WaitingSend;
   readonly begin: () => void;
-  readonly giveUp: () => void;
+  readonly giveUp: (kind: 'over' | 'overdue') => void;
+  /** Its place among all arrivals and sends. */
+  readonly order: number;
   /** Whether input was read after the request: a close that came with it is known by then. */
   isSettled: boolean;
 }
@@ -43,6 +50,9 @@
   readonly #waiting = new Set<Entry>();
   #isScheduled = false;
   #sends = 0;
+  #order = 0;
+  /** Order of the last send of each rank. */
+  readonly #lastSends = new Map<number, number>();
 
   constructor({clock, afterInput = setImmediate}: DispatchQueueOptions) {
     this.#clock = clock;
@@ -64,9 +74,10 @@
             resolve({kind: 'sent', result});
           }, reject);
         },
-        giveUp: () => {
-          resolve({kind: 'over'});
+        giveUp: (kind) => {
+          resolve({kind});
         },
+        order: this.#order++,
         isSettled: false,
       });
       this.#schedule();
@@ -83,20 +94,31 @@
   }
 
   #dispatch(): void {
-    this.#dropOver();
+    this.#drop();
     this.#beginSends();
     for (const entry of this.#waiting) entry.isSettled = true;
     if (this.#waiting.size > 0) this.#schedule();
   }
 
-  #dropOver(): void {
+  #drop(): void {
+    const now = this.#clock.now();
     for (const entry of this.#waiting) {
-      if (!entry.send.isOver()) continue;
+      const {send} = entry;
+      const isOver = send.isOver();
+      if (!isOver && (now < send.overdueAtMs || this.#isOvertaken(entry))) continue;
       this.#waiting.delete(entry);
-      entry.giveUp();
+      entry.giveUp(isOver ? 'over' : 'overdue');
     }
   }
 
+  /** Whether a less urgent request was sent meanwhile; a more urgent one is not refused then. */
+  #isOvertaken({send, order}: Entry): boolean {
+    for (const [rank, lastOrder] of this.#lastSends) {
+      if (rank > send.rank && lastOrder > order) return true;
+    }
+    return false;
+  }
+
   #beginSends(): void {
     const startedAtMs = this.#clock.now();
     while (this.#clock.now() - startedAtMs < SEND_BUDGET_MS) {
@@ -104,6 +126,7 @@
       if (entry === undefined) return;
       this.#waiting.delete(entry);
       this.#sends += 1;
+      this.#lastSends.set(entry.send.rank, this.#order++);
       entry.begin();
     }
   }
--- a/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
+++ b/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
@@ -60,3 +60,19 @@
     expect(rig.lines.filter(({message}) => message === 'client gone')).toHaveLength(2);
   });
 });
+
+describe('a request waits here until it is late', () => {
+  test('though another instance could take it', async () => {
+    const {seen} = await startWith(rig, answerWell, {targetMs: 500});
+    let result: {status: number; headers: NodeJS.Dict<unknown>} | undefined;
+    void rig.ask().then((answer) => (result = answer));
+    // Each turn of the event loop takes as long as a slow instance's.
+    while (result === undefined) await rig.clock.advance(200);
+    expect(result.status).toBe(503);
+    expect(Number(result.headers['retry-after'])).toBeGreaterThan(0);
+    expect(seen()).toHaveLength(0);
+    expect(rig.lines).toContainEqual(
+      expect.objectContaining({message: 'refused', reason: 'instance_busy', sends: 0}),
+    );
+  });
+});
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -16,6 +16,12 @@
 const TIMEOUT_GRACE_MS = 100;
 /** Time left below which a send is not worth it, in milliseconds: a round trip and a token. */
 const MIN_LEFT_MS = 20;
+/** Part of the objective that a request may wait here for its first send; another instance may do better. */
+const QUEUE_SHARE = 0.5;
+/** Shortest such wait, in milliseconds: some turns of a busy event loop. */
+const MIN_QUEUE_MS = 50;
+/** Shortest time after which a client is to try another instance, in milliseconds. */
+const MIN_RETRY_MS = 50;
 /** When to come back if no endpoint takes the request, in milliseconds. */
 const BUSY_RETRY_MS = 300;
 
@@ -62,6 +68,7 @@
   #routeName = '';
   /** Order among the requests that wait for a send. */
   #rank = 0;
+  #targetMs = 0;
   #queuedAtMs = 0;
   #stage: Stage = 'reading';
   #leftAtMs: number | undefined;
@@ -103,6 +110,7 @@
     if (admitted.isErr()) return {kind: 'refused', refusal: admitted.error};
     const {route, table, account} = admitted.value;
     this.#routeName = route.name;
+    this.#targetMs = route.targetMs;
     this.#rank = rankOf(account?.priority, route.priority, true);
     const body = await readBody(this.#request, {
       maxBodyBytes: table.configuration.limits.maxBodyBytes,
@@ -138,16 +146,34 @@
 
   /** Sends until an answer is delivered or no further send is allowed. */
   async #forward(body: Buffer, deadlineMs: number): Promise<End> {
-    const send = {rank: this.#rank, isOver: () => this.#isUnwanted};
     while (true) {
       this.#stage = 'queued';
       this.#queuedAtMs = this.#options.clock.now();
+      const send = {
+        rank: this.#rank,
+        overdueAtMs: this.#overdueAtMs(),
+        isOver: () => this.#isUnwanted,
+      };
       const turn = await this.#options.dispatch.run(send, () => this.#sendInTurn(body, deadlineMs));
+      if (turn.kind === 'overdue') return this.#refuseOverdue();
       if (turn.kind === 'over') return this.#giveUp(504, 'time_over');
       if (turn.result !== undefined) return turn.result;
     }
   }
 
+  /** What was sent before is not given up for the wait: work has been done for it. */
+  #overdueAtMs(): number {
+    if (this.#sends > 0) return Number.POSITIVE_INFINITY;
+    const limitMs = Math.max(MIN_QUEUE_MS, this.#targetMs * QUEUE_SHARE);
+    return this.#queuedAtMs - this.#arrival.unreadMs + limitMs;
+  }
+
+  #refuseOverdue(): End {
+    const waitedMs = this.#options.clock.now() - this.#queuedAtMs + this.#arrival.unreadMs;
+    const retryAfterMs = Math.max(MIN_RETRY_MS, Math.round(waitedMs));
+    return {kind: 'refused', refusal: {status: 503, reason: 'instance_busy', retryAfterMs}};
+  }
+
   /** Sends once; resolves to undefined when another send may follow. */
   async #sendInTurn(body: Buffer, deadlineMs: number): Promise<End | undefined> {
     const leftMs = deadlineMs - this.#options.clock.now();
