End a request at its time limit though its client reads nothing

A client that stays connected and takes no byte of a stream held its request for good: the send was aborted at the time limit, but the exchange waited for the client to read, so it was counted in flight, and its endpoint as busy with it, until the client closed. Found by following where work can stand when nobody takes it. The wait for a client now ends with the send. The test leaves a client that does not read: in_flight was 1 for good after the time limit, and is 0 now.

--- a/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
+++ b/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
@@ -3,7 +3,7 @@
 import {settle} from '@marigoldfold/runtime';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {answerWell, startWith} from '../__fixtures__/endpointScripts.js';
-import {type EndpointScript, ForwardRig, until} from '../__fixtures__/forwardRig.js';
+import {type EndpointScript, ForwardRig, signed, until} from '../__fixtures__/forwardRig.js';
 import {holdUpWhileClientsLeave} from '../__fixtures__/heldUpProcess.js';
 
 let rig: ForwardRig;
@@ -76,3 +76,30 @@
     );
   });
 });
+
+describe('a request does not end at its time limit', () => {
+  test('when its client stays and reads nothing', async () => {
+    let isClosed = false;
+    const fillUp: EndpointScript = (response, {request}) => {
+      response.on('close', () => (isClosed = true));
+      response.writeHead(200, signed(request));
+      const more = () => {
+        while (!isClosed && response.write(Buffer.alloc(65_536)));
+      };
+      response.on('drain', more);
+      more();
+    };
+    await startWith(rig, fillUp, {timeoutMs: 1000});
+    const socket = connect(rig.process.clientPort, '127.0.0.1');
+    socket.pause();
+    socket.write(requestText('r-1'));
+    await until(() => rig.lines.some(({message}) => message === 'sent'));
+    for (let turn = 0; turn < 200; turn += 1) await settle();
+    await rig.pass(1200);
+    await until(() => isClosed);
+    await settle();
+    expect(await rig.process.metrics()).toContain('marigoldfold_forward_in_flight 0');
+    expect(rig.lines.at(-1)).toMatchObject({message: 'cut', reason: 'answer_broken'});
+    socket.destroy();
+  });
+});
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -142,16 +142,16 @@
 
   /** Passes on an answer that is not repeated once its first part is with the client. */
   async #passOn(answer: EndpointAnswer, first: Buffer | undefined): Promise<AttemptEnd> {
-    const {answer: client} = this.#request;
+    const {answer: client, controller} = this.#request;
     if (first !== undefined) {
       client.begin(answer.message);
-      await client.write(first);
+      await client.write(first, controller.signal);
     }
     const isWhole = await readParts(answer, async (part) => {
       this.#options.eventLoop.enter();
       this.#options.placement.noteEvent(this.#request.endpoint, this.#flight);
       client.begin(answer.message);
-      await client.write(part);
+      await client.write(part, controller.signal);
       return 'next';
     });
     if (!isWhole) return this.#broken('the answer was cut off');
@@ -183,10 +183,10 @@
   async #passEvent(answer: IncomingMessage, {bytes, id}: RawEvent): Promise<void> {
     if (id !== undefined && this.#lastEventId !== undefined && isUpTo(id, this.#lastEventId))
       return;
-    const {answer: client} = this.#request;
+    const {answer: client, controller} = this.#request;
     this.#options.placement.noteEvent(this.#request.endpoint, this.#flight);
     client.begin(answer);
-    await client.write(bytes);
+    await client.write(bytes, controller.signal);
     if (id !== undefined) this.#lastEventId = id;
   }
 
--- a/packages/entry/src/forwarding/clientAnswer.ts
+++ b/packages/entry/src/forwarding/clientAnswer.ts
@@ -52,10 +52,10 @@
     this.#response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
   }
 
-  /** Sends bytes; resolves at once unless the client does not read. */
-  async write(bytes: Buffer): Promise<void> {
+  /** Sends bytes; resolves at once unless the client does not read, and then until the signal is aborted. */
+  async write(bytes: Buffer, signal: AbortSignal): Promise<void> {
     if (this.isGone || this.#response.write(bytes)) return;
-    await drained(this.#response);
+    await drained(this.#response, {signal});
   }
 
   /** Ends a stream as complete. */
--- a/packages/entry/src/generationApi.ts
+++ b/packages/entry/src/generationApi.ts
@@ -78,7 +78,9 @@
     timer.observeChunk();
     if (!response.headersSent) openEventStream(response);
     response.write(formatEvent({data: value.data}));
-    if (response.writableNeedDrain) await drained(response, limits.stalledReaderTimeoutMs);
+    if (response.writableNeedDrain) {
+      await drained(response, {stalledTimeoutMs: limits.stalledReaderTimeoutMs});
+    }
   }
 }
 
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -215,19 +215,36 @@
   response.end(text);
 }
 
-/** Resolves when the response can take more, or has been closed; a client that takes nothing is cut off. */
-export function drained(response: ServerResponse, stalledTimeoutMs = 0): Promise<void> {
-  if (!response.writableNeedDrain || response.destroyed) return Promise.resolve();
+/** What ends a wait for a client that takes nothing. */
+export interface DrainLimits {
+  /** Milliseconds after which the client is cut off; 0 for never. */
+  readonly stalledTimeoutMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Resolves when the response can take more, has been closed or is not wanted any more; a client that takes
+ * nothing is cut off.
+ */
+export function drained(
+  response: ServerResponse,
+  {stalledTimeoutMs = 0, signal}: DrainLimits = {},
+): Promise<void> {
+  if (!response.writableNeedDrain || response.destroyed || signal?.aborted === true) {
+    return Promise.resolve();
+  }
   // The socket's own timer starts anew with each byte that the client takes.
   response.setTimeout(stalledTimeoutMs);
   return new Promise((resolve) => {
     const finish = () => {
       response.off('drain', finish);
       response.off('close', finish);
+      signal?.removeEventListener('abort', finish);
       response.setTimeout(0);
       resolve();
     };
     response.on('drain', finish);
     response.on('close', finish);
+    signal?.addEventListener('abort', finish);
   });
 }
