Wait for a body no longer than its client waits for the answer

A request whose body did not come was held for the whole time limit of its route, ten minutes on a route that allows them, also where the client had said that it waits one second; and the limit that is passed on began when the request was read. The body's limit is now what the client has left, counted from when the request can have come at the earliest, on the injected clock.

--- a/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
+++ b/packages/entry/src/forwarding/__tests__/leavingClients.test.ts
@@ -16,8 +16,13 @@
   await rig.stop();
 });
 
-function requestText(id: string): string {
-  return `GET /x HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\nx-key: key-1\r\n\r\n`;
+function requestText(id: string, headers = ''): string {
+  return `GET /x HTTP/1.1\r\nhost: a.example\r\nx-id: ${id}\r\nx-key: key-1\r\n${headers}\r\n`;
+}
+
+async function untilInFlight(count: number): Promise<void> {
+  const line = `marigoldfold_forward_in_flight ${count}\n`;
+  while (!`${await rig.process.metrics()}\n`.includes(line)) await settle();
 }
 
 /** Lets the router keep connections to its endpoints, on which a request leaves at once. */
@@ -78,6 +83,18 @@
 });
 
 describe('a request does not end at its time limit', () => {
+  test("when its body does not come, and the client's limit is below the route's", async () => {
+    const {seen} = await startWith(rig, answerWell, {timeoutMs: 600_000});
+    const socket = connect(rig.process.clientPort, '127.0.0.1');
+    const answer = once(socket, 'data');
+    socket.write(requestText('r-1', 'x-deadline: 1000\r\ncontent-length: 10\r\n'));
+    await untilInFlight(1);
+    await rig.pass(1200);
+    expect(String((await answer)[0])).toMatch(/^HTTP\/1.1 408 /);
+    expect(seen()).toHaveLength(0);
+    socket.destroy();
+  });
+
   test('when its client stays and reads nothing', async () => {
     let isClosed = false;
     const fillUp: EndpointScript = (response, {request}) => {
@@ -97,8 +114,7 @@
     for (let turn = 0; turn < 200; turn += 1) await settle();
     await rig.pass(1200);
     await until(() => isClosed);
-    await settle();
-    expect(await rig.process.metrics()).toContain('marigoldfold_forward_in_flight 0');
+    await untilInFlight(0);
     expect(rig.lines.at(-1)).toMatchObject({message: 'cut', reason: 'answer_broken'});
     socket.destroy();
   });
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -112,13 +112,13 @@
     this.#routeName = route.name;
     this.#targetMs = route.targetMs;
     this.#rank = rankOf(account?.priority, route.priority, true);
-    const body = await readBody(this.#request, {
-      maxBodyBytes: table.configuration.limits.maxBodyBytes,
-      requestTimeoutMs: route.timeoutMs,
-    });
-    if (body.isErr()) return describeBodyError(body.error);
     const limitMs = Math.min(route.timeoutMs, this.#facts.deadlineMs ?? route.timeoutMs);
-    const deadlineMs = this.#arrivedAtMs + limitMs;
+    // The client's time runs from when it sent the request, not from when it was read.
+    const deadlineMs = this.#arrivedAtMs - this.#arrival.unreadMs + limitMs;
+    const {maxBodyBytes} = table.configuration.limits;
+    const bodyLimits = {maxBodyBytes, requestTimeoutMs: deadlineMs - this.#arrivedAtMs};
+    const body = await readBody(this.#request, bodyLimits, this.#options.clock);
+    if (body.isErr()) return describeBodyError(body.error);
     const timer = this.#options.clock.schedule(
       deadlineMs - this.#options.clock.now() + TIMEOUT_GRACE_MS,
       () => {
--- a/packages/transport/src/requestBody.ts
+++ b/packages/transport/src/requestBody.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of requests within limits. */
 import type {IncomingMessage} from 'node:http';
+import {type Clock, systemClock} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {ServerLimits} from './httpServer.js';
 
@@ -16,8 +17,9 @@
 export async function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
+  clock: Clock = systemClock,
 ): Promise<Result<Buffer, BodyError>> {
-  const body = await collect(request, limits);
+  const body = await collect(request, limits, clock);
   if (body.isErr() && body.error !== 'aborted') linger(request);
   return body;
 }
@@ -25,6 +27,7 @@
 function collect(
   request: IncomingMessage,
   {maxBodyBytes, requestTimeoutMs}: BodyLimits,
+  clock: Clock,
 ): Promise<Result<Buffer, BodyError>> {
   if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
     return Promise.resolve(err('too_large'));
@@ -33,13 +36,13 @@
     const parts: Buffer[] = [];
     let size = 0;
     const finish = (result: Result<Buffer, BodyError>) => {
-      clearTimeout(timer);
+      timer[Symbol.dispose]();
       request.removeAllListeners('data');
       resolve(result);
     };
-    const timer = setTimeout(() => {
+    const timer = clock.schedule(requestTimeoutMs, () => {
       finish(err('timed_out'));
-    }, requestTimeoutMs);
+    });
     request.on('data', (part: Buffer) => {
       size += part.length;
       if (size > maxBodyBytes) finish(err('too_large'));
