End answers whose bytes have no end

Servers in trouble may send bytes that are no answer without end, until the caller closes. A fetch also had no time limit once the head had come, so a store that fell silent in the middle of an answer held the copy of the configuration up for good.

Sends and calls share these limits.

--- a/packages/agent/src/httpEngine.ts
+++ b/packages/agent/src/httpEngine.ts
@@ -1,5 +1,10 @@
 /** A model engine over its OpenAI-compatible API; streams resume by the standard `Last-Event-ID`. */
-import {type ClientRequest, type HttpClient, readEvents} from '@marigoldfold/transport';
+import {
+  type ClientRequest,
+  type HttpClient,
+  readEvents,
+  readWholeBody,
+} from '@marigoldfold/transport';
 import {z} from 'zod';
 import type {Engine, EngineJob, EngineStream} from './engine.js';
 
@@ -51,14 +56,9 @@
     return {kind: 'unknown'};
   }
   if (status !== STATUS.ok) {
-    const parts: string[] = [];
-    body.setEncoding('utf8');
-    try {
-      for await (const part of body) parts.push(part as string);
-    } catch {
-      return {kind: 'broken', maySent: true};
-    }
-    return {kind: 'refused', status, message: parts.join('')};
+    const message = await readWholeBody(body);
+    if (message === undefined) return {kind: 'broken', maySent: true};
+    return {kind: 'refused', status, message: message.toString()};
   }
   let isFinished = false;
   for await (const {id, data} of readEvents(body, (event) => event.data === END_MARK)) {
--- a/packages/entry/src/httpAgentLink.ts
+++ b/packages/entry/src/httpAgentLink.ts
@@ -22,6 +22,7 @@
   type HttpClient,
   type Peer,
   readEvents,
+  readWholeBody,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import type {AgentLink, StartError, WithdrawalAnswer, WorkEvents} from './agentLink.js';
@@ -121,10 +122,9 @@
 }
 
 async function readFailedStart({status, stream}: ClientAnswer): Promise<StartError> {
-  const parts: Buffer[] = [];
   try {
-    for await (const part of stream) parts.push(part as Buffer);
-    const body = failedStartSchema.safeParse(JSON.parse(Buffer.concat(parts).toString()));
+    const text = (await readWholeBody(stream))?.toString() ?? '';
+    const body = failedStartSchema.safeParse(JSON.parse(text));
     if (body.success) return {kind: 'refused', ...body.data};
   } catch {
     // A body that cannot be read says nothing about the request.
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -2,6 +2,7 @@
 import {Agent, type ClientRequest, request as httpRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {splitAddress} from './httpClient.js';
+import {limitInterimAnswers} from './interimAnswers.js';
 
 /** A request as it goes to an endpoint. */
 export interface EndpointRequest {
@@ -123,6 +124,7 @@
       path: request.target,
       headers: request.headers as string[],
     });
+    limitInterimAnswers(outgoing);
     const abort = () => outgoing.destroy(new Error('given up'));
     signal.addEventListener('abort', abort, {once: true});
     const connectTimer = setTimeout(() => {
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -8,7 +8,7 @@
 }
 
 /** Largest event that is waited for, in bytes: a hundred times that of a token. */
-const MAX_EVENT_BYTES = 1_048_576;
+export const MAX_EVENT_BYTES = 1_048_576;
 
 /** Gathers bytes until an event is whole. */
 export class EventSplitter {
--- a/packages/transport/src/eventStream.ts
+++ b/packages/transport/src/eventStream.ts
@@ -1,6 +1,7 @@
 /** Server-sent events, written to and read from HTTP bodies. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {MAX_EVENT_BYTES} from './eventSplitter.js';
 
 /** An event of a stream. */
 export type StreamEvent = EventSourceMessage;
@@ -33,6 +34,11 @@
   return `${text}data: ${lines}\n\n`;
 }
 
+/** Bytes after the last event that are read to keep the connection. */
+const MAX_REST_BYTES = 65_536;
+/** Time for them to come, in milliseconds. */
+const REST_LIMIT_MS = 1000;
+
 /**
  * Reads events until the body ends; a body that is cut off ends the iteration the same way. A reader
  * that stops early closes the connection, except after the last event of a whole body.
@@ -49,11 +55,14 @@
   });
   body.setEncoding('utf8');
   let isWhole = false;
+  let pendingBytes = 0;
   try {
     for await (const text of body.iterator({destroyOnReturn: false})) {
       parser.feed(text as string);
       const ready = events;
       events = [];
+      pendingBytes = ready.length > 0 ? 0 : pendingBytes + (text as string).length;
+      if (pendingBytes > MAX_EVENT_BYTES) return;
       for (const event of ready) {
         isWhole ||= isLast(event);
         yield event;
@@ -63,7 +72,22 @@
     // The reader tells a whole stream by its own end mark, so a broken one needs no error here.
   } finally {
     // Reading the little that follows the last event keeps the connection for the next request.
-    if (isWhole) body.resume();
+    if (isWhole) readRest(body);
     else body.destroy();
   }
 }
+
+function readRest(body: IncomingMessage): void {
+  if (body.readableEnded) return;
+  let size = 0;
+  const timer = setTimeout(() => {
+    body.destroy();
+  }, REST_LIMIT_MS);
+  body.once('close', () => {
+    clearTimeout(timer);
+  });
+  body.on('data', (text: string) => {
+    size += text.length;
+    if (size > MAX_REST_BYTES) body.destroy();
+  });
+}
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -6,6 +6,8 @@
   type IncomingMessage,
 } from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {limitInterimAnswers} from './interimAnswers.js';
+import {readWholeBody} from './wholeBody.js';
 
 /** Why no answer came. */
 export interface ConnectionError {
@@ -24,7 +26,7 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Buffer;
   readonly signal?: AbortSignal;
-  /** Milliseconds until the answer's head must be there. */
+  /** Milliseconds until the answer's head must be there, or all of it when it is fetched. */
   readonly timeoutMs?: number;
 }
 
@@ -101,6 +103,7 @@
         );
       },
     );
+    limitInterimAnswers(outgoing);
     const timer = setTimeout(() => {
       isTimedOut = true;
       outgoing.destroy(new Error('timed out'));
@@ -155,17 +158,23 @@
   send: HttpClient['send'],
   request: ClientRequest,
 ): Promise<Result<WholeAnswer, ConnectionError>> {
+  const {method, address, path, timeoutMs = DEFAULT_TIMEOUT_MS} = request;
+  const startedAtMs = performance.now();
   const answer = await send(request);
   if (answer.isErr()) return err(answer.error);
   const {status, headers, stream} = answer.value;
-  const parts: Buffer[] = [];
-  try {
-    for await (const part of stream) parts.push(part as Buffer);
-  } catch {
-    const message = `${request.method} ${request.address}${request.path}: answer cut off`;
-    return err({code: 'broken', message, maySent: true});
-  }
-  return ok({status, headers, body: Buffer.concat(parts)});
+  let isTimedOut = false;
+  const leftMs = startedAtMs + timeoutMs - performance.now();
+  const timer = setTimeout(() => {
+    isTimedOut = true;
+    stream.destroy();
+  }, leftMs);
+  const body = await readWholeBody(stream);
+  clearTimeout(timer);
+  if (body !== undefined) return ok({status, headers, body});
+  const code = isTimedOut ? 'timed_out' : 'broken';
+  const message = `${method} ${address}${path}: the answer's body ${isTimedOut ? 'timed out' : 'was cut off or is too large'}`;
+  return err({code, message, maySent: true});
 }
 
 /** Splits `host:port`. */
