Try another endpoint when an answer has no end

A failure whose body never ended was passed on to the client until its time limit, though the request could be repeated; and a stream in which bytes came that never made an event was not held to be silent, so it was not resumed. What a stream holds back is not searched again with each part: a flood cost time by the square of its length. Of six tests with endless answers two failed before (one of them with an answer too long for a string, the other without an end); that such an answer ends when its client leaves held already and is kept as a guard.

--- /dev/null
+++ b/packages/entry/src/forwarding/__tests__/endlessAnswers.test.ts
@@ -0,0 +1,98 @@
+import {connect} from 'node:net';
+import {settle} from '@marigoldfold/runtime';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {answerWell, events, inTurn, startWith} from '../__fixtures__/endpointScripts.js';
+import {type EndpointScript, ForwardRig, signed, until} from '../__fixtures__/forwardRig.js';
+
+let rig: ForwardRig;
+let openFloods: number;
+
+beforeEach(() => {
+  rig = new ForwardRig();
+  openFloods = 0;
+});
+
+afterEach(async () => {
+  await rig.stop();
+});
+
+/** Answers with the same bytes again and again until the connection is closed. */
+function flood(status: number, beginning: string, again: string): EndpointScript {
+  return (response, {request}) => {
+    openFloods += 1;
+    response.on('close', () => (openFloods -= 1));
+    response.writeHead(status, signed(request));
+    response.write(beginning);
+    const part = again.repeat(Math.ceil(65_536 / again.length));
+    const more = () => {
+      while (!response.destroyed && response.write(part));
+    };
+    response.on('drain', more);
+    more();
+  };
+}
+
+describe('an answer without end keeps its request from another endpoint', () => {
+  test('when it is a failure', async () => {
+    await startWith(rig, inTurn(flood(500, '', 'zzzz'), answerWell));
+    expect(await rig.ask()).toMatchObject({status: 200, body: 'well'});
+    await until(() => openFloods === 0);
+  });
+
+  test('when it is one event of a stream', async () => {
+    const goOn: EndpointScript = (response, {request}) => {
+      response.writeHead(200, signed(request)).end(events(3, 4));
+    };
+    await startWith(rig, inTurn(flood(200, events(1, 2), 'zzzz'), goOn), {
+      kind: 'stream',
+      isResumable: true,
+    });
+    expect(await rig.ask()).toMatchObject({status: 200, body: events(1, 4), isWhole: true});
+    await until(() => openFloods === 0);
+  });
+
+  test('when bytes come slowly and never make an event', async () => {
+    const trickle: EndpointScript = (response, {request}) => {
+      response.writeHead(200, signed(request));
+      response.write(events(1, 2));
+      const more = () => {
+        if (response.destroyed) return;
+        response.write('z');
+        rig.clock.schedule(200, more);
+      };
+      more();
+    };
+    const goOn: EndpointScript = (response, {request}) => {
+      response.writeHead(200, signed(request)).end(events(3, 4));
+    };
+    await startWith(rig, inTurn(trickle, goOn), {
+      kind: 'stream',
+      isResumable: true,
+      timeoutMs: 60_000,
+    });
+    let body: string | undefined;
+    void rig.ask().then((answer) => (body = answer.body));
+    await until(() => rig.lines.some(({message}) => message === 'sent'));
+    await rig.pass(5000);
+    for (let turn = 0; turn < 50; turn += 1) await settle();
+    expect(body).toBe(events(1, 4));
+  });
+});
+
+describe('an answer without end goes on', () => {
+  test.each([
+    ['a plain answer', {}, flood(200, '', 'zzzz')],
+    ['blank lines', {kind: 'stream', isResumable: true} as const, flood(200, '', '\n')],
+    ['a stream that may not be resumed', {kind: 'stream'} as const, flood(200, '', 'zzzz')],
+  ])('after its client has left: %s', async (_name, route, script) => {
+    await startWith(rig, script, route);
+    const socket = connect(rig.process.clientPort, '127.0.0.1');
+    socket.write('GET /x HTTP/1.1\r\nhost: a.example\r\nx-id: r-1\r\nx-key: key-1\r\n\r\n');
+    let size = 0;
+    socket.on('data', (part: Buffer) => (size += part.length));
+    await until(() => size > 1_000_000);
+    socket.destroy();
+    await until(() => openFloods === 0);
+    await until(() => rig.lines.some(({message}) => message === 'client gone'));
+  });
+});
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -136,6 +136,10 @@
         this.#request.answer.sendWhole(answer.message, read.body);
         return {kind: 'delivered', status, flight: this.#flight};
       case 'large':
+        // A failure may have no end, and another endpoint may do better.
+        if (status >= FIRST_SERVER_ERROR && this.#request.isRepeatable) {
+          return this.#broken('a failure that is too large');
+        }
         return this.#passOn(answer, read.body);
     }
   }
@@ -169,7 +173,8 @@
       this.#options.eventLoop.enter();
       const events = splitter.push(part);
       if (events === undefined) return 'stop';
-      stall.restart();
+      // Bytes that make no event are as good as silence.
+      if (events.length > 0) stall.restart();
       for (const event of events) await this.#passEvent(answer.message, event);
       return 'next';
     });
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -23,7 +23,9 @@
   push(bytes: Buffer): readonly RawEvent[] | undefined {
     let rest = this.#rest.length === 0 ? bytes : Buffer.concat([this.#rest, bytes]);
     const events: RawEvent[] = [];
-    for (let end = findEnd(rest); end > 0; end = findEnd(rest)) {
+    // What was held has no end of an event, but may have the beginning of one.
+    const from = Math.max(0, this.#rest.length - LONG_END.length + 1);
+    for (let end = findEnd(rest, from); end > 0; end = findEnd(rest, 0)) {
       const event = rest.subarray(0, end);
       events.push({bytes: event, id: readId(event)});
       rest = rest.subarray(end);
@@ -34,13 +36,16 @@
   }
 }
 
+const PLAIN_END = '\n\n';
+const LONG_END = '\r\n\r\n';
+
 /** Length of the first event with its empty line, or 0 when it is not whole. */
-function findEnd(bytes: Buffer): number {
-  const plain = bytes.indexOf('\n\n');
-  const long = bytes.indexOf('\r\n\r\n');
+function findEnd(bytes: Buffer, from: number): number {
+  const plain = bytes.indexOf(PLAIN_END, from);
+  const long = bytes.indexOf(LONG_END, from);
   if (plain < 0 && long < 0) return 0;
-  if (long < 0 || (plain >= 0 && plain < long)) return plain + 2;
-  return long + 4;
+  if (long < 0 || (plain >= 0 && plain < long)) return plain + PLAIN_END.length;
+  return long + LONG_END.length;
 }
 
 function readId(event: Buffer): string | undefined {
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -163,18 +163,20 @@
   const answer = await send(request);
   if (answer.isErr()) return err(answer.error);
   const {status, headers, stream} = answer.value;
-  let isTimedOut = false;
+  let problem: Pick<ConnectionError, 'code' | 'message'> = {
+    code: 'broken',
+    message: 'was cut off or is too large',
+  };
   const leftMs = startedAtMs + timeoutMs - performance.now();
   const timer = setTimeout(() => {
-    isTimedOut = true;
+    problem = {code: 'timed_out', message: 'did not come in time'};
     stream.destroy();
   }, leftMs);
   const body = await readWholeBody(stream);
   clearTimeout(timer);
   if (body !== undefined) return ok({status, headers, body});
-  const code = isTimedOut ? 'timed_out' : 'broken';
-  const message = `${method} ${address}${path}: the answer's body ${isTimedOut ? 'timed out' : 'was cut off or is too large'}`;
-  return err({code, message, maySent: true});
+  const message = `${method} ${address}${path}: the answer's body ${problem.message}`;
+  return err({code: problem.code, message, maySent: true});
 }
 
 /** Splits `host:port`. */
