Notice in the standalone entry that a pipelining caller has left

The same fault as in the forwarding router, found by looking for its class: callers that sent a second generation on a connection and then left had it worked on to its end, 100,000 tokens in the test, since the close of an answer that waits behind another never comes. The watch of a connection moves to transport and serves both servers.

--- /dev/null
+++ b/packages/cli/src/__tests__/leavingCallers.test.ts
@@ -0,0 +1,80 @@
+import {once} from 'node:events';
+import {silentLogger} from '@marigoldfold/runtime';
+import {splitAddress} from '@marigoldfold/transport';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import {holdUpWhileClientsLeave} from '../../../entry/src/forwarding/__fixtures__/heldUpProcess.js';
+import {openRaw} from '../__fixtures__/rawConnection.js';
+import {type LocalSystem, startLocalSystem} from '../localSystem.js';
+
+let system: LocalSystem;
+let begun: string[];
+
+beforeEach(async () => {
+  const options = {port: 0, operatorsPort: 0, logger: silentLogger, engines: 1, interTokenMs: 20};
+  system = (await startLocalSystem(options))._unsafeUnwrap();
+  begun = [];
+  const engine = system.engines[0]!.subject;
+  const begin = engine.begin.bind(engine);
+  engine.begin = (request, listener) => {
+    begun.push(request.id);
+    return begin(request, listener);
+  };
+});
+
+afterEach(() => {
+  system[Symbol.dispose]();
+});
+
+function generationText(tokens: number): string {
+  const body = JSON.stringify({
+    model: 'score-reader',
+    messages: [{role: 'user', content: 'bar 12'}],
+    max_completion_tokens: tokens,
+    stream: true,
+  });
+  return [
+    'POST /v1/chat/completions HTTP/1.1',
+    'host: a',
+    `authorization: Bearer ${system.keys.client}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    '',
+    body,
+  ].join('\r\n');
+}
+
+/** Lets connections to the agent and to the engine be kept. */
+async function warmUp(): Promise<void> {
+  for (let index = 0; index < 4; index += 1) {
+    const connection = await openRaw(system.entry.callers.address);
+    connection.socket.write(generationText(1));
+    await connection.until(/\[DONE\]/);
+    connection.socket.destroy();
+  }
+  begun = [];
+}
+
+describe('an engine works on', () => {
+  test('a request whose caller had left before the entry read it', async () => {
+    await warmUp();
+    const port = splitAddress(system.entry.callers.address)[1];
+    const requests = Array.from({length: 8}, () => generationText(500));
+    await once(holdUpWhileClientsLeave(port, requests), 'exit');
+    const last = await openRaw(system.entry.callers.address);
+    last.socket.write(generationText(1));
+    await last.until(/\[DONE\]/);
+    last.socket.destroy();
+    expect(begun).toHaveLength(1);
+  });
+
+  test('the second request of a connection after its caller has left', async () => {
+    await warmUp();
+    const connection = await openRaw(system.entry.callers.address);
+    connection.socket.write(generationText(100_000) + generationText(100_000));
+    await connection.until(/data: /);
+    while (begun.length < 2) await new Promise(setImmediate);
+    connection.socket.destroy();
+    const engine = system.engines[0]!.subject;
+    while (engine.generationCount > 0) await new Promise(setImmediate);
+  });
+});
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -11,7 +11,7 @@
 } from '@marigoldfold/protocol';
 import type {Clock, LogFields, Logger} from '@marigoldfold/runtime';
 import type {Configuration, EndpointSet, Head} from '@marigoldfold/state';
-import {readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
+import {onClientLeave, readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
 import {type Caller, type NamedClass} from './callerRequest.js';
@@ -105,7 +105,7 @@
   const timer = new RequestTimer(options.clock, options.metrics, named.name, named.requestClass);
   // The caller may go while the account's home is asked.
   const controller = new AbortController();
-  exchange.response.once('close', () => {
+  using _leaving = onClientLeave(exchange.request, () => {
     controller.abort();
   });
   const {tier} = named.requestClass;
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Endpoint, Flight, ForwardDemand} from '@marigoldfold/coordination';
 import type {Route} from '@marigoldfold/state';
-import {type BodyError, readBody} from '@marigoldfold/transport';
+import {type BodyError, onClientLeave, readBody} from '@marigoldfold/transport';
 import {type Admission, admit, type Refusal} from './admission.js';
 import {type AttemptEnd, type HeldAnswer, NOT_WANTED, runAttempt} from './attempt.js';
 import {ClientAnswer} from './clientAnswer.js';
@@ -91,7 +91,7 @@
   async run(): Promise<void> {
     const {metrics} = this.#options;
     metrics.inFlight.inc();
-    const leaving = this.#arrival.connection.onLeave(() => {
+    const leaving = onClientLeave(this.#request, () => {
       this.#leftAtMs = this.#options.clock.now();
       this.#hasLeft = true;
       this.#sending?.abort(NOT_WANTED);
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -149,7 +149,7 @@
   }
 
   /** Notes how long a request can have waited before it was read. */
-  observeArrival({unacceptedMs, unreadMs}: Omit<Arrival, 'connection'>): void {
+  observeArrival({unacceptedMs, unreadMs}: Arrival): void {
     this.#unaccepted.observe(unacceptedMs / MS_PER_SECOND);
     this.#unread.observe(unreadMs / MS_PER_SECOND);
   }
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -5,7 +5,6 @@
 import type {ClientLimits} from '@marigoldfold/state';
 import {AcceptQueue} from './acceptQueue.js';
 import {ClientAnswer} from './clientAnswer.js';
-import {ClientConnection} from './clientConnection.js';
 
 /** What the server needs. */
 export interface ForwardServerOptions {
@@ -23,7 +22,6 @@
 
 /** How a request came. */
 export interface Arrival {
-  readonly connection: ClientConnection;
   /** Longest time that its connection can have waited to be accepted; 0 on one that was open already. */
   readonly unacceptedMs: number;
   /** Longest time that its bytes can have waited behind the work of the event loop, in milliseconds. */
@@ -57,9 +55,8 @@
   readonly #options: ForwardServerOptions;
   readonly #server: Server;
   readonly #unfinished = new Set<ServerResponse>();
-  readonly #connections = new WeakMap<Socket, ClientConnection>();
-  /** Connections on which no request has come yet. */
-  readonly #fresh = new WeakSet<ClientConnection>();
+  /** Waits of connections on which no request has come yet. */
+  readonly #unacceptedMs = new WeakMap<Socket, number>();
   #isStopping = false;
   #isClosed = false;
 
@@ -77,9 +74,7 @@
     );
     const accepts = new AcceptQueue(options.clock, options.eventLoop);
     this.#server.on('connection', (socket) => {
-      const connection = new ClientConnection(socket, accepts.accept());
-      this.#connections.set(socket, connection);
-      this.#fresh.add(connection);
+      this.#unacceptedMs.set(socket, accepts.accept());
     });
   }
 
@@ -153,14 +148,9 @@
 
   #describeArrival(socket: Socket): Arrival {
     const {clock, eventLoop} = this.#options;
-    const connection = this.#connections.get(socket);
-    if (connection === undefined) throw new Error('a request on a connection that was not noted');
-    const isFirst = this.#fresh.delete(connection);
-    return {
-      connection,
-      unacceptedMs: isFirst ? connection.unacceptedMs : 0,
-      unreadMs: clock.now() - eventLoop.earliestArrivalMs,
-    };
+    const unacceptedMs = this.#unacceptedMs.get(socket) ?? 0;
+    this.#unacceptedMs.delete(socket);
+    return {unacceptedMs, unreadMs: clock.now() - eventLoop.earliestArrivalMs};
   }
 
   #askToClose(response: ServerResponse): void {
