Give up in the standalone entry and agent what nobody waits for any more

Cause as in the forwarding router: a request is acted on in the turn of the event loop that reads it, its caller's close is read one turn later. Now the entry, and the agent for its entries, read once more before they act; a caller that leaves while its account's limit is asked, or while an endpoint is chosen, ends there without a message to an agent. An agent whose entry has left starts nothing; an entry that only lost the connection asks for the request by its id, learns that it never started, and goes on.

--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -16,6 +16,7 @@
   createControlServer,
   drained,
   formatEvent,
+  hasLeft,
   type HttpServer,
   listen,
   type ListenError,
@@ -25,7 +26,7 @@
   sendJson,
   type ServerLimits,
 } from '@marigoldfold/transport';
-import {type Clock, type Logger, repeat, sleep} from '@marigoldfold/runtime';
+import {type Clock, type Logger, nextInput, repeat, sleep} from '@marigoldfold/runtime';
 import type {Result} from 'neverthrow';
 import type {Registry} from 'prom-client';
 import type {Answer} from './answer.js';
@@ -146,6 +147,9 @@
   const {worker, limits} = options;
   const body = await readBody(request, limits);
   const work = body.isErr() ? undefined : readWork(body.value);
+  // An entry that has left asks for the request by its id if it still wants it.
+  await nextInput();
+  if (hasLeft(request)) return;
   if (work === undefined) {
     const failure = refusal('bad_request', 'the request of the entry cannot be read');
     sendJson(response, STATUS.badRequest, {failure, load: worker.load()});
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -9,9 +9,21 @@
   type Task,
   type Work,
 } from '@marigoldfold/protocol';
-import type {Clock, LogFields, Logger} from '@marigoldfold/runtime';
+import {
+  type Clock,
+  DisposableStore,
+  type LogFields,
+  type Logger,
+  nextInput,
+} from '@marigoldfold/runtime';
 import type {Configuration, EndpointSet, Head} from '@marigoldfold/state';
-import {onClientLeave, readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
+import {
+  hasLeft,
+  onClientLeave,
+  readBody,
+  sendJson,
+  type ServerLimits,
+} from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestMetrics, type RequestOutcome, RequestTimer} from './attainment.js';
 import {type Caller, type NamedClass} from './callerRequest.js';
@@ -80,6 +92,8 @@
   {request}: Exchange,
 ): Promise<Result<Buffer, Failure>> {
   const body = await readBody(request, limits);
+  await nextInput();
+  if (hasLeft(request)) return err(refusal('caller_gone', 'the caller has gone'));
   if (body.isOk()) return ok(body.value);
   switch (body.error) {
     case 'too_large':
@@ -105,22 +119,28 @@
   const timer = new RequestTimer(options.clock, options.metrics, named.name, named.requestClass);
   // The caller may go while the account's home is asked.
   const controller = new AbortController();
-  using _leaving = onClientLeave(exchange.request, () => {
+  using owned = new DisposableStore();
+  const leaving = onClientLeave(exchange.request, () => {
     controller.abort();
   });
+  owned.add(leaving);
   const {tier} = named.requestClass;
   const admitted = await options.accountLimits.admit(accountName, account, tier);
   if (admitted.isErr()) {
     timer.finish('limited');
     return admitted.error;
   }
+  owned.add(admitted.value);
+  if (controller.signal.aborted) {
+    timer.finish('cancelled');
+    return refusal('caller_gone', 'the caller has gone');
+  }
   options.metrics.inFlight.inc();
   let end: RoutedEnd;
   try {
     end = await send(timer, controller);
   } finally {
     options.metrics.inFlight.dec();
-    admitted.value[Symbol.dispose]();
   }
   options.logger.info('request', {
     request: exchange.id,
--- a/packages/entry/src/router.ts
+++ b/packages/entry/src/router.ts
@@ -6,8 +6,15 @@
   type EndpointChoice,
   type RetryBudget,
 } from '@marigoldfold/coordination';
-import {type Failure, type Instance, movedId, ranByAny, type Work} from '@marigoldfold/protocol';
-import type {Clock, Logger} from '@marigoldfold/runtime';
+import {
+  type Failure,
+  type Instance,
+  movedId,
+  ranByAny,
+  refusal,
+  type Work,
+} from '@marigoldfold/protocol';
+import {type Clock, isAborted, type Logger} from '@marigoldfold/runtime';
 import {ok} from 'neverthrow';
 import type {AgentLink} from './agentLink.js';
 import {Attempt, type RoutedAnswer} from './attempt.js';
@@ -28,6 +35,8 @@
   readonly demand: Omit<Demand, 'excluded'>;
 }
 
+/** Ends a request whose caller has gone before it was sent. */
+const callerGone = refusal('caller_gone', 'the caller has gone');
 /** Moves of one request from an agent's queue to a better endpoint. */
 const MAX_MOVES = 2;
 
@@ -51,6 +60,7 @@
       const demand = {...request.demand, excluded};
       const chosen = movesTo === undefined ? await choice.chooseFresh(demand) : ok(movesTo);
       if (chosen.isErr()) return {kind: 'failed', failure: failure ?? chosen.error};
+      if (isAborted(signal)) return {kind: 'failed', failure: failure ?? callerGone};
       const {instance} = chosen.value;
       // An agent remembers the id that was taken back, so a moved request has a new one.
       const id = movedId(request.work.id, moves);
--- a/packages/runtime/src/eventLoop.ts
+++ b/packages/runtime/src/eventLoop.ts
@@ -1,6 +1,15 @@
 /** Follows the turns of the event loop, to tell how long input may have waited before it was read. */
 import type {Clock} from './clock.js';
 
+/** Resolves when the event loop has read once more: what came behind the input of this turn is known then. */
+export function nextInput(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(() => {
+      setImmediate(resolve);
+    });
+  });
+}
+
 /** What following the loop needs. */
 export interface EventLoopOptions {
   readonly clock: Clock;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,7 +2,7 @@
 export {type Clock, isAborted, repeat, sleep, steadyClock, systemClock} from './clock.js';
 export {VirtualClock, settle} from './virtualClock.js';
 export {type Random, seededRandom, systemRandom} from './random.js';
-export {EventLoop, type EventLoopOptions} from './eventLoop.js';
+export {EventLoop, type EventLoopOptions, nextInput} from './eventLoop.js';
 export {DisposableStore} from './disposableStore.js';
 export {
   type Logger,
--- a/packages/transport/src/clientLeave.ts
+++ b/packages/transport/src/clientLeave.ts
@@ -19,6 +19,11 @@
     socket.once('close', leave);
   }
 
+  /** Whether the client has closed the connection. */
+  get hasLeft(): boolean {
+    return this.#hasLeft;
+  }
+
   add(action: () => void): Disposable {
     if (this.#hasLeft) action();
     else this.#actions.add(action);
@@ -33,11 +38,20 @@
 const watchers = new WeakMap<Socket, LeaveWatcher>();
 
 /** Calls back when the client of a request closes its connection, at once if it has done so. */
-export function onClientLeave({socket}: IncomingMessage, action: () => void): Disposable {
+export function onClientLeave(request: IncomingMessage, action: () => void): Disposable {
+  return watcherOf(request).add(action);
+}
+
+/** Whether the client of a request has closed the connection. */
+export function hasLeft(request: IncomingMessage): boolean {
+  return watcherOf(request).hasLeft;
+}
+
+function watcherOf({socket}: IncomingMessage): LeaveWatcher {
   let watcher = watchers.get(socket);
   if (watcher === undefined) {
     watcher = new LeaveWatcher(socket);
     watchers.set(socket, watcher);
   }
-  return watcher.add(action);
+  return watcher;
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,5 +1,5 @@
 /** HTTP, event streams and JSON-RPC between processes. */
-export {onClientLeave} from './clientLeave.js';
+export {hasLeft, onClientLeave} from './clientLeave.js';
 export {readWholeBody} from './wholeBody.js';
 export {type ClusterKey, createClusterKey} from './clusterKey.js';
 export {
