Let callers leave in the soak, and answers go on without end

One caller in six now leaves within 120 ms, endpoints may send heads and bodies without end, and the checker reports work that begins or goes on 500 ms after the caller has left, also after a pause of the router, unless a harmed link held it up.

--- a/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
+++ b/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
@@ -12,6 +12,7 @@
 const seeds = [
   [1, 'the first one'],
   // The checker took the version from the service that a run reached, which several versions share.
+  [204, 'requests of callers that left while their router was paused'],
   [9, 'a router that was three versions behind'],
 ] as const;
 
@@ -23,8 +24,8 @@
       const result = await faultSoak({
         seed,
         durationMs: DURATION_MS,
-        routers: 2,
-        callers: 6,
+        routers: 3,
+        callers: 18,
         folder,
       });
       expect(result.breaches).toEqual([]);
--- a/packages/bench/src/faultSoak/__tests__/history.test.ts
+++ b/packages/bench/src/faultSoak/__tests__/history.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {answerOf, History, type Got, type Run, type SentRequest} from '../history.js';
 
-const bounds = {revocationMs: 5000, drainMs: 2000, regressMs: 250};
+const bounds = {revocationMs: 5000, drainMs: 2000, regressMs: 250, goneMs: 500};
 
 function create() {
   const history = new History(bounds);
@@ -11,7 +11,8 @@
       history.onSent({id: 'r', kind: 'idempotent', key: 'k', lifetime: 'a.1', atMs: 0, ...more});
     },
     run: (more: Partial<Run> = {}, isInTouch = true) => {
-      history.onRun({id: 'r', endpoint: 'e1', version: 1, atMs: 10, ...more}, () => isInTouch);
+      const usual = {id: 'r', endpoint: 'e1', version: 1, atMs: 10, isDirect: true};
+      history.onRun({...usual, ...more}, () => isInTouch);
     },
     get: (more: Partial<Got> = {}) => {
       const body = answerOf('r', 'e1');
@@ -44,6 +45,26 @@
     expect(rules()).toEqual(['unasked']);
   });
 
+  test('finds a run that begins or goes on long after the caller has left', () => {
+    const {history, send, run, rules} = create();
+    send();
+    history.onLeft('r', 100);
+    run({atMs: 600});
+    history.onWork('r', 600);
+    expect(rules()).toEqual([]);
+    run({atMs: 601});
+    history.onWork('r', 601);
+    expect(rules()).toEqual(['gone', 'gone']);
+  });
+
+  test('lets a run begin late that a harmed link has held up', () => {
+    const {history, send, run, rules} = create();
+    send();
+    history.onLeft('r', 100);
+    run({atMs: 2000, isDirect: false});
+    expect(rules()).toEqual([]);
+  });
+
   test('finds a second run, and lets what may be repeated run twice', () => {
     const {send, run, rules} = create();
     send();
--- a/packages/bench/src/faultSoak/endpointFarm.ts
+++ b/packages/bench/src/faultSoak/endpointFarm.ts
@@ -1,21 +1,34 @@
 /** Endpoints of the soak: each notes what it runs, and some misbehave for a while. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {forwardHeaders} from '@marigoldfold/entry';
+import type {Writable} from 'node:stream';
 import type {Random} from '@marigoldfold/runtime';
 import {answerOf} from './history.js';
 
 /** How an endpoint answers. */
-export type Conduct = 'well' | 'garbage' | 'extraAnswer' | 'halfAnswer' | 'full' | 'resetAfterRun';
+export type Conduct =
+  | 'well'
+  | 'garbage'
+  | 'extraAnswer'
+  | 'halfAnswer'
+  | 'full'
+  | 'resetAfterRun'
+  | 'endlessHead'
+  | 'endlessBody';
 
 const EVENTS = 12;
 const EVENT_MS = 15;
 const WORK_MS = 40;
+/** Bytes without end that are written at once. */
+const FLOOD_BYTES = 16_384;
 
 /** What an endpoint is given. */
 export interface SoakEndpointOptions {
   readonly random: Random;
   /** Takes the start of a run; the account is the router's word for the caller. */
   readonly onRun: (endpoint: string, id: string, account: string) => void;
+  /** Notes that a run goes on. */
+  readonly onWork: (id: string) => void;
 }
 
 /** One endpoint. */
@@ -90,12 +103,32 @@
         setTimeout(() => socket?.write(extra), 3);
         return;
       }
+      case 'endlessHead':
+        if (socket !== null) this.#flood(socket, id, 'HTTP/1.1 103 Early Hints\r\n\r\n');
+        return;
+      case 'endlessBody':
+        response.writeHead(500, signed(id));
+        this.#flood(response, id, 'z');
+        return;
       case 'full':
       case 'well':
         response.writeHead(200, headers).end(body);
     }
   }
 
+  /** Writes the same bytes until the connection is closed. */
+  #flood(to: Writable, id: string, bytes: string): void {
+    const part = bytes.repeat(Math.ceil(FLOOD_BYTES / bytes.length));
+    const more = () => {
+      if (to.destroyed) return;
+      this.#options.onWork(id);
+      to.write(part);
+      setTimeout(more, EVENT_MS);
+    };
+    to.on('error', () => undefined);
+    more();
+  }
+
   async #stream(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
     response.writeHead(200, {...signed(id), 'content-type': 'text/event-stream'});
     const breaksAt =
@@ -104,6 +137,7 @@
     for (let number = from; number <= EVENTS; number += 1) {
       await new Promise((resolve) => setTimeout(resolve, EVENT_MS));
       if (response.destroyed) return;
+      this.#options.onWork(id);
       const data = number === EVENTS ? `end of ${id}` : `part ${number}`;
       const event = `id: ${number}\ndata: ${data}\n\n`;
       if (number === breaksAt) {
--- a/packages/bench/src/faultSoak/faultInjector.ts
+++ b/packages/bench/src/faultSoak/faultInjector.ts
@@ -173,7 +173,15 @@
   async #misbehave(): Promise<void> {
     const linked = this.#pick(this.#options.endpoints);
     if (linked === undefined) return;
-    const conducts: Conduct[] = ['garbage', 'extraAnswer', 'halfAnswer', 'full', 'resetAfterRun'];
+    const conducts: Conduct[] = [
+      'garbage',
+      'extraAnswer',
+      'halfAnswer',
+      'full',
+      'resetAfterRun',
+      'endlessHead',
+      'endlessBody',
+    ];
     linked.endpoint.conduct = this.#pick(conducts) ?? 'well';
     await sleep(systemClock, this.#options.random() * MAX_FAULT_MS);
     linked.endpoint.conduct = 'well';
--- a/packages/bench/src/faultSoak/faultSoak.ts
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -44,6 +44,13 @@
 /** Time in which a router in touch learns of a leaving endpoint, in milliseconds: that of a configuration. */
 const DRAIN_MS = 2000;
 const REGRESS_MS = 250;
+/** A request may reach an endpoint for so long after its caller has left, in milliseconds. */
+const GONE_MS = 500;
+/** Longest time that a harmed link can hold a request up, in milliseconds: its own time and two resends. */
+const HELD_UP_MS = 4000;
+/** One in so many callers leaves before its answer, within so many milliseconds. */
+const LEAVING_ONE_IN = 6;
+const LEAVE_WITHIN_MS = 120;
 /** After the last unplanned fault, all are in touch again after this time, in milliseconds. */
 const CALM_MS = 3000;
 const READY_POLL_MS = 50;
@@ -73,6 +80,7 @@
     revocationMs: REVOCATION_MS,
     drainMs: DRAIN_MS,
     regressMs: REGRESS_MS,
+    goneMs: GONE_MS,
   });
   readonly #store: SoakStore;
   readonly #routers: RouterProcess[] = [];
@@ -130,17 +138,25 @@
   }
 
   async #addEndpoint(service: string, id: string): Promise<void> {
+    const link = new FaultyLink(() => endpoint.address);
+    const isDirect = () => systemClock.now() - link.harmedAtMs > HELD_UP_MS;
     const endpoint = new SoakEndpoint({
       random: this.#random,
       onRun: (name, requestId, account) => {
         const version = Number(account);
-        const run = {id: requestId, endpoint: name, version, atMs: systemClock.now()};
+        const atMs = systemClock.now();
+        const run = {id: requestId, endpoint: name, version, atMs, isDirect: isDirect()};
         this.#history.onRun(run, () => this.#injector.isCalm(CALM_MS));
       },
+      onWork: (requestId) => {
+        // A paused router closes nothing; what it begins after its pause is judged all the same.
+        if (isDirect() && this.#injector.isCalm(CALM_MS)) {
+          this.#history.onWork(requestId, systemClock.now());
+        }
+      },
     });
     await endpoint.listen();
     endpoint.id = id;
-    const link = new FaultyLink(() => endpoint.address);
     await link.listen();
     this.#endpoints.push({service, endpoint, link});
     await this.#store.register(id, service, link.address);
@@ -181,9 +197,15 @@
       stream: ['GET', '/stream/x'],
     }[kind] as [string, string];
     const {clientPort: port} = router;
-    const outcome = await call({agent, port, method, path, id, key});
+    const leaves = Math.floor(this.#random() * LEAVING_ONE_IN) === 0;
+    const leaveMs = leaves ? this.#random() * LEAVE_WITHIN_MS : undefined;
+    const onLeft = () => {
+      this.#history.onLeft(id, systemClock.now());
+    };
+    const outcome = await call({agent, port, method, path, id, key, leaveMs, onLeft});
     const atMs = systemClock.now();
     const isPlannedOnly =
+      !outcome.hasLeft &&
       this.#injector.isCalm(atMs - request.atMs + CALM_MS) &&
       atMs - request.atMs < LONGEST_CALL_MS &&
       router.lifetime === request.lifetime;
--- a/packages/bench/src/faultSoak/faultyLink.ts
+++ b/packages/bench/src/faultSoak/faultyLink.ts
@@ -1,5 +1,6 @@
 /** A loopback proxy that harms the connections through it. */
 import {connect, createServer, type Server, type Socket} from 'node:net';
+import {systemClock} from '@marigoldfold/runtime';
 import {splitAddress} from '@marigoldfold/transport';
 
 /** What a link does to what passes. */
@@ -20,6 +21,8 @@
   readonly #target: () => string;
   readonly #sockets = new Set<Socket>();
   #mode: LinkMode = {kind: 'pass'};
+  /** When it last did anything but pass. */
+  harmedAtMs = Number.NEGATIVE_INFINITY;
   address = '';
 
   constructor(target: () => string) {
@@ -39,6 +42,7 @@
 
   /** Changes what happens to open and new connections. */
   set mode(mode: LinkMode) {
+    if (this.#mode.kind !== 'pass' || mode.kind !== 'pass') this.harmedAtMs = systemClock.now();
     this.#mode = mode;
     if (mode.kind !== 'reset') return;
     for (const socket of this.#sockets) socket.resetAndDestroy();
--- a/packages/bench/src/faultSoak/history.ts
+++ b/packages/bench/src/faultSoak/history.ts
@@ -17,6 +17,8 @@
   /** Version of the configuration by which the request was forwarded. */
   readonly version: number;
   readonly atMs: number;
+  /** Whether nothing held the request up between router and endpoint. */
+  readonly isDirect: boolean;
 }
 
 /** What a caller got. */
@@ -44,6 +46,8 @@
   readonly drainMs: number;
   /** How long a request may take on its way, so that its version may be an older one. */
   readonly regressMs: number;
+  /** How long after a caller has left its request may still be on its way. */
+  readonly goneMs: number;
 }
 
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -54,6 +58,7 @@
   readonly #bounds: HistoryBounds;
   readonly #sent = new Map<string, SentRequest>();
   readonly #runs = new Map<string, Run[]>();
+  readonly #leftAtMs = new Map<string, number>();
   readonly #refused = new Map<string, number>();
   readonly #revokedAtMs = new Map<string, number>();
   readonly #leavingAtMs = new Map<string, number>();
@@ -78,6 +83,11 @@
     this.#leavingAtMs.set(endpoint, atMs);
   }
 
+  /** A caller that has closed its connection. */
+  onLeft(id: string, atMs: number): void {
+    this.#leftAtMs.set(id, atMs);
+  }
+
   onSent(request: SentRequest): void {
     this.#sent.set(request.id, request);
   }
@@ -111,9 +121,17 @@
     if (atMs > leavingAtMs + this.#bounds.drainMs && isInTouch(request.lifetime)) {
       this.#add('leaving', id, `reached ${endpoint} ${atMs - leavingAtMs} ms after it left`);
     }
+    if (run.isDirect) this.onWork(id, atMs);
     this.#checkVersion(request, version, atMs);
   }
 
+  /** Takes that an endpoint begins or goes on with a request that nothing holds up on its way. */
+  onWork(id: string, atMs: number): void {
+    const leftAtMs = this.#leftAtMs.get(id) ?? Number.POSITIVE_INFINITY;
+    if (atMs <= leftAtMs + this.#bounds.goneMs) return;
+    this.#add('gone', id, `worked on ${atMs - leftAtMs} ms after its caller left`);
+  }
+
   /** Takes what a caller got. */
   onGot(got: Got): void {
     const {id, status, isWhole, body, isPlannedOnly} = got;
--- a/packages/bench/src/faultSoak/soakCaller.ts
+++ b/packages/bench/src/faultSoak/soakCaller.ts
@@ -10,6 +10,10 @@
   readonly path: string;
   readonly id: string;
   readonly key: string;
+  /** Milliseconds after which the caller leaves; undefined for one that stays. */
+  readonly leaveMs: number | undefined;
+  /** Called when it has left. */
+  readonly onLeft: () => void;
 }
 
 /** What came of it. */
@@ -17,6 +21,8 @@
   readonly status: number;
   readonly isWhole: boolean;
   readonly body: string;
+  /** Whether the caller left before the end. */
+  readonly hasLeft: boolean;
 }
 
 const DEADLINE_MS = 4000;
@@ -24,8 +30,18 @@
 const GIVE_UP_MS = 6000;
 
 /** Sends one request and waits for the end of its answer. */
-export function call({agent, port, method, path, id, key}: CallOptions): Promise<CallOutcome> {
+export function call({
+  agent,
+  port,
+  method,
+  path,
+  id,
+  key,
+  leaveMs,
+  onLeft,
+}: CallOptions): Promise<CallOutcome> {
   return new Promise((resolve) => {
+    let hasLeft = false;
     const headers = {
       host: 'soak.example',
       [forwardHeaders.requestId]: id,
@@ -38,13 +54,20 @@
       answer.on('data', (part: string) => (body += part));
       answer.on('error', () => undefined);
       answer.on('close', () => {
-        resolve({status: answer.statusCode ?? 0, isWhole: answer.complete, body});
+        resolve({status: answer.statusCode ?? 0, isWhole: answer.complete, body, hasLeft});
       });
     });
     outgoing.setTimeout(GIVE_UP_MS, () => outgoing.destroy());
     outgoing.on('error', () => {
-      resolve({status: 0, isWhole: false, body: ''});
+      resolve({status: 0, isWhole: false, body: '', hasLeft});
     });
     outgoing.end(method === 'POST' ? id : undefined);
+    if (leaveMs === undefined) return;
+    setTimeout(() => {
+      if (outgoing.closed) return;
+      hasLeft = true;
+      outgoing.destroy();
+      onLeft();
+    }, leaveMs);
   });
 }
