Forget requests of an instance that has died

Each instance is told of the sends of others and of their ends; where the end is not told (a lost datagram, an instance that was killed) the request stayed in memory for good, and its endpoint counted as busier by it until the request was looked at again. Found by asking where work goes on after its callers have left. News older than ten seconds, the limit that the choice of endpoints already had, are now forgotten with the next news; a metric has their number. The test fails without it (2 requests of 1).

--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -258,3 +258,16 @@
     }
   });
 });
+
+describe('requests of an instance that has died count as under way', () => {
+  test('though the end of none of them is told', async () => {
+    const {placement, registry, clock} = open(1);
+    const told = {from: 'other', begun: [], ended: [], slowness: []};
+    placement.takeNews({...told, sent: [['lost', 'e1', 100, 100, 10, 0, []]]});
+    expect(placement.remoteCount).toBe(1);
+    await clock.advance(20_000);
+    placement.takeNews({...told, sent: [['new', 'e1', 100, 100, 10, 0, []]]});
+    expect(placement.remoteCount).toBe(1);
+    expect([...registry.find('e1')!.remoteFlights.keys()]).toEqual(['new']);
+  });
+});
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -9,7 +9,7 @@
 /** Time after which a report of slowness says nothing any more: neighbours change several times a second. */
 const SLOWNESS_AGE_LIMIT_MS = 400;
 /** Time after which a request of another process is taken to have ended if nothing told so, in milliseconds. */
-const REMOTE_FLIGHT_LIMIT_MS = 10_000;
+export const REMOTE_FLIGHT_LIMIT_MS = 10_000;
 /** Time after which a report of load says nothing any more, in milliseconds. */
 const LOAD_AGE_LIMIT_MS = 1500;
 /** Neighbours slow an endpoint down to about this; more comes from prompts that nobody told of. */
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@marigoldfold/runtime';
 import type {Engine} from '@marigoldfold/state';
 import type {ForwardDemand} from './demand.js';
-import type {Endpoint} from './endpoint.js';
+import {type Endpoint, REMOTE_FLIGHT_LIMIT_MS} from './endpoint.js';
 import type {EndpointRegistry} from './endpointRegistry.js';
 import {EnginePlacement} from './enginePlacement.js';
 import type {Flight} from './flight.js';
@@ -33,8 +33,8 @@
 export class Placement {
   readonly #options: PlacementOptions;
   readonly #engines: EnginePlacement;
-  /** Endpoints of the requests of other instances. */
-  readonly #remote = new Map<string, Endpoint>();
+  /** Requests of other instances, oldest first, with their endpoints. */
+  readonly #remote = new Map<string, {readonly endpoint: Endpoint; readonly atMs: number}>();
 
   constructor(options: PlacementOptions) {
     this.#options = options;
@@ -144,6 +144,7 @@
   /** Takes what another instance tells. */
   takeNews({sent, begun, ended, slowness}: News): void {
     const {registry, clock} = this.#options;
+    this.#forgetRemote(clock.now() - REMOTE_FLIGHT_LIMIT_MS);
     for (const [id, endpointId, unread, promptTokens, output, pauseMs, shared] of sent) {
       const endpoint = registry.find(endpointId);
       if (endpoint === undefined) continue;
@@ -151,7 +152,8 @@
       const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
       parts.push({id, tokens: promptTokens - sharedTokens});
       const prompt = {parts, promptTokens, maxOutputTokens: output};
-      this.#remote.set(id, endpoint);
+      this.#endRemote(id);
+      this.#remote.set(id, {endpoint, atMs: clock.now()});
       endpoint.remoteFlights.set(id, {
         requestId: id,
         sentAtMs: clock.now(),
@@ -168,15 +170,32 @@
       this.#engines.noteSend(endpoint, prompt);
     }
     for (const id of begun) {
-      const flight = this.#remote.get(id)?.remoteFlights.get(id);
+      const flight = this.#remote.get(id)?.endpoint.remoteFlights.get(id);
       if (flight !== undefined) flight.firstEventAtMs = clock.now();
     }
     for (const id of ended) {
-      this.#remote.get(id)?.remoteFlights.delete(id);
-      this.#remote.delete(id);
+      this.#endRemote(id);
     }
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.observeSlowness(value);
   }
+
+  /** Forgets requests whose end was not told: the datagram was lost, or their instance has died. */
+  #forgetRemote(beforeMs: number): void {
+    for (const [id, {atMs}] of this.#remote) {
+      if (atMs >= beforeMs) return;
+      this.#endRemote(id);
+    }
+  }
+
+  #endRemote(id: string): void {
+    this.#remote.get(id)?.endpoint.remoteFlights.delete(id);
+    this.#remote.delete(id);
+  }
+
+  /** Requests of other instances that are believed to be under way. */
+  get remoteCount(): number {
+    return this.#remote.size;
+  }
 }
 
 function isSlow(slowness: number): boolean {
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -23,6 +23,8 @@
   /** Age of the configuration in milliseconds. */
   readonly configurationAgeMs: () => number;
   readonly peers: () => number;
+  /** Requests of other instances that are believed to be under way. */
+  readonly remoteRequests: () => number;
   /** Requests that wait for a send. */
   readonly queued: () => number;
   readonly endpoints: () => number;
@@ -120,6 +122,11 @@
       help: 'Other instances that are told of sends.',
       read: readings.peers,
     });
+    readLater({
+      name: 'marigoldfold_forward_remote_requests',
+      help: 'Requests of other instances that are believed to be under way.',
+      read: readings.remoteRequests,
+    });
     readLater({
       name: 'marigoldfold_forward_queued',
       help: 'Requests that wait in this instance for a send.',
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -142,6 +142,7 @@
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#belief().ageMs,
       peers: () => this.#peers.size,
+      remoteRequests: () => placement.remoteCount,
       queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
       repeatsLeft: () =>
