Cut an entry off that reads nothing of an answer

An entry that stays connected and takes no byte, paused or behind a silent network, held its answer at the agent for good: the agent waited for it to read, so that the request counted as read by somebody and was never stopped. The limit of a stalled reader, which callers have already, now holds for entries too; the answer then counts as read by nobody and ends after its time.

--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -189,7 +189,7 @@
 const ALIVE_INTERVAL_MS = 5000;
 
 async function streamAnswer(
-  {clock}: AgentServerOptions,
+  {clock, limits}: AgentServerOptions,
   answer: Answer,
   after: number,
   response: ServerResponse,
@@ -211,7 +211,8 @@
   for await (const event of answer.read(after, controller.signal)) {
     isIdle = false;
     response.write(formatEvent(encodeWorkEvent(event)));
-    if (response.writableNeedDrain) await drained(response);
+    const {stalledReaderTimeoutMs} = limits;
+    await drained(response, {stalledTimeoutMs: stalledReaderTimeoutMs});
   }
   alive[Symbol.dispose]();
   response.end();
