Let explain wait for a pipe that is not filled yet

'cat LOG | marigoldfold explain ID' with a log of 3.8 MB ended with 'EAGAIN: resource temporarily unavailable': standard input was read in one go, which a pipe refuses while it is empty. It is now read as a stream.

--- a/packages/cli/src/__tests__/explainCommand.test.ts
+++ b/packages/cli/src/__tests__/explainCommand.test.ts
@@ -1,4 +1,5 @@
-import {spawnSync} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
+import {once} from 'node:events';
 import {mkdtempSync, openSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -44,6 +45,19 @@
     expect(status).toBe(0);
   });
 
+  test('nor gives up on a pipe that is not filled yet', async () => {
+    const child = spawn(process.execPath, [program, 'explain', 'r-1'], {
+      stdio: ['pipe', 'pipe', 'inherit'],
+    });
+    let story = '';
+    child.stdout.on('data', (part: Buffer) => (story += part.toString()));
+    // The command is at its input by then; a slower start only makes the test easier.
+    setTimeout(() => child.stdin.end(log), 4000);
+    const [status] = (await once(child, 'close')) as [number];
+    expect(story).toContain('front-1  client gone');
+    expect(status).toBe(0);
+  });
+
   test('though a file that is not there is named', () => {
     const {status, stderr} = explain([join(folder, 'none.log')], {input: log});
     expect(stderr).toContain('none.log: cannot be read');
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,10 +1,9 @@
 /** `marigoldfold explain ID [FILE...]`. */
 import {readFileSync} from 'node:fs';
+import {text} from 'node:stream/consumers';
 import {Args, Command} from '@oclif/core';
 import {explainRequest} from '../explainRequest.js';
 
-const STANDARD_INPUT = 0;
-
 /** Prints the story of one request. */
 export class Explain extends Command {
   static override description =
@@ -24,16 +23,16 @@
   async run(): Promise<void> {
     const {args, argv} = await this.parse(Explain);
     const files = (argv as string[]).slice(1);
-    const texts = files.length === 0 ? [this.#read(STANDARD_INPUT)] : files.map(this.#read, this);
+    const texts = files.length === 0 ? [await text(process.stdin)] : files.map(this.#read, this);
     const story = explainRequest(
       args.id,
-      texts.flatMap((text) => text.split('\n')),
+      texts.flatMap((log) => log.split('\n')),
     );
     if (story.isErr()) this.error(story.error.message, {exit: 1});
     for (const line of story.value) this.log(line);
   }
 
-  #read(file: string | number): string {
+  #read(file: string): string {
     try {
       return readFileSync(file, 'utf8');
     } catch (error) {
