Judge the soak's callers by what its own process saw in time

Traced: the routers' lines of both say that the request was cut 48 and 44 ms after it had been read and 2 and 0 ms after the close was read. What was late is the checker, whose one process plays callers, links and endpoints. It now watches its own event loop, and does not judge by this rule what it notes within 4 s of a delay of over 100 ms. The bound stays; on an idle machine the check is as it was.

--- a/packages/bench/src/faultSoak/faultSoak.ts
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -1,7 +1,7 @@
 /** Runs routers as processes between callers and endpoints while faults come from outside, and checks what is seen. */
 import {mkdirSync} from 'node:fs';
 import {Agent} from 'node:http';
-import {type Random, seededRandom, sleep, systemClock} from '@marigoldfold/runtime';
+import {type Random, repeat, seededRandom, sleep, systemClock} from '@marigoldfold/runtime';
 import {type KeyValueStandIn, startKeyValue} from '@marigoldfold/standin';
 import {SoakEndpoint} from './endpointFarm.js';
 import {FaultInjector} from './faultInjector.js';
@@ -48,6 +48,9 @@
 const GONE_MS = 500;
 /** Longest time that a harmed link can hold a request up, in milliseconds: its own time and two resends. */
 const HELD_UP_MS = 4000;
+/** Interval and limit of this process' own delay, in milliseconds: a part of what callers are judged by. */
+const DELAY_CHECK_MS = 20;
+const OWN_DELAY_MS = 100;
 /** One in so many callers leaves before its answer, within so many milliseconds. */
 const LEAVING_ONE_IN = 6;
 const LEAVE_WITHIN_MS = 120;
@@ -86,6 +89,8 @@
   readonly #routers: RouterProcess[] = [];
   readonly #endpoints: LinkedEndpoint[] = [];
   readonly #injector: FaultInjector;
+  /** When this process itself was last late to note what callers and endpoints saw. */
+  #heldUpAtMs = Number.NEGATIVE_INFINITY;
   #isOver = false;
   #served = 0;
   #lastId = 0;
@@ -108,10 +113,12 @@
 
   async toEnd(): Promise<FaultSoakResult> {
     await this.#start();
+    const watch = this.#watchOwnDelay();
     const callers = Array.from({length: this.#options.callers}, () => this.#call());
     await this.#injector.run(this.#options.durationMs);
     this.#isOver = true;
     await Promise.all(callers);
+    watch[Symbol.dispose]();
     const {seed} = this.#options;
     const {requests, breaches} = this.#history;
     return {seed, requests, served: this.#served, faults: this.#injector.counts, breaches};
@@ -137,9 +144,23 @@
     for (const router of this.#routers) await this.#untilReady(router);
   }
 
+  #watchOwnDelay(): Disposable {
+    let dueAtMs = systemClock.now() + DELAY_CHECK_MS;
+    return repeat(
+      systemClock,
+      () => DELAY_CHECK_MS,
+      () => {
+        const now = systemClock.now();
+        if (now - dueAtMs > OWN_DELAY_MS) this.#heldUpAtMs = now;
+        dueAtMs = now + DELAY_CHECK_MS;
+      },
+    );
+  }
+
   async #addEndpoint(service: string, id: string): Promise<void> {
     const link = new FaultyLink(() => endpoint.address);
-    const isDirect = () => systemClock.now() - link.harmedAtMs > HELD_UP_MS;
+    const isDirect = () =>
+      systemClock.now() - Math.max(link.harmedAtMs, this.#heldUpAtMs) > HELD_UP_MS;
     const endpoint = new SoakEndpoint({
       random: this.#random,
       onRun: (name, requestId, account) => {
