Keep the order of bytes on the soak's links

The soak's link sent what came after a delay had ended before what it still delayed, which no TCP connection does; an endpoint's chunks then arrive in another order. Later bytes now wait for those before them.

--- /dev/null
+++ b/packages/bench/src/faultSoak/__tests__/faultyLink.test.ts
@@ -0,0 +1,28 @@
+import {once} from 'node:events';
+import {type AddressInfo, connect, createServer} from 'node:net';
+import {splitAddress} from '@marigoldfold/transport';
+import {expect, test} from 'vitest';
+import {FaultyLink} from '../faultyLink.js';
+
+test('bytes overtake those that a link still delays', async () => {
+  let received = '';
+  const server = createServer((socket) => {
+    socket.on('data', (part: Buffer) => (received += part.toString()));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  using link = new FaultyLink(() => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const [host, port] = splitAddress(await link.listen());
+  const client = connect(port, host);
+  client.write('a');
+  while (received !== 'a') await new Promise(setImmediate);
+  link.mode = {kind: 'delay', ms: 300};
+  client.write('b');
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  link.mode = {kind: 'pass'};
+  client.write('c');
+  while (received.length < 3) await new Promise(setImmediate);
+  expect(received).toBe('abc');
+  client.destroy();
+  server.close();
+});
--- a/packages/bench/src/faultSoak/faultyLink.ts
+++ b/packages/bench/src/faultSoak/faultyLink.ts
@@ -69,14 +69,26 @@
     this.#sockets.add(from);
     // A connection on which something was lost never carries anything again.
     let isLost = false;
+    // What comes later never overtakes what is still delayed.
+    let freeAtMs = Number.NEGATIVE_INFINITY;
+    let delayed = 0;
     const pass = (action: () => void) => {
       const mode = this.#mode;
       if (mode.kind === 'silent' || (mode.kind === 'noAnswers' && direction === 'back')) {
         isLost = true;
       }
       if (isLost) return;
-      if (mode.kind === 'delay') setTimeout(action, mode.ms);
-      else action();
+      const now = systemClock.now();
+      freeAtMs = Math.max(freeAtMs, now + (mode.kind === 'delay' ? mode.ms : 0));
+      if (freeAtMs <= now && delayed === 0) {
+        action();
+        return;
+      }
+      delayed += 1;
+      setTimeout(() => {
+        delayed -= 1;
+        action();
+      }, freeAtMs - now);
     };
     from.on('data', (data) => {
       pass(() => to.write(data));
