Log how far a store response came, and what applying a configuration costs

- A response body that times out or breaks off states its bytes and its time.
- Failures after the first of an outage are logged too, at the level that is dropped first.
- A configuration line states its length and how long it took to apply.
- A refusal states the rank in the dispatch queue, so that refusals of urgent and less urgent requests can be compared.

No decision changes.

--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -191,9 +191,12 @@
       logger.warn('key-value history lost; reading the range again', {prefix});
       return;
     }
+    const fields = {prefix, ageMs: Math.round(this.ageMs), reason: error.message};
     if (this.#unavailableSinceMs === undefined) {
       this.#unavailableSinceMs = clock.now();
-      logger.warn('key-value service lost', {prefix, ageMs: this.ageMs, reason: error.message});
+      logger.warn('key-value service lost', fields);
+    } else {
+      logger.debug('key-value service still lost', {...fields, failures: this.#failures});
     }
     const limitMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures);
     this.#failures += 1;
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -374,6 +374,7 @@
       sends: this.#attemptCount,
       runs: this.#possibleRunCount,
       stage: this.#stage,
+      rank: this.#rank,
       lastEventId: this.#events.lastEventId,
       clientGoneAtMs: this.#clientGoneAtMs,
     });
--- a/packages/entry/src/forwarding/exchangeReport.ts
+++ b/packages/entry/src/forwarding/exchangeReport.ts
@@ -30,6 +30,8 @@
   /** Number of attempts that an endpoint may have executed. */
   readonly runs: number;
   readonly stage: Stage;
+  /** Rank in the dispatch queue. */
+  readonly rank: number;
   readonly lastEventId: string | undefined;
   /** Clock time in milliseconds at which the client disconnected. */
   readonly clientGoneAtMs: number | undefined;
@@ -67,7 +69,7 @@
       reason = outcome.refusal.reason;
       response.sendError(status, reason, retryAfterMs);
       const beliefAgeMs = Math.round(configurationState().ageMs);
-      log('refused', {...fields, status, reason, retryAfterMs, beliefAgeMs});
+      log('refused', {...fields, status, reason, retryAfterMs, beliefAgeMs, rank: report.rank});
       break;
     }
     case 'failed':
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -290,7 +290,8 @@
   }
 
   #applyConfiguration({value, revision}: KeyValueEntry): void {
-    const {logger, source} = this.#options;
+    const {clock, logger, source} = this.#options;
+    const startedAtMs = clock.now();
     const decoded = source.decodeConfiguration(value);
     if (decoded.isErr()) {
       logger.error('configuration cannot be read', {revision, reason: decoded.error});
@@ -298,16 +299,19 @@
     }
     const {version, routes, limits} = decoded.value;
     const isNewer = this.#table === undefined || version > this.#table.version;
+    if (isNewer) {
+      this.#table = new RoutingTable(decoded.value);
+      this.#server.applyLimits(limits);
+    }
     logger.info('configuration', {
       belief: 'configuration',
       version,
       revision,
       routes: routes.length,
       inForce: isNewer,
+      length: value.length,
+      appliedInMs: Math.round(clock.now() - startedAtMs),
     });
-    if (!isNewer) return;
-    this.#table = new RoutingTable(decoded.value);
-    this.#server.applyLimits(limits);
   }
 
   #applyEndpoint({key, value, revision}: KeyValueEntry): void {
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -166,6 +166,8 @@
   const response = await send(request);
   if (response.isErr()) return err(response.error);
   const {status, headers, stream} = response.value;
+  const {socket} = stream;
+  const bytesBefore = socket.bytesRead;
   let problem: Pick<ConnectionError, 'code' | 'message'> = {
     code: 'broken',
     message: 'is truncated or too large',
@@ -178,7 +180,8 @@
   const body = await readWholeBody(stream);
   clearTimeout(timer);
   if (body !== undefined) return ok({status, headers, body});
-  const message = `${method} ${address}${path}: response body ${problem.message}`;
+  const received = `${socket.bytesRead - bytesBefore} bytes in ${Math.round(performance.now() - startedAtMs)} ms`;
+  const message = `${method} ${address}${path}: response body ${problem.message} (${received})`;
   return err({code: problem.code, message, mayHaveBeenSent: true});
 }
 
