Limit a transfer by its progress instead of its whole duration

Cause: the timeout of a watch covered its wait and its whole body, of which 400 ms were left for the body. 1,900 routes are 506,000 bytes, 0.41 s and more on such a link. The retry had 410 ms in all, so no attempt could succeed, and each one took the link from the callers. The class: a limit on a duration where another party decides how much there is to do.

Change: `timeoutMs` of a fetch covers the time to the response headers. A body has to make progress: it is given up when nothing arrives for a while, or when it arrives below a lowest rate, and a fast start earns no time for a later stall. A body that never ends is bounded by its size. Bytes that arrived while the event loop was held up count.

Elsewhere: the same limit stood in all calls of the etcd client (range reads of any size), and bodies of engine errors; both use the fetch above now.

--- a/packages/agent/src/httpEngine.ts
+++ b/packages/agent/src/httpEngine.ts
@@ -57,8 +57,8 @@
   }
   if (status !== STATUS.ok) {
     const message = await readWholeBody(body);
-    if (message === undefined) return {kind: 'broken', mayHaveBeenSent: true};
-    return {kind: 'refused', status, message: message.toString()};
+    if (message.isErr()) return {kind: 'broken', mayHaveBeenSent: true};
+    return {kind: 'refused', status, message: message.value.toString()};
   }
   let isFinished = false;
   for await (const {id, data} of readEvents(body, (event) => event.data === END_OF_STREAM)) {
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -123,7 +123,7 @@
 
 async function readFailedStart({status, stream}: ClientResponse): Promise<StartError> {
   try {
-    const text = (await readWholeBody(stream))?.toString() ?? '';
+    const text = (await readWholeBody(stream)).unwrapOr(Buffer.alloc(0)).toString();
     const body = workRejectionSchema.safeParse(JSON.parse(text));
     if (body.success) return {kind: 'refused', ...body.data};
   } catch {
--- a/packages/state/src/etcdKeyValue.ts
+++ b/packages/state/src/etcdKeyValue.ts
@@ -94,7 +94,6 @@
       headers,
       body: bodyText,
       timeoutMs,
-      signal: AbortSignal.timeout(timeoutMs),
     });
     if (response.isErr()) return err(connectionStoreError(response.error, effect));
     const {status, body: responseBody} = response.value;
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {limitInterimResponses} from './interimResponses.js';
-import {readWholeBody} from './wholeBody.js';
+import {readWholeBody, type TransferLimits} from './wholeBody.js';
 
 /** Why a request got no response. */
 export interface ConnectionError {
@@ -26,8 +26,10 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Buffer;
   readonly signal?: AbortSignal;
-  /** Timeout for the response headers with `send`, for the whole response with `fetch`; default 30 seconds. */
+  /** Timeout for the response headers; default 30 seconds. */
   readonly timeoutMs?: number;
+  /** Limits of the response body with `fetch`; by default, it stalls after `timeoutMs`. */
+  readonly transferLimits?: TransferLimits;
 }
 
 /** A response whose headers have arrived; its body is read from `stream`. */
@@ -54,6 +56,8 @@
 
 const IDLE_SOCKETS_PER_HOST = 64;
 const DEFAULT_TIMEOUT_MS = 30_000;
+/** Far below any usable link, so that by default only bodies that trickle are given up before they stall. */
+const DEFAULT_MIN_BYTES_PER_SECOND = 4096;
 
 /** Creates a client; disposing of it closes all its connections. */
 export function createHttpClient(): HttpClient {
@@ -161,28 +165,26 @@
   send: HttpClient['send'],
   request: ClientRequest,
 ): Promise<Result<BufferedResponse, ConnectionError>> {
-  const {method, address, path, timeoutMs = DEFAULT_TIMEOUT_MS} = request;
-  const startedAtMs = performance.now();
+  const {
+    method,
+    address,
+    path,
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+    transferLimits = {stallMs: timeoutMs, minBytesPerSecond: DEFAULT_MIN_BYTES_PER_SECOND},
+  } = request;
   const response = await send(request);
   if (response.isErr()) return err(response.error);
   const {status, headers, stream} = response.value;
   const {socket} = stream;
+  const startedAtMs = performance.now();
   const bytesBefore = socket.bytesRead;
-  let problem: Pick<ConnectionError, 'code' | 'message'> = {
-    code: 'broken',
-    message: 'is truncated or too large',
-  };
-  const remainingMs = startedAtMs + timeoutMs - performance.now();
-  const timer = setTimeout(() => {
-    problem = {code: 'timed_out', message: 'timed out'};
-    stream.destroy();
-  }, remainingMs);
-  const body = await readWholeBody(stream);
-  clearTimeout(timer);
-  if (body !== undefined) return ok({status, headers, body});
-  const received = `${socket.bytesRead - bytesBefore} bytes in ${Math.round(performance.now() - startedAtMs)} ms`;
-  const message = `${method} ${address}${path}: response body ${problem.message} (${received})`;
-  return err({code: problem.code, message, mayHaveBeenSent: true});
+  const body = await readWholeBody(stream, transferLimits);
+  if (body.isOk()) return ok({status, headers, body: body.value});
+  const tookMs = Math.round(performance.now() - startedAtMs);
+  const received = `${socket.bytesRead - bytesBefore} bytes in ${tookMs} ms`;
+  const message = `${method} ${address}${path}: response body ${body.error} (${received})`;
+  const code = body.error === 'stalled' ? 'timed_out' : 'broken';
+  return err({code, message, mayHaveBeenSent: true});
 }
 
 /** Splits `host:port` at the last colon. */
