Refuse urgent requests no sooner than less urgent ones

Cause: a request may queue in the instance for half of its own objective, and urgent routes have the shorter objectives (250 ms beside 600). After a pause of the event loop, what had waited between 125 and 300 ms was refused if it was urgent and sent if it was not. The queue looked only at less urgent requests that had been sent before, not at those that it was about to send. The class: a limit taken from a request's own objective gives way first where the objective is strictest.

Change: all requests for a service may queue for the same time, half of the longest objective of its routes; and the queue gives requests up from the least urgent rank on, a rank only when no less urgent request is left waiting. Both are needed: the first for requests that are read in different turns, the second for requests of different ages. An urgent request is sent first in any case. That it is sent late instead of refused is better for its caller: sent again after half of its objective, it would be late as well.

Failed before: dispatchQueue.test.ts "are not refused while a less urgent request that may wait for longer is sent", clientDisconnects.test.ts "an urgent request is not refused sooner...", each with the fix taken back.

--- a/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/dispatchQueue.test.ts
@@ -22,8 +22,9 @@
   rank = 0,
   isAbandoned: () => boolean = () => false,
   durationMs = 0,
+  overdueAtMs = 100,
 ): void {
-  const request = {rank, isAbandoned, overdueAtMs: 100};
+  const request = {rank, isAbandoned, overdueAtMs};
   const outcome = queue.enqueue(request, () => {
     sent.push(name);
     return advanceNow(durationMs);
@@ -110,6 +111,19 @@
     expect(sent).toEqual([]);
   });
 
+  // An urgent route has a shorter objective, and so a shorter time to wait, than a less urgent one.
+  test('are not refused while a less urgent request that may wait for longer is sent', async () => {
+    for (let index = 0; index < 4; index += 1) {
+      add(`urgent-${index}`, 0, () => false, 2, 125);
+      add(`low-${index}`, 1, () => false, 2, 300);
+    }
+    await finishTurn();
+    await clock.advance(200);
+    for (let turn = 0; turn < 6; turn += 1) await finishTurn();
+    expect(overdue.filter((name) => name.startsWith('urgent'))).toEqual([]);
+    expect(sent.slice(0, 4)).toEqual(['urgent-0', 'urgent-1', 'urgent-2', 'urgent-3']);
+  });
+
   test('are sent if a less urgent request was sent after they arrived', async () => {
     for (let index = 0; index < 7; index += 1) add(`first-${index}`, 0, () => false, 1);
     add('low', 5, () => false, 5);
--- a/packages/coordination/src/forwarding/dispatchQueue.ts
+++ b/packages/coordination/src/forwarding/dispatchQueue.ts
@@ -42,7 +42,7 @@
   isEligible: boolean;
 }
 
-/** Queue of requests ordered by rank; refuses overdue requests and drops abandoned ones. */
+/** Queue of requests ordered by rank; drops abandoned requests, and refuses overdue ones from the least urgent on. */
 export class DispatchQueue {
   readonly #clock: Clock;
   readonly #afterInput: (action: () => void) => void;
@@ -94,20 +94,35 @@
   }
 
   #dispatch(): void {
-    this.#dropExpired();
+    this.#dropAbandoned();
+    this.#refuseOverdue();
     this.#sendEligible();
     for (const queued of this.#queue) queued.isEligible = true;
     if (this.#queue.size > 0) this.#schedule();
   }
 
-  #dropExpired(): void {
-    const now = this.#clock.now();
+  #dropAbandoned(): void {
     for (const queued of this.#queue) {
-      const {request} = queued;
-      const isAbandoned = request.isAbandoned();
-      if (!isAbandoned && (now < request.overdueAtMs || this.#isOvertaken(queued))) continue;
+      if (!queued.request.isAbandoned()) continue;
+      this.#queue.delete(queued);
+      queued.resolveUnsent('over');
+    }
+  }
+
+  /** Refuses overdue requests; those of a rank are kept as long as a less urgent request waits. */
+  #refuseOverdue(): void {
+    const now = this.#clock.now();
+    const leastUrgentFirst = [...this.#queue].sort((a, b) => b.request.rank - a.request.rank);
+    let keptRank = Number.NEGATIVE_INFINITY;
+    for (const queued of leastUrgentFirst) {
+      const {rank, overdueAtMs} = queued.request;
+      if (keptRank > rank) return;
+      if (now < overdueAtMs || this.#isOvertaken(queued)) {
+        keptRank = rank;
+        continue;
+      }
       this.#queue.delete(queued);
-      queued.resolveUnsent(isAbandoned ? 'over' : 'overdue');
+      queued.resolveUnsent('overdue');
     }
   }
 
--- a/packages/entry/src/forwarding/__tests__/clientDisconnects.test.ts
+++ b/packages/entry/src/forwarding/__tests__/clientDisconnects.test.ts
@@ -4,6 +4,8 @@
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {respondOk, startRouter} from '../__fixtures__/endpointScripts.js';
 import {
+  createRoute,
+  createRoutingConfiguration,
   type EndpointScript,
   ForwardRig,
   createSignedHeaders,
@@ -91,6 +93,20 @@
   });
 });
 
+// With half of its own objective to queue, an urgent request was refused while less urgent ones were sent.
+test('an urgent request is not refused sooner than less urgent ones for its service may be', async () => {
+  await rig.addEndpoint('e1', respondOk);
+  const routes = [
+    createRoute({prefix: '/urgent/', targetMs: 200, priority: 0}),
+    createRoute({prefix: '/later/', targetMs: 4000, priority: 1}),
+  ];
+  await rig.start(createRoutingConfiguration({routes}));
+  let status: number | undefined;
+  void rig.sendRequest({}, {path: '/urgent/'}).then((response) => (status = response.status));
+  while (status === undefined) await rig.clock.advance(200);
+  expect(status).toBe(200);
+});
+
 describe('a request ends at its time limit', () => {
   test("when its body does not arrive and the client's limit is below the route's", async () => {
     const {received} = await startRouter(rig, respondOk, {timeoutMs: 600_000});
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -26,8 +26,9 @@
 /** No attempt is made with less time than this until the deadline: a round trip and one token. */
 const MIN_REMAINING_MS = 20;
 /**
- * Share of the latency objective after which a request that still queues for its first attempt is refused, since
- * another instance may be faster.
+ * Share of the longest latency objective at a service after which a request that still queues for its first attempt is
+ * refused, since another instance may be faster. All requests for the service may queue for the same time, so that an
+ * urgent one with a short objective is not refused before a less urgent one.
  */
 const QUEUE_TARGET_SHARE = 0.5;
 /** Lower bound of the queue time after which a request is refused: some turns of a busy event loop. */
@@ -69,7 +70,8 @@
   #routeName = '';
   /** Rank in the dispatch queue; requests with lower ranks are sent first. */
   #rank = 0;
-  #targetMs = 0;
+  /** Time for which the first attempt may queue, in milliseconds. */
+  #queueLimitMs = 0;
   #queuedAtMs = 0;
   #stage: Stage = 'reading';
   #clientGoneAtMs: number | undefined;
@@ -111,7 +113,11 @@
     if (admitted.isErr()) return {kind: 'refused', refusal: admitted.error};
     const {route, table, account} = admitted.value;
     this.#routeName = route.name;
-    this.#targetMs = route.targetMs;
+    const service = chooseService(admitted.value, this.#metadata.id)?.name ?? '';
+    this.#queueLimitMs = Math.max(
+      MIN_QUEUE_MS,
+      table.longestTargetMs(service) * QUEUE_TARGET_SHARE,
+    );
     this.#rank = computeQueueRank(account?.priority, route.priority, true);
     const limitMs = Math.min(route.timeoutMs, this.#metadata.deadlineMs ?? route.timeoutMs);
     // The client's deadline counts from when it sent the request, not from when it was read here.
@@ -127,9 +133,7 @@
         this.#attemptController?.abort(ABORT_REASON);
       },
     );
-    this.#options.retryBudget.recordRequest(
-      chooseService(admitted.value, this.#metadata.id)?.name ?? '',
-    );
+    this.#options.retryBudget.recordRequest(service);
     try {
       return await this.#forward(body.value, deadlineMs);
     } finally {
@@ -177,8 +181,7 @@
    */
   #queueDeadlineMs(): number {
     if (this.#attemptCount > 0) return Number.POSITIVE_INFINITY;
-    const limitMs = Math.max(MIN_QUEUE_MS, this.#targetMs * QUEUE_TARGET_SHARE);
-    return this.#queuedAtMs - this.#arrival.unreadMs + limitMs;
+    return this.#queuedAtMs - this.#arrival.unreadMs + this.#queueLimitMs;
   }
 
   #refuseAfterQueueTimeout(): ExchangeOutcome {
--- a/packages/state/src/routing/__tests__/routingTable.test.ts
+++ b/packages/state/src/routing/__tests__/routingTable.test.ts
@@ -35,6 +35,19 @@
 describe('a routing table', () => {
   const table = new RoutingTable(configuration);
 
+  test('knows the longest objective of the routes to a service', () => {
+    const short = {...routeOf('short', 'a.example', '/x/'), targetMs: 50};
+    const split = {
+      ...routeOf('split', 'a.example', '/y/'),
+      targetMs: 900,
+      shares: ['s', 't'].map((service) => ({service, weight: 1})),
+    };
+    const splitTable = new RoutingTable({...configuration, routes: [short, split]});
+    expect(['s', 't', 'none'].map((service) => splitTable.longestTargetMs(service))).toEqual([
+      900, 900, 0,
+    ]);
+  });
+
   test.each([
     ['a.example', '/x/y/z', 'long'],
     ['a.example', '/x/y', 'short'],
--- a/packages/state/src/routing/routingTable.ts
+++ b/packages/state/src/routing/routingTable.ts
@@ -7,6 +7,8 @@
   /** Routes of each host, longest prefix first. */
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #services = new Map<string, Service>();
+  /** Longest latency objective of the routes to each service, in milliseconds. */
+  readonly #longestTargetsMs = new Map<string, number>();
   readonly #accountsByKey = new Map<string, RoutedAccount>();
 
   constructor(configuration: RoutingConfiguration) {
@@ -16,6 +18,10 @@
       const routes = this.#routesByHost.get(host);
       if (routes === undefined) this.#routesByHost.set(host, [route]);
       else routes.push(route);
+      for (const {service} of route.shares) {
+        const longestMs = this.#longestTargetsMs.get(service) ?? 0;
+        this.#longestTargetsMs.set(service, Math.max(longestMs, route.targetMs));
+      }
     }
     for (const routes of this.#routesByHost.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
@@ -46,6 +52,11 @@
     return undefined;
   }
 
+  /** Longest latency objective of all routes to a service, in milliseconds; 0 without a route. */
+  longestTargetMs(service: string): number {
+    return this.#longestTargetsMs.get(service) ?? 0;
+  }
+
   findService(name: string): Service | undefined {
     return this.#services.get(name);
   }
