Log the prompt parts of a request whose endpoint broke off before it began

The logs named the endpoint of a broken attempt, but nothing that several broken attempts have in common.

`send failed` states for a broken attempt whether its response had begun, and the shared prompt parts if not. The last part, which belongs to the request or its session, is left out. No decision changes.

--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -45,7 +45,12 @@
   | {readonly kind: 'notExecuted'; readonly status: number; readonly isMisdirected: boolean}
   | {readonly kind: 'failed'; readonly failure: FailureResponse}
   /** The request was sent but its response is incomplete; the client has received nothing or a part of it. */
-  | {readonly kind: 'broken'; readonly reason: string};
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** Whether any event of the response arrived, or any chunk if it has no events. */
+      readonly hasBegun: boolean;
+    };
 
 /** Reason given to every abort; an abort without a reason creates an error with a stack trace. */
 export const ABORT_REASON = 'the response is no longer needed';
@@ -92,7 +97,7 @@
       case 'withdrawn':
         return outcome;
       case 'unknown':
-        return {kind: 'broken', reason: outcome.reason};
+        return {kind: 'broken', reason: outcome.reason, hasBegun: false};
       case 'answered':
         return await new ResponseRelay(options, request, inFlightRequest).relay(outcome.response);
     }
@@ -120,7 +125,7 @@
     const metadata = this.#options.codec.decodeResponse(status, message.headers);
     const {endpoint, route, placementRequest, response: writer} = this.#request;
     const fault = findResponseFault(status, metadata, placementRequest.id);
-    if (fault !== undefined) return {kind: 'broken', reason: fault};
+    if (fault !== undefined) return this.#broken(fault);
     if (metadata.load !== undefined) this.#options.placement.recordLoad(endpoint, metadata.load);
     if (metadata.isNotExecuted) {
       message.resume();
@@ -129,20 +134,25 @@
     const isSuccess = Math.floor(status / 100) === SUCCESS_STATUS_CLASS;
     if (writer.hasStarted) {
       // Only the remaining events belong into a stream that the client is already receiving.
-      if (!isSuccess) return {kind: 'broken', reason: `status ${status} to a resumed stream`};
+      if (!isSuccess) return this.#broken(`status ${status} to a resumed stream`);
       if (message.headers['content-type'] !== writer.contentType)
-        return {kind: 'broken', reason: 'the resumed response has another content type'};
+        return this.#broken('the resumed response has another content type');
       this.#request.events.resume();
     }
     if (isSuccess && route.kind === 'stream') return this.#relayStream(response);
     return this.#relayBuffered(response, status);
   }
 
+  #broken(reason: string): AttemptOutcome {
+    const hasBegun = this.#inFlightRequest.firstEventAtMs !== undefined;
+    return {kind: 'broken', reason, hasBegun};
+  }
+
   async #relayBuffered(response: EndpointResponse, status: number): Promise<AttemptOutcome> {
     const buffered = await bufferResponse(response);
     switch (buffered.kind) {
       case 'broken':
-        return {kind: 'broken', reason: 'the response was cut off'};
+        return this.#broken('the response was cut off');
       case 'whole':
         if (status >= FIRST_SERVER_ERROR) {
           return {kind: 'failed', failure: {response: response.message, body: buffered.body}};
@@ -152,7 +162,7 @@
       case 'large':
         // A large error response is not relayed, since it may be endless and a retry at another endpoint may succeed.
         if (status >= FIRST_SERVER_ERROR && this.#request.isRetryable) {
-          return {kind: 'broken', reason: 'the error response is too large'};
+          return this.#broken('the error response is too large');
         }
         return this.#relayChunks(response, buffered.body);
     }
@@ -175,7 +185,7 @@
       await writer.write(chunk, controller.signal);
       return 'next';
     });
-    if (!isComplete) return {kind: 'broken', reason: 'the response was cut off'};
+    if (!isComplete) return this.#broken('the response was cut off');
     writer.sendHead(response.message);
     writer.end();
     return {
@@ -203,9 +213,8 @@
       }
       return 'next';
     });
-    if (fault !== undefined) return {kind: 'broken', reason: fault};
-    if (!isComplete || splitter.hasPartialEvent)
-      return {kind: 'broken', reason: 'the stream was cut off'};
+    if (fault !== undefined) return this.#broken(fault);
+    if (!isComplete || splitter.hasPartialEvent) return this.#broken('the stream was cut off');
     writer.sendHead(response.message);
     writer.end();
     return {
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -3,7 +3,7 @@
 import type {Endpoint, PlacementRequest} from '@marigoldfold/coordination';
 import type {LogFields} from '@marigoldfold/runtime';
 import type {Route} from '@marigoldfold/state';
-import {type BodyError, onClientDisconnect, readBody} from '@marigoldfold/transport';
+import {onClientDisconnect, readBody} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
 import {type AttemptOutcome, type FailureResponse, ABORT_REASON, runAttempt} from './attempt.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
@@ -12,6 +12,7 @@
 import type {RequestMetadata} from './metadataCodec.js';
 import type {ForwardOptions} from './forwardOptions.js';
 import {
+  bodyErrorOutcome,
   describeArrival,
   type ExchangeOutcome,
   reportOutcome,
@@ -327,9 +328,16 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : String(outcome.status),
       failureShare: endpoint.failureShare,
+      ...(outcome.kind === 'broken' ? this.#describeBreak(outcome.hasBegun) : {}),
     });
   }
 
+  /** The shared prompt parts are logged if the endpoint may have failed over them. */
+  #describeBreak(hasBegun: boolean): LogFields {
+    const parts = this.#metadata.prompt?.parts.slice(0, -1).map(({id}) => id) ?? [];
+    return hasBegun || parts.length === 0 ? {hasBegun} : {hasBegun, parts: parts.join(' ')};
+  }
+
   #mayRetry(outcome: AttemptOutcome, route: Route, isRetryable: boolean): boolean {
     if (this.#isCancelled) return false;
     if (this.#response.hasStarted && !this.#events.canResume) return false;
@@ -389,14 +397,3 @@
     this.#options.logger[level](message, line);
   }
 }
-
-function bodyErrorOutcome(error: BodyError): ExchangeOutcome {
-  switch (error) {
-    case 'too_large':
-      return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
-    case 'timed_out':
-      return {kind: 'refused', refusal: {status: 408, reason: 'body_not_in_time'}};
-    case 'aborted':
-      return {kind: 'gone'};
-  }
-}
--- a/packages/entry/src/forwarding/exchangeReport.ts
+++ b/packages/entry/src/forwarding/exchangeReport.ts
@@ -1,6 +1,7 @@
 /** Answers, logs and counts the outcome of a client request. */
 import type {InFlightRequest} from '@marigoldfold/coordination';
 import type {LogFields} from '@marigoldfold/runtime';
+import type {BodyError} from '@marigoldfold/transport';
 import type {Refusal} from './admission.js';
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import type {ForwardOptions} from './forwardOptions.js';
@@ -107,3 +108,15 @@
     readMs: Math.round(inFlight.prefillMs),
   };
 }
+
+/** Outcome of a request whose body could not be read. */
+export function bodyErrorOutcome(error: BodyError): ExchangeOutcome {
+  switch (error) {
+    case 'too_large':
+      return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
+    case 'timed_out':
+      return {kind: 'refused', refusal: {status: 408, reason: 'body_not_in_time'}};
+    case 'aborted':
+      return {kind: 'gone'};
+  }
+}
