--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -15,6 +15,7 @@
   silentLogger,
   VirtualClock,
 } from '@marigoldfold/runtime';
+import type {PromptSize} from '@marigoldfold/coordination';
 import {SwitchableKeyValue, MemoryKeyValue} from '@marigoldfold/standin';
 import type {EndpointRecord, Route, RoutingConfiguration} from '@marigoldfold/state';
 import {err, ok} from 'neverthrow';
@@ -27,7 +28,7 @@
     id: headerText(headers['x-id']),
     deadlineMs: headers['x-deadline'] === undefined ? undefined : Number(headers['x-deadline']),
     key: headerText(headers['x-key']),
-    prompt: undefined,
+    prompt: parsePrompt(headerText(headers['x-parts'])),
   }),
   encodeRequest: (headers, metadata) => [
     ...headers,
@@ -52,6 +53,13 @@
   return typeof header === 'string' ? header : undefined;
 }
 
+/** Reads the parts of a prompt, separated by commas. */
+function parsePrompt(header: string | undefined): PromptSize | undefined {
+  if (header === undefined) return undefined;
+  const parts = header.split(',').map((id) => ({id, tokens: 10}));
+  return {parts, promptTokens: 10 * parts.length, maxOutputTokens: 5};
+}
+
 /** Creates a route with typical values, some of which a test may override. */
 export function createRoute(overrides: Partial<Route> = {}): Route {
   return {
@@ -136,7 +144,8 @@
   readonly store = new MemoryKeyValue(this.clock);
   readonly switchableStore = new SwitchableKeyValue(this.store, this.clock);
   readonly logEntries: (LogFields & {readonly message: string})[] = [];
-  readonly #servers: Server[] = [];
+  /** Servers of the endpoints by id. */
+  readonly #servers = new Map<string, Server>();
   /** Client port of the router; stored, since a closed server no longer reports its port. */
   #port = 0;
   readonly process: ForwardProcess;
@@ -221,7 +230,7 @@
         void script(response, entry);
       });
     });
-    this.#servers.push(server);
+    this.#servers.set(id, server);
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
@@ -230,6 +239,13 @@
     return {id, received};
   }
 
+  /** Ends an endpoint: its connections are closed, and none is accepted any more. */
+  crash(id: string): void {
+    const server = this.#servers.get(id);
+    server?.close();
+    server?.closeAllConnections();
+  }
+
   async register(record: Partial<EndpointRecord> & {readonly id: string}): Promise<void> {
     const fullRecord: EndpointRecord = {
       service: 'app',
@@ -297,7 +313,7 @@
   }
 
   async stop(): Promise<void> {
-    for (const server of this.#servers) {
+    for (const server of this.#servers.values()) {
       server.closeAllConnections();
       server.close();
     }
