Quarantine prompt parts that crash endpoints

What callers would see: one shared part of a prompt crashes each endpoint that begins to respond to it.

Cause: nothing connected the crashes. Each request was judged by itself, at the next endpoint; a failed attempt said something about the endpoint and nothing about the request. The class: a fault that travels with the work is taken for a fault of the place where it shows.

Evidence: the part was in a request that had not begun at each of 14 crashes, and in none that began. At the same crashes stood parts that sound requests share: the first part of half of the traffic, and one of its session.

Change: - An endpoint that breaks off a request before its response begins is checked: if it refuses connections, it has crashed. It is backed off at once, here and at the peers, instead of being found out by each request. - Instances tell each other the shared parts of such requests. A part that was present at three crashes, without any request with it beginning in between, is quarantined. A request that begins anywhere clears all its parts. Crashes at one moment count once, nothing is concluded while no request begins, and a crash that a quarantined part explains is no evidence against others. Of parts that were at the same crashes the most specific one is quarantined; one more crash is enough for the others. - Requests with such a part are refused before they are sent (503, not run). Before that, a request is not sent again after two crashes, its own or those of its parts. - The quarantine is a record in the store under a lease of ten minutes, so that restarted instances know it and it survives the loss of a peer's message.

--- a/packages/bench/src/placement/simulatedPeerPublisher.ts
+++ b/packages/bench/src/placement/simulatedPeerPublisher.ts
@@ -56,7 +56,7 @@
     clock.schedule(batchMs, () => {
       this.#batch = undefined;
       clock.schedule(networkMs, () => {
-        for (const peer of peers()) peer.applyPeerUpdate({from: self, ...batch});
+        for (const peer of peers()) peer.applyPeerUpdate({from: self, crashes: [], ...batch});
       });
     });
     return batch;
--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -147,7 +147,7 @@
       200,
       [],
     ]);
-    const emptyChanges = {begun: [], ended: [], slowness: [], unreachable: []};
+    const emptyChanges = {begun: [], ended: [], slowness: [], unreachable: [], crashes: []};
     placement.applyPeerUpdate({from: 'other', sent, ...emptyChanges});
     expect(placement.choose(requestOf(longPrompt('x')), engine, noneExcluded)).not.toBe(first);
     const ended = sent.map(([requestId]) => requestId);
@@ -265,7 +265,14 @@
 describe('requests of a crashed instance', () => {
   test('expire although their end is not reported', async () => {
     const {placement, registry, clock} = createPlacement(1);
-    const emptyUpdate = {from: 'other', begun: [], ended: [], slowness: [], unreachable: []};
+    const emptyUpdate = {
+      from: 'other',
+      begun: [],
+      ended: [],
+      slowness: [],
+      unreachable: [],
+      crashes: [],
+    };
     placement.applyPeerUpdate({...emptyUpdate, sent: [['lost', 'e1', 100, 100, 10, 0, []]]});
     expect(placement.remoteRequestCount).toBe(1);
     await clock.advance(20_000);
@@ -276,7 +283,7 @@
 });
 
 describe('endpoints that were lost', () => {
-  const noNews = {from: 'other', sent: [], begun: [], ended: [], slowness: []};
+  const noNews = {from: 'other', sent: [], begun: [], ended: [], slowness: [], crashes: []};
   const chosenIds = ({placement}: ReturnType<typeof createPlacement>) => {
     const ids = new Set<string>();
     for (let count = 0; count < 40; count += 1) {
--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -4,6 +4,7 @@
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {rankMembers} from '../rendezvous.js';
+import type {EndpointCrash} from './promptQuarantine.js';
 import {PEER_UPDATE_METHOD, type PeerUpdate, peerUpdateSchema} from './peerMessages.js';
 
 /** Identity, local address and dependencies of a channel. */
@@ -105,6 +106,12 @@
     this.#openBatch().unreachable.add(endpointId);
   }
 
+  /** Sends a crash to all peers at once, since crashes are rare and each instance needs most of them. */
+  publishCrash(crash: EndpointCrash): void {
+    if (this.#isClosed) return;
+    this.#send({...emptyUpdate(this.#options.self), crashes: [crash]}, [...this.#peers.values()]);
+  }
+
   [Symbol.dispose](): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
@@ -140,12 +147,17 @@
       ended,
       slowness: [...slowness],
       unreachable: [...unreachable],
+      crashes: [],
     };
+    this.#send(update, this.#recipients);
+  }
+
+  #send(update: PeerUpdate, recipients: readonly string[]): void {
     for (const part of splitUpdate(update)) {
       const message = Buffer.from(
         JSON.stringify(createJSONRPCNotification(PEER_UPDATE_METHOD, part)),
       );
-      for (const address of this.#recipients) {
+      for (const address of recipients) {
         const [host, port] = splitAddress(address);
         this.#socket.send(message, port, host);
       }
@@ -163,10 +175,15 @@
   return {sent: [], begun: [], ended: [], slowness: new Map(), unreachable: new Set()};
 }
 
+function emptyUpdate(from: string): PeerUpdate {
+  return {from, sent: [], begun: [], ended: [], slowness: [], unreachable: [], crashes: []};
+}
+
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {sent, begun, ended, slowness, unreachable} = update;
-  const count = sent.length + begun.length + ended.length + slowness.length + unreachable.length;
+  const {sent, begun, ended, slowness, unreachable, crashes} = update;
+  const lists = [sent, begun, ended, slowness, unreachable, crashes];
+  const count = lists.reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
     const takeHalf = <T>(items: readonly T[]) => {
@@ -180,6 +197,7 @@
       ended: takeHalf(ended),
       slowness: takeHalf(slowness),
       unreachable: takeHalf(unreachable),
+      crashes: takeHalf(crashes),
     };
   });
   return halves.flatMap(splitUpdate);
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -31,6 +31,10 @@
   slowness: z.array(z.tuple([z.string(), z.number()])),
   /** Ids of endpoints to which no connection could be opened, or at whose address another endpoint answered. */
   unreachable: z.array(z.string()).default([]),
+  /** Crashes of endpoints: lifetime of the endpoint, and shared prompt parts of a request that had not begun. */
+  crashes: z
+    .array(z.object({lifetime: z.string(), parts: z.array(z.string()).readonly()}))
+    .default([]),
 });
 
 /** Changes of one instance since its last message. */
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -1,7 +1,7 @@
 /** Chooses the endpoint for a request and tracks the requests in flight. */
 import type {Clock} from '@marigoldfold/runtime';
 import type {Engine} from '@marigoldfold/state';
-import type {PlacementRequest} from './placementRequest.js';
+import type {PlacementRequest, PromptSize} from './placementRequest.js';
 import {type Endpoint, REMOTE_REQUEST_TIMEOUT_MS} from './endpoint.js';
 import type {EndpointRegistry} from './endpointRegistry.js';
 import {EnginePlacement} from './enginePlacement.js';
@@ -16,6 +16,8 @@
   readonly registry: EndpointRegistry;
   /** Sends updates to other instances; absent when this is the only instance. */
   readonly publisher?: PeerPublisher;
+  /** Called when a request of this or another instance has its first event. */
+  readonly onBegun?: (prompt: PromptSize) => void;
 }
 
 /** Publishes sends, first events, ends and slowness to other instances. */
@@ -120,6 +122,7 @@
     const timings = this.#enginePlacement.timings(endpoint.record.service);
     if (inFlight.lastEventAtMs === undefined) {
       inFlight.firstEventAtMs = now;
+      if (inFlight.prompt !== undefined) this.#options.onBegun?.(inFlight.prompt);
       this.#options.publisher?.publishFirstEvent(inFlight.requestId);
       timings.recordFirstEvent(inFlight.uncachedTokens, now - inFlight.sentAtMs);
     } else {
@@ -203,7 +206,9 @@
     }
     for (const id of begun) {
       const inFlight = this.#remoteRequests.get(id)?.endpoint.remoteRequests.get(id);
-      if (inFlight !== undefined) inFlight.firstEventAtMs = clock.now();
+      if (inFlight === undefined) continue;
+      inFlight.firstEventAtMs = clock.now();
+      if (inFlight.prompt !== undefined) this.#options.onBegun?.(inFlight.prompt);
     }
     for (const id of ended) {
       this.#removeRemoteRequest(id);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -87,6 +87,12 @@
 export {PeerRegistration} from './forwarding/peerRegistration.js';
 export {type PeerPublisher, Placement} from './forwarding/placement.js';
 export type {PeerUpdate} from './forwarding/peerMessages.js';
+export {
+  type EndpointCrash,
+  PromptQuarantine,
+  sharedPartIds,
+} from './forwarding/promptQuarantine.js';
+export {QuarantineRecords} from './forwarding/quarantineRecords.js';
 export {RangeMirror, type RangeMirrorOptions} from './forwarding/rangeMirror.js';
 export {
   WindowedRetryBudget,
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -168,6 +168,7 @@
         configurationKey: 'configuration',
         endpointsPrefix: 'endpoints/',
         peersPrefix: 'peers/',
+        quarantinePrefix: 'quarantine/',
         decodeConfiguration: (value) => ok(JSON.parse(value) as RoutingConfiguration),
         decodeEndpoint: (_key, value) =>
           value === 'garbage' ? err('not JSON') : ok(JSON.parse(value) as EndpointRecord),
--- a/packages/entry/src/forwarding/__tests__/configurationAndStop.test.ts
+++ b/packages/entry/src/forwarding/__tests__/configurationAndStop.test.ts
@@ -9,7 +9,7 @@
   createSignedHeaders,
   waitUntil,
 } from '../__fixtures__/forwardRig.js';
-import {watchTimings} from '../forwardProcess.js';
+import {watchTimings} from '../storeTimings.js';
 
 let rig: ForwardRig;
 
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -5,7 +5,8 @@
 import type {Route} from '@marigoldfold/state';
 import {onClientDisconnect, readBody} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
-import {type AttemptOutcome, type FailureResponse, ABORT_REASON, runAttempt} from './attempt.js';
+import {type AttemptOutcome, ABORT_REASON, runAttempt} from './attempt.js';
+import {applyOutcome, AttemptHistory} from './attemptHistory.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import {EventSequence} from './eventSequence.js';
@@ -14,28 +15,31 @@
 import {
   bodyErrorOutcome,
   describeArrival,
+  describeBreak,
   type ExchangeOutcome,
   reportOutcome,
   type Stage,
 } from './exchangeReport.js';
 import {chooseRetryAfterMs} from './retryAfter.js';
 import type {ArrivedRequest} from './forwardServer.js';
-import {chooseService, isIdempotent, patienceMs, computeQueueRank} from './routePolicy.js';
+import {
+  chooseService,
+  computeQueueRank,
+  isIdempotent,
+  patienceMs,
+  queueLimitMs,
+} from './routePolicy.js';
 
 /** Time after the deadline in which the timeout response of an endpoint can still arrive. */
 const TIMEOUT_GRACE_MS = 100;
 /** No attempt is made with less time than this until the deadline: a round trip and one token. */
 const MIN_REMAINING_MS = 20;
-/**
- * Share of the longest latency objective at a service after which a request that still queues for its first attempt is
- * refused, since another instance may be faster. All requests for the service may queue for the same time, so that an
- * urgent one with a short objective is not refused before a less urgent one.
- */
-const QUEUE_TARGET_SHARE = 0.5;
-/** Lower bound of the queue time after which a request is refused: some turns of a busy event loop. */
-const MIN_QUEUE_MS = 50;
 /** Lower bound of `retry-after` when a client should try another instance. */
 const MIN_RETRY_AFTER_MS = 50;
+/** Crashes of endpoints after which a request is not sent again, since it may be their cause. */
+const MAX_CRASHES = 2;
+/** Value of `retry-after` for a quarantined prompt, which the quarantine outlasts in most cases. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
 /** Serves a client request; resolves once its outcome has been recorded. */
 export async function serveExchange(
@@ -58,16 +62,8 @@
   #isTimeOver = false;
   /** Controller that aborts the attempt in progress; undefined before the first attempt. */
   #attemptController: AbortController | undefined;
-  /** IDs of endpoints that are not tried again. */
-  readonly #excludedEndpoints = new Set<string>();
-  /** Number of attempts that an endpoint may have executed. */
-  #possibleRunCount = 0;
-  #attemptCount = 0;
-  /** Number of attempts that reached an endpoint. */
-  #arrivalCount = 0;
+  readonly #history = new AttemptHistory();
   readonly #events = new EventSequence();
-  #failureResponse: FailureResponse | undefined;
-  #lastFailureReason = '';
   #routeName = '';
   /** Rank in the dispatch queue; requests with lower ranks are sent first. */
   #rank = 0;
@@ -115,10 +111,7 @@
     const {route, table, account} = admitted.value;
     this.#routeName = route.name;
     const service = chooseService(admitted.value, this.#metadata.id)?.name ?? '';
-    this.#queueLimitMs = Math.max(
-      MIN_QUEUE_MS,
-      table.longestTargetMs(service) * QUEUE_TARGET_SHARE,
-    );
+    this.#queueLimitMs = queueLimitMs(table, service);
     this.#rank = computeQueueRank(account?.priority, route.priority, true);
     const limitMs = Math.min(route.timeoutMs, this.#metadata.deadlineMs ?? route.timeoutMs);
     // The client's deadline counts from when it sent the request, not from when it was read here.
@@ -181,7 +174,7 @@
    * request.
    */
   #queueDeadlineMs(): number {
-    if (this.#attemptCount > 0) return Number.POSITIVE_INFINITY;
+    if (this.#history.attemptCount > 0) return Number.POSITIVE_INFINITY;
     return this.#queuedAtMs - this.#arrival.unreadMs + this.#queueLimitMs;
   }
 
@@ -199,13 +192,15 @@
     const admitted = this.#admit();
     if (admitted.isErr())
       return this.#endWithoutRetry(admitted.error.status, admitted.error.reason);
+    if (this.#options.quarantine.isQuarantined(this.#metadata.prompt))
+      return this.#endWithoutRetry(503, 'quarantined_prompt', QUARANTINE_RETRY_AFTER_MS);
     const {route} = admitted.value;
     const isRetryable = isIdempotent(route);
     const outcome = await this.#runAttempt(admitted.value, body, leftMs, isRetryable);
     if (outcome === undefined) return this.#endWithoutRetry(503, 'no_endpoint');
     if (outcome.kind === 'delivered') return outcome;
     if (!this.#mayRetry(outcome, route, isRetryable))
-      return this.#endWithoutRetry(502, this.#lastFailureReason);
+      return this.#endWithoutRetry(502, this.#history.lastFailureReason);
     return undefined;
   }
 
@@ -227,14 +222,18 @@
       pauseTargetMs: route.pauseTargetMs,
       prompt: this.#metadata.prompt,
     };
-    const endpoint = placement.choose(placementRequest, service.engine, this.#excludedEndpoints);
+    const endpoint = placement.choose(
+      placementRequest,
+      service.engine,
+      this.#history.excludedEndpoints,
+    );
     if (endpoint === undefined) return undefined;
     // Attempts that never reached an endpoint put no load on the service, which is what the budget protects.
-    if (this.#arrivalCount > 0 && !retryBudget.takeRetry(service.name)) {
+    if (this.#history.arrivalCount > 0 && !retryBudget.takeRetry(service.name)) {
       this.#log('retry refused', {endpoint: endpoint.record.id, reason: 'budget'});
       return undefined;
     }
-    this.#attemptCount += 1;
+    this.#history.attemptCount += 1;
     this.#stage = 'sent';
     const headers = codec.encodeRequest(endToEndHeaders(this.#request.rawHeaders), {
       deadlineMs: Math.max(1, Math.floor(leftMs)),
@@ -258,7 +257,7 @@
         configuration: table.version,
         occupancy: Math.round(endpoint.occupancy),
         slowness: endpoint.slowness,
-        send: this.#attemptCount,
+        send: this.#history.attemptCount,
         leftMs: Math.round(leftMs),
         queuedMs: Math.round(clock.now() - this.#queuedAtMs),
         ...describeArrival(this.#arrival),
@@ -277,65 +276,39 @@
       headers,
       body,
       isRetryable,
-      isAllowed: () => this.#admit().isOk(),
+      isAllowed: () =>
+        this.#admit().isOk() && !this.#options.quarantine.isQuarantined(this.#metadata.prompt),
       response: this.#response,
       events: this.#events,
       controller,
     });
     this.#attemptController = undefined;
     metrics.recordAttempt(service.name, endpoint.record.id, outcome.kind);
-    this.#excludedEndpoints.add(endpoint.record.id);
-    this.#recordOutcome(endpoint, outcome);
+    await this.#recordOutcome(endpoint, outcome);
     return outcome;
   }
 
   /** Updates the state of the request and the endpoint after an attempt. */
-  #recordOutcome(endpoint: Endpoint, outcome: AttemptOutcome): void {
-    const isCancelled = this.#isCancelled;
-    if (outcome.kind !== 'notSent' && outcome.kind !== 'withdrawn') this.#arrivalCount += 1;
-    switch (outcome.kind) {
-      case 'delivered':
-        endpoint.resetBackoff();
-        endpoint.recordResponse(false);
-        return;
-      case 'failed':
-        this.#possibleRunCount += 1;
-        this.#failureResponse = outcome.failure;
-        this.#lastFailureReason = 'endpoint_failed';
-        endpoint.resetBackoff();
-        endpoint.recordResponse(true);
-        return;
-      case 'notExecuted':
-        this.#lastFailureReason = 'not_executed';
-        if (outcome.isMisdirected) this.#options.placement.recordUnreachable(endpoint);
-        break;
-      case 'withdrawn':
-        this.#lastFailureReason = 'withdrawn';
-        break;
-      case 'notSent':
-        this.#lastFailureReason = 'unreachable';
-        if (!isCancelled) this.#options.placement.recordUnreachable(endpoint);
-        break;
-      case 'broken':
-        this.#possibleRunCount += 1;
-        this.#lastFailureReason = 'answer_broken';
-        if (!isCancelled) endpoint.recordResponse(true);
-        break;
-    }
-    if (isCancelled) return;
+  async #recordOutcome(endpoint: Endpoint, outcome: AttemptOutcome): Promise<void> {
+    const {placement, crashDetector} = this.#options;
+    this.#history.record(endpoint.record.id, outcome);
+    applyOutcome(placement, endpoint, outcome, this.#isCancelled);
+    if (this.#isCancelled || outcome.kind === 'delivered' || outcome.kind === 'failed') return;
+    const {prompt} = this.#metadata;
     this.#log('send failed', {
       endpoint: endpoint.record.id,
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : String(outcome.status),
       failureShare: endpoint.failureShare,
-      ...(outcome.kind === 'broken' ? this.#describeBreak(outcome.hasBegun) : {}),
+      ...(outcome.kind === 'broken' ? describeBreak(outcome, prompt) : {}),
     });
+    // Whether a retry may follow depends on whether the request may have crashed the endpoint.
+    if (await crashDetector.recordOutcome(endpoint, outcome, prompt)) this.#history.crashCount += 1;
   }
 
-  /** The shared prompt parts are logged if the endpoint may have failed over them. */
-  #describeBreak(hasBegun: boolean): LogFields {
-    const parts = this.#metadata.prompt?.parts.slice(0, -1).map(({id}) => id) ?? [];
-    return hasBegun || parts.length === 0 ? {hasBegun} : {hasBegun, parts: parts.join(' ')};
+  get #mayCrashEndpoints(): boolean {
+    const {quarantine} = this.#options;
+    return this.#history.crashCount >= MAX_CRASHES || quarantine.isSuspect(this.#metadata.prompt);
   }
 
   #mayRetry(outcome: AttemptOutcome, route: Route, isRetryable: boolean): boolean {
@@ -343,34 +316,31 @@
     if (this.#response.hasStarted && !this.#events.canResume) return false;
     const mayHaveRun = outcome.kind === 'broken' || outcome.kind === 'failed';
     if (!mayHaveRun) return true;
-    if (!isRetryable) return false;
+    if (!isRetryable || this.#mayCrashEndpoints) return false;
     if (this.#response.hasStarted && !route.isResumable) return false;
-    return this.#possibleRunCount < route.maxAttempts;
+    return this.#history.possibleRunCount < route.maxAttempts;
   }
 
   /** Determines the outcome of a request that is not retried. */
-  #endWithoutRetry(status: number, reason: string): ExchangeOutcome {
+  #endWithoutRetry(
+    status: number,
+    reason: string,
+    retryAfterMs = chooseRetryAfterMs(this.#rank, this.#options.random),
+  ): ExchangeOutcome {
     if (this.#isClientGone) return {kind: 'gone'};
     if (this.#response.hasStarted) return {kind: 'cut', reason};
-    if (this.#failureResponse !== undefined) {
-      const {response, body} = this.#failureResponse;
+    if (this.#history.failureResponse !== undefined) {
+      const {response, body} = this.#history.failureResponse;
       this.#response.sendBuffered(response, body);
       return {kind: 'delivered', status: response.statusCode ?? 0};
     }
     // A refusal states that the request was not executed, so no endpoint may have executed it.
-    if (this.#possibleRunCount > 0) {
+    if (this.#history.possibleRunCount > 0) {
       const failureStatus = this.#isTimeOver || status === 504 ? 504 : 502;
       return {kind: 'failed', status: failureStatus, reason};
     }
     const refusalStatus = status === 401 || status === 404 ? status : 503;
-    return {
-      kind: 'refused',
-      refusal: {
-        status: refusalStatus,
-        reason,
-        retryAfterMs: chooseRetryAfterMs(this.#rank, this.#options.random),
-      },
-    };
+    return {kind: 'refused', refusal: {status: refusalStatus, reason, retryAfterMs}};
   }
 
   #finish(outcome: ExchangeOutcome): void {
@@ -382,8 +352,8 @@
       routeName: this.#routeName,
       arrivedAtMs: this.#arrivedAtMs,
       arrival: this.#arrival,
-      sends: this.#attemptCount,
-      runs: this.#possibleRunCount,
+      sends: this.#history.attemptCount,
+      runs: this.#history.possibleRunCount,
       stage: this.#stage,
       rank: this.#rank,
       lastEventId: this.#events.lastEventId,
--- a/packages/entry/src/forwarding/exchangeReport.ts
+++ b/packages/entry/src/forwarding/exchangeReport.ts
@@ -1,10 +1,11 @@
 /** Answers, logs and counts the outcome of a client request. */
-import type {InFlightRequest} from '@marigoldfold/coordination';
+import {type InFlightRequest, type PromptSize, sharedPartIds} from '@marigoldfold/coordination';
 import type {LogFields} from '@marigoldfold/runtime';
 import type {BodyError} from '@marigoldfold/transport';
 import type {Refusal} from './admission.js';
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import type {ForwardOptions} from './forwardOptions.js';
+import type {AttemptOutcome} from './attempt.js';
 import type {ArrivedRequest} from './forwardServer.js';
 
 /** Outcome of a client request; `cut` is a response that ended early, `gone` a client that disconnected. */
@@ -109,6 +110,15 @@
   };
 }
 
+/** Whether a broken response had begun, and the shared prompt parts over which the endpoint may have failed if not. */
+export function describeBreak(
+  {hasBegun}: Extract<AttemptOutcome, {readonly kind: 'broken'}>,
+  prompt: PromptSize | undefined,
+): LogFields {
+  if (hasBegun || prompt === undefined) return {hasBegun};
+  return {hasBegun, parts: sharedPartIds(prompt).join(' ')};
+}
+
 /** Outcome of a request whose body could not be read. */
 export function bodyErrorOutcome(error: BodyError): ExchangeOutcome {
   switch (error) {
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -28,6 +28,7 @@
   /** Requests in the dispatch queue. */
   readonly queued: () => number;
   readonly endpoints: () => number;
+  readonly quarantinedParts: () => number;
   /** Remaining retries by service. */
   readonly retriesLeft: () => Iterable<readonly [service: string, left: number]>;
 }
@@ -132,6 +133,11 @@
       help: 'Requests in the dispatch queue of this instance.',
       read: sources.queued,
     });
+    addGauge({
+      name: 'marigoldfold_forward_quarantined_parts',
+      help: 'Prompt parts that crash endpoints and are not sent.',
+      read: sources.quarantinedParts,
+    });
     addGauge({
       name: 'marigoldfold_forward_endpoints',
       help: 'Known endpoints.',
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -1,7 +1,13 @@
 /** Dependencies of request handling in the forwarding router. */
-import type {DispatchQueue, Placement, WindowedRetryBudget} from '@marigoldfold/coordination';
+import type {
+  DispatchQueue,
+  Placement,
+  PromptQuarantine,
+  WindowedRetryBudget,
+} from '@marigoldfold/coordination';
 import type {Clock, EventLoopMonitor, Logger, Random} from '@marigoldfold/runtime';
 import type {EndpointClient} from '@marigoldfold/transport';
+import type {CrashDetector} from './crashDetector.js';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
 import type {MetadataCodec} from './metadataCodec.js';
 import type {ForwardMetrics} from './forwardMetrics.js';
@@ -18,6 +24,8 @@
   readonly dispatch: DispatchQueue;
   readonly client: EndpointClient;
   readonly placement: Placement;
+  readonly crashDetector: CrashDetector;
+  readonly quarantine: PromptQuarantine;
   readonly retryBudget: WindowedRetryBudget;
   readonly metrics: ForwardMetrics;
   readonly configurationState: () => ConfigurationState;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -1,13 +1,14 @@
 /** The forwarding router process: watches the store, serves clients and exchanges reports with its peers. */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {
   DispatchQueue,
   EndpointRegistry,
   PeerChannel,
   PeerRegistration,
   Placement,
+  PromptQuarantine,
+  QuarantineRecords,
   RangeMirror,
-  type RangeMirrorOptions,
   WindowedRetryBudget,
   type WindowedRetryBudgetBounds,
 } from '@marigoldfold/coordination';
@@ -25,15 +26,18 @@
   type RoutingConfiguration,
   RoutingTable,
 } from '@marigoldfold/state';
-import {createEndpointClient, splitAddress} from '@marigoldfold/transport';
+import {createEndpointClient, isListening, splitAddress} from '@marigoldfold/transport';
 import type {Result} from 'neverthrow';
 import {Registry} from 'prom-client';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
+import {CrashDetector} from './crashDetector.js';
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
 import type {MetadataCodec} from './metadataCodec.js';
 import {ForwardMetrics} from './forwardMetrics.js';
 import {ForwardServer} from './forwardServer.js';
+import {createStatusServer} from './statusServer.js';
+import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
 
 /** Key-value service with the configuration, endpoints and peers, and how their documents are decoded. */
 export interface ForwardSource {
@@ -44,6 +48,8 @@
   readonly endpointsPrefix: string;
   /** Prefix under which the instances of the router register. */
   readonly peersPrefix: string;
+  /** Prefix under which instances record the prompt parts that crash endpoints. */
+  readonly quarantinePrefix: string;
   readonly decodeConfiguration: (text: string) => Result<RoutingConfiguration, string>;
   readonly decodeEndpoint: (key: string, text: string) => Result<EndpointRecord, string>;
   readonly endpointIdOf: (key: string) => string;
@@ -84,14 +90,6 @@
   readonly bounds: ForwardBounds;
 }
 
-/** Share of the revocation bound after which keyed requests are refused; the rest covers requests in transit. */
-const KEYED_MAX_AGE_SHARE = 0.75;
-/** Watch timeout as a share of the configuration bound, so that a silent connection is detected within it. */
-const WATCH_TIMEOUT_SHARE = 0.6;
-/** Time in which store changes are collected before they are applied, as a share of the configuration bound. */
-const BATCH_DELAY_SHARE = 0.15;
-/** Time that the store may take to respond after the watch timeout: 50 times 4 ms for a slow store. */
-const STORE_RESPONSE_ALLOWANCE_MS = 200;
 /** Time until load balancers send no new connections to an unready process: two failed checks and one in reserve. */
 const ACCEPT_AFTER_STOP_MS = 2700;
 /** Time reserved for the last writes before the process is killed. */
@@ -109,6 +107,10 @@
   readonly #registry: EndpointRegistry;
   readonly #retryBudget: WindowedRetryBudget;
   readonly #peers: PeerChannel;
+  readonly #quarantine: PromptQuarantine;
+  #quarantineRecords: QuarantineRecords | undefined;
+  /** Digests of quarantined prompt parts that are in the store. */
+  readonly #recordedDigests = new Set<string>();
   readonly #server: ForwardServer;
   readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
@@ -129,6 +131,12 @@
       },
     });
     this.#retryBudget = new WindowedRetryBudget(clock, options.bounds.retryBudget);
+    this.#quarantine = new PromptQuarantine({
+      clock,
+      logger,
+      onQuarantined: (digest) => this.#quarantineRecords?.write(digest),
+      onCleared: (digest) => this.#quarantineRecords?.remove(digest),
+    });
     this.#peers = this.#disposables.add(
       new PeerChannel({
         clock,
@@ -142,10 +150,27 @@
             logger.debug('endpoints reported unreachable', {belief: 'endpoint', from, endpoints});
           }
           placement.applyPeerUpdate(update);
+          for (const crash of update.crashes) this.#quarantine.recordCrash(crash);
         },
       }),
     );
-    const placement = new Placement({clock, registry: this.#registry, publisher: this.#peers});
+    const placement = new Placement({
+      clock,
+      registry: this.#registry,
+      publisher: this.#peers,
+      onBegun: (prompt) => {
+        this.#quarantine.recordBegun(prompt);
+      },
+    });
+    const crashDetector = new CrashDetector({
+      clock,
+      isListening,
+      onCrash: (endpoint, crash) => {
+        placement.recordUnreachable(endpoint);
+        this.#quarantine.recordCrash(crash);
+        this.#peers.publishCrash(crash);
+      },
+    });
     const dispatch = new DispatchQueue({clock});
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#configurationState().ageMs,
@@ -153,6 +178,7 @@
       remoteRequests: () => placement.remoteRequestCount,
       queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
+      quarantinedParts: () => this.#quarantine.size,
       retriesLeft: () =>
         [...this.#retryBudget.services].map((service) => [
           service,
@@ -175,6 +201,8 @@
       dispatch,
       client: this.#disposables.add(createEndpointClient()),
       placement,
+      crashDetector,
+      quarantine: this.#quarantine,
       retryBudget: this.#retryBudget,
       metrics: this.#metrics,
       configurationState: () => this.#configurationState(),
@@ -253,7 +281,7 @@
 
   #watchStore(): void {
     const {clock, wallTimeMs, random, logger, source, name, peerAddress} = this.#options;
-    const {prefix, peersPrefix} = source;
+    const {prefix, peersPrefix, quarantinePrefix} = source;
     const store = instrumentKeyValue(source.store, this.#metrics.storeCalls);
     this.#mirror = this.#disposables.add(
       new RangeMirror({
@@ -276,15 +304,26 @@
     this.#disposables.add(
       new PeerRegistration({clock, random, logger, store, key, value: peerAddress}),
     );
+    this.#quarantineRecords = this.#disposables.add(
+      new QuarantineRecords({
+        clock,
+        random,
+        logger,
+        store,
+        prefix: quarantinePrefix,
+        isRecorded: (digest) => this.#recordedDigests.has(digest),
+      }),
+    );
   }
 
   #applyChanges(changes: readonly KeyValueEntry[]): void {
-    const {configurationKey, endpointsPrefix, peersPrefix} = this.#options.source;
+    const {configurationKey, endpointsPrefix, peersPrefix, quarantinePrefix} = this.#options.source;
     for (const change of changes) {
       const {key} = change;
       if (key === configurationKey) this.#applyConfiguration(change);
       else if (key.startsWith(endpointsPrefix)) this.#applyEndpoint(change);
       else if (key.startsWith(peersPrefix)) this.#applyPeer(change);
+      else if (key.startsWith(quarantinePrefix)) this.#applyQuarantine(change);
     }
     this.#retryBudget.recordProcessCount(this.#peers.size + 1);
   }
@@ -336,6 +375,17 @@
     else this.#peers.add(peer, value);
   }
 
+  #applyQuarantine({key, value}: KeyValueEntry): void {
+    const digest = key.slice(this.#options.source.quarantinePrefix.length);
+    if (value === '') {
+      this.#recordedDigests.delete(digest);
+      this.#quarantine.remove(digest);
+    } else {
+      this.#recordedDigests.add(digest);
+      this.#quarantine.add(digest);
+    }
+  }
+
   #configurationState(): ConfigurationState {
     return {table: this.#table, ageMs: this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY};
   }
@@ -345,39 +395,3 @@
     return {keyedRequestMaxAgeMs: keyedMaxAgeMs(this.#bounds), notFoundMaxAgeMs: configurationMs};
   }
 }
-
-function keyedMaxAgeMs({revocationMs}: ForwardBounds): number {
-  return revocationMs * KEYED_MAX_AGE_SHARE;
-}
-
-/**
- * Watch timeout, batch delay and maximum age of the store mirror. A watch that ends with a change confirms the mirror
- * as of its start only; the next call must then respond before keyed requests are refused.
- */
-export function watchTimings(
-  bounds: ForwardBounds,
-): Pick<RangeMirrorOptions, 'watchMs' | 'batchMs' | 'maxAgeMs'> {
-  const batchMs = bounds.configurationMs * BATCH_DELAY_SHARE;
-  const maxAgeMs = keyedMaxAgeMs(bounds) - STORE_RESPONSE_ALLOWANCE_MS;
-  const longestMs = maxAgeMs - batchMs - 2 * STORE_RESPONSE_ALLOWANCE_MS;
-  return {
-    batchMs,
-    maxAgeMs,
-    watchMs: Math.min(bounds.configurationMs * WATCH_TIMEOUT_SHARE, longestMs),
-  };
-}
-
-/** Creates a server for one path; requests for other paths get 404. */
-function createStatusServer(
-  path: string,
-  respond: () => Promise<readonly [status: number, body: string]>,
-): Server {
-  return createServer((request, response) => {
-    const result =
-      request.url === path ? respond() : Promise.resolve([404, 'no such path'] as const);
-    void result.then(([status, body]) => {
-      response.writeHead(status, {'content-length': Buffer.byteLength(body)});
-      response.end(body);
-    });
-  });
-}
--- a/packages/entry/src/forwarding/routePolicy.ts
+++ b/packages/entry/src/forwarding/routePolicy.ts
@@ -1,6 +1,6 @@
 /** Service, rank and idempotence of a request, as its route and account determine them. */
 import {hash64} from '@marigoldfold/coordination';
-import type {Route, Service} from '@marigoldfold/state';
+import type {Route, RoutingTable, Service} from '@marigoldfold/state';
 import type {Admission} from './admission.js';
 
 /** Rank of the least urgent requests at an endpoint. */
@@ -17,6 +17,14 @@
 const PATIENCE_TARGETS = 4;
 const PATIENCE_PAUSE_TARGETS = 8;
 const HASH_BITS = 24;
+/**
+ * Share of the longest latency objective at a service after which a request that still queues for its first attempt is
+ * refused, since another instance may be faster. All requests for the service may queue for the same time, so that an
+ * urgent one with a short objective is not refused before a less urgent one.
+ */
+const QUEUE_TARGET_SHARE = 0.5;
+/** Lower bound of the queue time after which a request is refused: some turns of a busy event loop. */
+const MIN_QUEUE_MS = 50;
 
 /** Chooses the service by a hash of the request ID, in proportion to the weights of a split route. */
 export function chooseService(
@@ -42,6 +50,11 @@
   );
 }
 
+/** Time for which the first attempt of a request for a service may queue in the instance, in milliseconds. */
+export function queueLimitMs(table: RoutingTable, service: string): number {
+  return Math.max(MIN_QUEUE_MS, table.longestTargetMs(service) * QUEUE_TARGET_SHARE);
+}
+
 /** Whether a request may be executed more than once. */
 export function isIdempotent({kind, isResumable}: Route): boolean {
   return kind === 'idempotent' || (kind === 'stream' && isResumable);
--- a/packages/entry/src/forwarding/standaloneDefaults.ts
+++ b/packages/entry/src/forwarding/standaloneDefaults.ts
@@ -31,6 +31,7 @@
   configuration: 'forward/configuration',
   endpoints: 'forward/endpoints/',
   peers: 'forward/peers/',
+  quarantine: 'forward/quarantine/',
 } as const;
 
 const positiveNumber = z.number().positive();
@@ -100,6 +101,7 @@
   configurationKey: forwardKeys.configuration,
   endpointsPrefix: forwardKeys.endpoints,
   peersPrefix: forwardKeys.peers,
+  quarantinePrefix: forwardKeys.quarantine,
   decodeConfiguration: (text) =>
     parseDocument(configurationSchema, text).map(
       ({accounts, routes, services, ...rest}): RoutingConfiguration => ({
--- /dev/null
+++ b/packages/transport/src/portCheck.ts
@@ -0,0 +1,24 @@
+/** Checks whether a process listens on an address. */
+import {connect} from 'node:net';
+import {splitAddress} from './httpClient.js';
+
+/** Whether a connection to `host:port` is accepted; undefined if it is neither accepted nor refused in time. */
+export function isListening(address: string, timeoutMs: number): Promise<boolean | undefined> {
+  const [host, port] = splitAddress(address);
+  return new Promise((resolve) => {
+    const socket = connect({host, port, timeout: timeoutMs});
+    const finish = (result: boolean | undefined) => {
+      resolve(result);
+      socket.destroy();
+    };
+    socket.once('connect', () => {
+      finish(true);
+    });
+    socket.once('timeout', () => {
+      finish(undefined);
+    });
+    socket.once('error', ({code}: NodeJS.ErrnoException) => {
+      finish(code === 'ECONNREFUSED' ? false : undefined);
+    });
+  });
+}
