Treat a stream that ends inside an event, or without one, as broken off

What callers would get: a stream whose endpoint broke off in the middle of an event was passed on as complete, where it may not be resumed and the response has neither a length nor chunks. The router sends such a response on in chunks of its own, with the end that marks it as whole.

Cause: a stream that may not be resumed was relayed chunk by chunk, and any clean end of its connection counted as its end.

Change: the last bytes of each stream have to complete an event, however it is framed. A stream without any event is broken off too, unless it declares that it is empty; before, an endpoint that closed after its head ended in a complete empty stream. Further empty lines after the last event are no part of one.

--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -2,7 +2,12 @@
 import type {IncomingMessage} from 'node:http';
 import type {Endpoint, InFlightRequest, PlacementRequest} from '@marigoldfold/coordination';
 import type {Engine, Route} from '@marigoldfold/state';
-import {type EndpointResponse, EventSplitter, type RawEvent} from '@marigoldfold/transport';
+import {
+  type EndpointResponse,
+  EventBoundary,
+  EventSplitter,
+  type RawEvent,
+} from '@marigoldfold/transport';
 import {forEachChunk, bufferResponse} from './responseReader.js';
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import type {ResponseMetadata} from './metadataCodec.js';
@@ -62,6 +67,7 @@
 const STALL_PAUSE_TARGETS = 8;
 /** Lower bound of the pause after which another endpoint is tried. */
 const MIN_STALL_MS = 1200;
+const NO_CONTENT = 204;
 const MISDIRECTED = 421;
 const FIRST_SERVER_ERROR = 500;
 /** Statuses from which a client concludes that its request was not executed. */
@@ -164,14 +170,14 @@
         if (status >= FIRST_SERVER_ERROR && this.#request.isRetryable) {
           return this.#broken('the error response is too large');
         }
-        return this.#relayChunks(response, buffered.body);
+        return this.#relayChunks(response, {firstChunk: buffered.body});
     }
   }
 
   /** Relays a response that cannot be retried once the client has received its first chunk. */
   async #relayChunks(
     response: EndpointResponse,
-    firstChunk: Buffer | undefined,
+    {firstChunk, boundary}: {readonly firstChunk?: Buffer; readonly boundary?: EventBoundary},
   ): Promise<AttemptOutcome> {
     const {response: writer, controller} = this.#request;
     if (firstChunk !== undefined) {
@@ -182,10 +188,13 @@
       this.#options.eventLoop.recordInput();
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
       writer.sendHead(response.message);
+      boundary?.push(chunk);
       await writer.write(chunk, controller.signal);
       return 'next';
     });
     if (!isComplete) return this.#broken('the response was cut off');
+    if (boundary?.isReached === false && !isEmptyByDeclaration(response.message))
+      return this.#broken('the stream ended inside an event');
     writer.sendHead(response.message);
     writer.end();
     return {
@@ -196,7 +205,8 @@
   }
 
   async #relayStream(response: EndpointResponse): Promise<AttemptOutcome> {
-    if (!this.#request.route.isResumable) return this.#relayChunks(response, undefined);
+    if (!this.#request.route.isResumable)
+      return this.#relayChunks(response, {boundary: new EventBoundary()});
     const {response: writer} = this.#request;
     const splitter = new EventSplitter();
     using stall = this.#startStallTimer();
@@ -215,6 +225,9 @@
     });
     if (fault !== undefined) return this.#broken(fault);
     if (!isComplete || splitter.hasPartialEvent) return this.#broken('the stream was cut off');
+    // A resumed stream may have no event left.
+    if (!writer.hasStarted && !isEmptyByDeclaration(response.message))
+      return this.#broken('the stream ended without an event');
     writer.sendHead(response.message);
     writer.end();
     return {
@@ -255,6 +268,11 @@
   }
 }
 
+/** Whether a response states that it has no body; one that merely ends has been cut off. */
+function isEmptyByDeclaration({statusCode, headers}: IncomingMessage): boolean {
+  return statusCode === NO_CONTENT || headers['content-length'] === '0';
+}
+
 /** Reason not to accept a response, or undefined when it is valid. */
 function findResponseFault(
   status: number,
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -17,9 +17,9 @@
 export class EventSplitter {
   #partialEvent = Buffer.alloc(0);
 
-  /** Whether bytes of an incomplete event are buffered. */
+  /** Whether bytes of an incomplete event are buffered; further empty lines are none. */
   get hasPartialEvent(): boolean {
-    return this.#partialEvent.length > 0;
+    return this.#partialEvent.some((byte) => byte !== LF && byte !== CR);
   }
 
   /** Adds bytes and returns the events they complete, or undefined if an event exceeds `MAX_EVENT_BYTES`. */
@@ -44,6 +44,24 @@
   }
 }
 
+/** Tells whether the bytes of a stream that are passed on as they arrive end inside an event. */
+export class EventBoundary {
+  #lastBytes = '';
+
+  /** Whether the bytes so far end with a complete event; false without any. */
+  get isReached(): boolean {
+    return this.#lastBytes.endsWith(LF_EVENT_END) || this.#lastBytes.endsWith(CRLF_EVENT_END);
+  }
+
+  /** Adds the bytes that follow. */
+  push(bytes: Buffer): void {
+    const newBytes = bytes.subarray(-CRLF_EVENT_END.length).toString('latin1');
+    this.#lastBytes = (this.#lastBytes + newBytes).slice(-CRLF_EVENT_END.length);
+  }
+}
+
+const LF = 0x0a;
+const CR = 0x0d;
 const LF_EVENT_END = '\n\n';
 const CRLF_EVENT_END = '\r\n\r\n';
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -45,4 +45,4 @@
   type SendOutcome,
   createEndpointClient,
 } from './endpointClient.js';
-export {EventSplitter, type RawEvent} from './eventSplitter.js';
+export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
