Heed that an endpoint leaves, or wants no request for a time

The router read neither: it learned of a leaving endpoint from its record alone, and sent to a full one again with the next request.

Change: both hold from the response's head on, for the choice and for requests whose connection is being opened. A leaving endpoint stays out until it restarts, also if its record, which may lag, is written once more as ready. A paused one is not tried for lack of others either: when all are paused, the request is refused with the time after which the first accepts again. A response that names another request is not believed.

Not shared with peers: the pause is for one instance, and the record tells the others of a leaving endpoint.

--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -48,6 +48,8 @@
   #connectFailures = 0;
   #backoffUntilMs = Number.NEGATIVE_INFINITY;
   #reportedUnreachableUntilMs = Number.NEGATIVE_INFINITY;
+  #hasAnnouncedLeaving = false;
+  #pausedUntilMs = Number.NEGATIVE_INFINITY;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Arrival rate of long prompts at this endpoint, from all processes. */
@@ -69,9 +71,36 @@
     this.cacheEstimate.clear();
     this.#load = undefined;
     this.failureShare = 0;
+    this.#hasAnnouncedLeaving = false;
+    this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
     this.resetBackoff();
   }
 
+  /**
+   * Whether the endpoint gets no new requests, because its record or one of its responses says that it is leaving. A
+   * response holds until the endpoint restarts, since the record may lag behind it.
+   */
+  get isLeaving(): boolean {
+    return this.record.isLeaving || this.#hasAnnouncedLeaving;
+  }
+
+  /** Records that a response stated that the endpoint is leaving; returns whether that is new. */
+  announceLeaving(): boolean {
+    const isNew = !this.#hasAnnouncedLeaving;
+    this.#hasAnnouncedLeaving = true;
+    return isNew;
+  }
+
+  /** Milliseconds until the endpoint accepts requests of this instance again; 0 if it does. */
+  get pausedForMs(): number {
+    return Math.max(0, this.#pausedUntilMs - this.#clock.now());
+  }
+
+  /** Sends the endpoint no request for a time, in milliseconds, as it has asked; a restart ends it. */
+  pause(durationMs: number): void {
+    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, this.#clock.now() + durationMs);
+  }
+
   /** Records a load report, including its slowness if present. */
   recordLoad(report: LoadReport): void {
     this.#load = {report, atMs: this.#clock.now(), knownCount: this.#expectedRequestCount};
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -36,8 +36,7 @@
   usable(service: string): Endpoint[] {
     const usable: Endpoint[] = [];
     for (const endpoint of this.#endpoints.values()) {
-      const {record} = endpoint;
-      if (record.service === service && !record.isLeaving) usable.push(endpoint);
+      if (endpoint.record.service === service && !endpoint.isLeaving) usable.push(endpoint);
     }
     return usable;
   }
@@ -64,6 +63,25 @@
     logger.info('endpoint', {belief: 'endpoint', endpoint: id, service, address, state});
   }
 
+  /** Records that an endpoint stated in a response that it is leaving. */
+  announceLeaving(endpoint: Endpoint): void {
+    if (!endpoint.announceLeaving()) return;
+    const {id} = endpoint.record;
+    this.#options.logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'leaving'});
+  }
+
+  /** Pauses an endpoint that refused a request and stated for how long, in milliseconds, it wants no other. */
+  pause(endpoint: Endpoint, pauseMs: number): void {
+    endpoint.pause(pauseMs);
+    const {id} = endpoint.record;
+    this.#options.logger.info('endpoint', {
+      belief: 'endpoint',
+      endpoint: id,
+      state: 'paused',
+      pauseMs,
+    });
+  }
+
   /** Removes an endpoint; in the grace period it is only marked as lapsed, since it may register again. */
   remove(id: string): void {
     const {clock, logger} = this.#options;
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -59,7 +59,9 @@
     excluded: ReadonlySet<string>,
   ): Endpoint | undefined {
     const usable = this.#options.registry.usable(request.service);
-    const allowed = usable.filter(({record}) => !excluded.has(record.id));
+    const allowed = usable.filter(
+      ({record, pausedForMs}) => !excluded.has(record.id) && pausedForMs === 0,
+    );
     const reachable = allowed.filter((endpoint) => !endpoint.isBackedOff);
     // If all endpoints are in backoff, trying one of them is better than refusing the request.
     const candidates = excludeFailing(excludeReported(reachable.length > 0 ? reachable : allowed));
@@ -69,6 +71,22 @@
     return leastOccupied(candidates);
   }
 
+  /** Milliseconds until the first endpoint of a service accepts requests again; 0 if one does or there is none. */
+  pausedForMs(service: string): number {
+    const pauses = this.#options.registry.usable(service).map(({pausedForMs}) => pausedForMs);
+    return pauses.length === 0 ? 0 : Math.min(...pauses);
+  }
+
+  /** Records that an endpoint stated in a response that it is leaving. */
+  recordLeaving(endpoint: Endpoint): void {
+    this.#options.registry.announceLeaving(endpoint);
+  }
+
+  /** Records for how long, in milliseconds, an endpoint wants no further request of this instance. */
+  recordPause(endpoint: Endpoint, pauseMs: number): void {
+    this.#options.registry.pause(endpoint, pauseMs);
+  }
+
   /** Whether a request can meet its latency objective; without a prompt, only the remaining time is considered. */
   canMeetTarget(endpoint: Endpoint, request: PlacementRequest): boolean {
     const {prompt, targetLeftMs} = request;
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -41,11 +41,16 @@
     ...(metadata.accountName === undefined ? [] : ['x-account', metadata.accountName]),
     ...(metadata.lastEventId === undefined ? [] : ['last-event-id', metadata.lastEventId]),
   ],
-  decodeResponse: (_status, headers) => ({
+  decodeResponse: (status, headers) => ({
     requestId: headerText(headers['x-id']),
     isSigned: headers['x-signed'] !== undefined,
     isNotExecuted: headers['x-not-executed'] !== undefined,
     load: undefined,
+    isLeaving: headers['x-leaving'] !== undefined,
+    pauseMs:
+      status === 503 && headers['retry-after'] !== undefined
+        ? Number(headers['retry-after']) * 1000
+        : undefined,
   }),
 };
 
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -95,7 +95,8 @@
       allowsConnectionReuse: request.isRetryable,
       mayStillSend: () =>
         clock.now() - startedAtMs <= MAX_HEADER_AGE_MS &&
-        !endpoint.record.isLeaving &&
+        !endpoint.isLeaving &&
+        endpoint.pausedForMs === 0 &&
         request.isAllowed(),
     });
     switch (outcome.kind) {
@@ -131,6 +132,7 @@
     const metadata = this.#options.codec.decodeResponse(status, message.headers);
     const {endpoint, route, placementRequest, response: writer} = this.#request;
     const fault = findResponseFault(status, metadata, placementRequest.id);
+    this.#recordNotices(metadata);
     if (fault !== undefined) return this.#broken(fault);
     if (metadata.load !== undefined) this.#options.placement.recordLoad(endpoint, metadata.load);
     if (metadata.isNotExecuted) {
@@ -149,6 +151,14 @@
     return this.#relayBuffered(response, status);
   }
 
+  /** What an endpoint says about itself, unless the response is that to another request. */
+  #recordNotices({requestId, isLeaving, pauseMs}: ResponseMetadata): void {
+    const {endpoint, placementRequest} = this.#request;
+    if (requestId !== undefined && requestId !== placementRequest.id) return;
+    if (isLeaving) this.#options.placement.recordLeaving(endpoint);
+    if (pauseMs !== undefined) this.#options.placement.recordPause(endpoint, pauseMs);
+  }
+
   #broken(reason: string): AttemptOutcome {
     const hasBegun = this.#inFlightRequest.firstEventAtMs !== undefined;
     return {kind: 'broken', reason, hasBegun};
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -197,7 +197,7 @@
     const {route} = admitted.value;
     const isRetryable = isIdempotent(route);
     const outcome = await this.#runAttempt(admitted.value, body, leftMs, isRetryable);
-    if (outcome === undefined) return this.#endWithoutRetry(503, 'no_endpoint');
+    if (outcome === undefined) return this.#endWithoutEndpoint(admitted.value);
     if (outcome.kind === 'delivered') return outcome;
     if (!this.#mayRetry(outcome, route, isRetryable))
       return this.#endWithoutRetry(502, this.#history.lastFailureReason);
@@ -321,6 +321,14 @@
     return this.#history.possibleRunCount < route.maxAttempts;
   }
 
+  /** If all endpoints want no request for a time, the client should not return before the first one accepts again. */
+  #endWithoutEndpoint(admission: Admission): ExchangeOutcome {
+    const service = chooseService(admission, this.#metadata.id ?? '')?.name ?? '';
+    const pausedForMs = this.#options.placement.pausedForMs(service);
+    const retryAfterMs = pausedForMs + chooseRetryAfterMs(this.#rank, this.#options.random);
+    return this.#endWithoutRetry(503, 'no_endpoint', Math.round(retryAfterMs));
+  }
+
   /** Determines the outcome of a request that is not retried. */
   #endWithoutRetry(
     status: number,
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -26,9 +26,13 @@
   readonly notExecuted: string;
   /** Header with running and waiting requests, slots, and slowness in hundredths, separated by commas. */
   readonly load: string;
+  /** Header in all responses of an endpoint that is leaving. */
+  readonly leaving: string;
 }
 
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
+const MS_PER_SECOND = 1000;
 /** Slowness in the load header that means normal speed; higher values are slower. */
 const SLOWNESS_UNIT = 100;
 
@@ -95,9 +99,21 @@
     // A 421 comes from another endpoint at the same address, which did not execute the request.
     isNotExecuted: headers[names.notExecuted] !== undefined || status === MISDIRECTED,
     load: parseLoad(headerText(headers[names.load])),
+    isLeaving: isSet(headerText(headers[names.leaving])),
+    pauseMs: status === UNAVAILABLE ? parsePauseMs(headerText(headers['retry-after'])) : undefined,
   };
 }
 
+function isSet(flag: string | undefined): boolean {
+  return flag !== undefined && flag !== '0';
+}
+
+/** Milliseconds of a `retry-after` header in seconds, which may have fractions. */
+function parsePauseMs(header: string | undefined): number | undefined {
+  const seconds = Number(header?.trim() === '' ? undefined : header);
+  return isCount(seconds) ? seconds * MS_PER_SECOND : undefined;
+}
+
 function parsePrompt(names: HeaderNames, headers: IncomingHttpHeaders): PromptSize | undefined {
   const usage = headerText(headers[names.promptTokens]);
   if (usage === undefined) return undefined;
--- a/packages/entry/src/forwarding/metadataCodec.ts
+++ b/packages/entry/src/forwarding/metadataCodec.ts
@@ -33,6 +33,10 @@
   /** Whether the endpoint reports that it did not execute the request. */
   readonly isNotExecuted: boolean;
   readonly load: LoadReport | undefined;
+  /** Whether the endpoint states that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Milliseconds for which a refusing endpoint wants no further request of this instance. */
+  readonly pauseMs: number | undefined;
 }
 
 /** Reads and writes the metadata headers of an installation. */
--- a/packages/entry/src/forwarding/standaloneDefaults.ts
+++ b/packages/entry/src/forwarding/standaloneDefaults.ts
@@ -20,6 +20,7 @@
   signature: 'x-endpoint-signature',
   notExecuted: 'x-not-executed',
   load: 'x-endpoint-load',
+  leaving: 'x-endpoint-leaving',
 };
 
 /** Metadata codec of a router without a platform adapter. */
