Withstand records of other writers that cannot be used

Here: a peer record with a port out of range, or without one, ended the process with the next message to the peers, since Node.js throws on such a port. An endpoint whose id cannot stand in a header made each request that chose it end with a closed connection. An endpoint on port 0 would have been reached on port 80. Numbers too large were taken as slots and start times.

A request that Node.js cannot create is one that was not sent, and goes to another endpoint.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -20,7 +20,8 @@
 import type {EndpointRecord, Route, RoutingConfiguration} from '@marigoldfold/state';
 import {err, ok} from 'neverthrow';
 import type {MetadataCodec} from '../metadataCodec.js';
-import {type ForwardBounds, ForwardProcess} from '../forwardProcess.js';
+import {ForwardProcess} from '../forwardProcess.js';
+import type {ForwardBounds} from '../forwardSource.js';
 
 /** Metadata codec with short header names, for tests. */
 export const testCodec: MetadataCodec = {
--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -14,7 +14,8 @@
 import {createHttpClient} from '@marigoldfold/transport';
 import {Command, Flags} from '@oclif/core';
 import {err, ok, type Result} from 'neverthrow';
-import {type ForwardBounds, ForwardProcess} from './forwardProcess.js';
+import {ForwardProcess} from './forwardProcess.js';
+import type {ForwardBounds} from './forwardSource.js';
 import {type ForwardSettings, forwardSettingsSchema} from './forwardSettings.js';
 import {standaloneCodec, standaloneSource} from './standaloneDefaults.js';
 
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -10,7 +10,6 @@
   QuarantineRecords,
   RangeMirror,
   WindowedRetryBudget,
-  type WindowedRetryBudgetBounds,
 } from '@marigoldfold/coordination';
 import {
   type Clock,
@@ -19,17 +18,11 @@
   type Logger,
   type Random,
 } from '@marigoldfold/runtime';
-import {
-  type EndpointRecord,
-  type KeyValue,
-  type KeyValueEntry,
-  type RoutingConfiguration,
-  RoutingTable,
-} from '@marigoldfold/state';
+import {endpointAddressSchema, type KeyValueEntry, RoutingTable} from '@marigoldfold/state';
 import {createEndpointClient, isListening, splitAddress} from '@marigoldfold/transport';
-import type {Result} from 'neverthrow';
 import {Registry} from 'prom-client';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
+import type {ForwardBounds, ForwardSource} from './forwardSource.js';
 import {CrashDetector} from './crashDetector.js';
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
@@ -39,33 +32,6 @@
 import {createStatusServer} from './statusServer.js';
 import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
 
-/** Key-value service with the configuration, endpoints and peers, and how their documents are decoded. */
-export interface ForwardSource {
-  readonly store: KeyValue;
-  /** Prefix of the configuration key and of the keys of endpoints and peers. */
-  readonly prefix: string;
-  readonly configurationKey: string;
-  readonly endpointsPrefix: string;
-  /** Prefix under which the instances of the router register. */
-  readonly peersPrefix: string;
-  /** Prefix under which instances record the prompt parts that crash endpoints. */
-  readonly quarantinePrefix: string;
-  readonly decodeConfiguration: (text: string) => Result<RoutingConfiguration, string>;
-  readonly decodeEndpoint: (key: string, text: string) => Result<EndpointRecord, string>;
-  readonly endpointIdOf: (key: string) => string;
-}
-
-/** Time bounds, in milliseconds, and retry budget that the installation sets. */
-export interface ForwardBounds {
-  /** Maximum time from the acceptance of a configuration until its revoked keys no longer work. */
-  readonly revocationMs: number;
-  /** Maximum time from the acceptance of a configuration until it is in force. */
-  readonly configurationMs: number;
-  /** Time from the stop signal until the process is killed. */
-  readonly stopMs: number;
-  readonly retryBudget: WindowedRetryBudgetBounds;
-}
-
 /** Dependencies, addresses and bounds of a router process. */
 export interface ForwardProcessOptions {
   /** Monotonic clock, in milliseconds. */
@@ -370,9 +336,14 @@
   }
 
   #applyPeer({key, value}: KeyValueEntry): void {
-    const peer = key.slice(this.#options.source.peersPrefix.length);
-    if (value === '') this.#peers.remove(peer);
-    else this.#peers.add(peer, value);
+    const {logger, source} = this.#options;
+    const peer = key.slice(source.peersPrefix.length);
+    if (endpointAddressSchema.safeParse(value).success) {
+      this.#peers.add(peer, value);
+      return;
+    }
+    if (value !== '') logger.warn('peer record cannot be read', {key});
+    this.#peers.remove(peer);
   }
 
   #applyQuarantine({key, value}: KeyValueEntry): void {
--- a/packages/entry/src/forwarding/index.ts
+++ b/packages/entry/src/forwarding/index.ts
@@ -16,13 +16,9 @@
 export {ForwardMetrics} from './forwardMetrics.js';
 export type {ForwardOptions} from './forwardOptions.js';
 export {ForwardServer, type StopTimeouts} from './forwardServer.js';
-export {
-  type ForwardBounds,
-  ForwardProcess,
-  type ForwardProcessOptions,
-  type ForwardSource,
-} from './forwardProcess.js';
+export {ForwardProcess, type ForwardProcessOptions} from './forwardProcess.js';
 export {computeQueueRank} from './routePolicy.js';
 export {createHeaderCodec, type HeaderNames} from './headerCodec.js';
 export {forwardHeaders, forwardKeys} from './standaloneDefaults.js';
 export {type ForwardSettings, forwardSettingsSchema} from './forwardSettings.js';
+export type {ForwardBounds, ForwardSource} from './forwardSource.js';
--- a/packages/entry/src/forwarding/standaloneDefaults.ts
+++ b/packages/entry/src/forwarding/standaloneDefaults.ts
@@ -1,10 +1,14 @@
 /** Default headers, keys and document schemas of a router without a platform adapter. */
-import type {EndpointRecord, RoutingConfiguration} from '@marigoldfold/state';
+import {
+  type EndpointRecord,
+  endpointAddressSchema,
+  type RoutingConfiguration,
+} from '@marigoldfold/state';
 import {formatProblem, checkDocument} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {createHeaderCodec, type HeaderNames} from './headerCodec.js';
-import type {ForwardSource} from './forwardProcess.js';
+import type {ForwardSource} from './forwardSource.js';
 
 /** Header names of a router without a platform adapter. */
 export const forwardHeaders: HeaderNames = {
@@ -89,11 +93,11 @@
 
 const endpointSchema = z.object({
   service: z.string().min(1),
-  address: z.string().regex(/^[^:\s]+:\d{1,5}$/, 'an address such as 10.0.0.5:8080'),
+  address: endpointAddressSchema,
   failureDomain: z.string().default(''),
   slots: z.int().min(1),
   isLeaving: z.boolean().default(false),
-  startedAtMs: z.number().default(0),
+  startedAtMs: z.int().default(0),
 });
 
 /** Keys of a standalone router and decoders of its JSON documents. */
--- a/packages/entry/src/forwarding/storeTimings.ts
+++ b/packages/entry/src/forwarding/storeTimings.ts
@@ -1,6 +1,6 @@
 /** Timings of the store mirror that keep the configuration within its bounds. */
 import type {RangeMirrorOptions} from '@marigoldfold/coordination';
-import type {ForwardBounds} from './forwardProcess.js';
+import type {ForwardBounds} from './forwardSource.js';
 
 /** Share of the revocation bound after which keyed requests are refused; the rest covers requests in transit. */
 const KEYED_MAX_AGE_SHARE = 0.75;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -44,6 +44,7 @@
   shardCount,
 } from './configuration.js';
 export {type Digest, canonicalJson, digestText, digestValue, zeroDigest} from './digest.js';
+export {endpointAddressSchema} from './routing/endpointAddress.js';
 export {type EtcdOptions, createEtcdKeyValue} from './etcdKeyValue.js';
 export {decodeText, encodeText, etcdPaths} from './etcdMessages.js';
 export type {
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -1,6 +1,7 @@
 /** Sends requests to endpoints and reports whether a failed request may have been read. */
 import {Agent, type ClientRequest, request as httpRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {Result} from 'neverthrow';
 import {splitAddress} from './httpClient.js';
 import {limitInterimResponses} from './interimResponses.js';
 
@@ -118,21 +119,24 @@
   };
 }
 
+/** Node.js throws if an address, target or header cannot be sent. */
+const createRequest = Result.fromThrowable(
+  (agent: Agent, {address, method, target, headers}: EndpointRequest) => {
+    const [host, port] = splitAddress(address);
+    return httpRequest({agent, host, port, method, path: target, headers: headers as string[]});
+  },
+  (error) => error as Error,
+);
+
 function send(agent: Agent, request: EndpointRequest): Promise<SendOutcome> {
   const {signal} = request;
   if (signal.aborted)
     return Promise.resolve({kind: 'notSent', reason: 'aborted before the request was sent'});
-  const [host, port] = splitAddress(request.address);
+  const created = createRequest(agent, request);
+  if (created.isErr()) return Promise.resolve({kind: 'notSent', reason: created.error.message});
+  const outgoing = created.value;
   return new Promise((resolve) => {
     let isConnected = false;
-    const outgoing = httpRequest({
-      agent,
-      host,
-      port,
-      method: request.method,
-      path: request.target,
-      headers: request.headers as string[],
-    });
     limitInterimResponses(outgoing);
     const abort = () => outgoing.destroy(new Error('request aborted'));
     signal.addEventListener('abort', abort, {once: true});
