Answer every request before a planned stop ends the process

Here: new requests are refused 2.7 s after the signal, so that with a grace period of 8 s those with short time limits end in time. A request with a longer time limit was taken all the same, and whatever was left at the end had its connection closed without an answer.

Change: while the process stops, a request that may run only once is refused, not run, if its time limit ends after the process. At the end, what is left is ended before the connections are closed: 504 if it may have run, 503 if not, an incomplete stream if its response had begun.

Failed before: stopUnderLoad.test.ts, both new cases.

--- a/packages/entry/src/forwarding/__tests__/stopUnderLoad.test.ts
+++ b/packages/entry/src/forwarding/__tests__/stopUnderLoad.test.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {afterEach, beforeEach, expect, test} from 'vitest';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {startRouter} from '../__fixtures__/endpointScripts.js';
 import {
   type ClientResult,
@@ -72,3 +72,28 @@
   await stopped;
   agent.destroy();
 });
+
+describe('the end of the time for a planned stop', () => {
+  const route = {kind: 'nonIdempotent', timeoutMs: 60_000} as const;
+
+  test('finds no request of late in that time that may run only once', async () => {
+    const {received} = await startRouter(rig, () => undefined, route);
+    const stopped = rig.process.stop();
+    await rig.advance(2500);
+    const late = await rig.sendRequest({'x-deadline': '6000'}, {method: 'POST'});
+    expect(late.status).toBe(503);
+    expect(received()).toHaveLength(0);
+    await rig.advance(9000);
+    await stopped;
+  });
+
+  test('leaves no request without an answer', async () => {
+    const {received} = await startRouter(rig, () => undefined, route);
+    const result = rig.sendRequest({}, {method: 'POST'});
+    await waitUntil(() => received().length === 1);
+    const stopped = rig.process.stop();
+    await rig.advance(9000);
+    expect((await result).status).toBe(504);
+    await stopped;
+  });
+});
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,7 +1,7 @@
 /** Handles a client request from its arrival to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Endpoint, PlacementRequest} from '@marigoldfold/coordination';
-import type {LogFields} from '@marigoldfold/runtime';
+import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
 import type {Route} from '@marigoldfold/state';
 import {onClientDisconnect, readBody} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
@@ -116,23 +116,26 @@
     const limitMs = Math.min(route.timeoutMs, this.#metadata.deadlineMs ?? route.timeoutMs);
     // The client's deadline counts from when it sent the request, not from when it was read here.
     const deadlineMs = this.#arrivedAtMs - this.#arrival.unreadMs + limitMs;
+    const {plannedStop} = this.#options;
+    if (route.kind === 'nonIdempotent' && deadlineMs > plannedStop.endsAtMs) {
+      // A response after the end of the process would be lost, and the request could not be sent again.
+      const retryAfterMs = MIN_RETRY_AFTER_MS;
+      return {kind: 'refused', refusal: {status: 503, reason: 'stopping', retryAfterMs}};
+    }
     const {maxBodyBytes} = table.configuration.limits;
     const bodyLimits = {maxBodyBytes, requestTimeoutMs: deadlineMs - this.#arrivedAtMs};
     const body = await readBody(this.#request, bodyLimits, this.#options.clock);
     if (body.isErr()) return bodyErrorOutcome(body.error);
-    const timer = this.#options.clock.schedule(
-      deadlineMs - this.#options.clock.now() + TIMEOUT_GRACE_MS,
-      () => {
-        this.#isTimeOver = true;
-        this.#attemptController?.abort(ABORT_REASON);
-      },
-    );
+    const endTime = () => {
+      this.#isTimeOver = true;
+      this.#attemptController?.abort(ABORT_REASON);
+    };
+    const {clock} = this.#options;
+    using disposables = new DisposableStore();
+    disposables.add(clock.schedule(deadlineMs - clock.now() + TIMEOUT_GRACE_MS, endTime));
+    disposables.add(plannedStop.onEnd(endTime));
     this.#options.retryBudget.recordRequest(service);
-    try {
-      return await this.#forward(body.value, deadlineMs);
-    } finally {
-      timer[Symbol.dispose]();
-    }
+    return await this.#forward(body.value, deadlineMs);
   }
 
   /** Whether the client has disconnected or the deadline has passed. */
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -11,6 +11,7 @@
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
 import type {MetadataCodec} from './metadataCodec.js';
 import type {ForwardMetrics} from './forwardMetrics.js';
+import type {PlannedStop} from './plannedStop.js';
 
 /** Dependencies that all requests of a process share. */
 export interface ForwardOptions {
@@ -27,6 +28,7 @@
   readonly crashDetector: CrashDetector;
   readonly quarantine: PromptQuarantine;
   readonly retryBudget: WindowedRetryBudget;
+  readonly plannedStop: PlannedStop;
   readonly metrics: ForwardMetrics;
   readonly configurationState: () => ConfigurationState;
   readonly configurationAgeLimits: () => ConfigurationAgeLimits;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -29,6 +29,7 @@
 import type {MetadataCodec} from './metadataCodec.js';
 import {ForwardMetrics} from './forwardMetrics.js';
 import {ForwardServer} from './forwardServer.js';
+import {PlannedStop} from './plannedStop.js';
 import {createStatusServer} from './statusServer.js';
 import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
 
@@ -82,6 +83,7 @@
   #bounds: ForwardBounds;
   #mirror: RangeMirror | undefined;
   #table: RoutingTable | undefined;
+  readonly #plannedStop = new PlannedStop();
   #isStopping = false;
 
   constructor(options: ForwardProcessOptions) {
@@ -169,6 +171,7 @@
       placement,
       crashDetector,
       quarantine: this.#quarantine,
+      plannedStop: this.#plannedStop,
       retryBudget: this.#retryBudget,
       metrics: this.#metrics,
       configurationState: () => this.#configurationState(),
@@ -183,6 +186,9 @@
       port,
       serve: (request, response, arrival) =>
         serveExchange(forwardOptions, request, response, arrival),
+      endRequests: () => {
+        this.#plannedStop.end();
+      },
     });
     this.#statusServers = [
       createStatusServer(options.readyPath, () =>
@@ -233,10 +239,11 @@
     this.#retryBudget.bounds = bounds.retryBudget;
   }
 
-  /** Shuts down gracefully within the stop bound; requests in flight at its end are aborted. */
+  /** Shuts down gracefully within the stop bound; requests in flight at its end get a failure or an incomplete stream. */
   async stop(): Promise<void> {
     this.#isStopping = true;
     const limitMs = this.#bounds.stopMs - STOP_RESERVE_MS;
+    this.#plannedStop.endsAtMs = this.#options.clock.now() + limitMs;
     await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
     for (const server of this.#statusServers) {
       server.closeAllConnections();
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -18,6 +18,8 @@
     response: ServerResponse,
     arrival: ArrivedRequest,
   ) => Promise<void>;
+  /** Ends the requests in flight with an answer, at the end of a graceful shutdown. */
+  readonly endRequests: () => void;
 }
 
 /** Delays of a request before it was read. */
@@ -52,6 +54,8 @@
 const STOPPING_RETRY_AFTER_MS = 50;
 /** Time to answer requests that clients sent while idle connections were being closed. */
 const LATE_REQUEST_GRACE_MS = 300;
+/** Time to send the answers of requests that the end of the shutdown has ended. */
+const LAST_ANSWERS_MS = 200;
 
 /** Serves client requests and tracks those in flight. */
 export class ForwardServer {
@@ -128,6 +132,10 @@
       this.#server.closeIdleConnections();
     }
     logger.info('server closed', {unfinished: this.activeCount, tookMs: clock.now() - startedAtMs});
+    if (this.activeCount > 0) {
+      this.#options.endRequests();
+      await sleep(clock, LAST_ANSWERS_MS);
+    }
     this.#server.closeAllConnections();
   }
 
