--- a/packages/state/src/etcdKeyValue.ts
+++ b/packages/state/src/etcdKeyValue.ts
@@ -1,29 +1,28 @@
 /** Key-value client for etcd's v3 JSON gateway. */
-import {createInterface} from 'node:readline';
-import type {ConnectionError, HttpClient} from '@marigoldfold/transport';
+import type {HttpClient} from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import type {z} from 'zod';
+import {connectionStoreError, type Effect, statusStoreError} from './etcdErrors.js';
 import {
-  decodeText,
   encodeText,
   etcdPaths,
   leaseGrantResponseSchema,
   leaseKeepAliveResponseSchema,
+  parseJson,
   rangeResponseSchema,
   rangeEnd,
   txnResponseSchema,
-  watchMessageSchema,
+  toEntry,
 } from './etcdMessages.js';
 import type {
   KeyValue,
-  KeyValueEntry,
   Listing,
   ListOptions,
   StoreError,
-  WatchOptions,
   WriteOptions,
   WriteOutcome,
 } from './keyValue.js';
+import {watch} from './etcdWatch.js';
 
 /** HTTP client, address and call timeout for the connection to etcd. */
 export interface EtcdOptions {
@@ -74,8 +73,6 @@
   };
 }
 
-type Effect = 'read' | 'write';
-
 type Call = <T>(
   path: string,
   body: unknown,
@@ -114,50 +111,6 @@
   return err({code: 'rejected', message, mayHaveTakenEffect: effect === 'write'});
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
-function connectionStoreError(error: ConnectionError, effect: Effect): StoreError {
-  const isTimeout = error.code === 'timed_out' || error.code === 'aborted';
-  return {
-    code: isTimeout ? 'timed_out' : 'unavailable',
-    message: `key-value service: ${error.message}`,
-    mayHaveTakenEffect: effect === 'write' && error.mayHaveBeenSent,
-  };
-}
-
-const HTTP_SERVER_ERROR = 500;
-
-function statusStoreError(status: number, path: string): StoreError {
-  const message = `key-value service: ${path} returned status ${status}`;
-  const isServerSide = status >= HTTP_SERVER_ERROR;
-  // A gateway may respond with 5xx after etcd has committed, so the write may have taken effect.
-  return {
-    code: isServerSide ? 'unavailable' : 'rejected',
-    message,
-    mayHaveTakenEffect: isServerSide,
-  };
-}
-
-interface EtcdPair {
-  readonly key: string;
-  readonly value: string;
-  readonly mod_revision: number;
-}
-
-function toEntry(pair: EtcdPair): KeyValueEntry {
-  return {
-    key: decodeText(pair.key),
-    value: decodeText(pair.value),
-    revision: pair.mod_revision,
-  };
-}
-
 async function list(
   call: Call,
   prefix: string,
@@ -215,55 +168,3 @@
     return {kind: 'conflict', current: current === undefined ? undefined : toEntry(current)};
   });
 }
-
-async function watch(
-  {client, address}: EtcdOptions,
-  prefix: string,
-  options: WatchOptions,
-): Promise<Result<Listing, StoreError>> {
-  const create = {
-    key: encodeText(prefix),
-    range_end: rangeEnd(prefix),
-    start_revision: String(options.afterRevision + 1),
-  };
-  const timeout = AbortSignal.timeout(options.timeoutMs);
-  const signal =
-    options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
-  const noChanges: Listing = {entries: [], revision: options.afterRevision};
-  const response = await client.send({
-    address,
-    method: 'POST',
-    path: etcdPaths.watch,
-    headers: {'content-type': 'application/json'},
-    body: JSON.stringify({create_request: create}),
-    timeoutMs: options.timeoutMs,
-    signal,
-  });
-  if (response.isErr()) {
-    if (response.error.code === 'aborted') return ok(noChanges);
-    return err(connectionStoreError(response.error, 'read'));
-  }
-  if (response.value.status !== HTTP_OK)
-    return err(statusStoreError(response.value.status, etcdPaths.watch));
-  const lines = createInterface({input: response.value.stream});
-  try {
-    for await (const line of lines) {
-      const message = watchMessageSchema.safeParse(parseJson(line));
-      if (!message.success) {
-        const text = 'key-value service: a message of the watch stream is invalid';
-        return err({code: 'rejected', message: text, mayHaveTakenEffect: false});
-      }
-      const {events, header, canceled} = message.data.result;
-      if (canceled) break;
-      if (events.length === 0) continue;
-      return ok({entries: events.map((event) => toEntry(event.kv)), revision: header.revision});
-    }
-  } catch {
-    // An abort also ends the body with an error; the signal is checked below to distinguish it.
-  } finally {
-    response.value.stream.destroy();
-  }
-  if (signal.aborted) return ok(noChanges);
-  const message = 'key-value service: the watch was cut off';
-  return err({code: 'unavailable', message, mayHaveTakenEffect: false});
-}
--- a/packages/state/src/etcdMessages.ts
+++ b/packages/state/src/etcdMessages.ts
@@ -1,5 +1,6 @@
 /** Messages of etcd's v3 JSON gateway, which sends 64-bit integers as strings, and keys and values in base64. */
 import {z} from 'zod';
+import type {KeyValueEntry} from './keyValue.js';
 
 /** HTTP paths of the gateway. */
 export const etcdPaths = {
@@ -76,3 +77,28 @@
   bytes[last] = (bytes[last] ?? 0) + 1;
   return bytes.toString('base64');
 }
+
+/** A key of etcd's JSON gateway, with its value and the revision that set it. */
+export interface EtcdPair {
+  readonly key: string;
+  readonly value: string;
+  readonly mod_revision: number;
+}
+
+/** Decodes a key with its value. */
+export function toEntry(pair: EtcdPair): KeyValueEntry {
+  return {
+    key: decodeText(pair.key),
+    value: decodeText(pair.value),
+    revision: pair.mod_revision,
+  };
+}
+
+/** Parses a message; undefined, which no schema accepts, if it is not JSON. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
