Let accusations against prompt parts expire, and back a crashed endpoint off once

Read through as a newcomer: a part that was at the same crashes as a quarantined one could be quarantined after a single crash for as long as the process lived. The accusation now expires with the evidence for it. Several requests that broke at one crash lengthened the backoff of its endpoint each.

Failed before: promptQuarantine.test.ts "but one that was at the same crashes long ago only after three more".

--- a/packages/coordination/src/forwarding/__tests__/promptQuarantine.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/promptQuarantine.test.ts
@@ -84,6 +84,19 @@
     expect(quarantine.isQuarantined(promptOf('session'))).toBe(true);
   });
 
+  test('but one that was at the same crashes long ago only after three more', async () => {
+    for (const lifetime of ['e1', 'e2', 'e3']) {
+      await crash(lifetime, ['session', 'bad']);
+      beginOthers();
+    }
+    await clock.advance(120_000);
+    quarantine.recordCrash({lifetime: 'e4', parts: ['session']});
+    await clock.advance(100);
+    beginOthers();
+    await clock.advance(1000);
+    expect(quarantine.isQuarantined(promptOf('session'))).toBe(false);
+  });
+
   test('as reported by several instances, a crash counting once', async () => {
     await crash('e1', ['bad'], ['bad'], ['bad']);
     beginOthers();
--- a/packages/coordination/src/forwarding/promptQuarantine.ts
+++ b/packages/coordination/src/forwarding/promptQuarantine.ts
@@ -51,8 +51,11 @@
   readonly #crashes = new Map<string, CrashEvidence>();
   /** Clock times of the additions by digest, oldest first. */
   readonly #quarantined = new Map<string, number>();
-  /** Parts that were present at the same crashes as a quarantined one; another crash is enough to quarantine them. */
-  readonly #accused = new Set<string>();
+  /**
+   * Parts that were present at the same crashes as a quarantined one, with the clock time of that finding. Another
+   * crash is enough to quarantine them.
+   */
+  readonly #accused = new Map<string, number>();
   #lastBegunAtMs = Number.NEGATIVE_INFINITY;
   #isEvaluationScheduled = false;
 
@@ -65,11 +68,6 @@
     return this.#quarantined.size;
   }
 
-  /** Whether the quarantine has the digest. */
-  has(digest: string): boolean {
-    return this.#quarantined.has(digest);
-  }
-
   /** Whether a prompt has a part for which no endpoint is to be used. */
   isQuarantined(prompt: PromptSize | undefined): boolean {
     if (prompt === undefined || this.#quarantined.size === 0) return false;
@@ -154,7 +152,7 @@
       // Parts are in the order of the prompts: a later one comes with fewer requests than those before it.
       const part = suspects.at(-1);
       if (part === undefined || !this.#areOthersServed(part)) return;
-      for (const other of suspects) this.#accused.add(other);
+      for (const other of suspects) this.#accused.set(other, this.#options.clock.now());
       this.#quarantine(part, most);
     }
   }
@@ -202,9 +200,12 @@
   #dropOldEvidence(): void {
     const fromMs = this.#options.clock.now() - MAX_EVIDENCE_AGE_MS;
     for (const [lifetime, {atMs}] of this.#crashes) {
-      if (atMs >= fromMs && this.#crashes.size < MAX_CRASHES) return;
+      if (atMs >= fromMs && this.#crashes.size < MAX_CRASHES) break;
       this.#crashes.delete(lifetime);
     }
+    for (const [part, atMs] of this.#accused) {
+      if (atMs < fromMs) this.#accused.delete(part);
+    }
   }
 
   #expire(): void {
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -134,7 +134,7 @@
       clock,
       isListening,
       onCrash: (endpoint, crash) => {
-        placement.recordUnreachable(endpoint);
+        if (!endpoint.isBackedOff) placement.recordUnreachable(endpoint);
         this.#quarantine.recordCrash(crash);
         this.#peers.publishCrash(crash);
       },
