Send a request by the configuration in force when its connection opens

A request whose route had moved within the time of a connect, up to 400 ms, ran at the old service. It is withdrawn now, not run, and placed anew.

Failed before: configurationAndStop.test.ts "a request whose route moves to another service while its connection opens goes there" (1 and 0 requests at the two services, 0 and 1 expected).

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -149,6 +149,8 @@
   readonly clock = new VirtualClock(1000);
   readonly store = new MemoryKeyValue(this.clock);
   readonly switchableStore = new SwitchableKeyValue(this.store, this.clock);
+  /** Called with each log message. */
+  onLog: ((message: string) => void) | undefined;
   readonly logEntries: (LogFields & {readonly message: string})[] = [];
   /** Servers of the endpoints by id. */
   readonly #servers = new Map<string, Server>();
@@ -161,6 +163,7 @@
   constructor() {
     const log = (message: string, fields?: LogFields) => {
       this.logEntries.push({message, ...fields});
+      this.onLog?.(message);
     };
     this.process = new ForwardProcess({
       clock: this.clock,
--- a/packages/entry/src/forwarding/__tests__/configurationAndStop.test.ts
+++ b/packages/entry/src/forwarding/__tests__/configurationAndStop.test.ts
@@ -71,6 +71,25 @@
   });
 });
 
+// The connection was checked only against whether the request is still allowed at all.
+test('a request whose route moves to another service while its connection opens goes there', async () => {
+  const e1 = await rig.addEndpoint('e1', respondOk);
+  const e2 = await rig.addEndpoint('e2', respondOk, {service: 'other'});
+  const moved = createRoutingConfiguration({
+    version: 2,
+    routes: [createRoute({shares: [{service: 'other', weight: 1}]})],
+    services: [{name: 'other', healthPath: '/', connectionLimit: 100, engine: undefined}],
+  });
+  await rig.start(createRoutingConfiguration());
+  rig.onLog = (message) => {
+    if (message !== 'sent') return;
+    rig.onLog = undefined;
+    void rig.configure(moved);
+  };
+  expect((await rig.sendRequest()).status).toBe(200);
+  expect([e1.received.length, e2.received.length]).toEqual([0, 1]);
+});
+
 describe('the watch timeout', () => {
   const retryBudget = {ratio: 0, windowMs: 1, slack: 0};
 
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Endpoint, PlacementRequest} from '@marigoldfold/coordination';
 import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
-import type {Route} from '@marigoldfold/state';
+import type {Route, RoutedAccount, Service} from '@marigoldfold/state';
 import {onClientDisconnect, readBody} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
 import {type AttemptOutcome, ABORT_REASON, runAttempt} from './attempt.js';
@@ -279,8 +279,7 @@
       headers,
       body,
       isRetryable,
-      isAllowed: () =>
-        this.#admit().isOk() && !this.#options.quarantine.isQuarantined(this.#metadata.prompt),
+      isAllowed: () => this.#isStillAllowed(service, account),
       response: this.#response,
       events: this.#events,
       controller,
@@ -291,6 +290,17 @@
     return outcome;
   }
 
+  /** Whether the configuration in force still sends the request to the service, on behalf of the account. */
+  #isStillAllowed(service: Service, account: RoutedAccount | undefined): boolean {
+    if (this.#options.quarantine.isQuarantined(this.#metadata.prompt)) return false;
+    const admitted = this.#admit();
+    return (
+      admitted.isOk() &&
+      admitted.value.account?.name === account?.name &&
+      chooseService(admitted.value, this.#metadata.id ?? '')?.name === service.name
+    );
+  }
+
   /** Updates the state of the request and the endpoint after an attempt. */
   async #recordOutcome(endpoint: Endpoint, outcome: AttemptOutcome): Promise<void> {
     const {placement, crashDetector} = this.#options;
