--- a/packages/coordination/src/forwarding/promptQuarantine.ts
+++ b/packages/coordination/src/forwarding/promptQuarantine.ts
@@ -20,9 +20,9 @@
   readonly onCleared: (digest: string) => void;
 }
 
-/** Crashes that a part must be present at, without any request with it beginning in between. */
+/** Crashes that a part must be present at to be quarantined, without any request with it beginning in between. */
 const MIN_CRASHES = 3;
-/** Crashes from which a request with the part is not sent again after it was at one of them. */
+/** Crashes that a part must be present at for a request with it not to be retried. */
 const MIN_SUSPECT_CRASHES = 2;
 /** Crashes within this time count once, in milliseconds: one cause may end many endpoints. */
 const SAME_CAUSE_MS = 250;
@@ -55,7 +55,7 @@
    * Parts that were present at the same crashes as a quarantined one, with the clock time of that finding. Another
    * crash is enough to quarantine them.
    */
-  readonly #accused = new Map<string, number>();
+  readonly #jointSuspects = new Map<string, number>();
   #lastBegunAtMs = Number.NEGATIVE_INFINITY;
   #isEvaluationScheduled = false;
 
@@ -132,10 +132,10 @@
   /** Records that a request began at an endpoint, which clears all parts of its prompt. */
   recordBegun(prompt: PromptSize): void {
     this.#lastBegunAtMs = this.#options.clock.now();
-    if (this.#crashes.size + this.#quarantined.size + this.#accused.size === 0) return;
+    if (this.#crashes.size + this.#quarantined.size + this.#jointSuspects.size === 0) return;
     for (const part of sharedPartIds(prompt)) {
       for (const {parts} of this.#crashes.values()) parts.delete(part);
-      this.#accused.delete(part);
+      this.#jointSuspects.delete(part);
       const digest = digestOf(part);
       if (!this.#quarantined.has(digest)) continue;
       this.remove(digest);
@@ -152,7 +152,7 @@
       // Parts are in the order of the prompts: a later one comes with fewer requests than those before it.
       const part = suspects.at(-1);
       if (part === undefined || !this.#areOthersServed(part)) return;
-      for (const other of suspects) this.#accused.set(other, this.#options.clock.now());
+      for (const other of suspects) this.#jointSuspects.set(other, this.#options.clock.now());
       this.#quarantine(part, most);
     }
   }
@@ -164,7 +164,7 @@
       if (isExplained) continue;
       for (const part of parts) {
         const count = countCauses(this.#crashTimesMs(part));
-        if (count >= (this.#accused.has(part) ? 1 : MIN_CRASHES)) counts.set(part, count);
+        if (count >= (this.#jointSuspects.has(part) ? 1 : MIN_CRASHES)) counts.set(part, count);
       }
     }
     return counts;
@@ -177,7 +177,7 @@
 
   #quarantine(part: string, crashes: number): void {
     const digest = digestOf(part);
-    this.#accused.delete(part);
+    this.#jointSuspects.delete(part);
     this.#options.logger.warn('prompt part crashes endpoints', {
       belief: 'quarantine',
       part,
@@ -203,8 +203,8 @@
       if (atMs >= fromMs && this.#crashes.size < MAX_CRASHES) break;
       this.#crashes.delete(lifetime);
     }
-    for (const [part, atMs] of this.#accused) {
-      if (atMs < fromMs) this.#accused.delete(part);
+    for (const [part, atMs] of this.#jointSuspects) {
+      if (atMs < fromMs) this.#jointSuspects.delete(part);
     }
   }
 
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -126,14 +126,14 @@
     const bodyLimits = {maxBodyBytes, requestTimeoutMs: deadlineMs - this.#arrivedAtMs};
     const body = await readBody(this.#request, bodyLimits, this.#options.clock);
     if (body.isErr()) return bodyErrorOutcome(body.error);
-    const endTime = () => {
+    const endRequest = () => {
       this.#isTimeOver = true;
       this.#attemptController?.abort(ABORT_REASON);
     };
     const {clock} = this.#options;
     using disposables = new DisposableStore();
-    disposables.add(clock.schedule(deadlineMs - clock.now() + TIMEOUT_GRACE_MS, endTime));
-    disposables.add(plannedStop.onEnd(endTime));
+    disposables.add(clock.schedule(deadlineMs - clock.now() + TIMEOUT_GRACE_MS, endRequest));
+    disposables.add(plannedStop.onEnd(endRequest));
     this.#options.retryBudget.recordRequest(service);
     return await this.#forward(body.value, deadlineMs);
   }
