Give the routers of a soak different ports

A port was free when it was drawn, but nobody held it until its router listened. The soak now gives each port out once.

--- a/packages/bench/src/faultSoak/routerProcess.ts
+++ b/packages/bench/src/faultSoak/routerProcess.ts
@@ -35,7 +35,7 @@
 
   async prepare(): Promise<void> {
     const keyValue = await this.storeLink.listen();
-    const [client, ready, metrics, peer] = await Promise.all([1, 2, 3, 4].map(freePort));
+    const [client, ready, metrics, peer] = await Promise.all([1, 2, 3, 4].map(reservePort));
     this.clientPort = client ?? 0;
     this.readyPort = ready ?? 0;
     this.#settingsFile = join(this.#folder, `${this.name}.toml`);
@@ -97,9 +97,15 @@
 /** Below the ephemeral ports, so that no outgoing connection takes a port while its router is down. */
 const PORT_RANGE = {from: 20_000, to: 32_000} as const;
 
-async function freePort(): Promise<number> {
+/** Ports that this process has given out; a router that is down does not listen on its own. */
+const reservedPorts = new Set<number>();
+
+/** Resolves to a port on which nothing listens, a different one each time. */
+export async function reservePort(): Promise<number> {
   while (true) {
     const port = randomInt(PORT_RANGE.from, PORT_RANGE.to);
+    if (reservedPorts.has(port)) continue;
+    reservedPorts.add(port);
     if (await canListen(port)) return port;
   }
 }
