Log and count the limits that endpoints state

The logs could not tell whether an instance had heard of a limit before it sent beyond it. Adds the limit to the metadata of a response, a belief line when it begins, changes or ends, the limit at each send, and a gauge. A response without the header ends a limit only if its request was sent after the limit was stated. Nothing decides by it yet.

--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
 import {ArrivalRate} from './arrivalRate.js';
+import {applyLimitNotice, type LimitNotice, type LimitStatement} from './endpointLimit.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
 import {PromptCacheEstimate} from './promptCacheEstimate.js';
@@ -50,6 +51,7 @@
   #reportedUnreachableUntilMs = Number.NEGATIVE_INFINITY;
   #hasAnnouncedLeaving = false;
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
+  #limit: LimitStatement | undefined;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Arrival rate of long prompts at this endpoint, from all processes. */
@@ -73,6 +75,7 @@
     this.failureShare = 0;
     this.#hasAnnouncedLeaving = false;
     this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
+    this.#limit = undefined;
     this.resetBackoff();
   }
 
@@ -101,6 +104,18 @@
     this.#pausedUntilMs = Math.max(this.#pausedUntilMs, this.#clock.now() + durationMs);
   }
 
+  /** Requests per second that the endpoint takes from all instances together; undefined if it has no limit. */
+  get limitPerSecond(): number | undefined {
+    return this.#limit?.perSecond;
+  }
+
+  /** Applies the limit of a response; returns whether the limit has changed. */
+  recordLimit(notice: LimitNotice): boolean {
+    const previous = this.limitPerSecond;
+    this.#limit = applyLimitNotice(this.#limit, notice);
+    return this.limitPerSecond !== previous;
+  }
+
   /** Records a load report, including its slowness if present. */
   recordLoad(report: LoadReport): void {
     this.#load = {report, atMs: this.#clock.now(), knownCount: this.#expectedRequestCount};
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -2,6 +2,7 @@
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
 import {Endpoint} from './endpoint.js';
+import type {LimitNotice} from './endpointLimit.js';
 
 /** Clock, logger and removal callback of a registry. */
 export interface EndpointRegistryOptions {
@@ -82,6 +83,27 @@
     });
   }
 
+  /** Applies the limit of an endpoint's response. */
+  recordLimit(endpoint: Endpoint, notice: LimitNotice): void {
+    if (!endpoint.recordLimit(notice)) return;
+    const {limitPerSecond: perSecond} = endpoint;
+    this.#options.logger.info('endpoint', {
+      belief: 'endpoint',
+      endpoint: endpoint.record.id,
+      state: perSecond === undefined ? 'unlimited' : 'limited',
+      perSecond,
+    });
+  }
+
+  /** Number of endpoints that have stated a limit. */
+  get limitedCount(): number {
+    let count = 0;
+    for (const {limitPerSecond} of this.#endpoints.values()) {
+      if (limitPerSecond !== undefined) count += 1;
+    }
+    return count;
+  }
+
   /** Removes an endpoint; in the grace period it is only marked as lapsed, since it may register again. */
   remove(id: string): void {
     const {clock, logger} = this.#options;
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -87,6 +87,12 @@
     this.#options.registry.pause(endpoint, pauseMs);
   }
 
+  /** Records the limit, in requests per second, of a response to a request that was sent at `sentAtMs`. */
+  recordLimit(endpoint: Endpoint, perSecond: number | undefined, sentAtMs: number): void {
+    const receivedAtMs = this.#options.clock.now();
+    this.#options.registry.recordLimit(endpoint, {perSecond, sentAtMs, receivedAtMs});
+  }
+
   /** Whether a request can meet its latency objective; without a prompt, only the remaining time is considered. */
   canMeetTarget(endpoint: Endpoint, request: PlacementRequest): boolean {
     const {prompt, targetLeftMs} = request;
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -52,6 +52,7 @@
       status === 503 && headers['retry-after'] !== undefined
         ? Number(headers['retry-after']) * 1000
         : undefined,
+    limitPerSecond: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
   }),
 };
 
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -134,6 +134,7 @@
     const fault = findResponseFault(status, metadata, placementRequest.id);
     this.#recordNotices(metadata);
     if (fault !== undefined) return this.#broken(fault);
+    this.#recordLimit(status, metadata);
     if (metadata.load !== undefined) this.#options.placement.recordLoad(endpoint, metadata.load);
     if (metadata.isNotExecuted) {
       message.resume();
@@ -159,6 +160,14 @@
     if (pauseMs !== undefined) this.#options.placement.recordPause(endpoint, pauseMs);
   }
 
+  /** Records the limit in a response, or its absence if the response is certainly the endpoint's own. */
+  #recordLimit(status: number, {requestId, limitPerSecond}: ResponseMetadata): void {
+    const {endpoint, placementRequest} = this.#request;
+    if (requestId !== placementRequest.id || status === MISDIRECTED) return;
+    const {sentAtMs} = this.#inFlightRequest;
+    this.#options.placement.recordLimit(endpoint, limitPerSecond, sentAtMs);
+  }
+
   #broken(reason: string): AttemptOutcome {
     const hasBegun = this.#inFlightRequest.firstEventAtMs !== undefined;
     return {kind: 'broken', reason, hasBegun};
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -260,6 +260,7 @@
         configuration: table.version,
         occupancy: Math.round(endpoint.occupancy),
         slowness: endpoint.slowness,
+        limitPerSecond: endpoint.limitPerSecond,
         send: this.#history.attemptCount,
         leftMs: Math.round(leftMs),
         queuedMs: Math.round(clock.now() - this.#queuedAtMs),
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -28,6 +28,8 @@
   /** Requests in the dispatch queue. */
   readonly queued: () => number;
   readonly endpoints: () => number;
+  /** Endpoints that have stated a limit of the rate that they take. */
+  readonly limitedEndpoints: () => number;
   readonly quarantinedParts: () => number;
   /** Remaining retries by service. */
   readonly retriesLeft: () => Iterable<readonly [service: string, left: number]>;
@@ -143,6 +145,11 @@
       help: 'Known endpoints.',
       read: sources.endpoints,
     });
+    addGauge({
+      name: 'marigoldfold_forward_limited_endpoints',
+      help: 'Endpoints that have stated a limit of the rate that they take.',
+      read: sources.limitedEndpoints,
+    });
     this.inFlight = new Gauge({
       name: 'marigoldfold_forward_in_flight',
       help: 'Requests whose response has not ended.',
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -146,6 +146,7 @@
       remoteRequests: () => placement.remoteRequestCount,
       queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
+      limitedEndpoints: () => this.#registry.limitedCount,
       quarantinedParts: () => this.#quarantine.size,
       retriesLeft: () =>
         [...this.#retryBudget.services].map((service) => [
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -28,6 +28,8 @@
   readonly load: string;
   /** Header in all responses of an endpoint that is leaving. */
   readonly leaving: string;
+  /** Header with the requests per second, a decimal number, that an endpoint takes from all instances together. */
+  readonly limit: string;
 }
 
 const MISDIRECTED = 421;
@@ -101,6 +103,7 @@
     load: parseLoad(headerText(headers[names.load])),
     isLeaving: isSet(headerText(headers[names.leaving])),
     pauseMs: status === UNAVAILABLE ? parsePauseMs(headerText(headers['retry-after'])) : undefined,
+    limitPerSecond: parseDecimal(headerText(headers[names.limit])),
   };
 }
 
@@ -110,8 +113,13 @@
 
 /** Milliseconds of a `retry-after` header in seconds, which may have fractions. */
 function parsePauseMs(header: string | undefined): number | undefined {
-  const seconds = Number(header?.trim() === '' ? undefined : header);
-  return isCount(seconds) ? seconds * MS_PER_SECOND : undefined;
+  const seconds = parseDecimal(header);
+  return seconds === undefined ? undefined : seconds * MS_PER_SECOND;
+}
+
+function parseDecimal(header: string | undefined): number | undefined {
+  const value = Number(header?.trim() === '' ? undefined : header);
+  return isCount(value) ? value : undefined;
 }
 
 function parsePrompt(names: HeaderNames, headers: IncomingHttpHeaders): PromptSize | undefined {
--- a/packages/entry/src/forwarding/metadataCodec.ts
+++ b/packages/entry/src/forwarding/metadataCodec.ts
@@ -37,6 +37,8 @@
   readonly isLeaving: boolean;
   /** Milliseconds for which a refusing endpoint wants no further request of this instance. */
   readonly pauseMs: number | undefined;
+  /** Requests per second that the endpoint takes from all instances together; undefined if it states no limit. */
+  readonly limitPerSecond: number | undefined;
 }
 
 /** Reads and writes the metadata headers of an installation. */
--- a/packages/entry/src/forwarding/standaloneDefaults.ts
+++ b/packages/entry/src/forwarding/standaloneDefaults.ts
@@ -25,6 +25,7 @@
   notExecuted: 'x-not-executed',
   load: 'x-endpoint-load',
   leaving: 'x-endpoint-leaving',
+  limit: 'x-endpoint-limit',
 };
 
 /** Metadata codec of a router without a platform adapter. */
