Add a failing test of endpoints that get more than their limit

One router and three that share a store send 20 requests a second each to two endpoints, of which one states a limit of 2 a second.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -145,11 +145,21 @@
   retryBudget: {ratio: 10, windowMs: 10_000, slack: 50},
 };
 
+/** What distinguishes a router of a fleet from the only one. */
+export interface RigOptions {
+  /** Name of the instance. */
+  readonly name?: string;
+  /** `host:port` for reports from other instances; the port has to be free. */
+  readonly peerAddress?: string;
+  /** Rig whose clock and store this one shares. */
+  readonly sharedWith?: ForwardRig;
+}
+
 /** A router under test with an in-memory store and scripted endpoints. */
 export class ForwardRig {
-  readonly clock = new VirtualClock(1000);
-  readonly store = new MemoryKeyValue(this.clock);
-  readonly switchableStore = new SwitchableKeyValue(this.store, this.clock);
+  readonly clock: VirtualClock;
+  readonly store: MemoryKeyValue;
+  readonly switchableStore: SwitchableKeyValue;
   /** Called with each log message. */
   onLog: ((message: string) => void) | undefined;
   readonly logEntries: (LogFields & {readonly message: string})[] = [];
@@ -161,7 +171,10 @@
   /** Time that the machine was suspended, which only the wall clock counts. */
   suspendedMs = 0;
 
-  constructor() {
+  constructor({name = 'front-1', peerAddress = '127.0.0.1:0', sharedWith}: RigOptions = {}) {
+    this.clock = sharedWith?.clock ?? new VirtualClock(1000);
+    this.store = sharedWith?.store ?? new MemoryKeyValue(this.clock);
+    this.switchableStore = new SwitchableKeyValue(this.store, this.clock);
     const log = (message: string, fields?: LogFields) => {
       this.logEntries.push({message, ...fields});
       this.onLog?.(message);
@@ -184,8 +197,8 @@
           value === 'garbage' ? err('not JSON') : ok(JSON.parse(value) as EndpointRecord),
         endpointIdOf: (key) => key.slice('endpoints/'.length),
       },
-      name: 'front-1',
-      peerAddress: '127.0.0.1:0',
+      name,
+      peerAddress,
       clientAddress: '127.0.0.1:0',
       readyAddress: '127.0.0.1:0',
       metricsAddress: '127.0.0.1:0',
