--- /dev/null
+++ b/packages/entry/src/forwarding/fleetRecords.ts
@@ -0,0 +1,76 @@
+/** Applies the records of endpoints, instances and quarantined prompt parts in the store. */
+import type {EndpointRegistry, PeerChannel, PromptQuarantine} from '@marigoldfold/coordination';
+import type {Logger} from '@marigoldfold/runtime';
+import {endpointAddressSchema, type KeyValueEntry} from '@marigoldfold/state';
+import type {ForwardSource} from './forwardSource.js';
+
+/** What the records describe, and how they are decoded. */
+export interface FleetRecordsOptions {
+  readonly logger: Logger;
+  readonly source: ForwardSource;
+  readonly registry: EndpointRegistry;
+  readonly peers: PeerChannel;
+  readonly quarantine: PromptQuarantine;
+}
+
+/** Endpoints, instances and quarantined prompt parts as the store has them. */
+export class FleetRecords {
+  readonly #options: FleetRecordsOptions;
+  /** Digests of quarantined prompt parts that are in the store. */
+  readonly #recordedDigests = new Set<string>();
+
+  constructor(options: FleetRecordsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the store has the record of a quarantined prompt part. */
+  isRecorded(digest: string): boolean {
+    return this.#recordedDigests.has(digest);
+  }
+
+  /** Applies a changed record; one that was removed has an empty value. */
+  apply(change: KeyValueEntry): void {
+    const {endpointsPrefix, peersPrefix, quarantinePrefix} = this.#options.source;
+    if (change.key.startsWith(endpointsPrefix)) this.#applyEndpoint(change);
+    else if (change.key.startsWith(peersPrefix)) this.#applyPeer(change);
+    else if (change.key.startsWith(quarantinePrefix)) this.#applyQuarantine(change);
+  }
+
+  #applyEndpoint({key, value, revision}: KeyValueEntry): void {
+    const {logger, source, registry} = this.#options;
+    const id = source.endpointIdOf(key);
+    if (value === '') {
+      registry.remove(id);
+      return;
+    }
+    const decoded = source.decodeEndpoint(key, value);
+    if (decoded.isOk()) {
+      registry.put(decoded.value);
+      return;
+    }
+    logger.warn('endpoint record cannot be read', {key, revision, reason: decoded.error});
+    registry.remove(id);
+  }
+
+  #applyPeer({key, value}: KeyValueEntry): void {
+    const {logger, source, peers} = this.#options;
+    const peer = key.slice(source.peersPrefix.length);
+    if (endpointAddressSchema.safeParse(value).success) {
+      peers.add(peer, value);
+      return;
+    }
+    if (value !== '') logger.warn('peer record cannot be read', {key});
+    peers.remove(peer);
+  }
+
+  #applyQuarantine({key, value}: KeyValueEntry): void {
+    const digest = key.slice(this.#options.source.quarantinePrefix.length);
+    if (value === '') {
+      this.#recordedDigests.delete(digest);
+      this.#options.quarantine.remove(digest);
+    } else {
+      this.#recordedDigests.add(digest);
+      this.#options.quarantine.add(digest);
+    }
+  }
+}
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -18,12 +18,13 @@
   type Logger,
   type Random,
 } from '@marigoldfold/runtime';
-import {endpointAddressSchema, type KeyValueEntry, RoutingTable} from '@marigoldfold/state';
+import {type KeyValueEntry, RoutingTable} from '@marigoldfold/state';
 import {createEndpointClient, isListening, splitAddress} from '@marigoldfold/transport';
 import {Registry} from 'prom-client';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
 import type {ForwardBounds, ForwardSource} from './forwardSource.js';
 import {CrashDetector} from './crashDetector.js';
+import {FleetRecords} from './fleetRecords.js';
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
 import type {MetadataCodec} from './metadataCodec.js';
@@ -76,8 +77,7 @@
   readonly #peers: PeerChannel;
   readonly #quarantine: PromptQuarantine;
   #quarantineRecords: QuarantineRecords | undefined;
-  /** Digests of quarantined prompt parts that are in the store. */
-  readonly #recordedDigests = new Set<string>();
+  readonly #records: FleetRecords;
   readonly #server: ForwardServer;
   readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
@@ -122,6 +122,13 @@
         },
       }),
     );
+    this.#records = new FleetRecords({
+      logger,
+      source: options.source,
+      registry: this.#registry,
+      peers: this.#peers,
+      quarantine: this.#quarantine,
+    });
     const placement = new Placement({
       clock,
       registry: this.#registry,
@@ -285,19 +292,15 @@
         logger,
         store,
         prefix: quarantinePrefix,
-        isRecorded: (digest) => this.#recordedDigests.has(digest),
+        isRecorded: (digest) => this.#records.isRecorded(digest),
       }),
     );
   }
 
   #applyChanges(changes: readonly KeyValueEntry[]): void {
-    const {configurationKey, endpointsPrefix, peersPrefix, quarantinePrefix} = this.#options.source;
     for (const change of changes) {
-      const {key} = change;
-      if (key === configurationKey) this.#applyConfiguration(change);
-      else if (key.startsWith(endpointsPrefix)) this.#applyEndpoint(change);
-      else if (key.startsWith(peersPrefix)) this.#applyPeer(change);
-      else if (key.startsWith(quarantinePrefix)) this.#applyQuarantine(change);
+      if (change.key === this.#options.source.configurationKey) this.#applyConfiguration(change);
+      else this.#records.apply(change);
     }
     this.#retryBudget.recordProcessCount(this.#peers.size + 1);
   }
@@ -327,44 +330,6 @@
     });
   }
 
-  #applyEndpoint({key, value, revision}: KeyValueEntry): void {
-    const {logger, source} = this.#options;
-    const id = source.endpointIdOf(key);
-    if (value === '') {
-      this.#registry.remove(id);
-      return;
-    }
-    const decoded = source.decodeEndpoint(key, value);
-    if (decoded.isOk()) {
-      this.#registry.put(decoded.value);
-      return;
-    }
-    logger.warn('endpoint record cannot be read', {key, revision, reason: decoded.error});
-    this.#registry.remove(id);
-  }
-
-  #applyPeer({key, value}: KeyValueEntry): void {
-    const {logger, source} = this.#options;
-    const peer = key.slice(source.peersPrefix.length);
-    if (endpointAddressSchema.safeParse(value).success) {
-      this.#peers.add(peer, value);
-      return;
-    }
-    if (value !== '') logger.warn('peer record cannot be read', {key});
-    this.#peers.remove(peer);
-  }
-
-  #applyQuarantine({key, value}: KeyValueEntry): void {
-    const digest = key.slice(this.#options.source.quarantinePrefix.length);
-    if (value === '') {
-      this.#recordedDigests.delete(digest);
-      this.#quarantine.remove(digest);
-    } else {
-      this.#recordedDigests.add(digest);
-      this.#quarantine.add(digest);
-    }
-  }
-
   #configurationState(): ConfigurationState {
     return {table: this.#table, ageMs: this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY};
   }
