Share the limits that endpoints state among all instances

Callers of the users' site saw endpoints in need get far more requests than the limit that they had named.

Cause: the limit is a figure for all instances together, and no part of the router read it, shared it or passed it on. Class of fault: something that another party grants to the fleet is kept, if at all, by each instance alone.

Change: the home of an endpoint, one instance by rendezvous hashing on the registered ones, issues permits at the stated rate; all sends need one. Instances tell each other what endpoints state, with its age. An instance is a home only while its own lease holds; a new one starts with no permits. Waiting requests are served by rank over all instances. A denial uses up no attempt, no retry budget and is no failure of the endpoint; refusals name the time until a permit. The division of engines between long and short prompts leaves out limited ones, which take long prompts first.

--- a/packages/bench/src/placement/simulatedPeerPublisher.ts
+++ b/packages/bench/src/placement/simulatedPeerPublisher.ts
@@ -1,5 +1,10 @@
 /** Exchanges batched updates between simulated forwarding instances, as the product does. */
-import type {PeerUpdate, PeerPublisher, Placement} from '@marigoldfold/coordination';
+import {
+  emptyUpdate,
+  type PeerUpdate,
+  type PeerPublisher,
+  type Placement,
+} from '@marigoldfold/coordination';
 import type {Clock} from '@marigoldfold/runtime';
 
 /** Sender, recipients and delays of the updates. */
@@ -48,6 +53,11 @@
     this.#openBatch().unreachable.push(endpointId);
   }
 
+  /** Simulated endpoints state no limits. */
+  publishLimit(): void {
+    return;
+  }
+
   #openBatch(): UpdateBatch {
     const {clock, batchMs, networkMs, peers, self} = this.#options;
     if (this.#batch !== undefined) return this.#batch;
@@ -56,7 +66,7 @@
     clock.schedule(batchMs, () => {
       this.#batch = undefined;
       clock.schedule(networkMs, () => {
-        for (const peer of peers()) peer.applyPeerUpdate({from: self, crashes: [], ...batch});
+        for (const peer of peers()) peer.applyPeerUpdate({...emptyUpdate(self), ...batch});
       });
     });
     return batch;
--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -5,7 +5,7 @@
 import type {Endpoint} from '../endpoint.js';
 import {EndpointRegistry} from '../endpointRegistry.js';
 import {Placement} from '../placement.js';
-import type {PeerUpdate} from '../peerMessages.js';
+import {emptyUpdate, type PeerUpdate} from '../peerMessages.js';
 
 const engine: Engine = {slots: 48, cacheTokens: 300_000, tokensPerEvent: 3};
 const noneExcluded: ReadonlySet<string> = new Set();
@@ -35,6 +35,8 @@
       publishEnded: (id) => updates.push({ended: [id]}),
       publishSlowness: (id, value) => updates.push({slowness: [[id, value]]}),
       publishUnreachable: (id) => updates.push({unreachable: [id]}),
+      publishLimit: (id, {perSecond}) =>
+        updates.push({limits: [[id, {perSecond: perSecond ?? null, ageMs: 0}]]}),
     },
   });
   return {clock, registry, placement, updates};
@@ -147,11 +149,11 @@
       200,
       [],
     ]);
-    const emptyChanges = {begun: [], ended: [], slowness: [], unreachable: [], crashes: []};
-    placement.applyPeerUpdate({from: 'other', sent, ...emptyChanges});
+    const nothing = emptyUpdate('other');
+    placement.applyPeerUpdate({...nothing, sent});
     expect(placement.choose(requestOf(longPrompt('x')), engine, noneExcluded)).not.toBe(first);
     const ended = sent.map(([requestId]) => requestId);
-    placement.applyPeerUpdate({from: 'other', ...emptyChanges, sent: [], ended});
+    placement.applyPeerUpdate({...nothing, ended});
     expect(registry.find(id)?.remoteRequests.size).toBe(0);
     expect(placement.choose(requestOf(longPrompt('x')), engine, noneExcluded)).toBe(first);
   });
@@ -265,25 +267,18 @@
 describe('requests of a crashed instance', () => {
   test('expire although their end is not reported', async () => {
     const {placement, registry, clock} = createPlacement(1);
-    const emptyUpdate = {
-      from: 'other',
-      begun: [],
-      ended: [],
-      slowness: [],
-      unreachable: [],
-      crashes: [],
-    };
-    placement.applyPeerUpdate({...emptyUpdate, sent: [['lost', 'e1', 100, 100, 10, 0, []]]});
+    const nothing = emptyUpdate('other');
+    placement.applyPeerUpdate({...nothing, sent: [['lost', 'e1', 100, 100, 10, 0, []]]});
     expect(placement.remoteRequestCount).toBe(1);
     await clock.advance(20_000);
-    placement.applyPeerUpdate({...emptyUpdate, sent: [['new', 'e1', 100, 100, 10, 0, []]]});
+    placement.applyPeerUpdate({...nothing, sent: [['new', 'e1', 100, 100, 10, 0, []]]});
     expect(placement.remoteRequestCount).toBe(1);
     expect([...registry.find('e1')!.remoteRequests.keys()]).toEqual(['new']);
   });
 });
 
 describe('endpoints that were lost', () => {
-  const noNews = {from: 'other', sent: [], begun: [], ended: [], slowness: [], crashes: []};
+  const noNews = emptyUpdate('other');
   const chosenIds = ({placement}: ReturnType<typeof createPlacement>) => {
     const ids = new Set<string>();
     for (let count = 0; count < 40; count += 1) {
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -2,7 +2,12 @@
 import type {Clock} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
 import {ArrivalRate} from './arrivalRate.js';
-import {applyLimitNotice, type LimitNotice, type LimitStatement} from './endpointLimit.js';
+import {
+  applyLimitNotice,
+  type LimitNotice,
+  type LimitStatement,
+  newerStatement,
+} from './endpointLimit.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
 import {PromptCacheEstimate} from './promptCacheEstimate.js';
@@ -52,6 +57,9 @@
   #hasAnnouncedLeaving = false;
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
   #limit: LimitStatement | undefined;
+  #withheldUntilMs = Number.NEGATIVE_INFINITY;
+  /** Time at which this process last told others of the limit, in milliseconds. */
+  limitPublishedAtMs = Number.NEGATIVE_INFINITY;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Arrival rate of long prompts at this endpoint, from all processes. */
@@ -76,6 +84,7 @@
     this.#hasAnnouncedLeaving = false;
     this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
     this.#limit = undefined;
+    this.#withheldUntilMs = Number.NEGATIVE_INFINITY;
     this.resetBackoff();
   }
 
@@ -109,6 +118,29 @@
     return this.#limit?.perSecond;
   }
 
+  /** What the endpoint or another instance last stated about its limit; undefined if nothing. */
+  get limit(): LimitStatement | undefined {
+    return this.#limit;
+  }
+
+  /** Milliseconds for which the limit certainly allows no request of this instance; 0 if it may allow one. */
+  get withheldForMs(): number {
+    if (this.limitPerSecond === undefined) return 0;
+    return Math.max(0, this.#withheldUntilMs - this.#clock.now());
+  }
+
+  /** Records that the limit allows no request of this instance for a time, in milliseconds. */
+  withhold(durationMs: number): void {
+    this.#withheldUntilMs = this.#clock.now() + durationMs;
+  }
+
+  /** Applies a statement of another instance; returns whether the limit has changed. */
+  mergeLimit(reported: LimitStatement): boolean {
+    const previous = this.limitPerSecond;
+    this.#limit = newerStatement(this.#limit, reported);
+    return this.limitPerSecond !== previous;
+  }
+
   /** Applies the limit of a response; returns whether the limit has changed. */
   recordLimit(notice: LimitNotice): boolean {
     const previous = this.limitPerSecond;
--- a/packages/coordination/src/forwarding/endpointLimit.ts
+++ b/packages/coordination/src/forwarding/endpointLimit.ts
@@ -1,4 +1,5 @@
 /** The rate of requests that an endpoint states it takes from all instances together. */
+import {z} from 'zod';
 
 /** What an endpoint last stated about its limit. */
 export interface LimitStatement {
@@ -15,6 +16,35 @@
   readonly receivedAtMs: number;
 }
 
+/** Schema of a statement between instances, whose clocks differ: its age replaces its time. */
+export const limitMessageSchema = z.object({
+  /** Requests per second; null if the endpoint has no limit. */
+  perSecond: z.number().nonnegative().nullable(),
+  /** Age of the statement, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+});
+
+/** A statement as instances send it to each other. */
+export type LimitMessage = Readonly<z.infer<typeof limitMessageSchema>>;
+
+/** Encodes a statement at `nowMs` on this process's clock. */
+export function encodeLimit({perSecond, statedAtMs}: LimitStatement, nowMs: number): LimitMessage {
+  return {perSecond: perSecond ?? null, ageMs: Math.max(0, Math.round(nowMs - statedAtMs))};
+}
+
+/** Decodes a statement that arrived at `nowMs` on this process's clock. */
+export function decodeLimit({perSecond, ageMs}: LimitMessage, nowMs: number): LimitStatement {
+  return {perSecond: perSecond ?? undefined, statedAtMs: nowMs - ageMs};
+}
+
+/** The statement that holds after another instance reports one: the newer of both. */
+export function newerStatement(
+  current: LimitStatement | undefined,
+  reported: LimitStatement,
+): LimitStatement {
+  return current === undefined || reported.statedAtMs > current.statedAtMs ? reported : current;
+}
+
 /**
  * The statement that holds after a response. A response without a limit ends it only if its request was sent after
  * the limit was stated, since the response may have begun before.
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -2,7 +2,7 @@
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
 import {Endpoint} from './endpoint.js';
-import type {LimitNotice} from './endpointLimit.js';
+import type {LimitNotice, LimitStatement} from './endpointLimit.js';
 
 /** Clock, logger and removal callback of a registry. */
 export interface EndpointRegistryOptions {
@@ -83,13 +83,23 @@
     });
   }
 
-  /** Applies the limit of an endpoint's response. */
-  recordLimit(endpoint: Endpoint, notice: LimitNotice): void {
-    if (!endpoint.recordLimit(notice)) return;
-    const {limitPerSecond: perSecond} = endpoint;
+  /** Applies the limit of an endpoint's response; returns whether the limit has changed. */
+  recordLimit(endpoint: Endpoint, notice: LimitNotice): boolean {
+    const hasChanged = endpoint.recordLimit(notice);
+    if (hasChanged) this.#logLimit(endpoint);
+    return hasChanged;
+  }
+
+  /** Applies what another instance states about the limit of an endpoint. */
+  mergeLimit(id: string, statement: LimitStatement): void {
+    const endpoint = this.#endpoints.get(id);
+    if (endpoint?.mergeLimit(statement) === true) this.#logLimit(endpoint);
+  }
+
+  #logLimit({record, limitPerSecond: perSecond}: Endpoint): void {
     this.#options.logger.info('endpoint', {
       belief: 'endpoint',
-      endpoint: endpoint.record.id,
+      endpoint: record.id,
       state: perSecond === undefined ? 'unlimited' : 'limited',
       perSecond,
     });
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -67,6 +67,12 @@
   readonly longEndpointCount: number;
 }
 
+/** Endpoints reserved for long and for short prompts. */
+interface EndpointGroups {
+  readonly long: readonly Endpoint[];
+  readonly short: readonly Endpoint[];
+}
+
 /** Clock by which an engine placement estimates queueing and arrival rates. */
 export interface EnginePlacementOptions {
   readonly clock: Clock;
@@ -106,20 +112,21 @@
     return prefillMs + timings.eventGapMs <= targetLeftMs * MAX_PREFILL_TARGET_SHARE;
   }
 
-  /** Returns the endpoint with the least expected loss, or undefined without candidates. */
+  /**
+   * Returns the endpoint with the least expected loss, or undefined if there is none whose limit may allow the request.
+   * `endpoints` includes those whose limit is used up.
+   */
   choose(
     request: PlacementRequest,
     prompt: PromptSize,
     engine: Engine,
-    candidates: readonly Endpoint[],
+    endpoints: readonly Endpoint[],
   ): Endpoint | undefined {
     this.timings(request.service).tokensPerEvent = engine.tokensPerEvent;
     const isLong = isLongPrompt(prompt);
-    const ordered = [...candidates].sort((a, b) => stableOrderOf(a) - stableOrderOf(b));
-    const longEndpointCount = this.#countLongEndpoints(ordered);
-    const ownGroup = isLong
-      ? ordered.slice(0, longEndpointCount)
-      : ordered.slice(longEndpointCount);
+    const ordered = [...endpoints].sort((a, b) => stableOrderOf(a) - stableOrderOf(b));
+    const {long, short} = this.#divide(ordered);
+    const ownGroup = isLong ? long : short;
     const affinityEndpoint = affinityEndpointOf(prompt, ownGroup);
     const isCachedAnywhere = ordered.some(
       ({cacheEstimate}) => cacheEstimate.uncachedTokens(prompt) <= unsharedTokens(prompt),
@@ -127,6 +134,7 @@
     let best: Endpoint | undefined;
     let leastLoss = Number.POSITIVE_INFINITY;
     for (const endpoint of ordered) {
+      if (endpoint.withheldForMs > 0) continue;
       const isOtherGroup = !ownGroup.includes(endpoint);
       const isAffinityEndpoint = endpoint === affinityEndpoint;
       const candidate = {
@@ -135,7 +143,7 @@
         isOtherGroup,
         isAffinityEndpoint,
         isCachedAnywhere,
-        longEndpointCount,
+        longEndpointCount: long.length,
       };
       const loss = this.#expectedLoss(request, prompt, candidate);
       if (loss >= leastLoss) continue;
@@ -218,13 +226,15 @@
   /** Records a prompt sent to an endpoint by this or another process. */
   recordSend(endpoint: Endpoint, prompt: PromptSize): void {
     const now = this.#clock.now();
-    // Counts only unshared tokens, so that prefilling shared parts again does not change the division of endpoints.
-    const tokens = unsharedTokens(prompt);
     if (isLongPrompt(prompt)) {
       endpoint.longPromptArrivals.add(now);
-      this.#longPromptWork.add(now, tokens);
       this.#longPromptArrivals.add(now);
-    } else this.#shortPromptWork.add(now, tokens * SHORT_PROMPT_WORK_FACTOR);
+    }
+    if (endpoint.limitPerSecond !== undefined) return;
+    // Counts only unshared tokens, so that prefilling shared parts again does not change the division of endpoints.
+    const tokens = unsharedTokens(prompt);
+    if (isLongPrompt(prompt)) this.#longPromptWork.add(now, tokens);
+    else this.#shortPromptWork.add(now, tokens * SHORT_PROMPT_WORK_FACTOR);
   }
 
   /** Records that `events` events of a stream took `elapsedMs`; returns the ratio to the expected time. */
@@ -249,6 +259,23 @@
     return knownCount === 0 ? loss : loss * Math.max(1, endpoint.occupancy / knownCount);
   }
 
+  /**
+   * Divides endpoints between long and short prompts. A limit counts requests, whatever their length, so endpoints with
+   * one take long prompts, and the others are divided by the work that is left for them.
+   */
+  #divide(endpoints: readonly Endpoint[]): EndpointGroups {
+    const unlimited = endpoints.filter(({limitPerSecond}) => limitPerSecond === undefined);
+    if (unlimited.length === 0) return this.#divideByWork(endpoints);
+    const {long, short} = this.#divideByWork(unlimited);
+    const limited = endpoints.filter(({limitPerSecond}) => limitPerSecond !== undefined);
+    return {long: [...long, ...limited], short};
+  }
+
+  #divideByWork(endpoints: readonly Endpoint[]): EndpointGroups {
+    const count = this.#countLongEndpoints(endpoints);
+    return {long: endpoints.slice(0, count), short: endpoints.slice(count)};
+  }
+
   /** Number of endpoints to reserve for long prompts. */
   #countLongEndpoints(endpoints: readonly Endpoint[]): number {
     const count = endpoints.length;
--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -4,8 +4,14 @@
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {rankMembers} from '../rendezvous.js';
+import {encodeLimit, type LimitStatement} from './endpointLimit.js';
 import type {EndpointCrash} from './promptQuarantine.js';
-import {PEER_UPDATE_METHOD, type PeerUpdate, peerUpdateSchema} from './peerMessages.js';
+import {
+  emptyUpdate,
+  PEER_UPDATE_METHOD,
+  type PeerUpdate,
+  peerUpdateSchema,
+} from './peerMessages.js';
 
 /** Identity, local address and dependencies of a channel. */
 export interface PeerChannelOptions {
@@ -35,6 +41,7 @@
   readonly ended: string[];
   readonly slowness: Map<string, number>;
   readonly unreachable: Set<string>;
+  readonly limits: Map<string, LimitStatement>;
 }
 
 /** UDP socket that sends batched updates to selected peers and receives theirs. */
@@ -62,6 +69,11 @@
     this.#socket.bind(port, host);
   }
 
+  /** Names of the known peers, including those that receive no updates. */
+  get names(): readonly string[] {
+    return [...this.#peers.keys()];
+  }
+
   /** Number of known peers, including those that receive no updates. */
   get size(): number {
     return this.#peers.size;
@@ -106,6 +118,17 @@
     this.#openBatch().unreachable.add(endpointId);
   }
 
+  publishLimit(endpointId: string, limit: LimitStatement): void {
+    this.#openBatch().limits.set(endpointId, limit);
+  }
+
+  /** Sends permit requests or permits to one peer at once, since a request waits for them. */
+  sendTo(peer: string, update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits'>>): void {
+    const address = this.#peers.get(peer);
+    if (address === undefined || this.#isClosed) return;
+    this.#send({...emptyUpdate(this.#options.self), ...update}, [address]);
+  }
+
   /** Sends a crash to all peers at once, since crashes are rare and each instance needs most of them. */
   publishCrash(crash: EndpointCrash): void {
     if (this.#isClosed) return;
@@ -138,16 +161,20 @@
 
   #flush(): void {
     this.#timer = undefined;
-    const {sent, begun, ended, slowness, unreachable} = this.#batch;
+    const {sent, begun, ended, slowness, unreachable, limits} = this.#batch;
     this.#batch = emptyBatch();
+    const now = this.#options.clock.now();
     const update = {
-      from: this.#options.self,
+      ...emptyUpdate(this.#options.self),
       sent,
       begun,
       ended,
       slowness: [...slowness],
       unreachable: [...unreachable],
-      crashes: [],
+      limits: [...limits].map(([id, limit]): PeerUpdate['limits'][number] => [
+        id,
+        encodeLimit(limit, now),
+      ]),
     };
     this.#send(update, this.#recipients);
   }
@@ -172,18 +199,20 @@
 }
 
 function emptyBatch(): UpdateBatch {
-  return {sent: [], begun: [], ended: [], slowness: new Map(), unreachable: new Set()};
-}
-
-function emptyUpdate(from: string): PeerUpdate {
-  return {from, sent: [], begun: [], ended: [], slowness: [], unreachable: [], crashes: []};
+  return {
+    sent: [],
+    begun: [],
+    ended: [],
+    slowness: new Map(),
+    unreachable: new Set(),
+    limits: new Map(),
+  };
 }
 
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {sent, begun, ended, slowness, unreachable, crashes} = update;
-  const lists = [sent, begun, ended, slowness, unreachable, crashes];
-  const count = lists.reduce((sum, list) => sum + list.length, 0);
+  const {from, ...lists} = update;
+  const count = Object.values(lists).reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
     const takeHalf = <T>(items: readonly T[]) => {
@@ -191,13 +220,16 @@
       return half === 0 ? items.slice(0, middle) : items.slice(middle);
     };
     return {
-      from: update.from,
-      sent: takeHalf(sent),
-      begun: takeHalf(begun),
-      ended: takeHalf(ended),
-      slowness: takeHalf(slowness),
-      unreachable: takeHalf(unreachable),
-      crashes: takeHalf(crashes),
+      from,
+      sent: takeHalf(lists.sent),
+      begun: takeHalf(lists.begun),
+      ended: takeHalf(lists.ended),
+      slowness: takeHalf(lists.slowness),
+      unreachable: takeHalf(lists.unreachable),
+      crashes: takeHalf(lists.crashes),
+      limits: takeHalf(lists.limits),
+      permitRequests: takeHalf(lists.permitRequests),
+      permits: takeHalf(lists.permits),
     };
   });
   return halves.flatMap(splitUpdate);
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -1,9 +1,31 @@
 /** JSON-RPC notification by which instances report their requests at shared endpoints to each other. */
 import {z} from 'zod';
+import {limitMessageSchema} from './endpointLimit.js';
 
 /** JSON-RPC method name of a peer update. */
 export const PEER_UPDATE_METHOD = 'forward.news';
 
+const permitRequestSchema = z.object({
+  id: z.string(),
+  endpoint: z.string(),
+  rank: z.number(),
+  /** Longest wait, in milliseconds. */
+  waitMs: z.number().nonnegative(),
+  /** What the sender knows of the endpoint's limit. */
+  limit: limitMessageSchema,
+});
+
+const permitSchema = z.object({
+  /** Id of the request. */
+  id: z.string(),
+  endpoint: z.string(),
+  isGranted: z.boolean(),
+  /** Time after which to ask again if it is not granted, in milliseconds. */
+  retryAfterMs: z.number().nonnegative(),
+  /** What the sender knows of the endpoint's limit. */
+  limit: limitMessageSchema.optional(),
+});
+
 /** Schema of the parameters of a peer update; requests are referred to by id. */
 export const peerUpdateSchema = z.object({
   /** Name of the sending instance. */
@@ -35,7 +57,35 @@
   crashes: z
     .array(z.object({lifetime: z.string(), parts: z.array(z.string()).readonly()}))
     .default([]),
+  /** Endpoint ids, each with its limit or the end of it. */
+  limits: z.array(z.tuple([z.string(), limitMessageSchema])).default([]),
+  /** Requests to send to limited endpoints whose home is the receiver. */
+  permitRequests: z.array(permitRequestSchema).default([]),
+  /** Responses to permit requests. */
+  permits: z.array(permitSchema).default([]),
 });
 
+/** A request for a permit as instances send it to each other. */
+export type PermitRequestMessage = Readonly<z.infer<typeof permitRequestSchema>>;
+
+/** A permit or its denial as instances send it to each other. */
+export type PermitMessage = Readonly<z.infer<typeof permitSchema>>;
+
 /** Changes of one instance since its last message. */
 export type PeerUpdate = Readonly<z.infer<typeof peerUpdateSchema>>;
+
+/** Creates an update of an instance that reports nothing. */
+export function emptyUpdate(from: string): PeerUpdate {
+  return {
+    from,
+    sent: [],
+    begun: [],
+    ended: [],
+    slowness: [],
+    unreachable: [],
+    crashes: [],
+    limits: [],
+    permitRequests: [],
+    permits: [],
+  };
+}
--- a/packages/coordination/src/forwarding/peerRegistration.ts
+++ b/packages/coordination/src/forwarding/peerRegistration.ts
@@ -13,11 +13,12 @@
   readonly value: string;
 }
 
-/** Lease duration of the key. Peers may send to a stopped instance for this long, which costs little. */
 const LEASE_SECONDS = 15;
 /** Renewals per lease duration, so that the lease survives one failed renewal. */
 const RENEWALS_PER_LEASE = 2.5;
 const MS_PER_SECOND = 1000;
+/** Lease duration of the key, in milliseconds. Peers may send to a stopped instance for this long. */
+export const PEER_LEASE_MS = LEASE_SECONDS * MS_PER_SECOND;
 /** Mean delay before a retry; it can be long, since no request waits for the registration. */
 const RETRY_DELAY_MS = 1500;
 
@@ -26,12 +27,19 @@
   readonly #options: PeerRegistrationOptions;
   readonly #controller = new AbortController();
   #lease: string | undefined;
+  /** Time until which the lease cannot have expired, in milliseconds. */
+  #heldUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: PeerRegistrationOptions) {
     this.#options = options;
     void this.#maintain();
   }
 
+  /** Whether the lease of the key certainly holds, so that no peer has seen the key expire. */
+  get isHeld(): boolean {
+    return this.#lease !== undefined && this.#options.clock.now() < this.#heldUntilMs;
+  }
+
   /** Stops the renewals and revokes the lease, which removes the key. */
   [Symbol.dispose](): void {
     this.#controller.abort();
@@ -52,7 +60,7 @@
         continue;
       }
       if (!result.value) continue;
-      await sleep(clock, (LEASE_SECONDS * MS_PER_SECOND) / RENEWALS_PER_LEASE, signal);
+      await sleep(clock, PEER_LEASE_MS / RENEWALS_PER_LEASE, signal);
     }
   }
 
@@ -61,6 +69,7 @@
     const {store, key, value, logger} = this.#options;
     const current = await store.get(key);
     if (current.isErr()) return current.map(() => false);
+    const heldUntilMs = this.#leaseEndMs();
     const lease = await store.grantLease(LEASE_SECONDS);
     if (lease.isErr()) return lease.map(() => false);
     const ifRevision = current.value?.revision ?? 0;
@@ -68,14 +77,22 @@
     return written.map(({kind}) => {
       if (kind === 'conflict') return false;
       this.#lease = lease.value;
+      this.#heldUntilMs = heldUntilMs;
       logger.info('registered', {key, lease: lease.value});
       return true;
     });
   }
 
+  /** End of a lease that is granted or renewed by a call that starts now. */
+  #leaseEndMs(): number {
+    return this.#options.clock.now() + PEER_LEASE_MS;
+  }
+
   async #renew(lease: string): Promise<Result<boolean, StoreError>> {
     const {store, key, logger} = this.#options;
+    const heldUntilMs = this.#leaseEndMs();
     const renewed = await store.renewLease(lease);
+    if (renewed.isOk() && renewed.value) this.#heldUntilMs = heldUntilMs;
     if (renewed.isOk() && !renewed.value) {
       logger.warn('registration lapsed', {key, lease});
       this.#lease = undefined;
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -3,6 +3,7 @@
 import type {Engine} from '@marigoldfold/state';
 import type {PlacementRequest, PromptSize} from './placementRequest.js';
 import {type Endpoint, REMOTE_REQUEST_TIMEOUT_MS} from './endpoint.js';
+import {decodeLimit} from './endpointLimit.js';
 import type {EndpointRegistry} from './endpointRegistry.js';
 import {EnginePlacement} from './enginePlacement.js';
 import type {InFlightRequest} from './inFlightRequest.js';
@@ -23,7 +24,12 @@
 /** Publishes sends, first events, ends and slowness to other instances. */
 export type PeerPublisher = Pick<
   PeerChannel,
-  'publishSent' | 'publishFirstEvent' | 'publishEnded' | 'publishSlowness' | 'publishUnreachable'
+  | 'publishSent'
+  | 'publishFirstEvent'
+  | 'publishEnded'
+  | 'publishSlowness'
+  | 'publishUnreachable'
+  | 'publishLimit'
 >;
 
 /** An endpoint is skipped if its failure share exceeds the lowest one by more than this. */
@@ -34,6 +40,8 @@
  * usual slowness, 1, and that caused by other load on the same machine.
  */
 const PUBLISHED_SLOWNESS_THRESHOLD = 1.7;
+/** Time after which peers are told again of an unchanged limit, in milliseconds, for those that have started since. */
+const LIMIT_REPUBLISH_MS = 1000;
 /** Number of consecutive gaps between events that one slowness measurement covers. */
 const GAPS_PER_MEASUREMENT = 2;
 
@@ -64,17 +72,41 @@
     );
     const reachable = allowed.filter((endpoint) => !endpoint.isBackedOff);
     // If all endpoints are in backoff, trying one of them is better than refusing the request.
-    const candidates = excludeFailing(excludeReported(reachable.length > 0 ? reachable : allowed));
+    const responsive = reachable.length > 0 ? reachable : allowed;
+    const open = responsive.filter(({withheldForMs}) => withheldForMs === 0);
+    const candidates = excludeFailing(excludeReported(open));
     if (engine !== undefined && request.prompt !== undefined) {
-      return this.#enginePlacement.choose(request, request.prompt, engine, candidates);
+      // A limit must not move endpoints between groups each time that it is used up.
+      const group = responsive.filter(
+        (endpoint) => endpoint.withheldForMs > 0 || candidates.includes(endpoint),
+      );
+      return this.#enginePlacement.choose(request, request.prompt, engine, group);
     }
     return leastOccupied(candidates);
   }
 
-  /** Milliseconds until the first endpoint of a service accepts requests again; 0 if one does or there is none. */
-  pausedForMs(service: string): number {
-    const pauses = this.#options.registry.usable(service).map(({pausedForMs}) => pausedForMs);
-    return pauses.length === 0 ? 0 : Math.min(...pauses);
+  /** Returns the limited endpoint that is expected to take a request soonest, or undefined if there is none. */
+  chooseLimited(service: string, excluded: ReadonlySet<string>): Endpoint | undefined {
+    let soonest: Endpoint | undefined;
+    for (const endpoint of this.#options.registry.usable(service)) {
+      const {record, pausedForMs, limitPerSecond, isBackedOff} = endpoint;
+      if (limitPerSecond === undefined || excluded.has(record.id)) continue;
+      if (pausedForMs > 0 || isBackedOff) continue;
+      if (soonest === undefined || endpoint.withheldForMs < soonest.withheldForMs)
+        soonest = endpoint;
+    }
+    return soonest;
+  }
+
+  /**
+   * Milliseconds until the first endpoint of a service accepts requests of this instance again; 0 if one does or there
+   * is none.
+   */
+  closedForMs(service: string): number {
+    const times = this.#options.registry
+      .usable(service)
+      .map(({pausedForMs, withheldForMs}) => Math.max(pausedForMs, withheldForMs));
+    return times.length === 0 ? 0 : Math.min(...times);
   }
 
   /** Records that an endpoint stated in a response that it is leaving. */
@@ -89,8 +121,14 @@
 
   /** Records the limit, in requests per second, of a response to a request that was sent at `sentAtMs`. */
   recordLimit(endpoint: Endpoint, perSecond: number | undefined, sentAtMs: number): void {
-    const receivedAtMs = this.#options.clock.now();
-    this.#options.registry.recordLimit(endpoint, {perSecond, sentAtMs, receivedAtMs});
+    const {clock, registry, publisher} = this.#options;
+    const now = clock.now();
+    const hasChanged = registry.recordLimit(endpoint, {perSecond, sentAtMs, receivedAtMs: now});
+    const isDue =
+      perSecond !== undefined && now - endpoint.limitPublishedAtMs >= LIMIT_REPUBLISH_MS;
+    if (endpoint.limit === undefined || (!hasChanged && !isDue)) return;
+    endpoint.limitPublishedAtMs = now;
+    publisher?.publishLimit(endpoint.record.id, endpoint.limit);
   }
 
   /** Whether a request can meet its latency objective; without a prompt, only the remaining time is considered. */
@@ -192,7 +230,7 @@
   }
 
   /** Applies an update from another instance. */
-  applyPeerUpdate({sent, begun, ended, slowness, unreachable}: PeerUpdate): void {
+  applyPeerUpdate({sent, begun, ended, slowness, unreachable, limits}: PeerUpdate): void {
     const {registry, clock} = this.#options;
     this.#expireRemoteRequests(clock.now() - REMOTE_REQUEST_TIMEOUT_MS);
     for (const [
@@ -238,6 +276,8 @@
       this.#removeRemoteRequest(id);
     }
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.recordSlowness(value);
+    for (const [endpointId, limit] of limits)
+      registry.mergeLimit(endpointId, decodeLimit(limit, clock.now()));
     for (const endpointId of unreachable) registry.find(endpointId)?.recordReportedUnreachable();
   }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -80,13 +80,14 @@
   type DispatchQueueOptions,
 } from './forwarding/dispatchQueue.js';
 export type {Endpoint} from './forwarding/endpoint.js';
+export {EndpointPermits} from './forwarding/endpointPermits.js';
 export {EndpointRegistry} from './forwarding/endpointRegistry.js';
 export type {InFlightRequest} from './forwarding/inFlightRequest.js';
 export type {LoadReport} from './forwarding/loadReport.js';
 export {PeerChannel} from './forwarding/peerChannel.js';
-export {PeerRegistration} from './forwarding/peerRegistration.js';
+export {PEER_LEASE_MS, PeerRegistration} from './forwarding/peerRegistration.js';
 export {type PeerPublisher, Placement} from './forwarding/placement.js';
-export type {PeerUpdate} from './forwarding/peerMessages.js';
+export {emptyUpdate, type PeerUpdate} from './forwarding/peerMessages.js';
 export {
   type EndpointCrash,
   PromptQuarantine,
--- a/packages/entry/src/forwarding/__fixtures__/forwardFleet.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardFleet.ts
@@ -53,12 +53,16 @@
   }
 
   /** Sends one request to each router every `gapMs` for `durationMs` of the virtual clock. */
-  async sendAtRate(durationMs: number, gapMs: number): Promise<readonly ClientResult[]> {
+  async sendAtRate(
+    durationMs: number,
+    gapMs: number,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<readonly ClientResult[]> {
     const pending: Promise<ClientResult>[] = [];
     for (let passed = 0; passed < durationMs; passed += gapMs) {
       for (const rig of this.rigs) {
         this.#requestCount += 1;
-        pending.push(rig.sendRequest({'x-id': `f${this.#requestCount}`}));
+        pending.push(rig.sendRequest({'x-id': `f${this.#requestCount}`, ...headers}));
       }
       await this.first.advance(gapMs);
     }
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -8,6 +8,7 @@
 import {type AttemptOutcome, ABORT_REASON, runAttempt} from './attempt.js';
 import {applyOutcome, AttemptHistory} from './attemptHistory.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
+import {reserveEndpoint} from './endpointReservation.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import {EventSequence} from './eventSequence.js';
 import type {RequestMetadata} from './metadataCodec.js';
@@ -64,6 +65,7 @@
   #attemptController: AbortController | undefined;
   readonly #history = new AttemptHistory();
   readonly #events = new EventSequence();
+  #noEndpointReason = 'no_endpoint';
   #routeName = '';
   /** Rank in the dispatch queue; requests with lower ranks are sent first. */
   #rank = 0;
@@ -189,8 +191,8 @@
 
   /** Makes one attempt; resolves to undefined when a retry may follow. */
   async #dispatchAttempt(body: Buffer, deadlineMs: number): Promise<ExchangeOutcome | undefined> {
-    const leftMs = deadlineMs - this.#options.clock.now();
-    if (leftMs < MIN_REMAINING_MS) return this.#endWithoutRetry(504, 'time_over');
+    if (deadlineMs - this.#options.clock.now() < MIN_REMAINING_MS)
+      return this.#endWithoutRetry(504, 'time_over');
     // The configuration may have changed since the request arrived.
     const admitted = this.#admit();
     if (admitted.isErr())
@@ -199,7 +201,7 @@
       return this.#endWithoutRetry(503, 'quarantined_prompt', QUARANTINE_RETRY_AFTER_MS);
     const {route} = admitted.value;
     const isRetryable = isIdempotent(route);
-    const outcome = await this.#runAttempt(admitted.value, body, leftMs, isRetryable);
+    const outcome = await this.#runAttempt(admitted.value, body, deadlineMs, isRetryable);
     if (outcome === undefined) return this.#endWithoutEndpoint(admitted.value);
     if (outcome.kind === 'delivered') return outcome;
     if (!this.#mayRetry(outcome, route, isRetryable))
@@ -210,7 +212,7 @@
   async #runAttempt(
     {route, table, account}: Admission,
     body: Buffer,
-    leftMs: number,
+    deadlineMs: number,
     isRetryable: boolean,
   ): Promise<AttemptOutcome | undefined> {
     const {codec, placement, retryBudget, metrics, clock} = this.#options;
@@ -225,17 +227,22 @@
       pauseTargetMs: route.pauseTargetMs,
       prompt: this.#metadata.prompt,
     };
-    const endpoint = placement.choose(
+    const reservation = await reserveEndpoint(this.#options, {
       placementRequest,
-      service.engine,
-      this.#history.excludedEndpoints,
-    );
-    if (endpoint === undefined) return undefined;
+      engine: service.engine,
+      excluded: this.#history.excludedEndpoints,
+      rank: this.#rank,
+      waitMs: Math.min(this.#queueLimitMs, deadlineMs - clock.now() - MIN_REMAINING_MS),
+    });
+    if (reservation.kind === 'limited') this.#noEndpointReason = 'endpoints_limited';
+    if (reservation.kind !== 'reserved' || this.#isCancelled) return undefined;
+    const {endpoint} = reservation;
     // Attempts that never reached an endpoint put no load on the service, which is what the budget protects.
     if (this.#history.arrivalCount > 0 && !retryBudget.takeRetry(service.name)) {
       this.#log('retry refused', {endpoint: endpoint.record.id, reason: 'budget'});
       return undefined;
     }
+    const leftMs = deadlineMs - clock.now();
     this.#history.attemptCount += 1;
     this.#stage = 'sent';
     const headers = codec.encodeRequest(endToEndHeaders(this.#request.rawHeaders), {
@@ -338,9 +345,9 @@
   /** If all endpoints want no request for a time, the client should not return before the first one accepts again. */
   #endWithoutEndpoint(admission: Admission): ExchangeOutcome {
     const service = chooseService(admission, this.#metadata.id ?? '')?.name ?? '';
-    const pausedForMs = this.#options.placement.pausedForMs(service);
-    const retryAfterMs = pausedForMs + chooseRetryAfterMs(this.#rank, this.#options.random);
-    return this.#endWithoutRetry(503, 'no_endpoint', Math.round(retryAfterMs));
+    const closedForMs = this.#options.placement.closedForMs(service);
+    const retryAfterMs = closedForMs + chooseRetryAfterMs(this.#rank, this.#options.random);
+    return this.#endWithoutRetry(503, this.#noEndpointReason, Math.round(retryAfterMs));
   }
 
   /** Determines the outcome of a request that is not retried. */
--- a/packages/entry/src/forwarding/fleetRecords.ts
+++ b/packages/entry/src/forwarding/fleetRecords.ts
@@ -8,6 +8,8 @@
 export interface FleetRecordsOptions {
   readonly logger: Logger;
   readonly source: ForwardSource;
+  /** Name of this instance. */
+  readonly self: string;
   readonly registry: EndpointRegistry;
   readonly peers: PeerChannel;
   readonly quarantine: PromptQuarantine;
@@ -19,6 +21,8 @@
   /** Digests of quarantined prompt parts that are in the store. */
   readonly #recordedDigests = new Set<string>();
 
+  #isSelfRecorded = false;
+
   constructor(options: FleetRecordsOptions) {
     this.#options = options;
   }
@@ -28,6 +32,11 @@
     return this.#recordedDigests.has(digest);
   }
 
+  /** Whether the store has the record of this instance. */
+  get isSelfRecorded(): boolean {
+    return this.#isSelfRecorded;
+  }
+
   /** Applies a changed record; one that was removed has an empty value. */
   apply(change: KeyValueEntry): void {
     const {endpointsPrefix, peersPrefix, quarantinePrefix} = this.#options.source;
@@ -53,8 +62,9 @@
   }
 
   #applyPeer({key, value}: KeyValueEntry): void {
-    const {logger, source, peers} = this.#options;
+    const {logger, source, self, peers} = this.#options;
     const peer = key.slice(source.peersPrefix.length);
+    if (peer === self) this.#isSelfRecorded = value !== '';
     if (endpointAddressSchema.safeParse(value).success) {
       peers.add(peer, value);
       return;
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -1,6 +1,7 @@
 /** Dependencies of request handling in the forwarding router. */
 import type {
   DispatchQueue,
+  EndpointPermits,
   Placement,
   PromptQuarantine,
   WindowedRetryBudget,
@@ -25,6 +26,7 @@
   readonly dispatch: DispatchQueue;
   readonly client: EndpointClient;
   readonly placement: Placement;
+  readonly permits: Pick<EndpointPermits, 'acquire'>;
   readonly crashDetector: CrashDetector;
   readonly quarantine: PromptQuarantine;
   readonly retryBudget: WindowedRetryBudget;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -2,7 +2,9 @@
 import type {Server} from 'node:http';
 import {
   DispatchQueue,
+  EndpointPermits,
   EndpointRegistry,
+  PEER_LEASE_MS,
   PeerChannel,
   PeerRegistration,
   Placement,
@@ -75,6 +77,8 @@
   readonly #registry: EndpointRegistry;
   readonly #retryBudget: WindowedRetryBudget;
   readonly #peers: PeerChannel;
+  readonly #permits: EndpointPermits;
+  #registration: PeerRegistration | undefined;
   readonly #quarantine: PromptQuarantine;
   #quarantineRecords: QuarantineRecords | undefined;
   readonly #records: FleetRecords;
@@ -96,6 +100,7 @@
       remoteCoverage: () => this.#peers.coverage,
       onRemoved: (id) => {
         this.#metrics.removeEndpoint(id);
+        this.#permits.drop(id);
       },
     });
     this.#retryBudget = new WindowedRetryBudget(clock, options.bounds.retryBudget);
@@ -118,6 +123,7 @@
             logger.debug('endpoints reported unreachable', {belief: 'endpoint', from, endpoints});
           }
           placement.applyPeerUpdate(update);
+          this.#permits.receive(update);
           for (const crash of update.crashes) this.#quarantine.recordCrash(crash);
         },
       }),
@@ -125,10 +131,25 @@
     this.#records = new FleetRecords({
       logger,
       source: options.source,
+      self: options.name,
       registry: this.#registry,
       peers: this.#peers,
       quarantine: this.#quarantine,
     });
+    this.#permits = this.#disposables.add(
+      new EndpointPermits({
+        clock,
+        logger,
+        random: options.random,
+        self: options.name,
+        registry: this.#registry,
+        peers: () => this.#peers.names,
+        isRegistered: () => this.#isRegistered,
+        send: (peer, update) => {
+          this.#peers.sendTo(peer, update);
+        },
+      }),
+    );
     const placement = new Placement({
       clock,
       registry: this.#registry,
@@ -177,6 +198,7 @@
       dispatch,
       client: this.#disposables.add(createEndpointClient()),
       placement,
+      permits: this.#permits,
       crashDetector,
       quarantine: this.#quarantine,
       plannedStop: this.#plannedStop,
@@ -282,7 +304,7 @@
       }),
     );
     const key = peersPrefix + name;
-    this.#disposables.add(
+    this.#registration = this.#disposables.add(
       new PeerRegistration({clock, random, logger, store, key, value: peerAddress}),
     );
     this.#quarantineRecords = this.#disposables.add(
@@ -303,6 +325,16 @@
       else this.#records.apply(change);
     }
     this.#retryBudget.recordProcessCount(this.#peers.size + 1);
+    this.#permits.updateMembers();
+  }
+
+  /** Whether the other instances certainly know this one, also after a suspension of the machine. */
+  get #isRegistered(): boolean {
+    return (
+      this.#registration?.isHeld === true &&
+      this.#records.isSelfRecorded &&
+      (this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY) < PEER_LEASE_MS
+    );
   }
 
   #applyConfiguration({value, revision}: KeyValueEntry): void {
