Log what a listing of the store has, and the era of the store

The logs could not tell whether an entry that was rewritten after a restore did not arrive or was dropped. Adds a line for each listing and for each watch with changes: era, revision, entries, and how many of them were taken as known. Nothing decides by it yet.

--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -140,9 +140,16 @@
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
     this.#recordAvailable();
-    const {entries, revision} = listing.value;
+    const {entries, revision, era} = listing.value;
     const present = new Set(entries.map(({key}) => key));
     const changes = entries.filter((entry) => this.#isNewer(entry));
+    this.#options.logger.info('key-value range read', {
+      prefix,
+      era,
+      revision,
+      entries: entries.length,
+      unchanged: entries.length - changes.length,
+    });
     for (const key of this.#revisions.keys()) {
       if (!present.has(key)) changes.push({key, value: '', revision});
     }
@@ -162,7 +169,15 @@
     const changes = await store.watch(prefix, {afterRevision, timeoutMs, signal});
     if (changes.isErr()) return changes.error;
     this.#recordAvailable();
-    const {entries, revision, quietMs = 0} = changes.value;
+    const {entries, revision, era, quietMs = 0} = changes.value;
+    if (entries.length > 0)
+      this.#options.logger.debug('key-value changes', {
+        prefix,
+        era,
+        revision,
+        entries: entries.length,
+        unchanged: entries.filter((entry) => !this.#isNewer(entry)).length,
+      });
     this.#lastWatch = {quietMs, hasChange: entries.length > 0};
     this.#apply(
       entries.filter((entry) => this.#isNewer(entry)),
--- a/packages/state/src/keyValue.ts
+++ b/packages/state/src/keyValue.ts
@@ -41,6 +41,8 @@
   readonly quietMs?: number;
   readonly entries: readonly KeyValueEntry[];
   readonly revision: number;
+  /** Changes each time that the service is restored from a copy; undefined if the service does not state it. */
+  readonly era?: string | undefined;
 }
 
 /** First key of a listing and its maximum number of entries. */
