--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -10,7 +10,7 @@
 export {SwitchableKeyValue} from './switchableKeyValue.js';
 export {serveKeyValue} from './keyValueServer.js';
 export {Ledger, type LedgerFault, type Posting, serveLedger} from './ledgerService.js';
-export {MemoryKeyValue} from './memoryKeyValue.js';
+export {type KeyValueCopy, MemoryKeyValue} from './memoryKeyValue.js';
 export {
   type EngineFault,
   type EngineRequest,
--- a/packages/standin/src/memoryKeyValue.ts
+++ b/packages/standin/src/memoryKeyValue.ts
@@ -10,7 +10,7 @@
   WriteOptions,
   WriteOutcome,
 } from '@marigoldfold/state';
-import {ok, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 
 interface StoredEntry {
   readonly entry: KeyValueEntry;
@@ -19,7 +19,16 @@
 
 interface Lease {
   readonly ttlMs: number;
-  expiresAtMs: number;
+  readonly expiresAtMs: number;
+}
+
+/** Contents of a service at one moment, from which it can be restored. */
+export interface KeyValueCopy {
+  readonly stored: ReadonlyMap<string, StoredEntry>;
+  readonly leases: ReadonlyMap<string, Lease>;
+  readonly historyLength: number;
+  readonly revision: number;
+  readonly leaseSequence: number;
 }
 
 interface Waiter {
@@ -35,6 +44,7 @@
   readonly #stored = new Map<string, StoredEntry>();
   readonly #leases = new Map<string, Lease>();
   readonly #history: KeyValueEntry[] = [];
+  #era = 1;
   readonly #waiters = new Set<Waiter>();
   #revision = 1;
   #leaseSequence = 0;
@@ -60,7 +70,7 @@
     entries.sort((a, b) => (a.key < b.key ? -1 : 1));
     const limit = options.limit ?? 0;
     const page = limit > 0 ? entries.slice(0, limit) : entries;
-    return Promise.resolve(ok({entries: page, revision: this.#revision}));
+    return Promise.resolve(ok({entries: page, revision: this.#revision, era: String(this.#era)}));
   }
 
   write(
@@ -89,10 +99,14 @@
   async watch(prefix: string, options: WatchOptions): Promise<Result<Listing, StoreError>> {
     this.#beginCall();
     const pending = this.#changesAfter(prefix, options.afterRevision);
-    if (pending.length > 0) return ok({entries: pending, revision: this.#revision});
-    await this.#waitForChange(prefix, options);
+    if (pending.length === 0 && options.afterRevision <= this.#revision)
+      await this.#waitForChange(prefix, options);
+    if (options.afterRevision > this.#revision) {
+      const message = 'key-value service: the revision is not in the history';
+      return err({code: 'history_lost', message, mayHaveTakenEffect: false});
+    }
     const entries = this.#changesAfter(prefix, options.afterRevision);
-    return ok({entries, revision: this.#revision});
+    return ok({entries, revision: this.#revision, era: String(this.#era)});
   }
 
   grantLease(ttlSeconds: number): Promise<Result<string, StoreError>> {
@@ -111,7 +125,7 @@
     this.#beginCall();
     const lease = this.#leases.get(id);
     if (lease === undefined) return Promise.resolve(ok(false));
-    lease.expiresAtMs = this.#clock.now() + lease.ttlMs;
+    this.#leases.set(id, {...lease, expiresAtMs: this.#clock.now() + lease.ttlMs});
     this.#clock.schedule(lease.ttlMs, () => {
       this.#expire();
     });
@@ -124,6 +138,30 @@
     return Promise.resolve(ok(undefined));
   }
 
+  /** Copies the contents, for a later restore. */
+  copy(): KeyValueCopy {
+    return {
+      stored: new Map(this.#stored),
+      leases: new Map(this.#leases),
+      historyLength: this.#history.length,
+      revision: this.#revision,
+      leaseSequence: this.#leaseSequence,
+    };
+  }
+
+  /** Restores an earlier copy: what was written since is lost, and its revisions and leases are given out again. */
+  restore({stored, leases, historyLength, revision, leaseSequence}: KeyValueCopy): void {
+    this.#stored.clear();
+    for (const [key, entry] of stored) this.#stored.set(key, entry);
+    this.#leases.clear();
+    for (const [id, lease] of leases) this.#leases.set(id, lease);
+    this.#history.splice(historyLength);
+    this.#revision = revision;
+    this.#leaseSequence = leaseSequence;
+    this.#era += 1;
+    for (const waiter of this.#waiters) waiter.wake();
+  }
+
   #beginCall(): void {
     this.callCount += 1;
     this.#expire();
