Carry the era of the store with its revisions and leases

Cause: a revision is a position in one history of the store, and was kept and compared as a bare number. After a restore numbers are given out again; the entry that was written with revision 20 of the new history was taken for the known one with revision 20 of the old history. Class of fault: a number of another party is compared outside of the scope in which that party counts.

Ruled out by the new log lines: an entry that arrives late or not at all (it arrives within 72 ms), and a configuration that goes back.

Change: a revision is an era and a number, a lease id has its era; both cannot be compared, sent as a condition, watched from or renewed across eras. The etcd client counts an era by cluster id and by a linearizable response that is behind an earlier one. After a restore the entries of the copy are applied as what they are: an endpoint that is known to leave, to have left or to have restarted stays so; what is missing has the time to register again; lost quarantine records are written again, and registrations after a random delay. A copy that holds an older configuration than is known confirms nothing: the age goes on rising until the operator's version is back. Instances tell newly registered ones the highest version that they know, and for how long.

--- a/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
@@ -44,3 +44,19 @@
   expect(registry.find('b')).toBeUndefined();
   expect(registry.find('a')).toBeUndefined();
 });
+
+test('a record of a restored copy replaces only what is not known to be newer', () => {
+  const {registry} = createRegistry(['a', 'b', 'c', 'd']);
+  const recordOf = (id: string) => registry.find(id)!.record;
+  const copies = ['a', 'b', 'c', 'd'].map(recordOf);
+  registry.put({...recordOf('a'), isLeaving: true});
+  registry.put({...recordOf('b'), startedAtMs: 2});
+  registry.remove('c');
+  for (const copy of copies) registry.putCopy({...copy, slots: 9});
+  expect(registry.usable('app').map(({record}) => record.id)).toEqual(['b', 'd']);
+  expect(recordOf('b')).toMatchObject({startedAtMs: 2, slots: 8});
+  expect(recordOf('d').slots).toBe(9);
+  registry.put({...copies[2]!, slots: 9});
+  registry.putCopy({...copies[0]!, startedAtMs: 3});
+  expect(registry.usable('app').map(({record}) => record.id)).toEqual(['a', 'b', 'd', 'c']);
+});
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -20,12 +20,17 @@
  */
 const LAPSE_GRACE_MS = 2000;
 
+/** Removed endpoints that are remembered, so that an older copy of discovery does not bring them back. */
+const MAX_DEPARTED = 1000;
+
 /** Endpoints by id. Removals right after a discovery outage are delayed. */
 export class EndpointRegistry {
   readonly #options: EndpointRegistryOptions;
   readonly #endpoints = new Map<string, Endpoint>();
   /** Ids of endpoints whose records expired in a discovery outage, kept until the grace period ends. */
   readonly #lapsed = new Set<string>();
+  /** Last records of removed endpoints, oldest first. */
+  readonly #departed = new Map<string, EndpointRecord>();
   #graceUntilMs = Number.NEGATIVE_INFINITY;
   #graceTimer: Disposable | undefined;
 
@@ -55,6 +60,7 @@
   put(record: EndpointRecord): void {
     const {clock, logger, remoteCoverage} = this.#options;
     this.#lapsed.delete(record.id);
+    this.#departed.delete(record.id);
     const existing = this.#endpoints.get(record.id);
     if (existing === undefined)
       this.#endpoints.set(record.id, new Endpoint(clock, record, remoteCoverage));
@@ -64,6 +70,26 @@
     logger.info('endpoint', {belief: 'endpoint', endpoint: id, service, address, state});
   }
 
+  /**
+   * Applies a record of a copy that discovery was restored from. What is known to be newer stays: a later lifetime, the
+   * announcement to leave, and that the endpoint has left; if it has not, it registers again.
+   */
+  putCopy(record: EndpointRecord): void {
+    const known = this.#endpoints.get(record.id)?.record ?? this.#departed.get(record.id);
+    const isDeparted = !this.#endpoints.has(record.id) && known !== undefined;
+    const isOlder =
+      known !== undefined &&
+      (record.startedAtMs < known.startedAtMs ||
+        (record.startedAtMs === known.startedAtMs &&
+          (isDeparted || (known.isLeaving && !record.isLeaving))));
+    if (!isOlder) {
+      this.put(record);
+      return;
+    }
+    const {id} = record;
+    this.#options.logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'outdated'});
+  }
+
   /** Records that an endpoint stated in a response that it is leaving. */
   announceLeaving(endpoint: Endpoint): void {
     if (!endpoint.announceLeaving()) return;
@@ -137,6 +163,10 @@
   }
 
   #removeNow(id: string): void {
+    const record = this.#endpoints.get(id)?.record;
+    if (record !== undefined) this.#departed.set(id, record);
+    const [oldest] = this.#departed.keys();
+    if (this.#departed.size > MAX_DEPARTED && oldest !== undefined) this.#departed.delete(oldest);
     this.#lapsed.delete(id);
     this.#endpoints.delete(id);
     this.#options.onRemoved?.(id);
--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -122,8 +122,11 @@
     this.#openBatch().limits.set(endpointId, limit);
   }
 
-  /** Sends permit requests or permits to one peer at once, since a request waits for them. */
-  sendTo(peer: string, update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits'>>): void {
+  /** Sends what cannot wait for a batch to one peer. */
+  sendTo(
+    peer: string,
+    update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits' | 'configuration'>>,
+  ): void {
     const address = this.#peers.get(peer);
     if (address === undefined || this.#isClosed) return;
     this.#send({...emptyUpdate(this.#options.self), ...update}, [address]);
@@ -211,7 +214,7 @@
 
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {from, ...lists} = update;
+  const {from, configuration, ...lists} = update;
   const count = Object.values(lists).reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
@@ -221,6 +224,7 @@
     };
     return {
       from,
+      ...(configuration === undefined ? {} : {configuration}),
       sent: takeHalf(lists.sent),
       begun: takeHalf(lists.begun),
       ended: takeHalf(lists.ended),
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -59,6 +59,8 @@
     .default([]),
   /** Endpoint ids, each with its limit or the end of it. */
   limits: z.array(z.tuple([z.string(), limitMessageSchema])).default([]),
+  /** Highest known version of the configuration, and for how long, in milliseconds, it has been known. */
+  configuration: z.object({version: z.number(), ageMs: z.number().nonnegative()}).optional(),
   /** Requests to send to limited endpoints whose home is the receiver. */
   permitRequests: z.array(permitRequestSchema).default([]),
   /** Responses to permit requests. */
--- a/packages/coordination/src/forwarding/peerRegistration.ts
+++ b/packages/coordination/src/forwarding/peerRegistration.ts
@@ -26,6 +26,8 @@
 export class PeerRegistration implements Disposable {
   readonly #options: PeerRegistrationOptions;
   readonly #controller = new AbortController();
+  /** Aborted to end the pause before the next renewal. */
+  #renewal = new AbortController();
   #lease: string | undefined;
   /** Time until which the lease cannot have expired, in milliseconds. */
   #heldUntilMs = Number.NEGATIVE_INFINITY;
@@ -35,6 +37,12 @@
     void this.#maintain();
   }
 
+  /** Registers again after a random delay, since the service has lost the key or its lease. */
+  renew(): void {
+    this.#lease = undefined;
+    this.#renewal.abort();
+  }
+
   /** Whether the lease of the key certainly holds, so that no peer has seen the key expire. */
   get isHeld(): boolean {
     return this.#lease !== undefined && this.#options.clock.now() < this.#heldUntilMs;
@@ -60,7 +68,11 @@
         continue;
       }
       if (!result.value) continue;
-      await sleep(clock, PEER_LEASE_MS / RENEWALS_PER_LEASE, signal);
+      this.#renewal = new AbortController();
+      const pause = AbortSignal.any([signal, this.#renewal.signal]);
+      await sleep(clock, PEER_LEASE_MS / RENEWALS_PER_LEASE, pause);
+      // After a restore of the service, not all instances should register at the same moment.
+      if (isAborted(this.#renewal.signal)) await sleep(clock, random() * RETRY_DELAY_MS, signal);
     }
   }
 
--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -1,6 +1,12 @@
 /** Keeps a copy of a key range of the key-value service and tracks its age. */
 import {type Clock, isAborted, type Logger, type Random, sleep} from '@marigoldfold/runtime';
-import type {KeyValue, KeyValueEntry, StoreError} from '@marigoldfold/state';
+import {
+  isLater,
+  type KeyValue,
+  type KeyValueEntry,
+  type Revision,
+  type StoreError,
+} from '@marigoldfold/state';
 
 /** Key range, timing and callbacks of a mirror. */
 export interface RangeMirrorOptions {
@@ -17,14 +23,20 @@
   readonly maxAgeMs: number;
   /** Delay after a change, in milliseconds, so that one call reads a burst of changes. */
   readonly batchMs: number;
-  /** Receives the changed entries; removed ones have an empty value. */
-  readonly onChange: (changes: readonly KeyValueEntry[]) => void;
+  /**
+   * Receives the changed entries; removed ones have an empty value. After a restore of the service, the changes are all
+   * entries of the copy that it was restored from: each may be older than what is known, and any may be missing.
+   */
+  readonly onChange: (changes: readonly KeyValueEntry[], origin: ChangeOrigin) => void;
   /** Called after each successful response, also when nothing has changed. */
   readonly onConfirmed?: () => void;
   /** Called when the service responds again after an outage, before `onChange` is called for that response. */
   readonly onReconnected?: () => void;
 }
 
+/** Whether changes were made after those known before, or come from an older copy of the service. */
+export type ChangeOrigin = 'history' | 'restore';
+
 /** Initial retry delay, in milliseconds: a few round trips within a region. */
 const MIN_BACKOFF_MS = 50;
 /** Maximum retry delay, in milliseconds: a third of the shortest maximum age in the configuration. */
@@ -53,8 +65,11 @@
 export class RangeMirror implements Disposable {
   readonly #options: RangeMirrorOptions;
   readonly #controller = new AbortController();
-  readonly #revisions = new Map<string, number>();
-  #revision: number | undefined;
+  readonly #revisions = new Map<string, Revision>();
+  /** Revision as of which the copy is current; undefined while the range has to be read. */
+  #revision: Revision | undefined;
+  /** Era of the service that the copy was read from; undefined before the first read. */
+  #era: number | undefined;
   #confirmedAt: Moment | undefined;
   /** Aborted to confirm the copy at once instead of at the end of the watch in progress. */
   #watchController = new AbortController();
@@ -107,7 +122,9 @@
       const startedAt = this.#now();
       this.#watchController = new AbortController();
       this.#lastWatch = noWatch;
-      const error = await (this.#revision === undefined ? this.#reload() : this.#watchChanges());
+      const error = await (this.#revision === undefined
+        ? this.#reload()
+        : this.#watchChanges(this.#revision));
       if (isAborted(signal)) return;
       if (isAborted(this.#watchController.signal)) continue;
       if (error !== undefined) {
@@ -140,27 +157,29 @@
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
     this.#recordAvailable();
-    const {entries, revision, era} = listing.value;
+    const {entries, revision} = listing.value;
+    const isRestored = this.#era !== undefined && this.#era !== revision.era;
     const present = new Set(entries.map(({key}) => key));
-    const changes = entries.filter((entry) => this.#isNewer(entry));
+    const changes = isRestored ? [...entries] : entries.filter((entry) => this.#isNewer(entry));
     this.#options.logger.info('key-value range read', {
       prefix,
-      era,
-      revision,
+      era: revision.era,
+      previousEra: this.#era,
+      revision: revision.number,
       entries: entries.length,
       unchanged: entries.length - changes.length,
     });
     for (const key of this.#revisions.keys()) {
       if (!present.has(key)) changes.push({key, value: '', revision});
     }
-    this.#apply(changes, revision);
+    this.#era = revision.era;
+    this.#apply(changes, revision, isRestored ? 'restore' : 'history');
     return undefined;
   }
 
-  async #watchChanges(): Promise<StoreError | undefined> {
+  async #watchChanges(afterRevision: Revision): Promise<StoreError | undefined> {
     const {store, prefix, watchMs, maxAgeMs} = this.#options;
     const {signal} = this.#watchController;
-    const afterRevision = this.#revision ?? 0;
     // After a failure or a suspension, a watch with a short timeout confirms the copy sooner than one with the usual timeout.
     const isRecovering = this.#failures > 0 || this.#isConfirming;
     const timeoutMs = isRecovering
@@ -169,41 +188,44 @@
     const changes = await store.watch(prefix, {afterRevision, timeoutMs, signal});
     if (changes.isErr()) return changes.error;
     this.#recordAvailable();
-    const {entries, revision, era, quietMs = 0} = changes.value;
+    const {entries, revision, quietMs = 0} = changes.value;
     if (entries.length > 0)
       this.#options.logger.debug('key-value changes', {
         prefix,
-        era,
-        revision,
+        era: revision.era,
+        revision: revision.number,
         entries: entries.length,
         unchanged: entries.filter((entry) => !this.#isNewer(entry)).length,
       });
     this.#lastWatch = {quietMs, hasChange: entries.length > 0};
     this.#apply(
       entries.filter((entry) => this.#isNewer(entry)),
-      Math.max(revision, afterRevision),
+      isLater(revision, afterRevision) ? revision : afterRevision,
+      'history',
     );
     return undefined;
   }
 
   #isNewer({key, revision}: KeyValueEntry): boolean {
-    return revision > (this.#revisions.get(key) ?? 0);
+    const known = this.#revisions.get(key);
+    return known === undefined || isLater(revision, known);
   }
 
-  #apply(changes: readonly KeyValueEntry[], revision: number): void {
+  #apply(changes: readonly KeyValueEntry[], revision: Revision, origin: ChangeOrigin): void {
     this.#revision = revision;
     for (const {key, value, revision: entryRevision} of changes) {
       if (value === '') this.#revisions.delete(key);
       else this.#revisions.set(key, entryRevision);
     }
-    if (changes.length > 0) this.#options.onChange(changes);
+    if (changes.length > 0) this.#options.onChange(changes, origin);
   }
 
   async #handleFailure(error: StoreError): Promise<void> {
     const {clock, random, logger, prefix} = this.#options;
-    if (error.code === 'history_lost') {
+    if (error.code === 'history_lost' || error.code === 'restored') {
       this.#revision = undefined;
-      logger.warn('key-value history lost; reading the range again', {prefix});
+      const {code, message: reason} = error;
+      logger.warn('key-value history lost; reading the range again', {prefix, code, reason});
       return;
     }
     const fields = {prefix, ageMs: Math.round(this.ageMs), reason: error.message};
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -94,7 +94,7 @@
   sharedPartIds,
 } from './forwarding/promptQuarantine.js';
 export {QuarantineRecords} from './forwarding/quarantineRecords.js';
-export {RangeMirror, type RangeMirrorOptions} from './forwarding/rangeMirror.js';
+export {type ChangeOrigin, RangeMirror, type RangeMirrorOptions} from './forwarding/rangeMirror.js';
 export {
   WindowedRetryBudget,
   type WindowedRetryBudgetBounds,
--- a/packages/coordination/src/spread/recordWatch.ts
+++ b/packages/coordination/src/spread/recordWatch.ts
@@ -6,6 +6,7 @@
 import {
   decidedTickets,
   type RecordError,
+  type Revision,
   type Snapshot,
   type TicketRecord,
 } from '@marigoldfold/state';
@@ -73,7 +74,7 @@
  * Reads new decisions and confirms the head; returns the store revision of the read, or undefined if the
  * key-value service failed.
  */
-async function confirmHead(options: RecordWatchOptions): Promise<number | undefined> {
+async function confirmHead(options: RecordWatchOptions): Promise<Revision | undefined> {
   const {record, readSnapshot, feed, clock, logger, onConfirmed} = options;
   if (feed.head.number === 0) {
     // Without a snapshot, a new process would replay the record from its first ticket.
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -1,6 +1,7 @@
 /** The forwarding router process: watches the store, serves clients and exchanges reports with its peers. */
 import type {Server} from 'node:http';
 import {
+  type ChangeOrigin,
   DispatchQueue,
   EndpointPermits,
   EndpointRegistry,
@@ -20,11 +21,12 @@
   type Logger,
   type Random,
 } from '@marigoldfold/runtime';
-import {type KeyValueEntry, RoutingTable} from '@marigoldfold/state';
+import type {KeyValueEntry} from '@marigoldfold/state';
 import {createEndpointClient, isListening, splitAddress} from '@marigoldfold/transport';
 import {Registry} from 'prom-client';
-import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
+import type {ConfigurationAgeLimits} from './admission.js';
 import type {ForwardBounds, ForwardSource} from './forwardSource.js';
+import {ConfigurationHolder} from './configurationHolder.js';
 import {CrashDetector} from './crashDetector.js';
 import {FleetRecords} from './fleetRecords.js';
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
@@ -86,7 +88,7 @@
   readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
   #mirror: RangeMirror | undefined;
-  #table: RoutingTable | undefined;
+  readonly #configuration: ConfigurationHolder;
   readonly #plannedStop = new PlannedStop();
   #isStopping = false;
 
@@ -103,6 +105,15 @@
         this.#permits.drop(id);
       },
     });
+    this.#configuration = new ConfigurationHolder({
+      clock,
+      logger,
+      source: options.source,
+      copyAgeMs: () => this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY,
+      onInForce: ({limits}) => {
+        this.#server.applyLimits(limits);
+      },
+    });
     this.#retryBudget = new WindowedRetryBudget(clock, options.bounds.retryBudget);
     this.#quarantine = new PromptQuarantine({
       clock,
@@ -124,6 +135,12 @@
           }
           placement.applyPeerUpdate(update);
           this.#permits.receive(update);
+          const {configuration} = update;
+          if (
+            configuration !== undefined &&
+            this.#configuration.recordReported(from, configuration)
+          )
+            this.#reportConfiguration(from);
           for (const crash of update.crashes) this.#quarantine.recordCrash(crash);
         },
       }),
@@ -135,6 +152,10 @@
       registry: this.#registry,
       peers: this.#peers,
       quarantine: this.#quarantine,
+      onPeer: (peer) => {
+        this.#reportConfiguration(peer);
+      },
+      onRecordLost: (digest) => this.#quarantineRecords?.write(digest),
     });
     this.#permits = this.#disposables.add(
       new EndpointPermits({
@@ -169,7 +190,7 @@
     });
     const dispatch = new DispatchQueue({clock});
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
-      configurationAgeMs: () => this.#configurationState().ageMs,
+      configurationAgeMs: () => this.#configuration.state.ageMs,
       peers: () => this.#peers.size,
       remoteRequests: () => placement.remoteRequestCount,
       queued: () => dispatch.size,
@@ -204,7 +225,7 @@
       plannedStop: this.#plannedStop,
       retryBudget: this.#retryBudget,
       metrics: this.#metrics,
-      configurationState: () => this.#configurationState(),
+      configurationState: () => this.#configuration.state,
       configurationAgeLimits: () => this.#configurationAgeLimits(),
     };
     const [host, port] = splitAddress(options.clientAddress);
@@ -250,7 +271,7 @@
 
   /** Whether load balancers should send new connections to this process. */
   get isReady(): boolean {
-    const {table, ageMs} = this.#configurationState();
+    const {table, ageMs} = this.#configuration.state;
     return (
       !this.#isStopping &&
       table !== undefined &&
@@ -295,8 +316,8 @@
         store,
         prefix,
         ...watchTimings(this.#bounds),
-        onChange: (changes) => {
-          this.#applyChanges(changes);
+        onChange: (changes, origin) => {
+          this.#applyChanges(changes, origin);
         },
         onReconnected: () => {
           this.#registry.startGracePeriod();
@@ -319,15 +340,31 @@
     );
   }
 
-  #applyChanges(changes: readonly KeyValueEntry[]): void {
+  #applyChanges(changes: readonly KeyValueEntry[], origin: ChangeOrigin): void {
+    if (origin === 'restore') this.#prepareForCopy();
     for (const change of changes) {
-      if (change.key === this.#options.source.configurationKey) this.#applyConfiguration(change);
-      else this.#records.apply(change);
+      if (change.key === this.#options.source.configurationKey) this.#configuration.apply(change);
+      else this.#records.apply(change, origin);
     }
     this.#retryBudget.recordProcessCount(this.#peers.size + 1);
     this.#permits.updateMembers();
   }
 
+  /** Tells an instance of the highest version, as its copy of the store may be older. */
+  #reportConfiguration(peer: string): void {
+    const {highestVersion} = this.#configuration;
+    if (highestVersion !== undefined) this.#peers.sendTo(peer, {configuration: highestVersion});
+  }
+
+  /** What was written since a copy that the store was restored from is lost, and its writers write it again. */
+  #prepareForCopy(): void {
+    this.#options.logger.warn('key-value service restored from a copy', {
+      ageMs: Math.round(this.#mirror?.ageMs ?? 0),
+    });
+    this.#registry.startGracePeriod();
+    this.#registration?.renew();
+  }
+
   /** Whether the other instances certainly know this one, also after a suspension of the machine. */
   get #isRegistered(): boolean {
     return (
@@ -337,35 +374,6 @@
     );
   }
 
-  #applyConfiguration({value, revision}: KeyValueEntry): void {
-    const {clock, logger, source} = this.#options;
-    const startedAtMs = clock.now();
-    const decoded = source.decodeConfiguration(value);
-    if (decoded.isErr()) {
-      logger.error('configuration cannot be read', {revision, reason: decoded.error});
-      return;
-    }
-    const {version, routes, limits} = decoded.value;
-    const isNewer = this.#table === undefined || version > this.#table.version;
-    if (isNewer) {
-      this.#table = new RoutingTable(decoded.value);
-      this.#server.applyLimits(limits);
-    }
-    logger.info('configuration', {
-      belief: 'configuration',
-      version,
-      revision,
-      routes: routes.length,
-      inForce: isNewer,
-      length: value.length,
-      appliedInMs: Math.round(clock.now() - startedAtMs),
-    });
-  }
-
-  #configurationState(): ConfigurationState {
-    return {table: this.#table, ageMs: this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY};
-  }
-
   #configurationAgeLimits(): ConfigurationAgeLimits {
     const {configurationMs} = this.#bounds;
     return {keyedRequestMaxAgeMs: keyedMaxAgeMs(this.#bounds), notFoundMaxAgeMs: configurationMs};
--- a/packages/standin/src/switchableKeyValue.ts
+++ b/packages/standin/src/switchableKeyValue.ts
@@ -5,6 +5,7 @@
   KeyValueEntry,
   Listing,
   ListOptions,
+  RevisionCondition,
   StoreError,
   WatchOptions,
   WriteOptions,
@@ -68,7 +69,7 @@
     return this.#deliver(this.#faultyStore.write(key, value, options));
   }
 
-  remove(key: string, ifRevision: number): Promise<Result<WriteOutcome, StoreError>> {
+  remove(key: string, ifRevision: RevisionCondition): Promise<Result<WriteOutcome, StoreError>> {
     return this.#deliver(this.#faultyStore.remove(key, ifRevision));
   }
 
--- a/packages/state/src/claims.ts
+++ b/packages/state/src/claims.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {type Digest, digestText} from './digest.js';
 import type {KeyValue, KeyValueEntry, StoreError} from './keyValue.js';
+import type {Revision, RevisionCondition} from './revision.js';
 
 const outcomeSchema = z.strictObject({
   status: z.number(),
@@ -43,7 +44,7 @@
 
 /** A claim with the store revision of its last write, which the next write requires. */
 export interface VersionedClaim {
-  readonly revision: number;
+  readonly revision: Revision;
   readonly claim: Claim;
 }
 
@@ -118,7 +119,7 @@
   store: KeyValue,
   key: ClaimKey,
   claim: Claim,
-  ifRevision: number,
+  ifRevision: RevisionCondition,
 ): Promise<Result<ClaimResult, ClaimError>> {
   const result = await writeWithRetries(store, claimPath(key), JSON.stringify(claim), {ifRevision});
   if (result.isErr()) return err({message: result.error.message});
@@ -132,7 +133,7 @@
   store: KeyValue,
   path: string,
   value: string,
-  options: {readonly ifRevision: number; readonly lease?: string},
+  options: {readonly ifRevision: RevisionCondition; readonly lease?: string},
 ) {
   let result = await store.write(path, value, options);
   for (let attempts = 1; attempts < MAX_WRITE_ATTEMPTS; attempts += 1) {
@@ -192,7 +193,7 @@
 export async function releaseClaim(
   store: KeyValue,
   key: ClaimKey,
-  revision: number,
+  revision: Revision,
 ): Promise<Result<void, ClaimError>> {
   const result = await store.remove(claimPath(key), revision);
   return result.map(() => undefined).mapErr(({message}) => ({message}));
--- a/packages/state/src/createOnce.ts
+++ b/packages/state/src/createOnce.ts
@@ -1,6 +1,7 @@
 /** Creates a key in the key-value service unless the key already has a valid value. */
 import {err, ok, type Result} from 'neverthrow';
 import type {KeyValue, KeyValueEntry, StoreError} from './keyValue.js';
+import type {RevisionCondition} from './revision.js';
 
 /** Why reading or writing the record of tickets failed. */
 export interface RecordError {
@@ -30,7 +31,7 @@
 ): Promise<Result<void, RecordError>> {
   const {key, classifyExisting, conflictError} = options;
   const text = JSON.stringify(options.value);
-  let ifRevision = 0;
+  let ifRevision: RevisionCondition = 0;
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
     const result = await store.write(key, text, {ifRevision});
     if (result.isErr()) return resolveUncertainWrite(store, options, result.error);
--- a/packages/state/src/etcdKeyValue.ts
+++ b/packages/state/src/etcdKeyValue.ts
@@ -22,7 +22,10 @@
   WriteOptions,
   WriteOutcome,
 } from './keyValue.js';
+import {EtcdEra} from './etcdEra.js';
 import {watch} from './etcdWatch.js';
+import {eraOfCondition, numberOfCondition, type RevisionCondition} from './revision.js';
+import {decodeLease, encodeLease} from './storeEra.js';
 
 /** HTTP client, address and call timeout for the connection to etcd. */
 export interface EtcdOptions {
@@ -38,26 +41,35 @@
 /** Creates a client for etcd's JSON gateway; it connects on the first operation. */
 export function createEtcdKeyValue(options: EtcdOptions): KeyValue {
   const call = createCall(options);
+  const era = new EtcdEra();
   return {
     get: async (key) => {
-      const response = await call(
-        etcdPaths.range,
-        {key: encodeText(key)},
-        rangeResponseSchema,
-        'read',
-      );
-      return response.map((range) => range.kvs.map(toEntry)[0]);
+      const body = {key: encodeText(key)};
+      const newest = era.newestRevision;
+      const response = await call(etcdPaths.range, body, rangeResponseSchema, 'read');
+      return response.map(({header, kvs}) => {
+        const responseEra = era.observe(header, newest);
+        return kvs.map((pair) => toEntry(pair, responseEra))[0];
+      });
+    },
+    list: (prefix, listOptions) => list(call, era, prefix, listOptions),
+    write: (key, value, writeOptions) => write(call, era, key, value, writeOptions),
+    remove: (key, ifRevision) => {
+      const operation = {request_delete_range: {key: encodeText(key)}};
+      return compareAndSwap(call, era, {key, ifRevision, operation});
     },
-    list: (prefix, listOptions) => list(call, prefix, listOptions),
-    write: (key, value, writeOptions) => write(call, key, value, writeOptions),
-    remove: (key, ifRevision) => remove(call, key, ifRevision),
-    watch: (prefix, watchOptions) => watch(options, prefix, watchOptions),
+    watch: (prefix, watchOptions) => watch(options, era, prefix, watchOptions),
     grantLease: async (ttlSeconds) => {
       const body = {TTL: String(ttlSeconds)};
+      const newest = era.newestRevision;
       const response = await call(etcdPaths.leaseGrant, body, leaseGrantResponseSchema, 'write');
-      return response.map((grant) => grant.ID);
+      return response.map(({header, ID}) =>
+        encodeLease(header === undefined ? era.current : era.observe(header, newest), ID),
+      );
     },
-    renewLease: async (lease) => {
+    renewLease: async (id) => {
+      const {era: leaseEra, lease} = decodeLease(id);
+      if (era.findError(leaseEra, false) !== undefined) return ok(false);
       const response = await call(
         etcdPaths.leaseKeepAlive,
         {ID: lease},
@@ -66,7 +78,9 @@
       );
       return response.map((renewal) => renewal.result.TTL > 0);
     },
-    revokeLease: async (lease) => {
+    revokeLease: async (id) => {
+      const {era: leaseEra, lease} = decodeLease(id);
+      if (era.findError(leaseEra, false) !== undefined) return ok(undefined);
       const response = await call(etcdPaths.leaseRevoke, {ID: lease}, undefined, 'write');
       return response.map(() => undefined);
     },
@@ -113,6 +127,7 @@
 
 async function list(
   call: Call,
+  era: EtcdEra,
   prefix: string,
   options: ListOptions = {},
 ): Promise<Result<Listing, StoreError>> {
@@ -123,48 +138,64 @@
     sort_target: 'KEY',
     sort_order: 'ASCEND',
   };
+  const newest = era.newestRevision;
   const response = await call(etcdPaths.range, body, rangeResponseSchema, 'read');
-  return response.map((range) => ({
-    entries: range.kvs.map(toEntry),
-    revision: range.header.revision,
-  }));
+  return response.map(({header, kvs}) => {
+    const responseEra = era.observe(header, newest);
+    return {
+      entries: kvs.map((pair) => toEntry(pair, responseEra)),
+      revision: {era: responseEra, number: header.revision},
+    };
+  });
 }
 
 async function write(
   call: Call,
+  era: EtcdEra,
   key: string,
   value: string,
-  options: WriteOptions,
+  {ifRevision, lease}: WriteOptions,
 ): Promise<Result<WriteOutcome, StoreError>> {
-  const put = {key: encodeText(key), value: encodeText(value), lease: options.lease};
-  return compareAndSwap(call, key, options.ifRevision, {request_put: put});
+  const granted = lease === undefined ? undefined : decodeLease(lease);
+  const put = {key: encodeText(key), value: encodeText(value), lease: granted?.lease};
+  const operation = {request_put: put};
+  return compareAndSwap(call, era, {key, ifRevision, operation, leaseEra: granted?.era});
 }
 
-async function remove(
-  call: Call,
-  key: string,
-  ifRevision: number,
-): Promise<Result<WriteOutcome, StoreError>> {
-  const operation = {request_delete_range: {key: encodeText(key)}};
-  return compareAndSwap(call, key, ifRevision, operation);
+interface Swap {
+  readonly key: string;
+  readonly ifRevision: RevisionCondition;
+  readonly operation: unknown;
+  readonly leaseEra?: number | undefined;
 }
 
 async function compareAndSwap(
   call: Call,
-  key: string,
-  ifRevision: number,
-  operation: unknown,
+  era: EtcdEra,
+  {key, ifRevision, operation, leaseEra}: Swap,
 ): Promise<Result<WriteOutcome, StoreError>> {
+  const requiredEra = eraOfCondition(ifRevision) ?? leaseEra;
+  const outdated = era.findError(requiredEra, false);
+  if (outdated !== undefined) return err(outdated);
   const encodedKey = encodeText(key);
+  const revision = String(numberOfCondition(ifRevision));
   const body = {
-    compare: [{key: encodedKey, target: 'MOD', result: 'EQUAL', mod_revision: String(ifRevision)}],
+    compare: [{key: encodedKey, target: 'MOD', result: 'EQUAL', mod_revision: revision}],
     success: [operation],
     failure: [{request_range: {key: encodedKey}}],
   };
+  const newest = era.newestRevision;
   const response = await call(etcdPaths.txn, body, txnResponseSchema, 'write');
-  return response.map((txn): WriteOutcome => {
-    if (txn.succeeded) return {kind: 'written', revision: txn.header.revision};
-    const current = txn.responses[0]?.response_range?.kvs[0];
-    return {kind: 'conflict', current: current === undefined ? undefined : toEntry(current)};
+  return response.andThen(({header, succeeded, responses}): Result<WriteOutcome, StoreError> => {
+    const responseEra = era.observe(header, newest);
+    const restored = era.findError(requiredEra, succeeded);
+    if (restored !== undefined) return err(restored);
+    if (succeeded)
+      return ok({kind: 'written', revision: {era: responseEra, number: header.revision}});
+    const current = responses[0]?.response_range?.kvs[0];
+    return ok({
+      kind: 'conflict',
+      current: current === undefined ? undefined : toEntry(current, responseEra),
+    });
   });
 }
--- a/packages/state/src/etcdMessages.ts
+++ b/packages/state/src/etcdMessages.ts
@@ -14,7 +14,14 @@
 
 const int64 = z.union([z.string(), z.number()]).transform(Number);
 
-const headerSchema = z.object({revision: int64.default(0)});
+const headerSchema = z.object({
+  /** Identifies the cluster; one that is restored from a snapshot usually has another id. */
+  cluster_id: z.string().default(''),
+  revision: int64.default(0),
+});
+
+/** Header of a response. */
+export type EtcdHeader = z.infer<typeof headerSchema>;
 
 const pairSchema = z.object({
   key: z.string(),
@@ -53,7 +60,11 @@
 });
 
 /** Schema of the response to a lease grant. */
-export const leaseGrantResponseSchema = z.object({ID: z.string(), TTL: int64.default(0)});
+export const leaseGrantResponseSchema = z.object({
+  header: headerSchema.optional(),
+  ID: z.string(),
+  TTL: int64.default(0),
+});
 
 /** Schema of the response to a lease renewal; an expired lease has a TTL of 0. */
 export const leaseKeepAliveResponseSchema = z.object({
@@ -86,11 +97,11 @@
 }
 
 /** Decodes a key with its value. */
-export function toEntry(pair: EtcdPair): KeyValueEntry {
+export function toEntry(pair: EtcdPair, era: number): KeyValueEntry {
   return {
     key: decodeText(pair.key),
     value: decodeText(pair.value),
-    revision: pair.mod_revision,
+    revision: {era, number: pair.mod_revision},
   };
 }
 
--- a/packages/state/src/etcdWatch.ts
+++ b/packages/state/src/etcdWatch.ts
@@ -10,7 +10,9 @@
   toEntry,
   watchMessageSchema,
 } from './etcdMessages.js';
+import type {EtcdEra} from './etcdEra.js';
 import type {Listing, StoreError, WatchOptions} from './keyValue.js';
+import type {Revision} from './revision.js';
 
 /** HTTP client, address and timeout for what the service has to send at once or go on sending. */
 export interface EtcdWatchOptions {
@@ -29,15 +31,19 @@
  */
 export async function watch(
   {client, address, timeoutMs}: EtcdWatchOptions,
+  era: EtcdEra,
   prefix: string,
   options: WatchOptions,
 ): Promise<Result<Listing, StoreError>> {
+  const {afterRevision} = options;
+  const outdated = era.findError(afterRevision.era, false);
+  if (outdated !== undefined) return err(outdated);
   const create = {
     key: encodeText(prefix),
     range_end: rangeEnd(prefix),
-    start_revision: String(options.afterRevision + 1),
+    start_revision: String(afterRevision.number + 1),
   };
-  const noChanges: Listing = {entries: [], revision: options.afterRevision};
+  const noChanges: Listing = {entries: [], revision: afterRevision};
   const response = await client.send({
     address,
     method: 'POST',
@@ -61,7 +67,7 @@
       const lines = (partialLine + String(chunk)).split('\n');
       partialLine = lines.pop() ?? '';
       for (const line of lines) {
-        const result = readMessage(line);
+        const result = readMessage(line, era, afterRevision);
         if (result !== undefined) return result;
         deadline.isConfirmed = true;
       }
@@ -82,20 +88,35 @@
 }
 
 /** Result of a watch after a message; undefined if it goes on. */
-function readMessage(line: string): Result<Listing, StoreError> | undefined {
+function readMessage(
+  line: string,
+  era: EtcdEra,
+  afterRevision: Revision,
+): Result<Listing, StoreError> | undefined {
   const message = watchMessageSchema.safeParse(parseJson(line));
   if (!message.success) {
     const text = 'key-value service: a message of the watch stream is invalid';
     return err({code: 'rejected', message: text, mayHaveTakenEffect: false});
   }
   const {events, header, canceled, compact_revision: compacted = 0} = message.data.result;
+  if (header.revision > 0 && header.revision < afterRevision.number) {
+    // A restored cluster would wait until it reaches the revision again, and skip the changes until then.
+    const text = 'key-value service: the watch begins after the newest revision';
+    return err({code: 'history_lost', message: text, mayHaveTakenEffect: false});
+  }
+  era.observe(header, 0);
+  const restored = era.findError(afterRevision.era, false);
+  if (restored !== undefined) return err(restored);
   if (canceled) {
     const code = compacted > 0 ? 'history_lost' : 'unavailable';
     const text = 'key-value service: the watch was canceled';
     return err({code, message: text, mayHaveTakenEffect: false});
   }
   if (events.length === 0) return undefined;
-  return ok({entries: events.map(({kv}) => toEntry(kv)), revision: header.revision});
+  return ok({
+    entries: events.map(({kv}) => toEntry(kv, afterRevision.era)),
+    revision: {...afterRevision, number: header.revision},
+  });
 }
 
 /** Ends a watch that is not confirmed, that is quiet, or whose message stalls. */
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -147,3 +147,11 @@
 } from './routing/routingConfiguration.js';
 export type {EndpointRecord} from './routing/endpointRecord.js';
 export {RoutingTable} from './routing/routingTable.js';
+export {
+  type Revision,
+  type RevisionCondition,
+  eraOfCondition,
+  isLater,
+  numberOfCondition,
+} from './revision.js';
+export {decodeLease, encodeLease, StoreEra} from './storeEra.js';
--- a/packages/state/src/record.ts
+++ b/packages/state/src/record.ts
@@ -18,6 +18,7 @@
   type Ticket,
   ticketSchema,
 } from './ticket.js';
+import type {Revision} from './revision.js';
 
 /** Key prefix of all tickets. */
 export const ticketPrefix = 'tickets/';
@@ -38,7 +39,7 @@
   readonly tickets: readonly Ticket[];
   readonly decisions: readonly Decision[];
   readonly unreadable: readonly UnreadableEntry[];
-  readonly revision: number;
+  readonly revision: Revision;
 }
 
 /**
@@ -64,7 +65,7 @@
   readDecided(after: number): Promise<Result<RecordPage, RecordError>>;
   /** Waits for a decision after a store revision; also resolves on timeout. */
   waitForDecision(
-    afterRevision: number,
+    afterRevision: Revision,
     timeoutMs: number,
     signal?: AbortSignal,
   ): Promise<Result<void, RecordError>>;
@@ -220,7 +221,7 @@
 function buildPage(
   ticketEntries: readonly KeyValueEntry[],
   decisionEntries: readonly KeyValueEntry[],
-  revision: number,
+  revision: Revision,
 ): RecordPage {
   const unreadable: UnreadableEntry[] = [];
   const tickets: Ticket[] = [];
--- a/packages/state/src/recordArchive.ts
+++ b/packages/state/src/recordArchive.ts
@@ -10,6 +10,7 @@
 import type {KeyValue, KeyValueEntry} from './keyValue.js';
 import {type Snapshot, shardContentSchema, snapshotProofSchema} from './snapshot.js';
 import {type DecidedTicket, decidedTicketSchema} from './ticket.js';
+import type {RevisionCondition} from './revision.js';
 
 /** Size limit of one value in bytes; the key-value service accepts up to 1 MB. */
 export const maxValueBytes = 786_432;
@@ -38,7 +39,7 @@
 /** The manifest with its store revision, the condition for the next write. */
 export interface VersionedManifest {
   readonly manifest: ArchiveManifest;
-  readonly revision: number;
+  readonly revision: RevisionCondition;
 }
 
 const segmentSchema = z.object({tickets: z.array(decidedTicketSchema).min(1)});
@@ -66,7 +67,7 @@
 export async function writeManifest(
   store: KeyValue,
   manifest: ArchiveManifest,
-  ifRevision: number,
+  ifRevision: RevisionCondition,
 ): Promise<Result<boolean, RecordError>> {
   const result = await store.write(MANIFEST_KEY, JSON.stringify(manifest), {ifRevision});
   return result.map(({kind}) => kind === 'written').mapErr(toRecordError);
