Add restores of the store and limits of endpoints to the fault soak

New checks: a configuration is in force in time at routers in touch, an endpoint gets no more than its limit allows. The stand-in of etcd forgets the revision that it has seen when its store fails, since it may be restored.

--- a/packages/bench/src/commands/faultSoak.ts
+++ b/packages/bench/src/commands/faultSoak.ts
@@ -21,6 +21,11 @@
     seconds: Flags.integer({description: 'duration of each seed in seconds', default: 20, min: 1}),
     routers: Flags.integer({description: 'number of router processes', default: 3, min: 1}),
     callers: Flags.integer({description: 'number of concurrent callers', default: 18, min: 1}),
+    further: Flags.boolean({
+      description:
+        'also restore the key-value service from older copies, and let endpoints state limits',
+      default: false,
+    }),
     folder: Flags.string({
       description: 'folder for settings and logs; default: a new temporary folder',
     }),
@@ -36,6 +41,7 @@
         durationMs: flags.seconds * MS_PER_SECOND,
         routers: flags.routers,
         callers: flags.callers,
+        hasFurtherFaults: flags.further,
         folder: join(folder, `seed-${seed}`),
       });
       violations += result.violations.length;
--- a/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
+++ b/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
@@ -16,16 +16,23 @@
   [9, 'a router that was three configuration versions behind'],
 ] as const;
 
+/** Seeds with restores of the store and limits of endpoints among the faults. */
+const furtherSeeds = [[701, 'the first seed with restores and limits']] as const;
+
 describe.concurrent('the fault soak', () => {
-  test.each(seeds)(
+  test.each([
+    ...seeds.map(([seed, reason]) => [seed, reason, false] as const),
+    ...furtherSeeds.map(([seed, reason]) => [seed, reason, true] as const),
+  ])(
     'finds no violation with seed %d: %s',
-    async (seed) => {
+    async (seed, _reason, hasFurtherFaults) => {
       const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
       const result = await runFaultSoak({
         seed,
         durationMs: DURATION_MS,
         routers: 3,
         callers: 18,
+        hasFurtherFaults,
         folder,
       });
       expect(result.violations).toEqual([]);
--- a/packages/bench/src/faultSoak/__tests__/history.test.ts
+++ b/packages/bench/src/faultSoak/__tests__/history.test.ts
@@ -7,7 +7,13 @@
   type SentRequest,
 } from '../history.js';
 
-const bounds = {revocationMs: 5000, drainMs: 2000, staleVersionMs: 250, cancellationMs: 500};
+const bounds = {
+  revocationMs: 5000,
+  drainMs: 2000,
+  configurationMs: 2000,
+  staleVersionMs: 250,
+  cancellationMs: 500,
+};
 
 function create() {
   const history = new RequestHistory(bounds);
@@ -163,4 +169,28 @@
     get({status: 0, isComplete: false, body: ''});
     expect(rules()).toEqual(['cut']);
   });
+
+  test('reports a version that is older than one accepted long before', () => {
+    const {history, send, run, rules} = create();
+    history.onConfigured(2, 100);
+    send({atMs: 2000});
+    run({version: 1, atMs: 2050});
+    send({atMs: 2200});
+    run({version: 1, atMs: 2250}, false);
+    run({version: 2, atMs: 2250});
+    expect(rules()).toEqual([]);
+    run({version: 1, atMs: 2260});
+    expect(rules()).toContain('outdated');
+  });
+
+  test('reports an endpoint that got more requests than its limit allows', () => {
+    const {history, send, run, rules} = create();
+    send();
+    for (let count = 0; count < 12; count += 1) run({atMs: 5000 + count * 100});
+    history.onLimited('e1', 1, 6200, 10_000);
+    history.onLimited('e2', 1, 4000, 10_000);
+    expect(rules()).toEqual([]);
+    history.onLimited('e1', 1, 4000, 10_000);
+    expect(rules()).toEqual(['limit']);
+  });
 });
--- a/packages/bench/src/faultSoak/faultInjector.ts
+++ b/packages/bench/src/faultSoak/faultInjector.ts
@@ -14,6 +14,8 @@
   readonly routers: readonly RouterProcess[];
   readonly endpoints: readonly LinkedEndpoint[];
   readonly history: RequestHistory;
+  /** Whether restores of the store and limits of endpoints are among the faults. */
+  readonly hasFurtherFaults: boolean;
 }
 
 /** Longest pause between two actions. */
@@ -23,6 +25,12 @@
 /** Pause between phases; disrupted connections recover during this time. */
 const PHASE_PAUSE_MS = 3500;
 const MAX_FAULT_MS = 2500;
+const LIMIT_PER_SECOND = 3;
+const LIMIT_MS = 8000;
+/** All routers have had a response that states the limit after this time. */
+const LIMIT_KNOWN_MS = 3000;
+/** Longest time until what a restore of the store has lost is written again. */
+const MAX_REWRITE_MS = 1000;
 const RESTART_PAUSE_MS = 300;
 /** A draining endpoint keeps serving requests for this time. */
 const ENDPOINT_DRAIN_MS = 3500;
@@ -82,10 +90,15 @@
       endpoint_link: () => this.#disruptLink(this.#pick(this.#options.endpoints)?.link),
       conduct: () => this.#disturbEndpoint(),
     };
-    const actions = Object.entries(isPlanned ? planned : {...planned, ...unplanned});
+    const further: Record<string, Action> = {
+      restore: () => this.#restoreStore(),
+      limit: () => this.#limitEndpoint(),
+    };
+    const faults = this.#options.hasFurtherFaults ? {...unplanned, ...further} : unplanned;
+    const actions = Object.entries(isPlanned ? planned : {...planned, ...faults});
     const [name, action] = this.#pick(actions) ?? ['', () => Promise.resolve()];
     this.counts[name] = (this.counts[name] ?? 0) + 1;
-    const isFault = name in unplanned;
+    const isFault = name in faults;
     if (isFault) this.#activeFaults += 1;
     const pending = action().then(() => {
       this.#pending.delete(pending);
@@ -102,6 +115,7 @@
       1 + Math.floor(this.#options.random() * MAX_VERSION_STEP),
       revokes,
     );
+    history.onConfigured(store.version, systemClock.now());
     if (revoked === undefined) return;
     this.revokedKeys.push(revoked);
     history.onRevoked(revoked, systemClock.now());
@@ -187,6 +201,35 @@
     linked.endpoint.behaviour = 'well';
   }
 
+  /** Restores the store from a copy up to `MAX_FAULT_MS` old; what is lost is written again a little later. */
+  async #restoreStore(): Promise<void> {
+    const {store, random} = this.#options;
+    await this.#runExclusively(store, async () => {
+      store.takeCopy();
+      await sleep(systemClock, random() * MAX_FAULT_MS);
+      store.restore();
+      await sleep(systemClock, random() * MAX_REWRITE_MS);
+      await store.rewrite();
+    });
+  }
+
+  /** Lets an endpoint state a limit, and checks the requests that it gets once all routers know of it. */
+  async #limitEndpoint(): Promise<void> {
+    const {store, endpoints} = this.#options;
+    // The other services get no requests until the next version of the configuration.
+    const linked = this.#pick(endpoints.filter(({service}) => service === store.service));
+    if (linked === undefined) return;
+    await this.#runExclusively(linked, async () => {
+      const {endpoint} = linked;
+      const fromMs = systemClock.now() + LIMIT_KNOWN_MS;
+      endpoint.limitPerSecond = LIMIT_PER_SECOND;
+      await sleep(systemClock, LIMIT_MS);
+      endpoint.limitPerSecond = undefined;
+      const {history} = this.#options;
+      history.onLimited(endpoint.id, LIMIT_PER_SECOND, fromMs, systemClock.now());
+    });
+  }
+
   /** Runs an action, or skips it while another action runs on the same router, endpoint or link. */
   async #runExclusively(subject: unknown, action: Action): Promise<void> {
     if (this.#busySubjects.has(subject)) return;
--- a/packages/bench/src/faultSoak/faultSoak.ts
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -17,6 +17,8 @@
   readonly durationMs: number;
   readonly routers: number;
   readonly callers: number;
+  /** Whether restores of the store and limits of endpoints are among the faults. */
+  readonly hasFurtherFaults: boolean;
   /** Directory for the settings and logs of the routers. */
   readonly folder: string;
 }
@@ -43,6 +45,8 @@
 const REVOCATION_MS = 5000;
 /** Time in which a connected router must apply the drain of an endpoint, as for a configuration. */
 const DRAIN_MS = 2000;
+/** Time in which a connected router must apply a configuration; the default in the router's settings. */
+const CONFIGURATION_MS = 2000;
 const STALE_VERSION_MS = 250;
 /** A request may still reach an endpoint for this time after its caller disconnected. */
 const CANCELLATION_MS = 500;
@@ -84,6 +88,7 @@
   readonly #history = new RequestHistory({
     revocationMs: REVOCATION_MS,
     drainMs: DRAIN_MS,
+    configurationMs: CONFIGURATION_MS,
     staleVersionMs: STALE_VERSION_MS,
     cancellationMs: CANCELLATION_MS,
   });
@@ -110,6 +115,7 @@
       routers: this.#routers,
       endpoints: this.#endpoints,
       history: this.#history,
+      hasFurtherFaults: options.hasFurtherFaults,
     });
   }
 
--- a/packages/bench/src/faultSoak/history.ts
+++ b/packages/bench/src/faultSoak/history.ts
@@ -44,12 +44,18 @@
 export interface HistoryBounds {
   readonly revocationMs: number;
   readonly drainMs: number;
+  readonly configurationMs: number;
   /** Maximum time from router to endpoint; until then, a request forwarded with an older version may still arrive. */
   readonly staleVersionMs: number;
   /** Time for which a request may stay in transit after its caller disconnected. */
   readonly cancellationMs: number;
 }
 
+/** Requests that an endpoint with a limit may get in any window: the ratio of what the limit allows, and some more. */
+const LIMIT_WINDOW_MS = 4000;
+const LIMIT_RATIO = 1.5;
+const LIMIT_SLACK = 5;
+
 /** Statuses by which the router states that the request did not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -59,9 +65,12 @@
   readonly #bounds: HistoryBounds;
   readonly #sentRequests = new Map<string, SentRequest>();
   readonly #runsByRequest = new Map<string, EndpointRun[]>();
+  readonly #runTimesMs = new Map<string, number[]>();
   readonly #disconnectedAtMs = new Map<string, number>();
   readonly #refusedStatuses = new Map<string, number>();
   readonly #revokedAtMs = new Map<string, number>();
+  /** Times at which versions of the configuration were accepted. */
+  readonly #configuredAtMs = new Map<number, number>();
   readonly #leavingAtMs = new Map<string, number>();
   /** Newest configuration version by router lifetime, with the time at which it was first seen. */
   readonly #newestVersions = new Map<string, {version: number; atMs: number}>();
@@ -79,11 +88,32 @@
     this.#revokedAtMs.set(key, atMs);
   }
 
+  /** Records a version of the configuration; the time is that of the accepted store write. */
+  onConfigured(version: number, atMs: number): void {
+    this.#configuredAtMs.set(version, atMs);
+  }
+
   /** Records an endpoint that drains; the time is that of the accepted store write. */
   onLeaving(endpoint: string, atMs: number): void {
     this.#leavingAtMs.set(endpoint, atMs);
   }
 
+  /** Checks the runs at an endpoint that has stated a limit, in requests per second, from one time to another. */
+  onLimited(endpoint: string, perSecond: number, fromMs: number, toMs: number): void {
+    const allowed = LIMIT_RATIO * perSecond * (LIMIT_WINDOW_MS / 1000) + LIMIT_SLACK;
+    const timesMs = (this.#runTimesMs.get(endpoint) ?? []).filter(
+      (timeMs) => timeMs >= fromMs && timeMs < toMs,
+    );
+    for (const [index, startMs] of timesMs.entries()) {
+      const rest = timesMs.slice(index);
+      const count = rest.filter((timeMs) => timeMs < startMs + LIMIT_WINDOW_MS).length;
+      if (count <= allowed) continue;
+      const detail = `${endpoint} ran ${count} requests in ${LIMIT_WINDOW_MS} ms, ${allowed} allowed`;
+      this.#addViolation('limit', '', detail);
+      return;
+    }
+  }
+
   /** Records that a caller closed its connection. */
   onCallerDisconnected(id: string, atMs: number): void {
     this.#disconnectedAtMs.set(id, atMs);
@@ -104,6 +134,9 @@
     const runs = this.#runsByRequest.get(id) ?? [];
     this.#runsByRequest.set(id, runs);
     runs.push(run);
+    const runTimesMs = this.#runTimesMs.get(endpoint) ?? [];
+    this.#runTimesMs.set(endpoint, runTimesMs);
+    runTimesMs.push(atMs);
     if (request.kind === 'nonIdempotent' && runs.length > 1) {
       this.#addViolation('twice', id, `ran at ${runs.map((one) => one.endpoint).join(' and ')}`);
     }
@@ -126,6 +159,13 @@
         `reached ${endpoint} ${atMs - leavingAtMs} ms after it began to drain`,
       );
     }
+    for (const [newer, configuredAtMs] of this.#configuredAtMs) {
+      const isDue = newer > version && request.atMs > configuredAtMs + this.#bounds.configurationMs;
+      if (!isDue || !isConnected(request.lifetime)) continue;
+      const ageMs = request.atMs - configuredAtMs;
+      this.#addViolation('outdated', id, `version ${version} ${ageMs} ms after version ${newer}`);
+      break;
+    }
     if (run.isUndelayed) this.onWorkContinued(id, atMs);
     this.#checkVersion(request, version, atMs);
   }
--- a/packages/bench/src/faultSoak/soakEndpoint.ts
+++ b/packages/bench/src/faultSoak/soakEndpoint.ts
@@ -38,6 +38,8 @@
   /** Id under which the endpoint is registered now; empty before the first registration. */
   id = '';
   behaviour: EndpointBehaviour = 'well';
+  /** Limit that responses state, in requests per second. */
+  limitPerSecond: number | undefined;
   address = '';
 
   constructor(options: SoakEndpointOptions) {
@@ -68,7 +70,7 @@
       return;
     }
     if (this.behaviour === 'full') {
-      const headers = {[forwardHeaders.requestId]: id, [forwardHeaders.notExecuted]: 'full'};
+      const headers = {...this.#noticeHeaders(id), [forwardHeaders.notExecuted]: 'full'};
       response.writeHead(503, headers).end();
       return;
     }
@@ -84,7 +86,7 @@
   #respond(response: ServerResponse, id: string, endpoint: string): void {
     const {socket} = response;
     const body = responseBody(id, endpoint);
-    const headers = {...identityHeaders(id), 'content-length': String(body.length)};
+    const headers = {...this.#identityHeaders(id), 'content-length': String(body.length)};
     switch (this.behaviour) {
       case 'garbage':
         socket?.end('this is no answer\r\n\r\n');
@@ -107,7 +109,7 @@
         if (socket !== null) this.#flood(socket, id, 'HTTP/1.1 103 Early Hints\r\n\r\n');
         return;
       case 'endlessBody':
-        response.writeHead(500, identityHeaders(id));
+        response.writeHead(500, this.#identityHeaders(id));
         this.#flood(response, id, 'z');
         return;
       case 'full':
@@ -116,6 +118,17 @@
     }
   }
 
+  #identityHeaders(id: string): Record<string, string> {
+    return {...this.#noticeHeaders(id), [forwardHeaders.signature]: 'soak'};
+  }
+
+  /** Headers of all responses, refusals included. */
+  #noticeHeaders(id: string): Record<string, string> {
+    const limit = this.limitPerSecond;
+    const limitHeader = limit === undefined ? {} : {[forwardHeaders.limit]: String(limit)};
+    return {[forwardHeaders.requestId]: id, ...limitHeader};
+  }
+
   /** Writes the same bytes repeatedly until the connection is closed. */
   #flood(to: Writable, id: string, bytes: string): void {
     const part = bytes.repeat(Math.ceil(FLOOD_BYTES / bytes.length));
@@ -130,7 +143,7 @@
   }
 
   async #stream(request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
-    response.writeHead(200, {...identityHeaders(id), 'content-type': 'text/event-stream'});
+    response.writeHead(200, {...this.#identityHeaders(id), 'content-type': 'text/event-stream'});
     const cutAtEvent =
       this.behaviour === 'halfAnswer' ? 1 + Math.floor(this.#options.random() * STREAM_EVENTS) : 0;
     const from = Number(header(request, forwardHeaders.lastEventId) || 0) + 1;
@@ -151,10 +164,6 @@
   }
 }
 
-function identityHeaders(id: string): Record<string, string> {
-  return {[forwardHeaders.requestId]: id, [forwardHeaders.signature]: 'soak'};
-}
-
 function header(request: IncomingMessage, name: string): string {
   const value = request.headers[name];
   return typeof value === 'string' ? value : '';
--- a/packages/bench/src/faultSoak/soakStore.ts
+++ b/packages/bench/src/faultSoak/soakStore.ts
@@ -1,6 +1,6 @@
 /** Writes to the key-value service what an operator and the endpoints would write during a fault soak. */
 import {forwardKeys} from '@marigoldfold/entry';
-import type {MemoryKeyValue} from '@marigoldfold/standin';
+import type {KeyValueCopy, MemoryKeyValue} from '@marigoldfold/standin';
 
 /** Successive configuration versions route to these services in turn. */
 export const SERVICE_COUNT = 3;
@@ -10,12 +10,43 @@
 /** Writes configurations and endpoint records; holds the newest version and its keys. */
 export class SoakStore {
   readonly #store: MemoryKeyValue;
+  /** What the store should have: the newest value of each key. */
+  readonly #values = new Map<string, string>();
+  #copy: KeyValueCopy;
   readonly #keys = ['key-1', 'key-2'];
   #lastKeyNumber = 2;
   version = 0;
 
   constructor(store: MemoryKeyValue) {
     this.#store = store;
+    this.#copy = store.copy();
+  }
+
+  /** Takes a copy from which the store can be restored. */
+  takeCopy(): void {
+    this.#copy = this.#store.copy();
+  }
+
+  /** Restores the store from the last copy: what was written since is lost until `rewrite`. */
+  restore(): void {
+    this.#store.restore(this.#copy);
+  }
+
+  /** Writes again what the operator and the endpoints have written, as far as the store lacks it. */
+  async rewrite(): Promise<void> {
+    const {entries} = (await this.#store.list(forwardKeys.endpoints))._unsafeUnwrap();
+    for (const {key, revision} of entries) {
+      if (!this.#values.has(key)) await this.#store.remove(key, revision);
+    }
+    for (const [key, value] of this.#values) {
+      const current = (await this.#store.get(key))._unsafeUnwrap();
+      if (current?.value !== value) await this.#put(key, value);
+    }
+  }
+
+  /** Service to which the newest configuration routes. */
+  get service(): string {
+    return `app-${this.version % SERVICE_COUNT}`;
   }
 
   /** Keys that the newest configuration accepts. */
@@ -43,12 +74,13 @@
 
   async remove(id: string): Promise<void> {
     const key = forwardKeys.endpoints + id;
+    this.#values.delete(key);
     const current = (await this.#store.get(key))._unsafeUnwrap();
     if (current !== undefined) await this.#store.remove(key, current.revision);
   }
 
   #configuration() {
-    const service = `app-${this.version % SERVICE_COUNT}`;
+    const {service} = this;
     const route = {
       host: 'soak.example',
       ...timeouts,
@@ -84,6 +116,7 @@
   }
 
   async #put(key: string, value: string): Promise<void> {
+    this.#values.set(key, value);
     const current = (await this.#store.get(key))._unsafeUnwrap();
     await this.#store.write(key, value, {ifRevision: current?.revision ?? 0});
   }
--- a/packages/standin/src/keyValueServer.ts
+++ b/packages/standin/src/keyValueServer.ts
@@ -45,6 +45,9 @@
 const OK = 200;
 const WATCH_TIMEOUT_MS = 600_000;
 
+/** Newest revision that the gateway of a service has seen. */
+const newestRevisions = new WeakMap<KeyValue, Revision>();
+
 type GatewayHandler = (store: KeyValue, body: unknown, response: ServerResponse) => Promise<void>;
 
 const handlers: Readonly<Record<string, GatewayHandler>> = {
@@ -81,6 +84,8 @@
       await handle(store, JSON.parse(body.value.toString()), response);
     } catch (error) {
       if (error instanceof StoreUnavailableError) {
+        // The service may have been restored.
+        newestRevisions.delete(store);
         response.destroy();
         return;
       }
@@ -93,9 +98,6 @@
   return {key: encodeText(key), value: encodeText(value), mod_revision: String(revision.number)};
 }
 
-/** Newest revision that the gateway of a service has seen. */
-const newestRevisions = new WeakMap<KeyValue, Revision>();
-
 /** Header of a response; a restored service gets another cluster id, as etcd does. */
 function toHeader(store: KeyValue, revision: Revision) {
   newestRevisions.set(store, revision);
