List a restored copy without a configuration as a known failure

A copy made before the first configuration was written holds less than is known, but counts as confirmed: keyed requests are still served 4.5 s after the restore. The rig of the tests no longer throws for an entry that is absent; its decoder threw, and with it the mirror, which hid this.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -192,7 +192,8 @@
         endpointsPrefix: 'endpoints/',
         peersPrefix: 'peers/',
         quarantinePrefix: 'quarantine/',
-        decodeConfiguration: (value) => ok(JSON.parse(value) as RoutingConfiguration),
+        decodeConfiguration: (value) =>
+          value === '' ? err('not JSON') : ok(JSON.parse(value) as RoutingConfiguration),
         decodeEndpoint: (_key, value) =>
           value === 'garbage' ? err('not JSON') : ok(JSON.parse(value) as EndpointRecord),
         endpointIdOf: (key) => key.slice('endpoints/'.length),
--- a/packages/entry/src/forwarding/__tests__/restoredStore.test.ts
+++ b/packages/entry/src/forwarding/__tests__/restoredStore.test.ts
@@ -111,6 +111,15 @@
   });
 });
 
+test('a copy that has no configuration does not confirm the one in force', async () => {
+  await rig.addEndpoint('e1', respondOk);
+  const copy = rig.store.copy();
+  await rig.start(configurationOf(1));
+  await restore(copy);
+  await rig.advance(4500);
+  expect((await rig.sendRequest()).status).toBe(503);
+});
+
 describe('an endpoint after a restore of the store', () => {
   test('that has said it is leaving gets no request while the copy lists it as ready', async () => {
     const endpoints = [
