Review case 5: a leaving runner is forgotten when its entry comes back

A late write brings the entry of a runner back that has said Server-Leaving; the router takes it for a new one.

Run: review/5/run.sh five times and once with TROUBLE=0.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run; TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec node case.mjs
