End the use of a removed endpoint while watches are cut

While the store closed waiting watches every 1.5 s, callers' requests went on to an endpoint whose entry had been removed, until it exited: 64 requests later than DrainMs, and one that may run once was lost.

Cause: a closed watch counted as an outage of the store, and each outage started the grace period of removed entries anew, also of those that had lapsed before. Ruled out: a late removal (logged as lapsed within 50 ms) and a listing that brings the entry back (none in the run).

Change: an outage is a call without a timely answer or a second failure in a row; an entry that lapses keeps the end of the grace period in which it lapsed.

Tests, both seen to fail before: rangeMirror "reports no reconnection after a single call that was cut off", endpointRegistry "a record that lapsed in an outage is not kept longer by the outages that follow".

--- a/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
@@ -45,6 +45,30 @@
   expect(registry.find('a')).toBeUndefined();
 });
 
+// Guards against requests to an endpoint that has left, which each new outage kept in use for another grace period.
+test('a record that lapsed in an outage is not kept longer by the outages that follow', async () => {
+  const {clock, registry} = createRegistry(['a']);
+  registry.startGracePeriod();
+  registry.remove('a');
+  for (let passedMs = 0; passedMs < GRACE_MS; passedMs += GRACE_MS / 4) {
+    expect(registry.find('a')).toBeDefined();
+    await clock.advance(GRACE_MS / 4);
+    registry.startGracePeriod();
+  }
+  expect(registry.find('a')).toBeUndefined();
+});
+
+test('a record that is registered again after it lapsed stays', async () => {
+  const {clock, registry} = createRegistry(['a']);
+  const {record} = registry.find('a')!;
+  registry.startGracePeriod();
+  registry.remove('a');
+  await clock.advance(GRACE_MS / 2);
+  registry.put(record);
+  await clock.advance(GRACE_MS);
+  expect(registry.find('a')).toBeDefined();
+});
+
 test('a record of a restored copy replaces only what is not known to be newer', () => {
   const {registry} = createRegistry(['a', 'b', 'c', 'd']);
   const recordOf = (id: string) => registry.find(id)!.record;
--- a/packages/coordination/src/forwarding/__tests__/rangeMirror.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/rangeMirror.test.ts
@@ -67,6 +67,8 @@
     /** Advances the wall clock only, as a suspension of the machine or a step of its clock does. */
     stepWallClock: (ms: number) => (wallOffsetMs += ms),
     loseHistory: () => (isHistoryLost = true),
+    /** Makes the next calls fail. */
+    injectFaults: (...next: readonly StoreFault[]) => faults.push(...next),
   };
 }
 
@@ -117,6 +119,31 @@
     expect(events).toEqual(['regained', 'change']);
   });
 
+  // Guards against a grace period for removed endpoints each time that the service closes a watch that waits.
+  test('reports no reconnection after a single call that was cut off', async () => {
+    const {clock, contents, events, put, injectFaults} = createMirror();
+    await clock.advance(100);
+    for (let cuts = 0; cuts < 3; cuts += 1) {
+      injectFaults('refused');
+      await clock.advance(1500);
+    }
+    await put('a/1', 'x');
+    await clock.advance(500);
+    expect(events).toEqual(['change']);
+    expect(contents.get('a/1')).toBe('x');
+  });
+
+  test.each<readonly StoreFault[]>([['refused', 'refused'], ['request-lost']])(
+    'reports the reconnection after %s %s',
+    async (...faults) => {
+      const {clock, events, injectFaults} = createMirror();
+      await clock.advance(100);
+      injectFaults(...faults);
+      await clock.advance(5000);
+      expect(events).toEqual(['regained']);
+    },
+  );
+
   test('reads the range again when the history is lost, and detects keys removed in the meantime', async () => {
     const {clock, contents, put, remove, loseHistory} = createMirror();
     await put('a/1', 'x');
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -27,12 +27,14 @@
 export class EndpointRegistry {
   readonly #options: EndpointRegistryOptions;
   readonly #endpoints = new Map<string, Endpoint>();
-  /** Ids of endpoints whose records expired in a discovery outage, kept until the grace period ends. */
-  readonly #lapsed = new Set<string>();
+  /**
+   * Endpoints whose records were removed in a grace period, with the timer that ends it for them. A later outage does not
+   * extend it, or outages in quick succession would keep an endpoint that has left in use.
+   */
+  readonly #lapsed = new Map<string, Disposable>();
   /** Last records of removed endpoints, oldest first. */
   readonly #departed = new Map<string, EndpointRecord>();
   #graceUntilMs = Number.NEGATIVE_INFINITY;
-  #graceTimer: Disposable | undefined;
 
   constructor(options: EndpointRegistryOptions) {
     this.#options = options;
@@ -59,7 +61,7 @@
   /** Adds the endpoint of a discovery record, or updates the existing one with the same id. */
   put(record: EndpointRecord): void {
     const {clock, logger, remoteCoverage} = this.#options;
-    this.#lapsed.delete(record.id);
+    this.#endLapse(record.id);
     this.#departed.delete(record.id);
     const existing = this.#endpoints.get(record.id);
     if (existing === undefined)
@@ -143,23 +145,27 @@
   /** Removes an endpoint; in the grace period it is only marked as lapsed, since it may register again. */
   remove(id: string): void {
     const {clock, logger} = this.#options;
-    if (!this.#endpoints.has(id)) return;
-    if (clock.now() < this.#graceUntilMs) {
-      this.#lapsed.add(id);
-      logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'lapsed'});
+    if (!this.#endpoints.has(id) || this.#lapsed.has(id)) return;
+    const graceLeftMs = this.#graceUntilMs - clock.now();
+    if (graceLeftMs <= 0) {
+      this.#removeNow(id);
       return;
     }
-    this.#removeNow(id);
+    const timer = clock.schedule(graceLeftMs, () => {
+      this.#removeNow(id);
+    });
+    this.#lapsed.set(id, timer);
+    logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'lapsed'});
   }
 
-  /** Starts the grace period, or starts it anew, when discovery responds again after an outage. */
+  /** Starts the grace period for records that are found to be removed, when discovery responds again after an outage. */
   startGracePeriod(): void {
-    const {clock} = this.#options;
-    this.#graceUntilMs = clock.now() + LAPSE_GRACE_MS;
-    this.#graceTimer?.[Symbol.dispose]();
-    this.#graceTimer = clock.schedule(LAPSE_GRACE_MS, () => {
-      for (const id of this.#lapsed) this.#removeNow(id);
-    });
+    this.#graceUntilMs = this.#options.clock.now() + LAPSE_GRACE_MS;
+  }
+
+  #endLapse(id: string): void {
+    this.#lapsed.get(id)?.[Symbol.dispose]();
+    this.#lapsed.delete(id);
   }
 
   #removeNow(id: string): void {
@@ -167,7 +173,7 @@
     if (record !== undefined) this.#departed.set(id, record);
     const [oldest] = this.#departed.keys();
     if (this.#departed.size > MAX_DEPARTED && oldest !== undefined) this.#departed.delete(oldest);
-    this.#lapsed.delete(id);
+    this.#endLapse(id);
     this.#endpoints.delete(id);
     this.#options.onRemoved?.(id);
     this.#options.logger.info('endpoint', {belief: 'endpoint', endpoint: id, state: 'gone'});
--- a/packages/coordination/src/forwarding/rangeMirror.ts
+++ b/packages/coordination/src/forwarding/rangeMirror.ts
@@ -30,7 +30,10 @@
   readonly onChange: (changes: readonly KeyValueEntry[], origin: ChangeOrigin) => void;
   /** Called after each successful response, also when nothing has changed. */
   readonly onConfirmed?: () => void;
-  /** Called when the service responds again after an outage, before `onChange` is called for that response. */
+  /**
+   * Called when the service responds again after an outage, before `onChange` is called for that response. A single call
+   * that fails without a timeout is no outage if the next one is answered: watches that wait may be closed at any time.
+   */
   readonly onReconnected?: () => void;
 }
 
@@ -76,7 +79,9 @@
   #isConfirming = false;
   #lastWatch = noWatch;
   #failures = 0;
-  #unavailableSinceMs: number | undefined;
+  #failingSinceMs = 0;
+  /** Whether the calls that have failed since the last response amount to an outage. */
+  #isUnavailable = false;
 
   constructor(options: RangeMirrorOptions) {
     this.#options = options;
@@ -229,11 +234,15 @@
       return;
     }
     const fields = {prefix, ageMs: Math.round(this.ageMs), reason: error.message};
-    if (this.#unavailableSinceMs === undefined) {
-      this.#unavailableSinceMs = clock.now();
+    if (this.#failures === 0) this.#failingSinceMs = clock.now();
+    const isOutage = this.#failures > 0 || error.code === 'timed_out';
+    if (this.#isUnavailable) {
+      logger.debug('key-value service still lost', {...fields, failures: this.#failures});
+    } else if (isOutage) {
+      this.#isUnavailable = true;
       logger.warn('key-value service lost', fields);
     } else {
-      logger.debug('key-value service still lost', {...fields, failures: this.#failures});
+      logger.info('key-value call cut off', fields);
     }
     const limitMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures);
     this.#failures += 1;
@@ -242,13 +251,13 @@
 
   #recordAvailable(): void {
     this.#failures = 0;
-    if (this.#unavailableSinceMs === undefined) return;
+    if (!this.#isUnavailable) return;
     const {clock, logger, prefix, onReconnected} = this.#options;
     logger.info('key-value service regained', {
       prefix,
-      outageMs: clock.now() - this.#unavailableSinceMs,
+      outageMs: clock.now() - this.#failingSinceMs,
     });
-    this.#unavailableSinceMs = undefined;
+    this.#isUnavailable = false;
     onReconnected?.();
   }
 }
