Keep silent streams, and ask a second endpoint beside the first

Callers' streams were closed 1.2 s after their last event though the endpoint was sound and the caller still waited.

Cause: a stall timer aborted the run of a resumable stream for its silence, and only then looked for another endpoint. An endpoint that has preempted a request is as silent as one that is gone.

Change: silence ends nothing. Shortly before the client would leave, or sooner if the endpoint cannot be reached, a second endpoint is asked to continue while the first run goes on; whichever sends the next event continues the stream. The attempts of a request move out of exchange.ts.

--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -62,6 +62,8 @@
   limitPublishedAtMs = Number.NEGATIVE_INFINITY;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
+  /** Time at which this process last received anything from the endpoint, in milliseconds. */
+  lastReceivedAtMs = Number.NEGATIVE_INFINITY;
   /** Arrival rate of long prompts at this endpoint, from all processes. */
   readonly longPromptArrivals = new ArrivalRate(LONG_PROMPT_WINDOW_MS);
 
@@ -148,6 +150,11 @@
     return this.limitPerSecond !== previous;
   }
 
+  /** Records that the endpoint has sent something, which shows that it can be reached. */
+  recordReceived(): void {
+    this.lastReceivedAtMs = this.#clock.now();
+  }
+
   /** Records a load report, including its slowness if present. */
   recordLoad(report: LoadReport): void {
     this.#load = {report, atMs: this.#clock.now(), knownCount: this.#expectedRequestCount};
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -271,6 +271,11 @@
     server?.closeAllConnections();
   }
 
+  /** Lets an endpoint accept no further connections; those that are open stay so. */
+  stopListening(id: string): void {
+    this.#servers.get(id)?.close();
+  }
+
   async register(record: Partial<EndpointRecord> & {readonly id: string}): Promise<void> {
     const fullRecord: EndpointRecord = {
       service: 'app',
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -12,7 +12,10 @@
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import type {ResponseMetadata} from './metadataCodec.js';
 import type {EventSequence} from './eventSequence.js';
-import {StallTimer} from './stallTimer.js';
+import {SUPERSEDED} from './attemptRace.js';
+import {REACHABILITY_CHECK_MS} from './reachability.js';
+import {patienceMs} from './routePolicy.js';
+import {SilenceMonitor} from './silenceMonitor.js';
 import type {ForwardOptions} from './forwardOptions.js';
 
 /** Endpoint, request and state of earlier attempts with which an attempt is made. */
@@ -32,8 +35,15 @@
   readonly response: ClientResponseWriter;
   /** Events that the client has received from all attempts of the request. */
   readonly events: EventSequence;
-  /** Aborted when the client disconnects, when the deadline passes, and at the end of the attempt. */
+  /**
+   * Aborted when the client disconnects, when the deadline passes, when another attempt continues the response, and at
+   * the end of the attempt.
+   */
   readonly controller: AbortController;
+  /** Called before the attempt continues the response; aborts any other attempt of the request. */
+  readonly claim: () => void;
+  /** Called when a resumable stream is silent for so long that another endpoint should be asked as well. */
+  readonly onSilent: (isReachable: boolean) => void;
 }
 
 /** An endpoint's error response that has been read but not sent to the client. */
@@ -55,7 +65,9 @@
       readonly reason: string;
       /** Whether any event of the response arrived, or any chunk if it has no events. */
       readonly hasBegun: boolean;
-    };
+    }
+  /** The request may have run, and another attempt continues the response. */
+  | {readonly kind: 'superseded'; readonly wasSilent: boolean};
 
 /** Reason given to every abort; an abort without a reason creates an error with a stack trace. */
 export const ABORT_REASON = 'the response is no longer needed';
@@ -63,10 +75,12 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Age of the headers up to which they may be sent; the deadline in them counts from when they were written. */
 const MAX_HEADER_AGE_MS = CONNECT_TIMEOUT_MS + 50;
-/** Pause in a resumable stream after which another endpoint is tried, as a multiple of the pause objective. */
+/** Silence of a stream after which an unreachable endpoint is replaced, as a multiple of the pause objective. */
 const STALL_PAUSE_TARGETS = 8;
-/** Lower bound of the pause after which another endpoint is tried. */
+/** Lower bound of the silence after which an unreachable endpoint is replaced. */
 const MIN_STALL_MS = 1200;
+/** Time before the client disconnects in which another endpoint has to send the next event of a silent stream. */
+const REPLACEMENT_MS = 400;
 const NO_CONTENT = 204;
 const MISDIRECTED = 421;
 const FIRST_SERVER_ERROR = 500;
@@ -79,46 +93,68 @@
   options: ForwardOptions,
   request: AttemptRequest,
 ): Promise<AttemptOutcome> {
-  const {placement, client, clock} = options;
+  const {placement} = options;
   const {endpoint, placementRequest, engine, controller} = request;
-  const startedAtMs = clock.now();
   const inFlightRequest = placement.startRequest(endpoint, placementRequest, engine);
+  const relay = new ResponseRelay(options, request, inFlightRequest);
   try {
-    const outcome = await client.send({
-      address: endpoint.record.address,
-      method: request.method,
-      target: request.target,
-      headers: request.headers,
-      body: request.body.length > 0 ? request.body : undefined,
-      signal: controller.signal,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      allowsConnectionReuse: request.isRetryable,
-      mayStillSend: () =>
-        clock.now() - startedAtMs <= MAX_HEADER_AGE_MS &&
-        !endpoint.isLeaving &&
-        endpoint.pausedForMs === 0 &&
-        request.isAllowed(),
-    });
-    switch (outcome.kind) {
-      case 'notSent':
-      case 'withdrawn':
-        return outcome;
-      case 'unknown':
-        return {kind: 'broken', reason: outcome.reason, hasBegun: false};
-      case 'answered':
-        return await new ResponseRelay(options, request, inFlightRequest).relay(outcome.response);
-    }
+    const outcome = await sendAndRelay(options, request, relay);
+    return controller.signal.reason === SUPERSEDED ? toSuperseded(outcome, relay) : outcome;
   } finally {
     controller.abort(ABORT_REASON);
     placement.endRequest(endpoint, inFlightRequest);
   }
 }
 
+async function sendAndRelay(
+  {client, clock}: ForwardOptions,
+  request: AttemptRequest,
+  relay: ResponseRelay,
+): Promise<AttemptOutcome> {
+  const {endpoint, controller} = request;
+  const startedAtMs = clock.now();
+  const outcome = await client.send({
+    address: endpoint.record.address,
+    method: request.method,
+    target: request.target,
+    headers: request.headers,
+    body: request.body.length > 0 ? request.body : undefined,
+    signal: controller.signal,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    allowsConnectionReuse: request.isRetryable,
+    mayStillSend: () =>
+      clock.now() - startedAtMs <= MAX_HEADER_AGE_MS &&
+      !endpoint.isLeaving &&
+      endpoint.pausedForMs === 0 &&
+      request.isAllowed(),
+  });
+  switch (outcome.kind) {
+    case 'notSent':
+    case 'withdrawn':
+      return outcome;
+    case 'unknown':
+      return {kind: 'broken', reason: outcome.reason, hasBegun: false};
+    case 'answered':
+      return await relay.relay(outcome.response);
+  }
+}
+
+/** The outcome of an attempt that was aborted because another one continues the response. */
+function toSuperseded(outcome: AttemptOutcome, {wasSilent}: ResponseRelay): AttemptOutcome {
+  if (outcome.kind === 'notSent') return {kind: 'withdrawn', reason: SUPERSEDED};
+  return outcome.kind === 'broken' ? {kind: 'superseded', wasSilent} : outcome;
+}
+
 /** Validates a response and relays it to the client. */
 class ResponseRelay {
   readonly #options: ForwardOptions;
   readonly #request: AttemptRequest;
   readonly #inFlightRequest: InFlightRequest;
+  /** Whether the attempt resumes a stream of which the client had received a part when it began. */
+  #isResumed = false;
+  #hasNewEvent = false;
+  /** Whether the stream was silent for so long that another endpoint was asked as well. */
+  wasSilent = false;
 
   constructor(options: ForwardOptions, request: AttemptRequest, inFlightRequest: InFlightRequest) {
     this.#options = options;
@@ -128,6 +164,7 @@
 
   async relay(response: EndpointResponse): Promise<AttemptOutcome> {
     const {message} = response;
+    this.#request.endpoint.recordReceived();
     const status = message.statusCode ?? 0;
     const metadata = this.#options.codec.decodeResponse(status, message.headers);
     const {endpoint, route, placementRequest, response: writer} = this.#request;
@@ -146,7 +183,7 @@
       if (!isSuccess) return this.#broken(`status ${status} to a resumed stream`);
       if (message.headers['content-type'] !== writer.contentType)
         return this.#broken('the resumed response has another content type');
-      this.#request.events.resume();
+      this.#isResumed = true;
     }
     if (isSuccess && route.kind === 'stream') return this.#relayStream(response);
     return this.#relayBuffered(response, status);
@@ -182,6 +219,7 @@
         if (status >= FIRST_SERVER_ERROR) {
           return {kind: 'failed', failure: {response: response.message, body: buffered.body}};
         }
+        this.#request.claim();
         this.#request.response.sendBuffered(response.message, buffered.body);
         return {kind: 'delivered', status, inFlight: this.#inFlightRequest};
       case 'large':
@@ -198,7 +236,8 @@
     response: EndpointResponse,
     {firstChunk, boundary}: {readonly firstChunk?: Buffer; readonly boundary?: EventBoundary},
   ): Promise<AttemptOutcome> {
-    const {response: writer, controller} = this.#request;
+    const {response: writer, controller, claim} = this.#request;
+    claim();
     if (firstChunk !== undefined) {
       writer.sendHead(response.message);
       await writer.write(firstChunk, controller.signal);
@@ -228,16 +267,17 @@
       return this.#relayChunks(response, {boundary: new EventBoundary()});
     const {response: writer} = this.#request;
     const splitter = new EventSplitter();
-    using stall = this.#startStallTimer();
+    using silence = this.#watchForSilence();
     let fault: string | undefined;
     const isComplete = await forEachChunk(response, async (chunk) => {
       this.#options.eventLoop.recordInput();
+      this.#request.endpoint.recordReceived();
       const events = splitter.push(chunk);
       if (events === undefined) return 'stop';
       // Bytes without a complete event, and comments, are no progress.
-      if (events.some(({isComment}) => !isComment)) stall.recordProgress();
+      if (events.some(({isComment}) => !isComment)) silence.recordEvent();
       for (const event of events) {
-        fault = await this.#relayEvent(response.message, event, stall);
+        fault = await this.#relayEvent(response.message, event, silence);
         if (fault !== undefined) return 'stop';
       }
       return 'next';
@@ -247,6 +287,7 @@
     // A resumed stream may have no event left.
     if (!writer.hasStarted && !isEmptyByDeclaration(response.message))
       return this.#broken('the stream ended without an event');
+    this.#request.claim();
     writer.sendHead(response.message);
     writer.end();
     return {
@@ -260,29 +301,42 @@
   async #relayEvent(
     response: IncomingMessage,
     event: RawEvent,
-    stall: StallTimer,
+    silence: SilenceMonitor,
   ): Promise<string | undefined> {
-    const {response: writer, controller, events} = this.#request;
-    const verdict = events.check(event);
+    const {response: writer, controller, events, claim} = this.#request;
+    if (controller.signal.aborted) return 'the response is no longer needed';
+    const origin = {isResumed: this.#isResumed, isFirstNew: !this.#hasNewEvent};
+    const verdict = events.check(event, origin);
     if (verdict.kind === 'skip') return undefined;
     if (verdict.kind === 'fault') return verdict.reason;
-    if (!event.isComment)
+    if (!event.isComment) {
+      claim();
+      this.#hasNewEvent = true;
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
+    }
     writer.sendHead(response);
-    // A client that reads slowly delays the write, which is no stall of the endpoint.
-    stall.pause();
+    // A client that reads slowly delays the write, which is no silence of the endpoint.
+    silence.pause();
     await writer.write(event.bytes, controller.signal);
-    stall.resume();
+    silence.resume();
     events.record(event);
     return undefined;
   }
 
-  /** Aborts a stream that sends no event for too long, so that another endpoint can resume it. */
-  #startStallTimer(): StallTimer {
-    const {pauseTargetMs = 0} = this.#request.route;
-    const limitMs = Math.max(MIN_STALL_MS, pauseTargetMs * STALL_PAUSE_TARGETS);
-    return new StallTimer(this.#options.clock, limitMs, () => {
-      this.#request.controller.abort(ABORT_REASON);
+  #watchForSilence(): SilenceMonitor {
+    const {clock, reachability} = this.#options;
+    const {route, endpoint, onSilent} = this.#request;
+    const {pauseTargetMs = 0} = route;
+    return new SilenceMonitor({
+      clock,
+      unreachableAfterMs: Math.max(MIN_STALL_MS, pauseTargetMs * STALL_PAUSE_TARGETS),
+      silentAfterMs: patienceMs(route) - REPLACEMENT_MS,
+      checkMs: REACHABILITY_CHECK_MS,
+      isReachable: () => reachability.check(endpoint),
+      onSilent: (isReachable) => {
+        this.wasSilent = true;
+        onSilent(isReachable);
+      },
     });
   }
 }
--- a/packages/entry/src/forwarding/attemptHistory.ts
+++ b/packages/entry/src/forwarding/attemptHistory.ts
@@ -42,6 +42,9 @@
         this.possibleRunCount += 1;
         this.lastFailureReason = 'answer_broken';
         return;
+      case 'superseded':
+        this.possibleRunCount += 1;
+        return;
     }
   }
 }
@@ -68,6 +71,9 @@
     case 'broken':
       if (!isCancelled) endpoint.recordResponse(true);
       return;
+    case 'superseded':
+      if (!isCancelled && outcome.wasSilent) endpoint.recordResponse(true);
+      return;
     case 'withdrawn':
       return;
   }
--- a/packages/entry/src/forwarding/eventSequence.ts
+++ b/packages/entry/src/forwarding/eventSequence.ts
@@ -7,6 +7,14 @@
   | {readonly kind: 'skip'}
   | {readonly kind: 'fault'; readonly reason: string};
 
+/** The attempt that an event comes from. */
+export interface EventOrigin {
+  /** Whether the attempt resumes a stream of which the client had received a part when it began. */
+  readonly isResumed: boolean;
+  /** Whether the attempt has yet to send its first event that the client has not received. */
+  readonly isFirstNew: boolean;
+}
+
 const RELAY: EventVerdict = {kind: 'relay'};
 const SKIP: EventVerdict = {kind: 'skip'};
 
@@ -16,10 +24,6 @@
   /** Largest difference between consecutive numeric IDs; undefined before the second one. */
   #largestStep: number | undefined;
   #hasUnidentifiedEvent = false;
-  /** Whether the events that follow come from an attempt that resumes the stream. */
-  #isResumed = false;
-  /** Whether the attempt that resumes the stream has yet to send its first new event. */
-  #awaitsFirstNewEvent = false;
 
   /** ID of the last event that the client received. */
   get lastEventId(): string | undefined {
@@ -31,21 +35,15 @@
     return !this.#hasUnidentifiedEvent;
   }
 
-  /** Begins an attempt that continues a stream of which the client has received a part. */
-  resume(): void {
-    this.#isResumed = true;
-    this.#awaitsFirstNewEvent = true;
-  }
-
   /** Checks an event before it is relayed. */
-  check({id, isComment}: RawEvent): EventVerdict {
-    if (isComment) return this.#isResumed ? SKIP : RELAY;
+  check({id, isComment}: RawEvent, {isResumed, isFirstNew}: EventOrigin): EventVerdict {
+    if (isComment) return isResumed ? SKIP : RELAY;
     if (id === undefined) {
-      return this.#isResumed ? {kind: 'fault', reason: 'a resumed event has no ID'} : RELAY;
+      return isResumed ? {kind: 'fault', reason: 'a resumed event has no ID'} : RELAY;
     }
     if (this.#lastEventId === undefined) return RELAY;
     if (isAtOrBefore(id, this.#lastEventId)) return SKIP;
-    if (!this.#awaitsFirstNewEvent || this.#largestStep === undefined) return RELAY;
+    if (!isResumed || !isFirstNew || this.#largestStep === undefined) return RELAY;
     const step = Number(id) - Number(this.#lastEventId);
     return step > this.#largestStep
       ? {kind: 'fault', reason: `events are missing between ${this.#lastEventId} and ${id}`}
@@ -64,7 +62,6 @@
       if (!Number.isNaN(step)) this.#largestStep = Math.max(this.#largestStep ?? 0, step);
     }
     this.#lastEventId = id;
-    this.#awaitsFirstNewEvent = false;
   }
 }
 
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,35 +1,23 @@
 /** Handles a client request from its arrival to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Endpoint, PlacementRequest} from '@marigoldfold/coordination';
 import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
-import type {Route, RoutedAccount, Service} from '@marigoldfold/state';
+import type {Route} from '@marigoldfold/state';
 import {onClientDisconnect, readBody} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
-import {type AttemptOutcome, ABORT_REASON, runAttempt} from './attempt.js';
-import {applyOutcome, AttemptHistory} from './attemptHistory.js';
+import {ABORT_REASON, type AttemptOutcome} from './attempt.js';
+import {AttemptSeries} from './attemptSeries.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
-import {reserveEndpoint} from './endpointReservation.js';
-import {endToEndHeaders} from './endToEndHeaders.js';
-import {EventSequence} from './eventSequence.js';
 import type {RequestMetadata} from './metadataCodec.js';
 import type {ForwardOptions} from './forwardOptions.js';
 import {
   bodyErrorOutcome,
-  describeArrival,
-  describeBreak,
   type ExchangeOutcome,
   reportOutcome,
   type Stage,
 } from './exchangeReport.js';
 import {chooseRetryAfterMs} from './retryAfter.js';
 import type {ArrivedRequest} from './forwardServer.js';
-import {
-  chooseService,
-  computeQueueRank,
-  isIdempotent,
-  patienceMs,
-  queueLimitMs,
-} from './routePolicy.js';
+import {chooseService, computeQueueRank, isIdempotent, queueLimitMs} from './routePolicy.js';
 
 /** Time after the deadline in which the timeout response of an endpoint can still arrive. */
 const TIMEOUT_GRACE_MS = 100;
@@ -37,8 +25,6 @@
 const MIN_REMAINING_MS = 20;
 /** Lower bound of `retry-after` when a client should try another instance. */
 const MIN_RETRY_AFTER_MS = 50;
-/** Crashes of endpoints after which a request is not sent again, since it may be their cause. */
-const MAX_CRASHES = 2;
 /** Value of `retry-after` for a quarantined prompt, which the quarantine outlasts in most cases. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
@@ -61,11 +47,7 @@
   readonly #arrival: ArrivedRequest;
   #isClientGone = false;
   #isTimeOver = false;
-  /** Controller that aborts the attempt in progress; undefined before the first attempt. */
-  #attemptController: AbortController | undefined;
-  readonly #history = new AttemptHistory();
-  readonly #events = new EventSequence();
-  #noEndpointReason = 'no_endpoint';
+  readonly #attempts: AttemptSeries;
   #routeName = '';
   /** Rank in the dispatch queue; requests with lower ranks are sent first. */
   #rank = 0;
@@ -88,6 +70,22 @@
     this.#arrivedAtMs = options.clock.now();
     this.#arrival = arrival;
     options.metrics.observeArrival(arrival);
+    this.#attempts = new AttemptSeries({
+      options,
+      request,
+      metadata: this.#metadata,
+      response: this.#response,
+      arrivedAtMs: this.#arrivedAtMs,
+      arrival,
+      admit: () => this.#admit(),
+      isCancelled: () => this.#isCancelled,
+      onSent: () => {
+        this.#stage = 'sent';
+      },
+      log: (message, fields, level) => {
+        this.#log(message, fields, level);
+      },
+    });
   }
 
   async run(): Promise<void> {
@@ -96,7 +94,7 @@
     const disconnectListener = onClientDisconnect(this.#request, () => {
       this.#clientGoneAtMs = this.#options.clock.now();
       this.#isClientGone = true;
-      this.#attemptController?.abort(ABORT_REASON);
+      this.#attempts.abort(ABORT_REASON);
     });
     const outcome = await this.#serve();
     disconnectListener[Symbol.dispose]();
@@ -130,7 +128,7 @@
     if (body.isErr()) return bodyErrorOutcome(body.error);
     const endRequest = () => {
       this.#isTimeOver = true;
-      this.#attemptController?.abort(ABORT_REASON);
+      this.#attempts.abort(ABORT_REASON);
     };
     const {clock} = this.#options;
     using disposables = new DisposableStore();
@@ -179,7 +177,7 @@
    * request.
    */
   #queueDeadlineMs(): number {
-    if (this.#history.attemptCount > 0) return Number.POSITIVE_INFINITY;
+    if (this.#attempts.history.attemptCount > 0) return Number.POSITIVE_INFINITY;
     return this.#queuedAtMs - this.#arrival.unreadMs + this.#queueLimitMs;
   }
 
@@ -201,145 +199,34 @@
       return this.#endWithoutRetry(503, 'quarantined_prompt', QUARANTINE_RETRY_AFTER_MS);
     const {route} = admitted.value;
     const isRetryable = isIdempotent(route);
-    const outcome = await this.#runAttempt(admitted.value, body, deadlineMs, isRetryable);
+    const outcome = await this.#attempts.run({
+      admission: admitted.value,
+      body,
+      deadlineMs,
+      isRetryable,
+      rank: this.#rank,
+      queuedAtMs: this.#queuedAtMs,
+      waitMs: Math.min(
+        this.#queueLimitMs,
+        deadlineMs - this.#options.clock.now() - MIN_REMAINING_MS,
+      ),
+    });
     if (outcome === undefined) return this.#endWithoutEndpoint(admitted.value);
     if (outcome.kind === 'delivered') return outcome;
     if (!this.#mayRetry(outcome, route, isRetryable))
-      return this.#endWithoutRetry(502, this.#history.lastFailureReason);
+      return this.#endWithoutRetry(502, this.#attempts.history.lastFailureReason);
     return undefined;
   }
 
-  async #runAttempt(
-    {route, table, account}: Admission,
-    body: Buffer,
-    deadlineMs: number,
-    isRetryable: boolean,
-  ): Promise<AttemptOutcome | undefined> {
-    const {codec, placement, retryBudget, metrics, clock} = this.#options;
-    const service = chooseService({route, table}, this.#metadata.id ?? '');
-    if (service === undefined) return undefined;
-    const elapsedMs = clock.now() - this.#arrivedAtMs;
-    const placementRequest: PlacementRequest = {
-      id: this.#metadata.id ?? '',
-      service: service.name,
-      targetLeftMs: route.targetMs - elapsedMs,
-      patienceLeftMs: patienceMs(route) - elapsedMs,
-      pauseTargetMs: route.pauseTargetMs,
-      prompt: this.#metadata.prompt,
-    };
-    const reservation = await reserveEndpoint(this.#options, {
-      placementRequest,
-      engine: service.engine,
-      excluded: this.#history.excludedEndpoints,
-      rank: this.#rank,
-      waitMs: Math.min(this.#queueLimitMs, deadlineMs - clock.now() - MIN_REMAINING_MS),
-    });
-    if (reservation.kind === 'limited') this.#noEndpointReason = 'endpoints_limited';
-    if (reservation.kind !== 'reserved' || this.#isCancelled) return undefined;
-    const {endpoint} = reservation;
-    // Attempts that never reached an endpoint put no load on the service, which is what the budget protects.
-    if (this.#history.arrivalCount > 0 && !retryBudget.takeRetry(service.name)) {
-      this.#log('retry refused', {endpoint: endpoint.record.id, reason: 'budget'});
-      return undefined;
-    }
-    const leftMs = deadlineMs - clock.now();
-    this.#history.attemptCount += 1;
-    this.#stage = 'sent';
-    const headers = codec.encodeRequest(endToEndHeaders(this.#request.rawHeaders), {
-      deadlineMs: Math.max(1, Math.floor(leftMs)),
-      endpointId: endpoint.record.id,
-      accountName: account?.name,
-      rank: computeQueueRank(
-        account?.priority,
-        route.priority,
-        placement.canMeetTarget(endpoint, placementRequest),
-      ),
-      lastEventId: this.#events.lastEventId,
-    });
-    const method = this.#request.method ?? 'GET';
-    if (body.length > 0 || method === 'POST' || method === 'PUT') {
-      headers.push('content-length', String(body.length));
-    }
-    this.#log(
-      'sent',
-      {
-        endpoint: endpoint.record.id,
-        configuration: table.version,
-        occupancy: Math.round(endpoint.occupancy),
-        slowness: endpoint.slowness,
-        limitPerSecond: endpoint.limitPerSecond,
-        send: this.#history.attemptCount,
-        leftMs: Math.round(leftMs),
-        queuedMs: Math.round(clock.now() - this.#queuedAtMs),
-        ...describeArrival(this.#arrival),
-      },
-      'debug',
-    );
-    const controller = new AbortController();
-    this.#attemptController = controller;
-    const outcome = await runAttempt(this.#options, {
-      endpoint,
-      engine: service.engine,
-      route,
-      placementRequest,
-      method,
-      target: this.#request.url ?? '/',
-      headers,
-      body,
-      isRetryable,
-      isAllowed: () => this.#isStillAllowed(service, account),
-      response: this.#response,
-      events: this.#events,
-      controller,
-    });
-    this.#attemptController = undefined;
-    metrics.recordAttempt(service.name, endpoint.record.id, outcome.kind);
-    await this.#recordOutcome(endpoint, outcome);
-    return outcome;
-  }
-
-  /** Whether the configuration in force still sends the request to the service, on behalf of the account. */
-  #isStillAllowed(service: Service, account: RoutedAccount | undefined): boolean {
-    if (this.#options.quarantine.isQuarantined(this.#metadata.prompt)) return false;
-    const admitted = this.#admit();
-    return (
-      admitted.isOk() &&
-      admitted.value.account?.name === account?.name &&
-      chooseService(admitted.value, this.#metadata.id ?? '')?.name === service.name
-    );
-  }
-
-  /** Updates the state of the request and the endpoint after an attempt. */
-  async #recordOutcome(endpoint: Endpoint, outcome: AttemptOutcome): Promise<void> {
-    const {placement, crashDetector} = this.#options;
-    this.#history.record(endpoint.record.id, outcome);
-    applyOutcome(placement, endpoint, outcome, this.#isCancelled);
-    if (this.#isCancelled || outcome.kind === 'delivered' || outcome.kind === 'failed') return;
-    const {prompt} = this.#metadata;
-    this.#log('send failed', {
-      endpoint: endpoint.record.id,
-      outcome: outcome.kind,
-      reason: 'reason' in outcome ? outcome.reason : String(outcome.status),
-      failureShare: endpoint.failureShare,
-      ...(outcome.kind === 'broken' ? describeBreak(outcome, prompt) : {}),
-    });
-    // Whether a retry may follow depends on whether the request may have crashed the endpoint.
-    if (await crashDetector.recordOutcome(endpoint, outcome, prompt)) this.#history.crashCount += 1;
-  }
-
-  get #mayCrashEndpoints(): boolean {
-    const {quarantine} = this.#options;
-    return this.#history.crashCount >= MAX_CRASHES || quarantine.isSuspect(this.#metadata.prompt);
-  }
-
   #mayRetry(outcome: AttemptOutcome, route: Route, isRetryable: boolean): boolean {
     if (this.#isCancelled) return false;
-    if (this.#response.hasStarted && !this.#events.canResume) return false;
-    const mayHaveRun = outcome.kind === 'broken' || outcome.kind === 'failed';
+    if (this.#response.hasStarted && !this.#attempts.events.canResume) return false;
+    const mayHaveRun =
+      outcome.kind === 'broken' || outcome.kind === 'failed' || outcome.kind === 'superseded';
     if (!mayHaveRun) return true;
-    if (!isRetryable || this.#mayCrashEndpoints) return false;
+    if (!isRetryable || this.#attempts.mayCrashEndpoints) return false;
     if (this.#response.hasStarted && !route.isResumable) return false;
-    return this.#history.possibleRunCount < route.maxAttempts;
+    return this.#attempts.history.possibleRunCount < route.maxAttempts;
   }
 
   /** If all endpoints want no request for a time, the client should not return before the first one accepts again. */
@@ -347,7 +234,7 @@
     const service = chooseService(admission, this.#metadata.id ?? '')?.name ?? '';
     const closedForMs = this.#options.placement.closedForMs(service);
     const retryAfterMs = closedForMs + chooseRetryAfterMs(this.#rank, this.#options.random);
-    return this.#endWithoutRetry(503, this.#noEndpointReason, Math.round(retryAfterMs));
+    return this.#endWithoutRetry(503, this.#attempts.noEndpointReason, Math.round(retryAfterMs));
   }
 
   /** Determines the outcome of a request that is not retried. */
@@ -358,13 +245,13 @@
   ): ExchangeOutcome {
     if (this.#isClientGone) return {kind: 'gone'};
     if (this.#response.hasStarted) return {kind: 'cut', reason};
-    if (this.#history.failureResponse !== undefined) {
-      const {response, body} = this.#history.failureResponse;
+    if (this.#attempts.history.failureResponse !== undefined) {
+      const {response, body} = this.#attempts.history.failureResponse;
       this.#response.sendBuffered(response, body);
       return {kind: 'delivered', status: response.statusCode ?? 0};
     }
     // A refusal states that the request was not executed, so no endpoint may have executed it.
-    if (this.#history.possibleRunCount > 0) {
+    if (this.#attempts.history.possibleRunCount > 0) {
       const failureStatus = this.#isTimeOver || status === 504 ? 504 : 502;
       return {kind: 'failed', status: failureStatus, reason};
     }
@@ -381,11 +268,11 @@
       routeName: this.#routeName,
       arrivedAtMs: this.#arrivedAtMs,
       arrival: this.#arrival,
-      sends: this.#history.attemptCount,
-      runs: this.#history.possibleRunCount,
+      sends: this.#attempts.history.attemptCount,
+      runs: this.#attempts.history.possibleRunCount,
       stage: this.#stage,
       rank: this.#rank,
-      lastEventId: this.#events.lastEventId,
+      lastEventId: this.#attempts.events.lastEventId,
       clientGoneAtMs: this.#clientGoneAtMs,
     });
   }
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -12,6 +12,7 @@
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
 import type {MetadataCodec} from './metadataCodec.js';
 import type {ForwardMetrics} from './forwardMetrics.js';
+import type {Reachability} from './reachability.js';
 import type {PlannedStop} from './plannedStop.js';
 
 /** Dependencies that all requests of a process share. */
@@ -28,6 +29,7 @@
   readonly placement: Placement;
   readonly permits: Pick<EndpointPermits, 'acquire'>;
   readonly crashDetector: CrashDetector;
+  readonly reachability: Reachability;
   readonly quarantine: PromptQuarantine;
   readonly retryBudget: WindowedRetryBudget;
   readonly plannedStop: PlannedStop;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -35,6 +35,7 @@
 import {ForwardMetrics} from './forwardMetrics.js';
 import {ForwardServer} from './forwardServer.js';
 import {PlannedStop} from './plannedStop.js';
+import {Reachability} from './reachability.js';
 import {createStatusServer} from './statusServer.js';
 import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
 
@@ -221,6 +222,7 @@
       placement,
       permits: this.#permits,
       crashDetector,
+      reachability: new Reachability({clock, isListening}),
       quarantine: this.#quarantine,
       plannedStop: this.#plannedStop,
       retryBudget: this.#retryBudget,
--- a/packages/transport/src/portCheck.ts
+++ b/packages/transport/src/portCheck.ts
@@ -2,7 +2,10 @@
 import {connect} from 'node:net';
 import {splitAddress} from './httpClient.js';
 
-/** Whether a connection to `host:port` is accepted; undefined if it is neither accepted nor refused in time. */
+/**
+ * Whether a connection to `host:port` is accepted; undefined if it is neither accepted nor refused in time. A process that
+ * resets a connection, since it has too many, listens.
+ */
 export function isListening(address: string, timeoutMs: number): Promise<boolean | undefined> {
   const [host, port] = splitAddress(address);
   return new Promise((resolve) => {
@@ -18,7 +21,8 @@
       finish(undefined);
     });
     socket.once('error', ({code}: NodeJS.ErrnoException) => {
-      finish(code === 'ECONNREFUSED' ? false : undefined);
+      if (code === 'ECONNREFUSED') finish(false);
+      else finish(code === 'ECONNRESET' ? true : undefined);
     });
   });
 }
