Decide whose key a request has before the route is asked

While the store was down, callers' requests with a valid key on a route that needs none ran without the name of their account.

Cause: past the age limit of the configuration the account was dropped, and the request went on as if it had no key. An unknown key was treated the same way. Ruled out: codec and endpoint client, which pass on what they are given.

Change: a key is an account's, unknown, or cannot be told because it may have been added or revoked since. Known ones run with the name, unknown ones get 401 and the others 503, on every route; requests without a key are served as before.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -289,9 +289,9 @@
     await this.put(`endpoints/${record.id}`, JSON.stringify(fullRecord));
   }
 
-  /** Sends a client request; resolves at the end of its response. */
+  /** Sends a client request; resolves at the end of its response. A header that is undefined is left out. */
   sendRequest(
-    headers: Readonly<Record<string, string>> = {},
+    headers: Readonly<Record<string, string | undefined>> = {},
     options: {
       method?: string;
       path?: string;
@@ -309,7 +309,12 @@
           method,
           path,
           agent,
-          headers: {host: 'a.example', 'x-id': 'id-1', 'x-key': 'key-1', ...headers},
+          headers: withoutUndefined({
+            host: 'a.example',
+            'x-id': 'id-1',
+            'x-key': 'key-1',
+            ...headers,
+          }),
           ...(signal === undefined ? {} : {signal}),
         },
         (response) => {
@@ -353,6 +358,10 @@
   }
 }
 
+function withoutUndefined(headers: Readonly<Record<string, string | undefined>>) {
+  return Object.fromEntries(Object.entries(headers).filter(([, value]) => value !== undefined));
+}
+
 /** Resolves once a condition holds; events of real sockets arrive with a delay. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await flushPromises();
--- a/packages/entry/src/forwarding/admission.ts
+++ b/packages/entry/src/forwarding/admission.ts
@@ -13,7 +13,7 @@
 
 /** Age limits of the configuration, counted from its last confirmation. */
 export interface ConfigurationAgeLimits {
-  /** Beyond this age, in milliseconds, keys are not accepted and requests that need a key get 503. */
+  /** Beyond this age, in milliseconds, requests with a key get 503, since the key may have been revoked. */
   readonly keyedRequestMaxAgeMs: number;
   /**
    * Beyond this age an unknown route or key may have been added since, and gets 503 instead of 404 or 401;
@@ -30,7 +30,7 @@
   readonly retryAfterMs?: number;
 }
 
-/** Route and account of an admitted request; without an account if it is anonymous or keys are not accepted. */
+/** Route and account of an admitted request; without an account if it has no key. */
 export interface Admission {
   readonly table: RoutingTable;
   readonly route: Route;
@@ -54,16 +54,43 @@
       mayBeOutdated ? unavailable('stale_configuration') : {status: 404, reason: 'no_route'},
     );
   }
-  const account = metadata.key === undefined ? undefined : table.findAccount(metadata.key);
-  if (table.needsKeys && !route.allowsAnonymous) {
-    if (ageMs > limits.keyedRequestMaxAgeMs) return err(unavailable('stale_configuration'));
-    if (account === undefined) {
+  const owner = findKeyOwner(metadata.key, table, ageMs, limits);
+  switch (owner.kind) {
+    case 'account':
+      return ok({table, route, account: owner.account});
+    case 'undetermined':
+      return err(unavailable('stale_configuration'));
+    case 'unknown':
+      return err({status: 401, reason: 'no_key'});
+    case 'none':
+      if (!table.needsKeys || route.allowsAnonymous) return ok({table, route, account: undefined});
       return err(
         mayBeOutdated ? unavailable('stale_configuration') : {status: 401, reason: 'no_key'},
       );
-    }
   }
-  return ok({table, route, account: ageMs > limits.keyedRequestMaxAgeMs ? undefined : account});
+}
+
+/** Whose key a request has. */
+type KeyOwner =
+  /** The request has no key, or the configuration has none. */
+  | {readonly kind: 'none'}
+  | {readonly kind: 'account'; readonly account: RoutedAccount}
+  | {readonly kind: 'unknown'}
+  /** The key may have been added or revoked since the configuration was confirmed. */
+  | {readonly kind: 'undetermined'};
+
+/** The route has no part in this: a request with a key runs on behalf of its owner or not at all. */
+function findKeyOwner(
+  key: string | undefined,
+  table: RoutingTable,
+  ageMs: number,
+  {keyedRequestMaxAgeMs, notFoundMaxAgeMs}: ConfigurationAgeLimits,
+): KeyOwner {
+  if (key === undefined || !table.needsKeys) return {kind: 'none'};
+  if (ageMs > keyedRequestMaxAgeMs) return {kind: 'undetermined'};
+  const account = table.findAccount(key);
+  if (account !== undefined) return {kind: 'account', account};
+  return {kind: ageMs > notFoundMaxAgeMs ? 'undetermined' : 'unknown'};
 }
 
 function unavailable(reason: string): Refusal {
