Keep what is known of an endpoint for its lifetime, not for its entry

An endpoint that had said that it was leaving got requests again when a late write brought its removed entry back.

Cause: a registration of an id that was not registered made a new endpoint, also for the same lifetime; that it leaves, its pause, its limit and what had been measured were gone. A record of an earlier lifetime, and one written before the endpoint began to leave, reset it as well. Ruled out: responses of another endpoint, peers.

Tests, all seen to fail before: endpointRegistry "what an endpoint has said holds when a record of its lifetime comes back" and three more, endpointNotices "is not brought back by a record that was removed and is written again".

--- a/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/endpointRegistry.test.ts
@@ -84,3 +84,70 @@
   registry.putCopy({...copies[0]!, startedAtMs: 3});
   expect(registry.usable('app').map(({record}) => record.id)).toEqual(['a', 'b', 'd', 'c']);
 });
+
+// Guards against requests to an endpoint that has said that it is leaving, after a late write brings its record back.
+test('what an endpoint has said holds when a record of its lifetime comes back', () => {
+  const {registry} = createRegistry(['a', 'b', 'c']);
+  const find = (id: string) => registry.find(id)!;
+  const records = ['a', 'b', 'c'].map((id) => find(id).record);
+  registry.announceLeaving(find('a'));
+  registry.pause(find('b'), 5000);
+  registry.recordLimit(find('c'), {perSecond: 2, sentAtMs: 0, receivedAtMs: 1});
+  for (const id of ['a', 'b', 'c']) registry.remove(id);
+  for (const record of records) registry.put(record);
+  expect(find('a').isLeaving).toBe(true);
+  expect(find('b').pausedForMs).toBe(5000);
+  expect(find('c').limitPerSecond).toBe(2);
+});
+
+test('a record that says that an endpoint is leaving holds against an older one', () => {
+  const {registry} = createRegistry(['a']);
+  const {record} = registry.find('a')!;
+  registry.put({...record, isLeaving: true});
+  registry.put(record);
+  expect(registry.usable('app')).toEqual([]);
+  registry.remove('a');
+  registry.put(record);
+  expect(registry.usable('app')).toEqual([]);
+});
+
+test('what is known of a lifetime holds after records of another one', () => {
+  const {registry} = createRegistry(['a']);
+  const {record} = registry.find('a')!;
+  const restarted = {...record, startedAtMs: 2};
+  registry.put(restarted);
+  registry.announceLeaving(registry.find('a')!);
+  registry.put(record);
+  expect(registry.find('a')!.isLeaving).toBe(false);
+  registry.put(restarted);
+  expect(registry.find('a')!.isLeaving).toBe(true);
+});
+
+test('a new lifetime begins without what the earlier one has said', () => {
+  const {registry} = createRegistry(['a']);
+  const {record} = registry.find('a')!;
+  registry.announceLeaving(registry.find('a')!);
+  registry.remove('a');
+  registry.put({...record, startedAtMs: 2});
+  expect(registry.usable('app')).toHaveLength(1);
+});
+
+test('the lifetimes that are remembered are limited, the latest ones last', () => {
+  const {registry} = createRegistry(['first', 'last']);
+  const [first, last] = [registry.find('first')!, registry.find('last')!];
+  registry.announceLeaving(first);
+  registry.remove('first');
+  for (let number = 0; number < 1000; number += 1) {
+    const record = {...first.record, id: `other-${number}`};
+    registry.put(record);
+    if (number === 500) {
+      registry.announceLeaving(last);
+      registry.remove('last');
+    }
+    registry.remove(record.id);
+  }
+  registry.put(first.record);
+  registry.put(last.record);
+  expect(registry.find('first')!.isLeaving).toBe(false);
+  expect(registry.find('last')!.isLeaving).toBe(true);
+});
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -1,4 +1,4 @@
-/** State of one endpoint as recorded by this process. */
+/** State of one lifetime of an endpoint, as recorded by this process. */
 import type {Clock} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
 import {ArrivalRate} from './arrivalRate.js';
@@ -54,7 +54,7 @@
   #connectFailures = 0;
   #backoffUntilMs = Number.NEGATIVE_INFINITY;
   #reportedUnreachableUntilMs = Number.NEGATIVE_INFINITY;
-  #hasAnnouncedLeaving = false;
+  #isLeaving: boolean;
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
   #limit: LimitStatement | undefined;
   #withheldUntilMs = Number.NEGATIVE_INFINITY;
@@ -72,36 +72,27 @@
     this.#clock = clock;
     this.#remoteCoverage = remoteCoverage;
     this.record = record;
+    this.#isLeaving = record.isLeaving;
   }
 
-  /** Applies a newer record; a restart under the same id resets the recorded state. */
+  /** Applies a newer record of the same lifetime. */
   update(record: EndpointRecord): void {
-    const hasRestarted =
-      record.startedAtMs !== this.record.startedAtMs || record.address !== this.record.address;
     this.record = record;
-    if (!hasRestarted) return;
-    this.cacheEstimate.clear();
-    this.#load = undefined;
-    this.failureShare = 0;
-    this.#hasAnnouncedLeaving = false;
-    this.#pausedUntilMs = Number.NEGATIVE_INFINITY;
-    this.#limit = undefined;
-    this.#withheldUntilMs = Number.NEGATIVE_INFINITY;
-    this.resetBackoff();
+    this.#isLeaving ||= record.isLeaving;
   }
 
   /**
-   * Whether the endpoint gets no new requests, because its record or one of its responses says that it is leaving. A
-   * response holds until the endpoint restarts, since the record may lag behind it.
+   * Whether the endpoint gets no new requests, because a record or a response has said that it is leaving. That holds
+   * for the endpoint's lifetime: a record that says otherwise was written before.
    */
   get isLeaving(): boolean {
-    return this.record.isLeaving || this.#hasAnnouncedLeaving;
+    return this.#isLeaving;
   }
 
   /** Records that a response stated that the endpoint is leaving; returns whether that is new. */
   announceLeaving(): boolean {
-    const isNew = !this.#hasAnnouncedLeaving;
-    this.#hasAnnouncedLeaving = true;
+    const isNew = !this.#isLeaving;
+    this.#isLeaving = true;
     return isNew;
   }
 
@@ -110,7 +101,7 @@
     return Math.max(0, this.#pausedUntilMs - this.#clock.now());
   }
 
-  /** Sends the endpoint no request for a time, in milliseconds, as it has asked; a restart ends it. */
+  /** Sends the endpoint no request for a time, in milliseconds, as it has asked. */
   pause(durationMs: number): void {
     this.#pausedUntilMs = Math.max(this.#pausedUntilMs, this.#clock.now() + durationMs);
   }
@@ -237,7 +228,7 @@
     return backoffMs;
   }
 
-  /** Ends the backoff, after a response or a restart. */
+  /** Ends the backoff, after a response. */
   resetBackoff(): void {
     this.#connectFailures = 0;
     this.#backoffUntilMs = Number.NEGATIVE_INFINITY;
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -1,6 +1,7 @@
 /** Keeps the endpoints of all services that discovery reports. */
 import type {Clock, Logger} from '@marigoldfold/runtime';
 import type {EndpointRecord} from '@marigoldfold/state';
+import {DepartedEndpoints, isSameLifetime} from './departedEndpoints.js';
 import {Endpoint} from './endpoint.js';
 import type {LimitNotice, LimitStatement} from './endpointLimit.js';
 
@@ -20,9 +21,6 @@
  */
 const LAPSE_GRACE_MS = 2000;
 
-/** Removed endpoints that are remembered, so that an older copy of discovery does not bring them back. */
-const MAX_DEPARTED = 1000;
-
 /** Endpoints by id. Removals right after a discovery outage are delayed. */
 export class EndpointRegistry {
   readonly #options: EndpointRegistryOptions;
@@ -32,8 +30,11 @@
    * extend it, or outages in quick succession would keep an endpoint that has left in use.
    */
   readonly #lapsed = new Map<string, Disposable>();
-  /** Last records of removed endpoints, oldest first. */
-  readonly #departed = new Map<string, EndpointRecord>();
+  /**
+   * What an endpoint has said and shown belongs to its lifetime and outlives its record: a late write may bring back the
+   * record of an endpoint that has left, and a record that was replaced.
+   */
+  readonly #departed = new DepartedEndpoints();
   #graceUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: EndpointRegistryOptions) {
@@ -60,29 +61,38 @@
 
   /** Adds the endpoint of a discovery record, or updates the existing one with the same id. */
   put(record: EndpointRecord): void {
-    const {clock, logger, remoteCoverage} = this.#options;
+    const endpoint = this.#findLifetime(record);
     this.#endLapse(record.id);
-    this.#departed.delete(record.id);
-    const existing = this.#endpoints.get(record.id);
-    if (existing === undefined)
-      this.#endpoints.set(record.id, new Endpoint(clock, record, remoteCoverage));
-    else existing.update(record);
-    const state = record.isLeaving ? 'leaving' : 'ready';
+    endpoint.update(record);
+    this.#endpoints.set(record.id, endpoint);
+    const state = endpoint.isLeaving ? 'leaving' : 'ready';
     const {id, service, address} = record;
+    const {logger} = this.#options;
     logger.info('endpoint', {belief: 'endpoint', endpoint: id, service, address, state});
   }
 
+  /** The endpoint of a record's lifetime, with all that is known of it; a new one if nothing is. */
+  #findLifetime(record: EndpointRecord): Endpoint {
+    const {clock, remoteCoverage} = this.#options;
+    const existing = this.#endpoints.get(record.id);
+    if (existing !== undefined) {
+      if (isSameLifetime(existing.record, record)) return existing;
+      this.#departed.add(existing);
+    }
+    return this.#departed.take(record) ?? new Endpoint(clock, record, remoteCoverage);
+  }
+
   /**
    * Applies a record of a copy that discovery was restored from. What is known to be newer stays: a later lifetime, the
    * announcement to leave, and that the endpoint has left; if it has not, it registers again.
    */
   putCopy(record: EndpointRecord): void {
-    const known = this.#endpoints.get(record.id)?.record ?? this.#departed.get(record.id);
+    const known = this.#endpoints.get(record.id) ?? this.#departed.findLatest(record.id);
     const isDeparted = !this.#endpoints.has(record.id) && known !== undefined;
     const isOlder =
       known !== undefined &&
-      (record.startedAtMs < known.startedAtMs ||
-        (record.startedAtMs === known.startedAtMs &&
+      (record.startedAtMs < known.record.startedAtMs ||
+        (record.startedAtMs === known.record.startedAtMs &&
           (isDeparted || (known.isLeaving && !record.isLeaving))));
     if (!isOlder) {
       this.put(record);
@@ -169,10 +179,8 @@
   }
 
   #removeNow(id: string): void {
-    const record = this.#endpoints.get(id)?.record;
-    if (record !== undefined) this.#departed.set(id, record);
-    const [oldest] = this.#departed.keys();
-    if (this.#departed.size > MAX_DEPARTED && oldest !== undefined) this.#departed.delete(oldest);
+    const endpoint = this.#endpoints.get(id);
+    if (endpoint !== undefined) this.#departed.add(endpoint);
     this.#endLapse(id);
     this.#endpoints.delete(id);
     this.#options.onRemoved?.(id);
--- a/packages/entry/src/forwarding/__tests__/endpointNotices.test.ts
+++ b/packages/entry/src/forwarding/__tests__/endpointNotices.test.ts
@@ -69,6 +69,19 @@
     expect(received).toHaveLength(1);
   });
 
+  // Guards against requests to an endpoint whose record a late write brings back after it has left.
+  test('is not brought back by a record that was removed and is written again', async () => {
+    const {received} = await startPair(respondLeaving);
+    const current = (await rig.store.get('endpoints/e1'))._unsafeUnwrap();
+    await rig.remove('endpoints/e1');
+    await rig.syncStore();
+    // More slots than the other endpoint has make it the first choice.
+    await rig.put('endpoints/e1', JSON.stringify({...JSON.parse(current!.value), slots: 80}));
+    await rig.syncStore();
+    expect(await sendRequests(10)).toEqual(Array(10).fill(200));
+    expect(received).toHaveLength(1);
+  });
+
   test('gets requests again after a restart', async () => {
     const {received} = await startPair(respondLeaving);
     const current = (await rig.store.get('endpoints/e1'))._unsafeUnwrap();
