--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -5,6 +5,7 @@
   createLogger,
   formatProblem,
   parseSettings,
+  processSignals,
   steadyClock,
   systemClock,
   systemRandom,
@@ -72,13 +73,7 @@
       metricsPath: '/metrics',
       bounds: toBounds(bounds),
     });
-    const stopped = new Promise<void>((resolve) => {
-      process.once('SIGTERM', () => {
-        logger.info('stopping', {signal: 'SIGTERM'});
-        void router.stop().then(resolve);
-      });
-    });
-    process.on('SIGHUP', () => {
+    const reload = () => {
       readForwardSettings(flags.settings).match(
         (reloaded) => {
           router.reload(toBounds(reloaded.bounds));
@@ -88,9 +83,20 @@
           logger.error('settings not reloaded', {path: flags.settings, problems});
         },
       );
+    };
+    const stopped = new Promise<void>((resolve) => {
+      processSignals.handle({
+        onReload: reload,
+        onStop: () => {
+          logger.info('stopping', {signal: 'SIGTERM'});
+          void router.stop().then(resolve);
+        },
+      });
     });
-    await router.start();
-    logger.info('started', {name, clientAddress: settings.listen, store: keyValue});
+    if (!processSignals.isStopRequested) {
+      await router.start();
+      logger.info('started', {name, clientAddress: settings.listen, store: keyValue});
+    }
     await stopped;
     logger.info('stopped');
     await output.flush();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,5 +14,6 @@
   silentLogger,
 } from './logger.js';
 export {type SettingsProblem, checkDocument, formatProblem, parseSettings} from './settings.js';
+export {ProcessSignals, processSignals, type SignalHandlers} from './processSignals.js';
 export {BoundedOutput, type BoundedOutputOptions, type WriteBytes} from './boundedOutput.js';
 export {createDescriptorWriter} from './descriptorWriter.js';
