Wait for ports that are taken when a router starts

With its client port taken for a moment a router ended; with its readiness port taken it ran for ever without one, so that no balancer took it in; with its port for other instances taken it told them nothing they could answer.

Cause: each address was opened once, and a failure ended the process or was only logged.

Change: an address is tried again until it is free, and the first failure and the success are logged; SIGTERM ends the wait. Servers keep an error handler, as a connection that cannot be accepted would have ended the process too (suspected).

Tests: processStart, real processes of both programs with each of the four ports taken, and a stop while waiting: all ten seen to fail before. persistentListener.

--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -32,6 +32,8 @@
  * With more instances, each one sends a smaller part of the requests, and its updates matter less.
  */
 const MAX_RECIPIENTS = 40;
+/** Time until the address is tried again if another process has it, in milliseconds. */
+const BIND_RETRY_MS = 1000;
 /** Maximum datagram size, in bytes, that fits into one packet without IP fragmentation. */
 const MAX_DATAGRAM_BYTES = 1400;
 
@@ -54,6 +56,9 @@
   #recipients: readonly string[] = [];
   #batch = emptyBatch();
   #timer: Disposable | undefined;
+  #bindTimer: Disposable | undefined;
+  /** Whether the address of this instance is open. Nothing is sent before, as the socket would choose another one. */
+  #isBound = false;
   #isClosed = false;
 
   constructor(options: PeerChannelOptions) {
@@ -62,10 +67,24 @@
     this.#socket.on('message', (message) => {
       this.#receive(message);
     });
+    this.#socket.on('listening', () => {
+      this.#isBound = true;
+      if (this.#bindTimer !== undefined) {
+        options.logger.info('peer socket opened', {address: options.address});
+      }
+    });
     this.#socket.on('error', (error) => {
       options.logger.warn('peer socket failed', {reason: error.message});
+      if (!this.#isBound)
+        this.#bindTimer = options.clock.schedule(BIND_RETRY_MS, () => {
+          this.#bind();
+        });
     });
-    const [host, port] = splitAddress(options.address);
+    this.#bind();
+  }
+
+  #bind(): void {
+    const [host, port] = splitAddress(this.#options.address);
     this.#socket.bind(port, host);
   }
 
@@ -142,6 +161,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#timer?.[Symbol.dispose]();
+    this.#bindTimer?.[Symbol.dispose]();
     this.#socket.close();
   }
 
@@ -183,6 +203,7 @@
   }
 
   #send(update: PeerUpdate, recipients: readonly string[]): void {
+    if (!this.#isBound) return;
     for (const part of splitUpdate(update)) {
       const message = Buffer.from(
         JSON.stringify(createJSONRPCNotification(PEER_UPDATE_METHOD, part)),
--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -93,10 +93,8 @@
         },
       });
     });
-    if (!processSignals.isStopRequested) {
-      await router.start();
+    if (!processSignals.isStopRequested && (await router.start()))
       logger.info('started', {name, clientAddress: settings.listen, store: keyValue});
-    }
     await stopped;
     logger.info('stopped');
     await output.flush();
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -22,7 +22,12 @@
   type Random,
 } from '@marigoldfold/runtime';
 import type {KeyValueEntry} from '@marigoldfold/state';
-import {createEndpointClient, isListening, splitAddress} from '@marigoldfold/transport';
+import {
+  createEndpointClient,
+  isListening,
+  listenPersistently,
+  splitAddress,
+} from '@marigoldfold/transport';
 import {Registry} from 'prom-client';
 import type {ConfigurationAgeLimits} from './admission.js';
 import type {ForwardBounds, ForwardSource} from './forwardSource.js';
@@ -91,6 +96,10 @@
   #mirror: RangeMirror | undefined;
   readonly #configuration: ConfigurationHolder;
   readonly #plannedStop = new PlannedStop();
+  /** Aborted when the process stops, which also ends the wait for addresses that are taken. */
+  readonly #startController = new AbortController();
+  /** Resolves to whether clients can connect; undefined before the start. */
+  #listening: Promise<boolean> | undefined;
   #isStopping = false;
 
   constructor(options: ForwardProcessOptions) {
@@ -251,19 +260,22 @@
     ];
   }
 
-  /** Starts watching the store and listening; rejects when the client address cannot be opened. */
-  async start(): Promise<void> {
+  /**
+   * Starts watching the store and listening. An address that is taken is tried again; resolves to true once the one for
+   * clients is open, or to false if the process was stopped before.
+   */
+  async start(): Promise<boolean> {
     this.#watchStore();
-    await this.#server.listen();
-    const {readyAddress, metricsAddress, logger} = this.#options;
+    const {readyAddress, metricsAddress, clock, logger} = this.#options;
+    const {signal} = this.#startController;
+    this.#listening = this.#server.listen(signal);
+    if (!(await this.#listening)) return false;
     const addresses = [readyAddress, metricsAddress];
     for (const [index, server] of this.#statusServers.entries()) {
       const [host, port] = splitAddress(addresses[index] ?? '');
-      server.on('error', (error) => {
-        logger.error('status server failed', {host, port, reason: error.message});
-      });
-      server.listen({host, port});
+      void listenPersistently(server, {clock, logger, host, port, signal});
     }
+    return true;
   }
 
   /** Port for clients; the assigned one when the settings leave the choice to the operating system. */
@@ -295,9 +307,11 @@
   /** Shuts down gracefully within the stop bound; requests in flight at its end get a failure or an incomplete stream. */
   async stop(): Promise<void> {
     this.#isStopping = true;
+    this.#startController.abort();
     const limitMs = this.#bounds.stopMs - STOP_RESERVE_MS;
     this.#plannedStop.endsAtMs = this.#options.clock.now() + limitMs;
-    await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
+    if (await this.#listening)
+      await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
     for (const server of this.#statusServers) {
       server.closeAllConnections();
       server.close();
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {type Clock, type EventLoopMonitor, type Logger, sleep} from '@marigoldfold/runtime';
 import type {ClientLimits} from '@marigoldfold/state';
+import {listenPersistently} from '@marigoldfold/transport';
 import {AcceptDelayEstimator} from './acceptDelayEstimator.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
 
@@ -85,16 +86,11 @@
     });
   }
 
-  listen(): Promise<void> {
-    const {host, port} = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      // The backlog is large, since a full accept queue delays clients by seconds.
-      this.#server.listen({host, port, backlog: 1024}, () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
-    });
+  /** Resolves to whether the server listens; it waits while its address is taken, until the signal is aborted. */
+  listen(signal: AbortSignal): Promise<boolean> {
+    const {clock, logger, host, port} = this.#options;
+    // The backlog is large, since a full accept queue delays clients by seconds.
+    return listenPersistently(this.#server, {clock, logger, host, port, backlog: 1024, signal});
   }
 
   /** Port that the server listens on; throws when it is not listening. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,6 +1,7 @@
 /** HTTP clients and servers, server-sent events, and JSON-RPC between processes. */
 export {isClientDisconnected, onClientDisconnect} from './clientDisconnect.js';
 export {isListening} from './portCheck.js';
+export {listenPersistently, type PersistentListenOptions} from './persistentListener.js';
 export {type BodyFault, readWholeBody, type TransferLimits} from './wholeBody.js';
 export {type ClusterKey, createClusterKey} from './clusterKey.js';
 export {
