Bound what is kept of incomplete responses over all of them

Cause: an incomplete event was kept up to 1 MB for each stream, without a bound over all, and each chunk copied all that was kept twice. Ruled out by runs: heads, plain, chunked and error bodies, whole events, slow readers, bytes on idle connections (105 to 152 MB).

Change: what is kept of responses counts against 16 MB for the process, beside 64 KB that each may always keep; an incomplete event grows in one buffer.

--- a/packages/entry/src/forwarding/__tests__/endlessResponses.test.ts
+++ b/packages/entry/src/forwarding/__tests__/endlessResponses.test.ts
@@ -105,3 +105,37 @@
     await waitUntil(() => rig.logEntries.some(({message}) => message === 'client gone'));
   });
 });
+
+// Guards against a process that runs out of memory while many endpoints send without end.
+test('incomplete events of many endless streams are kept up to a limit only', async () => {
+  const STREAMS = 40;
+  const SIZE = 900_000;
+  const LIMIT = 16_777_216;
+  const sendPart: EndpointScript = (response, {request}) => {
+    if (request.headers['x-id'] === 'sound') {
+      response.writeHead(200, createSignedHeaders(request)).end(events(1, 2));
+      return;
+    }
+    openFloods += 1;
+    response.on('close', () => (openFloods -= 1));
+    response.writeHead(200, createSignedHeaders(request));
+    response.write('z'.repeat(SIZE));
+  };
+  const {received} = await startRouter(
+    rig,
+    sendPart,
+    {kind: 'stream', isResumable: true, maxAttempts: 1},
+    ['e1', 'e2', 'e3', 'e4'],
+  );
+  const results = Array.from({length: STREAMS}, (_, index) =>
+    rig.sendRequest({'x-id': `endless-${index}`}),
+  );
+  await waitUntil(() => received().length === STREAMS);
+  await waitUntil(() => openFloods * SIZE <= LIMIT);
+  expect(await rig.sendRequest({'x-id': 'sound'})).toMatchObject({
+    isComplete: true,
+    body: events(1, 2),
+  });
+  await rig.advance(6000);
+  for (const {status} of await Promise.all(results)) expect(status).toBeGreaterThanOrEqual(500);
+});
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -211,7 +211,8 @@
   }
 
   async #relayBuffered(response: EndpointResponse, status: number): Promise<AttemptOutcome> {
-    const buffered = await bufferResponse(response);
+    using share = this.#options.responseBuffers.open();
+    const buffered = await bufferResponse(response, share);
     switch (buffered.kind) {
       case 'broken':
         return this.#broken('the response was cut off');
@@ -227,7 +228,7 @@
         if (status >= FIRST_SERVER_ERROR && this.#request.isRetryable) {
           return this.#broken('the error response is too large');
         }
-        return this.#relayChunks(response, {firstChunk: buffered.body});
+        return await this.#relayChunks(response, {firstChunk: buffered.body});
     }
   }
 
@@ -266,7 +267,8 @@
     if (!this.#request.route.isResumable)
       return this.#relayChunks(response, {boundary: new EventBoundary()});
     const {response: writer} = this.#request;
-    const splitter = new EventSplitter();
+    using share = this.#options.responseBuffers.open();
+    const splitter = new EventSplitter(share);
     using silence = this.#watchForSilence();
     let fault: string | undefined;
     const isComplete = await forEachChunk(response, async (chunk) => {
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -23,6 +23,7 @@
 } from '@marigoldfold/runtime';
 import type {KeyValueEntry} from '@marigoldfold/state';
 import {
+  BufferBudget,
   createEndpointClient,
   isListening,
   listenPersistently,
@@ -73,6 +74,8 @@
 /** Time reserved for the last writes before the process is killed. */
 const STOP_RESERVE_MS = 700;
 
+/** Memory for parts of responses: a small part of what the smallest machines give to a process. */
+const MAX_RESPONSE_BUFFER_BYTES = 16_777_216;
 /** Event loop turns of at least this duration are logged, since they may exceed the shortest objectives. */
 const LONG_LOOP_TURN_MS = 100;
 
@@ -231,6 +234,7 @@
       placement,
       permits: this.#permits,
       crashDetector,
+      responseBuffers: new BufferBudget(MAX_RESPONSE_BUFFER_BYTES),
       reachability: new Reachability({clock, isListening}),
       quarantine: this.#quarantine,
       plannedStop: this.#plannedStop,
--- a/packages/entry/src/forwarding/responseReader.ts
+++ b/packages/entry/src/forwarding/responseReader.ts
@@ -1,5 +1,5 @@
 /** Reads an endpoint's response, buffered or chunk by chunk. */
-import type {EndpointResponse} from '@marigoldfold/transport';
+import type {BufferShare, EndpointResponse} from '@marigoldfold/transport';
 
 /** Responses up to this size are buffered completely before they are relayed. */
 const MAX_BUFFERED_RESPONSE_BYTES = 262_144;
@@ -8,11 +8,14 @@
 export type BufferingResult =
   | {readonly kind: 'whole'; readonly body: Buffer}
   | {readonly kind: 'broken'}
-  /** The response exceeds the buffer limit and is paused; `body` has its first bytes. */
+  /** The response exceeds the buffer limit or its share and is paused; `body` has its first bytes. */
   | {readonly kind: 'large'; readonly body: Buffer};
 
-/** Reads a response to its end, or pauses it when it exceeds the buffer limit. */
-export function bufferResponse({message, isComplete}: EndpointResponse): Promise<BufferingResult> {
+/** Reads a response to its end, or pauses it when it is too large to be kept. */
+export function bufferResponse(
+  {message, isComplete}: EndpointResponse,
+  share: BufferShare,
+): Promise<BufferingResult> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -25,7 +28,7 @@
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= MAX_BUFFERED_RESPONSE_BYTES) return;
+      if (share.resize(size) && size <= MAX_BUFFERED_RESPONSE_BYTES) return;
       message.pause();
       finish({kind: 'large', body: Buffer.concat(chunks)});
     };
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -1,4 +1,5 @@
 /** Splits the bytes of an event stream at event boundaries without modifying them. */
+import type {BufferShare} from './bufferBudget.js';
 
 /** The unmodified bytes of one event, with its id. */
 export interface RawEvent {
@@ -13,35 +14,73 @@
 /** Maximum size of one event: a hundred times the size of a token event. */
 export const MAX_EVENT_BYTES = 1_048_576;
 
+/** Initial capacity for the bytes of an incomplete event. */
+const MIN_CAPACITY_BYTES = 1024;
+
 /** Buffers the bytes of an incomplete event until the rest of it arrives. */
 export class EventSplitter {
-  #partialEvent = Buffer.alloc(0);
+  readonly #share: BufferShare;
+  /** The incomplete event in its first bytes; grows by doubling, so that each byte is copied a few times at most. */
+  #buffer = Buffer.alloc(0);
+  #size = 0;
+
+  /** The share limits what is kept of an incomplete event. */
+  constructor(share: BufferShare) {
+    this.#share = share;
+  }
 
   /** Whether bytes of an incomplete event are buffered; further empty lines are none. */
   get hasPartialEvent(): boolean {
     return this.#partialEvent.some((byte) => byte !== LF && byte !== CR);
   }
 
-  /** Adds bytes and returns the events they complete, or undefined if an event exceeds `MAX_EVENT_BYTES`. */
+  /** Adds bytes and returns the events they complete, or undefined if an incomplete event is too large to be kept. */
   push(bytes: Buffer): readonly RawEvent[] | undefined {
-    let remaining =
-      this.#partialEvent.length === 0 ? bytes : Buffer.concat([this.#partialEvent, bytes]);
-    const events: RawEvent[] = [];
     // The buffered bytes contain no complete event end, but may contain the start of one.
-    const searchFrom = Math.max(0, this.#partialEvent.length - CRLF_EVENT_END.length + 1);
+    const searchFrom = Math.max(0, this.#size - CRLF_EVENT_END.length + 1);
+    let remaining = bytes;
+    if (this.#size > 0) {
+      this.#append(bytes);
+      remaining = this.#partialEvent;
+    }
+    const events: RawEvent[] = [];
     for (
       let end = firstEventLength(remaining, searchFrom);
       end > 0;
       end = firstEventLength(remaining, 0)
     ) {
-      const event = remaining.subarray(0, end);
+      // Events are relayed after the buffer has been used again.
+      const event = Buffer.from(remaining.subarray(0, end));
       events.push(toRawEvent(event));
       remaining = remaining.subarray(end);
     }
-    if (remaining.length > MAX_EVENT_BYTES) return undefined;
-    this.#partialEvent = Buffer.from(remaining);
+    if (events.length > 0 || this.#size === 0) this.#restart(remaining);
+    if (this.#size > MAX_EVENT_BYTES || !this.#share.resize(this.#buffer.length)) return undefined;
     return events;
   }
+
+  get #partialEvent(): Buffer {
+    return this.#buffer.subarray(0, this.#size);
+  }
+
+  #append(bytes: Buffer): void {
+    const size = this.#size + bytes.length;
+    if (size > this.#buffer.length) {
+      const grown = Buffer.allocUnsafeSlow(Math.max(size, this.#buffer.length * 2));
+      this.#partialEvent.copy(grown);
+      this.#buffer = grown;
+    }
+    bytes.copy(this.#buffer, this.#size);
+    this.#size = size;
+  }
+
+  #restart(bytes: Buffer): void {
+    const capacity = bytes.length === 0 ? 0 : Math.max(bytes.length, MIN_CAPACITY_BYTES);
+    const buffer = Buffer.allocUnsafeSlow(capacity);
+    bytes.copy(buffer);
+    this.#buffer = buffer;
+    this.#size = bytes.length;
+  }
 }
 
 /** Tells whether the bytes of a stream that are passed on as they arrive end inside an event. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -46,4 +46,5 @@
   type SendOutcome,
   createEndpointClient,
 } from './endpointClient.js';
+export {BufferBudget, type BufferShare} from './bufferBudget.js';
 export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
