Go on with a planned stop when SIGTERM arrives again

A second SIGTERM ended the process at once, and accepted requests got no answer.

Cause: the handler was set with `once`; after it the default action applies.

Change: the process goes on receiving SIGTERM and begins its stop once.

Test: processStart "finishes its stop when SIGTERM arrives again", both programs, seen to fail before (exit by SIGTERM).

--- a/packages/runtime/src/processSignals.ts
+++ b/packages/runtime/src/processSignals.ts
@@ -24,7 +24,9 @@
   receive(): void {
     if (this.#isReceiving) return;
     this.#isReceiving = true;
-    process.once('SIGTERM', () => {
+    // The listener stays, since without one a second SIGTERM would end the process in the middle of its stop.
+    process.on('SIGTERM', () => {
+      if (this.#isStopRequested) return;
       this.#isStopRequested = true;
       this.#handlers?.onStop();
     });
