--- a/packages/bench/src/commands/faultSoak.ts
+++ b/packages/bench/src/commands/faultSoak.ts
@@ -26,6 +26,10 @@
         'also restore the key-value service from older copies, and let endpoints state limits',
       default: false,
     }),
+    review: Flags.boolean({
+      description: 'also preempt streams, signal routers during start-up, and take their ports',
+      default: false,
+    }),
     folder: Flags.string({
       description: 'folder for settings and logs; default: a new temporary folder',
     }),
@@ -42,6 +46,7 @@
         routers: flags.routers,
         callers: flags.callers,
         hasFurtherFaults: flags.further,
+        hasReviewActions: flags.review,
         folder: join(folder, `seed-${seed}`),
       });
       violations += result.violations.length;
--- a/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
+++ b/packages/bench/src/faultSoak/__tests__/faultSoak.test.ts
@@ -19,13 +19,17 @@
 /** Seeds with restores of the store and limits of endpoints among the faults. */
 const furtherSeeds = [[701, 'the first seed with restores and limits']] as const;
 
+/** Seeds with preempted streams, signals during start-up and taken ports among the planned work. */
+const reviewSeeds = [[801, 'the first seed with preempted streams and early signals']] as const;
+
 describe.concurrent('the fault soak', () => {
   test.each([
-    ...seeds.map(([seed, reason]) => [seed, reason, false] as const),
-    ...furtherSeeds.map(([seed, reason]) => [seed, reason, true] as const),
+    ...seeds.map(([seed, reason]) => [seed, reason, false, false] as const),
+    ...furtherSeeds.map(([seed, reason]) => [seed, reason, true, false] as const),
+    ...reviewSeeds.map(([seed, reason]) => [seed, reason, false, true] as const),
   ])(
     'finds no violation with seed %d: %s',
-    async (seed, _reason, hasFurtherFaults) => {
+    async (seed, _reason, hasFurtherFaults, hasReviewActions) => {
       const folder = mkdtempSync(join(tmpdir(), 'fault-soak-'));
       const result = await runFaultSoak({
         seed,
@@ -33,6 +37,7 @@
         routers: 3,
         callers: 18,
         hasFurtherFaults,
+        hasReviewActions,
         folder,
       });
       expect(result.violations).toEqual([]);
--- a/packages/bench/src/faultSoak/faultInjector.ts
+++ b/packages/bench/src/faultSoak/faultInjector.ts
@@ -1,4 +1,6 @@
 /** Injects planned work and faults into a running soak in an order given by the seed. */
+import {once} from 'node:events';
+import {createServer} from 'node:net';
 import {type Random, sleep, systemClock} from '@marigoldfold/runtime';
 import type {EndpointBehaviour} from './soakEndpoint.js';
 import type {LinkedEndpoint} from './faultSoak.js';
@@ -16,6 +18,8 @@
   readonly history: RequestHistory;
   /** Whether restores of the store and limits of endpoints are among the faults. */
   readonly hasFurtherFaults: boolean;
+  /** Whether preempted streams, signals during start-up and taken ports are among the planned work. */
+  readonly hasReviewActions: boolean;
 }
 
 /** Longest pause between two actions. */
@@ -35,6 +39,10 @@
 /** A draining endpoint keeps serving requests for this time. */
 const ENDPOINT_DRAIN_MS = 3500;
 const MAX_VERSION_STEP = 2;
+/** Callers would leave a stream that is silent for 2 s. */
+const MAX_PREEMPTION_MS = 1900;
+/** Time for which another process has a port of a router that starts. */
+const MAX_PORT_TAKEN_MS = 1000;
 
 type Action = () => Promise<void>;
 
@@ -83,6 +91,12 @@
       planned_stop: () => this.#restart('SIGTERM'),
       reload: () => this.#reload(),
     };
+    const review: Record<string, Action> = {
+      preemption: () => this.#preemptStreams(),
+      early_reload: () => this.#signalEarly('SIGHUP'),
+      early_stop: () => this.#signalEarly('SIGTERM'),
+      taken_port: () => this.#restartBesidePort(),
+    };
     const unplanned: Record<string, Action> = {
       kill: () => this.#restart('SIGKILL'),
       pause: () => this.#pause(),
@@ -95,7 +109,8 @@
       limit: () => this.#limitEndpoint(),
     };
     const faults = this.#options.hasFurtherFaults ? {...unplanned, ...further} : unplanned;
-    const actions = Object.entries(isPlanned ? planned : {...planned, ...faults});
+    const work = this.#options.hasReviewActions ? {...planned, ...review} : planned;
+    const actions = Object.entries(isPlanned ? work : {...work, ...faults});
     const [name, action] = this.#pick(actions) ?? ['', () => Promise.resolve()];
     this.counts[name] = (this.counts[name] ?? 0) + 1;
     const isFault = name in faults;
@@ -150,6 +165,47 @@
     });
   }
 
+  #preemptStreams(): Promise<void> {
+    this.#pick(this.#options.endpoints)?.endpoint.preemptStreams(
+      this.#options.random() * MAX_PREEMPTION_MS,
+    );
+    return Promise.resolve();
+  }
+
+  /** Restarts a router, and sends it a signal as soon as its process receives signals at all. */
+  async #signalEarly(signal: 'SIGHUP' | 'SIGTERM'): Promise<void> {
+    const router = this.#pick(this.#options.routers);
+    if (router === undefined) return;
+    await this.#runExclusively(router, async () => {
+      router.signal('SIGTERM');
+      await router.exited();
+      router.start();
+      await router.receivesSignals();
+      router.signal(signal);
+      if (signal === 'SIGHUP') return;
+      await router.exited();
+      router.start();
+    });
+  }
+
+  /** Restarts a router while another process has one of its ports for a moment. */
+  async #restartBesidePort(): Promise<void> {
+    const router = this.#pick(this.#options.routers);
+    if (router === undefined) return;
+    await this.#runExclusively(router, async () => {
+      router.signal('SIGTERM');
+      await router.exited();
+      const other = createServer((socket) => {
+        socket.destroy();
+      });
+      other.listen(this.#pick(router.ports), '127.0.0.1');
+      await once(other, 'listening');
+      router.start();
+      await sleep(systemClock, this.#options.random() * MAX_PORT_TAKEN_MS);
+      other.close();
+    });
+  }
+
   async #pause(): Promise<void> {
     const router = this.#pick(this.#options.routers);
     if (router === undefined) return;
@@ -162,7 +218,7 @@
 
   #reload(): Promise<void> {
     const router = this.#pick(this.#options.routers);
-    // Until the process has installed its signal handlers, SIGHUP would end it.
+    // SIGHUP ends a process until Node.js runs its first line.
     if (router !== undefined && !this.#busySubjects.has(router) && router.hasStarted) {
       router.signal('SIGHUP');
     }
--- a/packages/bench/src/faultSoak/faultSoak.ts
+++ b/packages/bench/src/faultSoak/faultSoak.ts
@@ -19,6 +19,8 @@
   readonly callers: number;
   /** Whether restores of the store and limits of endpoints are among the faults. */
   readonly hasFurtherFaults: boolean;
+  /** Whether preempted streams, signals during start-up and taken ports are among the planned work. */
+  readonly hasReviewActions: boolean;
   /** Directory for the settings and logs of the routers. */
   readonly folder: string;
 }
@@ -107,7 +109,11 @@
     this.#random = seededRandom(options.seed);
     this.#store = new SoakStore(store.implementation);
     for (let index = 1; index <= options.routers; index += 1) {
-      this.#routers.push(new RouterProcess(`router-${index}`, options.folder, store.address));
+      const onEnded = (lifetime: string, reason: string) => {
+        this.#history.onProcessEnded(lifetime, reason);
+      };
+      const {folder} = options;
+      this.#routers.push(new RouterProcess(`router-${index}`, folder, store.address, onEnded));
     }
     this.#injector = new FaultInjector({
       random: seededRandom(options.seed + 1),
@@ -116,6 +122,7 @@
       endpoints: this.#endpoints,
       history: this.#history,
       hasFurtherFaults: options.hasFurtherFaults,
+      hasReviewActions: options.hasReviewActions,
     });
   }
 
--- a/packages/bench/src/faultSoak/history.ts
+++ b/packages/bench/src/faultSoak/history.ts
@@ -114,6 +114,11 @@
     }
   }
 
+  /** Records that a router process ended by itself. */
+  onProcessEnded(lifetime: string, reason: string): void {
+    this.#addViolation('ended', '', `${lifetime} ${reason}`);
+  }
+
   /** Records that a caller closed its connection. */
   onCallerDisconnected(id: string, atMs: number): void {
     this.#disconnectedAtMs.set(id, atMs);
--- a/packages/bench/src/faultSoak/routerProcess.ts
+++ b/packages/bench/src/faultSoak/routerProcess.ts
@@ -1,10 +1,12 @@
 /** Runs the forwarding router as a child process that can be signalled, stopped and restarted. */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {randomInt} from 'node:crypto';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, existsSync, readFileSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
+import {constants} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {sleep, systemClock} from '@marigoldfold/runtime';
 import {FaultyLink} from './faultyLink.js';
 
 const program = fileURLToPath(new URL('../../../entry/bin/forward.js', import.meta.url));
@@ -17,13 +19,24 @@
   #child: ChildProcess | undefined;
   #startCount = 0;
   #settingsFile = '';
+  #ports: readonly number[] = [];
   clientPort = 0;
   readyPort = 0;
   /** Whether the current process has logged that it started. */
   hasStarted = false;
+  /** Whether the current process was killed, so that it may end by a signal. */
+  #isKilled = false;
+  readonly #onEnded: (lifetime: string, reason: string) => void;
 
-  constructor(name: string, folder: string, storeAddress: string) {
+  /** `onEnded` is called when a process ends by itself, or by a signal that it should handle. */
+  constructor(
+    name: string,
+    folder: string,
+    storeAddress: string,
+    onEnded: (lifetime: string, reason: string) => void,
+  ) {
     this.name = name;
+    this.#onEnded = onEnded;
     this.#folder = folder;
     this.storeLink = new FaultyLink(() => storeAddress);
   }
@@ -36,6 +49,7 @@
   async prepare(): Promise<void> {
     const keyValue = await this.storeLink.listen();
     const [client, ready, metrics, peer] = await Promise.all([1, 2, 3, 4].map(reservePort));
+    this.#ports = [client, ready, metrics].filter((port) => port !== undefined);
     this.clientPort = client ?? 0;
     this.readyPort = ready ?? 0;
     this.#settingsFile = join(this.#folder, `${this.name}.toml`);
@@ -51,9 +65,16 @@
     writeFileSync(this.#settingsFile, `${lines.join('\n')}\n`);
   }
 
+  /** Ports for clients, readiness checks and metrics. */
+  get ports(): readonly number[] {
+    return this.#ports;
+  }
+
   start(): void {
     this.#startCount += 1;
     this.hasStarted = false;
+    this.#isKilled = false;
+    const {lifetime} = this;
     const child = spawn(process.execPath, [program, '--settings', this.#settingsFile], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -64,17 +85,28 @@
     child.stdout.pipe(log, {end: false});
     child.stderr.pipe(log, {end: false});
     this.#child = child;
-    child.once('exit', () => {
+    child.once('exit', (code, signal) => {
       log.end();
+      if (code !== 0 && !this.#isKilled)
+        this.#onEnded(lifetime, `ended with code ${code}, signal ${signal}`);
       if (this.#child === child) this.#child = undefined;
     });
   }
 
   signal(signal: NodeJS.Signals): void {
     if (signal === 'SIGTERM') this.hasStarted = false;
+    if (signal === 'SIGKILL') this.#isKilled = true;
     this.#child?.kill(signal);
   }
 
+  /** Resolves when the current process handles signals, which it does before it is ready. */
+  async receivesSignals(): Promise<void> {
+    while (this.#child?.exitCode === null && !this.hasStarted) {
+      if (handlesSignal(this.#child.pid, constants.signals.SIGHUP)) return;
+      await sleep(systemClock, SIGNAL_POLL_MS);
+    }
+  }
+
   /** Resolves when the current process has exited. */
   async exited(): Promise<void> {
     const child = this.#child;
@@ -94,6 +126,16 @@
   }
 }
 
+const SIGNAL_POLL_MS = 2;
+
+/** Whether a process handles a signal; false where the operating system does not tell. */
+function handlesSignal(pid: number | undefined, signal: number): boolean {
+  const path = `/proc/${pid}/status`;
+  if (!existsSync(path)) return false;
+  const [, mask = '0'] = /^SigCgt:\s*(\w+)$/m.exec(readFileSync(path, 'utf8')) ?? [];
+  return (BigInt(`0x${mask}`) & (1n << BigInt(signal - 1))) !== 0n;
+}
+
 /** Below the ephemeral ports, so that no outgoing connection takes a port while its router is down. */
 const PORT_RANGE = {from: 20_000, to: 32_000} as const;
 
--- a/packages/bench/src/faultSoak/soakEndpoint.ts
+++ b/packages/bench/src/faultSoak/soakEndpoint.ts
@@ -41,6 +41,7 @@
   /** Limit that responses state, in requests per second. */
   limitPerSecond: number | undefined;
   address = '';
+  #silentUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: SoakEndpointOptions) {
     this.#options = options;
@@ -58,6 +59,11 @@
     this.address = typeof address === 'object' ? `127.0.0.1:${address?.port}` : '';
   }
 
+  /** Lets all streams be silent for a time, in milliseconds, as an engine does that has preempted them. */
+  preemptStreams(durationMs: number): void {
+    this.#silentUntilMs = performance.now() + durationMs;
+  }
+
   [Symbol.dispose](): void {
     this.#server.closeAllConnections();
     this.#server.close();
@@ -148,7 +154,8 @@
       this.behaviour === 'halfAnswer' ? 1 + Math.floor(this.#options.random() * STREAM_EVENTS) : 0;
     const from = Number(header(request, forwardHeaders.lastEventId) || 0) + 1;
     for (let number = from; number <= STREAM_EVENTS; number += 1) {
-      await new Promise((resolve) => setTimeout(resolve, EVENT_INTERVAL_MS));
+      const silentMs = Math.max(0, this.#silentUntilMs - performance.now());
+      await new Promise((resolve) => setTimeout(resolve, EVENT_INTERVAL_MS + silentMs));
       if (response.destroyed) return;
       this.#options.onWorkContinued(id);
       const data = number === STREAM_EVENTS ? `end of ${id}` : `part ${number}`;
