--- a/packages/bench/src/faultSoak/faultInjector.ts
+++ b/packages/bench/src/faultSoak/faultInjector.ts
@@ -158,8 +158,8 @@
     const router = this.#pick(this.#options.routers);
     if (router === undefined) return;
     await this.#runExclusively(router, async () => {
-      router.signal(signal);
-      await router.exited();
+      if (signal === 'SIGTERM') await router.terminate();
+      else await router.kill();
       await sleep(systemClock, RESTART_PAUSE_MS);
       router.start();
     });
@@ -180,8 +180,7 @@
     const router = this.#pick(this.#options.routers);
     if (router === undefined) return;
     await this.#runExclusively(router, async () => {
-      router.signal('SIGTERM');
-      await router.exited();
+      await router.terminate();
       router.start();
       await router.receivesSignals();
       router.signal(signal);
@@ -196,8 +195,7 @@
     const router = this.#pick(this.#options.routers);
     if (router === undefined) return;
     await this.#runExclusively(router, async () => {
-      router.signal('SIGTERM');
-      await router.exited();
+      await router.terminate();
       const other = createServer((socket) => {
         socket.destroy();
       });
--- a/packages/bench/src/faultSoak/routerProcess.ts
+++ b/packages/bench/src/faultSoak/routerProcess.ts
@@ -107,6 +107,18 @@
     }
   }
 
+  /** Stops the current process in order. Before it handles signals, SIGTERM would end it, as Node.js itself starts. */
+  async terminate(): Promise<void> {
+    await this.receivesSignals();
+    this.signal('SIGTERM');
+    await this.exited();
+  }
+
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.exited();
+  }
+
   /** Resolves when the current process has exited. */
   async exited(): Promise<void> {
     const child = this.#child;
@@ -120,8 +132,7 @@
 
   async stop(): Promise<void> {
     this.signal('SIGCONT');
-    this.signal('SIGKILL');
-    await this.exited();
+    await this.kill();
     this.storeLink[Symbol.dispose]();
   }
 }
