--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -73,8 +73,7 @@
 const ACCEPT_AFTER_STOP_MS = 2700;
 /** Time reserved for the last writes before the process is killed. */
 const STOP_RESERVE_MS = 700;
-
-/** Memory for parts of responses: a small part of what the smallest machines give to a process. */
+/** Memory for parts of responses that are kept until the rest arrives, in bytes. */
 const MAX_RESPONSE_BUFFER_BYTES = 16_777_216;
 /** Event loop turns of at least this duration are logged, since they may exceed the shortest objectives. */
 const LONG_LOOP_TURN_MS = 100;
