Keep a silent stream whose endpoint fails one check of its connections

Cause of the one path found by reading: a stream silent for 0.8 s has its endpoint checked by a connection. One failed check was enough to favour the second endpoint: 300 ms later the first run was aborted, though the second had sent nothing, and if the second then refused, the stream ended as cut. A check fails for a sound endpoint if its accept queue is full for a moment, and the check itself took a connection that was accepted in time for a timeout when the event loop of this process had been held up: timers run before input.

Change: the timeout of a check lets pending input be read first, and the endpoint is checked a second time in the middle of the overlap; only if that fails too is the second endpoint favoured.

Paths that may end a begun stream, by reading attemptRace, stallTimer, silenceMonitor and attemptSeries: the endpoint broke off and no attempt is left; another attempt has sent the next event; two checks of the endpoint failed and the overlap is over; the client left; the time limit; the end of a planned stop.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -165,6 +165,7 @@
   readonly logEntries: (LogFields & {readonly message: string})[] = [];
   /** Servers of the endpoints by id. */
   readonly #servers = new Map<string, Server>();
+  readonly #addresses = new Map<string, AddressInfo>();
   /** Client port of the router; stored, since a closed server no longer reports its port. */
   #port = 0;
   readonly process: ForwardProcess;
@@ -259,8 +260,9 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    await this.register({id, address, ...record});
+    const bound = server.address() as AddressInfo;
+    this.#addresses.set(id, bound);
+    await this.register({id, address: `127.0.0.1:${bound.port}`, ...record});
     return {id, received};
   }
 
@@ -276,6 +278,16 @@
     this.#servers.get(id)?.close();
   }
 
+  /** Lets an endpoint accept connections again at the address that it had. */
+  async listenAgain(id: string): Promise<void> {
+    const address = this.#addresses.get(id);
+    const server = this.#servers.get(id);
+    if (server === undefined || address === undefined) throw new Error(`no endpoint ${id}`);
+    await new Promise<void>((resolve) => {
+      server.listen(address.port, address.address, resolve);
+    });
+  }
+
   async register(record: Partial<EndpointRecord> & {readonly id: string}): Promise<void> {
     const fullRecord: EndpointRecord = {
       service: 'app',
--- a/packages/entry/src/forwarding/__tests__/silentStreams.test.ts
+++ b/packages/entry/src/forwarding/__tests__/silentStreams.test.ts
@@ -130,3 +130,27 @@
   await advance(1500);
   expect(await result).toMatchObject({isComplete: true, body: events(1, 4)});
 });
+
+// Guards against ending a sound stream when one check of its endpoint fails and the second endpoint then refuses.
+test('a silent stream of an endpoint that is unreachable for a moment goes on', async () => {
+  const {responses, script} = createSilentRuns();
+  const refusals: (() => void)[] = [];
+  const refuseLater: EndpointScript = (response, {request}) => {
+    refusals.push(() => {
+      const headers = createSignedHeaders(request);
+      response.writeHead(503, {...headers, 'x-not-executed': '1'}).end();
+    });
+  };
+  const {received} = await startRouter(rig, inSequence(script, refuseLater), route);
+  const result = startSilentStream(responses);
+  await delay(50);
+  const first = String(received()[0]!.request.headers['x-endpoint']);
+  rig.stopListening(first);
+  while (refusals.length === 0) await advance(50);
+  await rig.listenAgain(first);
+  await advance(MAX_OVERLAP_MS - 50);
+  refusals[0]!();
+  await advance(100);
+  responses[0]!.end(events(3, 4));
+  expect(await result).toMatchObject({isComplete: true, body: events(1, 4)});
+});
--- a/packages/entry/src/forwarding/attemptRace.ts
+++ b/packages/entry/src/forwarding/attemptRace.ts
@@ -7,7 +7,7 @@
  * Time, in milliseconds, for which two endpoints may work on a request. Endpoints must not do so for 400 ms; the rest
  * covers the time that the abort takes to arrive.
  */
-const MAX_OVERLAP_MS = 300;
+export const MAX_OVERLAP_MS = 300;
 
 /** Attempts in progress. Whichever sends the next part of the response continues it, and the others are aborted. */
 export class AttemptRace {
@@ -55,10 +55,14 @@
     }
   }
 
-  /** Ends the overlap of two attempts in favour of the given one if neither has continued the response by then. */
-  limitOverlap(favoured: AbortController): Disposable {
+  /**
+   * Ends the overlap of two attempts if neither has continued the response by then, in favour of the one that is chosen
+   * at that time.
+   */
+  limitOverlap(chooseFavoured: () => AbortController): Disposable {
     const {claimCount} = this;
     return this.#clock.schedule(MAX_OVERLAP_MS, () => {
+      const favoured = chooseFavoured();
       if (this.#claimCount === claimCount && this.#endpoints.has(favoured)) this.claim(favoured);
     });
   }
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -7,7 +7,7 @@
 import type {Admission, Refusal} from './admission.js';
 import {type AttemptOutcome, runAttempt} from './attempt.js';
 import {applyOutcome, AttemptHistory} from './attemptHistory.js';
-import {AttemptRace} from './attemptRace.js';
+import {AttemptRace, MAX_OVERLAP_MS} from './attemptRace.js';
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import {reserveEndpoint} from './endpointReservation.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
@@ -54,12 +54,20 @@
   /** The silent attempt that this one may replace. */
   readonly replaces?: {
     readonly controller: AbortController;
-    readonly isReachable: boolean;
+    /** Whether its endpoint can be reached, by the latest check. */
+    readonly isReachable: () => boolean;
     /** Whether the response has not been continued since the attempt fell silent. */
     readonly isSilent: () => boolean;
   };
 }
 
+/** An attempt whose stream is silent. */
+interface SilentAttempt {
+  readonly endpoint: Endpoint;
+  readonly controller: AbortController;
+  readonly isReachable: boolean;
+}
+
 /** The attempts of one request and what they mean for the next one. */
 export class AttemptSeries {
   readonly #context: AttemptContext;
@@ -149,8 +157,9 @@
     const controller = this.#race.begin(endpoint.record.id);
     using disposables = new DisposableStore();
     if (replaces !== undefined) {
-      const favoured = replaces.isReachable ? replaces.controller : controller;
-      disposables.add(this.#race.limitOverlap(favoured));
+      disposables.add(
+        this.#race.limitOverlap(() => (replaces.isReachable() ? replaces.controller : controller)),
+      );
     }
     let standby: Promise<AttemptOutcome | undefined> | undefined;
     const outcome = await runAttempt(options, {
@@ -172,7 +181,8 @@
       },
       onSilent: (isReachable) => {
         this.#log('stream silent', {endpoint: endpoint.record.id, isReachable});
-        standby ??= this.#runStandby(plan, controller, isReachable).then((result) => {
+        const silent = {endpoint, controller, isReachable};
+        standby ??= this.#runStandby(plan, silent).then((result) => {
           // A standby that was not made, or was given up, does not keep a later one from being made.
           if (result === undefined || result.kind === 'superseded') standby = undefined;
           return result;
@@ -196,8 +206,7 @@
    */
   async #runStandby(
     plan: AttemptPlan,
-    controller: AbortController,
-    isReachable: boolean,
+    {endpoint, controller, isReachable: wasReachable}: SilentAttempt,
   ): Promise<AttemptOutcome | undefined> {
     const {claimCount} = this.#race;
     const isSilent = () => this.#race.claimCount === claimCount;
@@ -208,7 +217,11 @@
     const mayResume = !this.#context.response.hasStarted || this.events.canResume;
     if (!mayResume || runs >= admission.route.maxAttempts || this.mayCrashEndpoints)
       return undefined;
-    const replaces = {controller, isReachable, isSilent};
+    const replaces = {
+      controller,
+      isReachable: wasReachable ? () => true : this.#checkAgain(endpoint),
+      isSilent,
+    };
     const dispatched = await this.#context.options.dispatch.enqueue(
       {
         rank: plan.rank,
@@ -220,6 +233,21 @@
     return dispatched.kind === 'sent' ? dispatched.result : undefined;
   }
 
+  /**
+   * Checks an endpoint again during the overlap of two attempts; the result tells whether that has succeeded so far. One
+   * check fails if the endpoint's queue of connections is full for a moment, and a stream is not given up for that.
+   */
+  #checkAgain(endpoint: Endpoint): () => boolean {
+    const {clock, reachability} = this.#context.options;
+    let isReachable = false;
+    clock.schedule(MAX_OVERLAP_MS / 2, () => {
+      void reachability.check(endpoint, MAX_OVERLAP_MS / 2).then((result) => {
+        isReachable = result;
+      });
+    });
+    return () => isReachable;
+  }
+
   /** Whether the configuration in force still sends the request to the service, on behalf of the account. */
   #isStillAllowed(service: Service, account: RoutedAccount | undefined): boolean {
     if (this.#context.options.quarantine.isQuarantined(this.#context.metadata.prompt)) return false;
--- a/packages/entry/src/forwarding/reachability.ts
+++ b/packages/entry/src/forwarding/reachability.ts
@@ -26,14 +26,16 @@
     this.#options = options;
   }
 
-  /** Resolves to whether the endpoint can be reached, after at most `REACHABILITY_CHECK_MS`. */
-  check(endpoint: Endpoint): Promise<boolean> {
+  /**
+   * Resolves to whether the endpoint can be reached, after at most `REACHABILITY_CHECK_MS`. A check that began at most
+   * `maxAgeMs` ago is not repeated.
+   */
+  check(endpoint: Endpoint, maxAgeMs = REACHABILITY_CHECK_MS): Promise<boolean> {
     const {clock, isListening} = this.#options;
     const now = clock.now();
     if (now - endpoint.lastReceivedAtMs < REACHABILITY_CHECK_MS) return Promise.resolve(true);
     const recent = this.#checks.get(endpoint);
-    if (recent !== undefined && now - recent.atMs < REACHABILITY_CHECK_MS)
-      return recent.isReachable;
+    if (recent !== undefined && now - recent.atMs < maxAgeMs) return recent.isReachable;
     const isReachable = isListening(endpoint.record.address, REACHABILITY_CHECK_MS).then(
       (result) => result === true || endpoint.lastReceivedAtMs >= now,
     );
--- a/packages/transport/src/portCheck.ts
+++ b/packages/transport/src/portCheck.ts
@@ -18,7 +18,10 @@
       finish(true);
     });
     socket.once('timeout', () => {
-      finish(undefined);
+      // After a long event loop turn, timers run before a connection that was accepted in time is noticed.
+      setImmediate(() => {
+        finish(undefined);
+      });
     });
     socket.once('error', ({code}: NodeJS.ErrnoException) => {
       if (code === 'ECONNREFUSED') finish(false);
