Add a byte budget over everything that is held for clients and endpoints

Uncontrolled clients made a router process hold any amount of memory, since bodies, responses and connections had no common limit. MemoryBudget counts what is held, keeps a part for small holders and evicts holders by progress, share and size.

--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -47,4 +47,14 @@
   createEndpointClient,
 } from './endpointClient.js';
 export {BufferBudget, type BufferShare} from './bufferBudget.js';
+export {
+  type Eviction,
+  type EvictionRule,
+  type HolderKind,
+  type HolderOptions,
+  type MemoryBudgetOptions,
+  type MemoryHolder,
+  holderKinds,
+  MemoryBudget,
+} from './memoryBudget.js';
 export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
