Guard client connections before and between requests

Clients that sent thousands of requests ahead, or one-byte chunks, made the HTTP parser handle whole read chunks at once and held memory that nothing counted.

The connection guard takes over the data listener of http.Server, feeds the parser in slices, starts one request of a connection at a time, counts kept input, incomplete heads and unread responses in the memory budget, and limits the number of connections. Bodies of known length are not sliced, since they cost the parser nothing for each byte.

--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -41,6 +41,7 @@
   readonly sends: Counter<'service' | 'outcome'>;
   readonly endpointSends: Counter<'endpoint' | 'outcome'>;
   readonly storeCalls: Counter<'call' | 'outcome'>;
+  readonly closedConnections: Counter<'rule'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #acceptWait: Histogram;
   readonly #readWait: Histogram;
@@ -106,6 +107,12 @@
       labelNames: ['call', 'outcome'],
       registers,
     });
+    this.closedConnections = new Counter({
+      name: 'marigoldfold_forward_closed_connections_total',
+      help: 'Client connections that were closed for exceeding a limit, by rule.',
+      labelNames: ['rule'],
+      registers,
+    });
     new Gauge({
       name: 'marigoldfold_forward_repeats_left',
       help: 'Retries that the budget of a service currently allows.',
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -251,6 +251,9 @@
       port,
       serve: (request, response, arrival) =>
         serveExchange(forwardOptions, request, response, arrival),
+      onConnectionClosed: ({rule}) => {
+        this.#metrics.closedConnections.inc({rule});
+      },
       endRequests: () => {
         this.#plannedStop.end();
       },
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -1,9 +1,16 @@
 /** HTTP server for clients with graceful shutdown. */
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {type Clock, type EventLoopMonitor, type Logger, sleep} from '@marigoldfold/runtime';
 import type {ClientLimits} from '@marigoldfold/state';
-import {listenPersistently} from '@marigoldfold/transport';
+import {
+  type ClosedConnection,
+  ConnectionGuard,
+  type ConnectionGuardOptions,
+  listenPersistently,
+  sendBareClientError,
+} from '@marigoldfold/transport';
 import {AcceptDelayEstimator} from './acceptDelayEstimator.js';
 import {ClientResponseWriter} from './clientResponseWriter.js';
 
@@ -19,6 +26,12 @@
     response: ServerResponse,
     arrival: ArrivedRequest,
   ) => Promise<void>;
+  /** Budget for what clients make the process hold; without one, nothing is counted. */
+  readonly budget?: ConnectionGuardOptions['budget'];
+  /** Maximum number of client connections; unlimited by default. */
+  readonly maxConnections?: number;
+  /** Called when a connection is closed, or is to be closed, for what its client does. */
+  readonly onConnectionClosed?: (connection: ClosedConnection) => void;
   /** Ends the requests in flight with an answer, at the end of a graceful shutdown. */
   readonly endRequests: () => void;
 }
@@ -70,16 +83,27 @@
 
   constructor(options: ForwardServerOptions) {
     this.#options = options;
-    this.#server = createServer(
-      {
-        noDelay: true,
-        maxHeaderSize: MAX_HEADER_BYTES,
-        keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + TIMEOUT_SLACK_MS,
-        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-        requestTimeout: 0,
+    this.#server = createServer({
+      noDelay: true,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + TIMEOUT_SLACK_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+      requestTimeout: 0,
+    });
+    new ConnectionGuard(this.#server, {
+      clock: options.clock,
+      budget: options.budget,
+      maxConnections: options.maxConnections,
+      onRequest: (request, response) => void this.#serve(request, response),
+      onClientError: (error, socket) => {
+        sendBareClientError(error, socket, this.#hasStartedResponse(socket));
+      },
+      onConnectionClosed: (connection) => {
+        const {rule, bytes, owner} = connection;
+        options.logger.info('connection closed', {reason: 'limit', rule, bytes, owner});
+        options.onConnectionClosed?.(connection);
       },
-      (request, response) => void this.#serve(request, response),
-    );
+    });
     const acceptDelays = new AcceptDelayEstimator(options.clock, options.eventLoop);
     this.#server.on('connection', (socket) => {
       this.#unacceptedMs.set(socket, acceptDelays.recordConnection());
@@ -165,6 +189,13 @@
     return {unacceptedMs, unreadMs: clock.now() - eventLoop.earliestArrivalMs};
   }
 
+  #hasStartedResponse(socket: Duplex): boolean {
+    for (const response of this.#activeResponses) {
+      if (response.socket === socket) return response.headersSent;
+    }
+    return false;
+  }
+
   #disableKeepAlive(response: ServerResponse): void {
     if (!response.headersSent) response.shouldKeepAlive = false;
   }
--- /dev/null
+++ b/packages/transport/src/guardedConnection.ts
@@ -0,0 +1,239 @@
+/** One client connection, whose requests are handled one at a time. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
+import {type InputSlice, MAX_TURN_BYTES, ReadGate} from './readGate.js';
+
+/**
+ * Why a connection is closed: too many connections, too many requests sent ahead, no memory for what was sent ahead or
+ * for the connection, eviction by the budget, an invalid request behind others, or a response that is not read.
+ */
+export type CloseRule =
+  | 'connections'
+  | 'requests_ahead'
+  | 'memory'
+  | 'evicted_stalled'
+  | 'evicted_share'
+  | 'evicted_largest'
+  | 'invalid_request_ahead'
+  | 'stalled_reader';
+
+/** Dependencies of a {@link GuardedConnection}. */
+export interface GuardedConnectionOptions {
+  readonly socket: Socket;
+  readonly budget: Pick<MemoryBudget, 'open'> | undefined;
+  /** Called when the handling of a request may begin. */
+  readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Called when a request begins after the connection was idle or new. */
+  readonly onBusy: () => void;
+  readonly onIdle: () => void;
+  /** Called when all of a response has been written; the client may not have read it. */
+  readonly onResponseEnded: () => void;
+  readonly onResponseClosed: () => void;
+  /** Called once when the connection is closed, or is to be closed after the response in progress. */
+  readonly onClosing: (rule: CloseRule, bytes: number) => void;
+}
+
+interface ParsedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Input that is parsed at once where a request may end, in bytes; it holds at most 56 requests. */
+const HEAD_SLICE_BYTES = 1024;
+const HEAD_SLICE: InputSlice = {bytes: HEAD_SLICE_BYTES, isPlainBody: false};
+/** The last chunk of a body has the size 0. */
+const LAST_CHUNK_START = '\n0';
+const ZERO = 0x30;
+const MAX_WAITING_REQUESTS = 64;
+/** Memory that a parsed request occupies while it waits, in bytes. */
+const WAITING_REQUEST_BYTES = 4096;
+
+/** Whether the last chunk of a chunked body may begin in the input; the line break may precede the input. */
+function mayEndBody(input: Buffer): boolean {
+  return input[0] === ZERO || input.includes(LAST_CHUNK_START);
+}
+
+/** Feeds the connection's input to the parser and starts its requests in order. */
+export class GuardedConnection implements Disposable {
+  readonly #options: GuardedConnectionOptions;
+  readonly #gate: ReadGate;
+  #active: ParsedRequest | undefined;
+  readonly #waiting: ParsedRequest[] = [];
+  /** The request that was parsed last; its body may still be arriving. */
+  #newest: IncomingMessage | undefined;
+  #slice: Buffer | undefined;
+  /** Bytes of the body that are still to arrive, at most a head slice too many; not a number for a chunked body. */
+  #bodyBytesLeft = 0;
+  /** Whether the end of a chunked body may have been parsed in part. */
+  #mayBeEnding = false;
+  /** Bytes parsed since the last request, which the parser may hold as part of a head. */
+  #headBytes = 0;
+  #holder: MemoryHolder | undefined;
+  #heldBytes = 0;
+  #isClosing = false;
+
+  constructor(options: GuardedConnectionOptions) {
+    this.#options = options;
+    this.#gate = new ReadGate({
+      socket: options.socket,
+      mayParse: () => this.#mayParse,
+      chooseSlice: (input) => this.#chooseSlice(input),
+      onSlice: (slice) => {
+        this.#recordSlice(slice);
+      },
+      onInput: () => {
+        this.#slice = undefined;
+        this.#recordHeld();
+      },
+    });
+  }
+
+  /** Whether a response is in progress. */
+  get isBusy(): boolean {
+    return this.#active !== undefined;
+  }
+
+  /** Starts a request that was parsed, once those before it have been answered. */
+  accept(request: IncomingMessage, response: ServerResponse): void {
+    this.#newest = request;
+    this.#headBytes = 0;
+    // What the slice holds of the body is not known. It is not subtracted: at worst, a slice more of what follows the
+    // body is parsed together with its end.
+    this.#bodyBytesLeft = Number(request.headers['content-length'] ?? Number.NaN);
+    this.#mayBeEnding =
+      Number.isNaN(this.#bodyBytesLeft) && this.#slice !== undefined && mayEndBody(this.#slice);
+    if (this.#isClosing) return;
+    if (this.#active === undefined) {
+      this.#options.onBusy();
+      this.#start({request, response});
+      return;
+    }
+    this.#waiting.push({request, response});
+    if (this.#waiting.length > MAX_WAITING_REQUESTS) this.close('requests_ahead');
+  }
+
+  /** Closes the connection: once the response in progress has ended, or immediately if there is none. */
+  close(rule: CloseRule): void {
+    if (this.#isClosing) return;
+    this.#isClosing = true;
+    this.#options.onClosing(rule, this.#heldBytes);
+    this.#waiting.length = 0;
+    if (this.#active === undefined) this.#options.socket.destroy();
+    // The rest of the body of the request in progress is still read.
+    else if (this.#active.request.complete) this.#gate.close();
+  }
+
+  /**
+   * Handles an error of the parser. Returns false if it concerns the request in progress, or none is; otherwise the
+   * connection is closed after the response in progress, since an error response would be taken for it.
+   */
+  endAfterError(): boolean {
+    const {socket} = this.#options;
+    if (this.#active?.request.complete !== true || socket.destroyed || socket.errored !== null) {
+      return false;
+    }
+    this.close('invalid_request_ahead');
+    return true;
+  }
+
+  /** Gives the socket up to the handler of an upgrade; returns input that was received and not parsed. */
+  detach(): Buffer {
+    // An upgraded connection is never closed as an idle one.
+    this.#options.onBusy();
+    this.#releaseHolder();
+    return this.#gate.detach();
+  }
+
+  /** Releases everything when the socket has closed. */
+  [Symbol.dispose](): void {
+    this.#isClosing = true;
+    this.#waiting.length = 0;
+    this.#releaseHolder();
+  }
+
+  get #mayParse(): boolean {
+    // The body of a request that waits is read when the request starts.
+    if (this.#newest?.complete === false) return this.#waiting.length === 0;
+    return this.#active === undefined && !this.#isClosing;
+  }
+
+  #chooseSlice(input: Buffer): InputSlice {
+    if (this.#newest?.complete !== false) return HEAD_SLICE;
+    if (this.#bodyBytesLeft > HEAD_SLICE_BYTES) {
+      return {bytes: this.#bodyBytesLeft, isPlainBody: true};
+    }
+    if (!Number.isNaN(this.#bodyBytesLeft) || this.#mayBeEnding) return HEAD_SLICE;
+    const window = input.subarray(0, MAX_TURN_BYTES);
+    if (!mayEndBody(window)) return {bytes: MAX_TURN_BYTES, isPlainBody: false};
+    const bytes = Math.max(HEAD_SLICE_BYTES, window.indexOf(LAST_CHUNK_START));
+    return {bytes, isPlainBody: false};
+  }
+
+  #recordSlice(slice: Buffer): void {
+    this.#slice = slice;
+    if (this.#newest?.complete !== false) this.#headBytes += slice.length;
+    else if (Number.isNaN(this.#bodyBytesLeft)) this.#mayBeEnding ||= mayEndBody(slice);
+    else this.#bodyBytesLeft -= slice.length;
+  }
+
+  #start(parsed: ParsedRequest): void {
+    this.#active = parsed;
+    const {request, response} = parsed;
+    response.on('prefinish', this.#options.onResponseEnded);
+    response.on('close', this.#finish);
+    this.#options.onRequest(request, response);
+  }
+
+  readonly #finish = (): void => {
+    const {socket, onIdle, onResponseClosed} = this.#options;
+    this.#active = undefined;
+    onResponseClosed();
+    if (socket.destroyed || !socket.writable) {
+      this.#isClosing = true;
+      this.#waiting.length = 0;
+      return;
+    }
+    if (this.#isClosing) {
+      socket.destroySoon();
+      return;
+    }
+    const next = this.#waiting.shift();
+    if (next === undefined) onIdle();
+    else this.#start(next);
+    this.#recordHeld();
+    this.#gate.release();
+  };
+
+  /** Counts what the connection holds beside the request in progress. */
+  #recordHeld(): void {
+    const bytes =
+      this.#gate.keptBytes + this.#headBytes + this.#waiting.length * WAITING_REQUEST_BYTES;
+    if (bytes === this.#heldBytes || this.#isClosing) return;
+    this.#heldBytes = bytes;
+    const {budget, socket} = this.#options;
+    if (budget === undefined) return;
+    this.#holder ??= budget.open({
+      kind: 'readAhead',
+      owner: socket.remoteAddress ?? '',
+      onEvicted: (rule) => {
+        this.#evict(`evicted_${rule}`);
+      },
+    });
+    this.#holder.recordProgress();
+    if (!this.#holder.resize(bytes)) this.close('memory');
+  }
+
+  #evict(rule: CloseRule): void {
+    this.close(rule);
+    this.#releaseHolder();
+    // Nothing has been forwarded of a request whose body is incomplete.
+    if (this.#active?.request.complete === false) this.#options.socket.destroy();
+  }
+
+  #releaseHolder(): void {
+    this.#holder?.[Symbol.dispose]();
+    this.#holder = undefined;
+    this.#heldBytes = 0;
+  }
+}
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -6,6 +6,8 @@
 import {z} from 'zod';
 import {type Failure, createFailureBody, failureStatus, refusal} from '@marigoldfold/protocol';
 import {sendClientError} from './clientError.js';
+import {type ClosedConnection, ConnectionGuard} from './connectionGuard.js';
+import type {MemoryBudget} from './memoryBudget.js';
 
 /** Schema of the server limits in the settings. */
 export const serverLimitsSchema = z.strictObject({
@@ -61,6 +63,10 @@
   readonly limits: ServerLimits;
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
   readonly upgrade?: (request: IncomingMessage, socket: Duplex, head: Buffer) => void;
+  /** Budget for what clients make the server hold; without one, nothing is counted. */
+  readonly budget?: Pick<MemoryBudget, 'open'>;
+  /** Called when a connection is closed, or is to be closed, for what its client does. */
+  readonly onConnectionClosed?: (connection: ClosedConnection) => void;
   /** Called when `handle` rejects, which means a bug; the response is destroyed. */
   readonly onUnhandledError: (error: unknown) => void;
 }
@@ -94,17 +100,19 @@
   let isKeepAliveDisabled = false;
   const overLimitSockets = new WeakSet<Socket>();
   const responsesBySocket = new WeakMap<Duplex, ServerResponse>();
-  const server = createServer(
-    {
-      maxHeaderSize: limits.maxHeaderBytes,
-      // `readBody` has its own timeout and sends a more specific error, so this one must fire later.
-      requestTimeout: limits.requestTimeoutMs * 2 + CONNECTION_CHECK_MS,
-      headersTimeout: limits.requestTimeoutMs,
-      keepAliveTimeout: limits.idleTimeoutMs,
-      connectionsCheckingInterval: CONNECTION_CHECK_MS,
-      noDelay: true,
-    },
-    (request, response) => {
+  const server = createServer({
+    maxHeaderSize: limits.maxHeaderBytes,
+    // `readBody` has its own timeout and sends a more specific error, so this one must fire later.
+    requestTimeout: limits.requestTimeoutMs * 2 + CONNECTION_CHECK_MS,
+    headersTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: limits.idleTimeoutMs,
+    connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    noDelay: true,
+  });
+  new ConnectionGuard(server, {
+    ...options,
+    stalledReaderTimeoutMs: limits.stalledReaderTimeoutMs,
+    onRequest(request, response) {
       responsesBySocket.set(request.socket, response);
       if (overLimitSockets.has(request.socket)) {
         refuseOverLimit(response);
@@ -120,20 +128,20 @@
         })
         .finally(() => responses.delete(response));
     },
-  );
+    onClientError(error, socket) {
+      const response = responsesBySocket.get(socket);
+      // An error response must not be mixed into a response that is already being sent.
+      if (response?.headersSent === true && !response.writableFinished) socket.destroy();
+      else sendClientError(error, socket);
+    },
+    onUpgrade: options.upgrade,
+  });
   server.maxConnections = limits.maxConnections + MAX_CONNECTIONS_OVER_LIMIT;
   server.on('connection', (socket) => {
     if (sockets.size >= limits.maxConnections) overLimitSockets.add(socket);
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
-  server.on('clientError', (error, socket) => {
-    const response = responsesBySocket.get(socket);
-    // An error response must not be mixed into a response that is already being sent.
-    if (response?.headersSent === true && !response.writableFinished) socket.destroy();
-    else sendClientError(error, socket);
-  });
-  if (options.upgrade !== undefined) server.on('upgrade', options.upgrade);
   const failure = await startListening(server, options);
   if (failure !== undefined) return err(failure);
   const {port} = server.address() as AddressInfo;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -20,6 +20,12 @@
   createHttpClient,
   splitAddress,
 } from './httpClient.js';
+export {sendBareClientError} from './clientError.js';
+export {
+  type ClosedConnection,
+  ConnectionGuard,
+  type ConnectionGuardOptions,
+} from './connectionGuard.js';
 export {
   type HttpServer,
   type HttpServerOptions,
