--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -20,6 +20,12 @@
   createHttpClient,
   splitAddress,
 } from './httpClient.js';
+export {sendBareClientError} from './clientError.js';
+export {
+  type ClosedConnection,
+  ConnectionGuard,
+  type ConnectionGuardOptions,
+} from './connectionGuard.js';
 export {
   type HttpServer,
   type HttpServerOptions,
@@ -47,4 +53,14 @@
   createEndpointClient,
 } from './endpointClient.js';
 export {BufferBudget, type BufferShare} from './bufferBudget.js';
+export {
+  type Eviction,
+  type EvictionRule,
+  type HolderKind,
+  type HolderOptions,
+  type MemoryBudgetOptions,
+  type MemoryHolder,
+  holderKinds,
+  MemoryBudget,
+} from './memoryBudget.js';
 export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
