--- a/packages/agent/src/server.ts
+++ b/packages/agent/src/server.ts
@@ -12,6 +12,7 @@
   workRequestSchema,
 } from '@marigoldfold/protocol';
 import {
+  budgetOptions,
   type ClusterKey,
   createControlServer,
   waitForDrain,
@@ -20,9 +21,10 @@
   type HttpServer,
   listen,
   type ListenError,
+  MemoryBudget,
   RpcMethods,
   openEventStream,
-  readBody,
+  readPinnedBody,
   sendJson,
   type ServerLimits,
 } from '@marigoldfold/transport';
@@ -47,7 +49,14 @@
   readonly logger: Logger;
 }
 
+/** Dependencies of the server's request handlers. */
+interface HandlerOptions extends AgentServerOptions {
+  readonly memory: MemoryBudget;
+}
+
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/** Shortest useful retry delay without memory; uploads in progress end within seconds. */
+const RETRY_AFTER_MS = 1000;
 const workPath = /^\/work\/([^/?]+)(?:\?after=(\d+))?$/;
 const STATUS = {
   ok: 200,
@@ -74,12 +83,21 @@
       worker.acknowledge(id, chunk);
       return {};
     });
+  const memory = new MemoryBudget({
+    ...budgetOptions(options.clock, options.limits.maxMemoryBytes),
+    onEviction: (eviction) => {
+      logger.info('memory evicted', {...eviction});
+    },
+    onCallbackError: (error) => {
+      logger.error('eviction handler failed', {reason: String(error)});
+    },
+  });
   const control = createControlServer(methods, clusterKey);
   const server = await listen({
     host: options.host,
     port: options.port,
     limits: options.limits,
-    handle: (request, response) => handle(options, request, response),
+    handle: (request, response) => handle({...options, memory}, request, response),
     upgrade: (request, socket, head) => {
       control.upgrade(request, socket, head);
     },
@@ -103,7 +121,7 @@
 }
 
 async function handle(
-  options: AgentServerOptions,
+  options: HandlerOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
@@ -140,16 +158,23 @@
 }
 
 async function submit(
-  options: AgentServerOptions,
+  options: HandlerOptions,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const {worker, limits} = options;
-  const body = await readBody(request, limits);
+  const {worker, limits, memory: budget} = options;
+  const owner = request.socket.remoteAddress ?? '';
+  const body = await readPinnedBody(request, response, limits, {budget, owner});
   const work = body.isErr() ? undefined : readWork(body.value);
   // A request whose entry disconnected is not started; the entry may query its outcome by id later.
   await nextPoll();
   if (isClientDisconnected(request)) return;
+  if (body.isErr() && body.error === 'no_memory') {
+    const failure = refusal('memory_exhausted', 'the agent has no memory left', RETRY_AFTER_MS);
+    const headers = {connection: 'close', 'retry-after': '1'};
+    sendJson(response, failureStatus(failure), {failure, load: worker.load()}, headers);
+    return;
+  }
   if (work === undefined) {
     const failure = refusal('bad_request', 'the request body is not a valid work request');
     sendJson(response, STATUS.badRequest, {failure, load: worker.load()});
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -20,8 +20,9 @@
 import {
   isClientDisconnected,
   onClientDisconnect,
-  readBody,
+  readPinnedBody,
   sendJson,
+  type MemoryBudget,
   type ServerLimits,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
@@ -36,6 +37,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly limits: ServerLimits;
+  /** Memory that callers make the process hold; without it, only each request is limited. */
+  readonly memory?: MemoryBudget;
   readonly head: () => ChainHead;
   readonly accountLimits: Pick<AccountLimits, 'admit'>;
   readonly router: Pick<Router, 'route'>;
@@ -54,6 +57,8 @@
 
 /** Budget for the first token in classes without a latency objective: one hour. */
 const DEFAULT_FIRST_TOKEN_BUDGET_MS = 3_600_000;
+/** Shortest useful retry delay without memory; uploads in progress end within seconds. */
+const MEMORY_RETRY_AFTER_MS = 1000;
 const MS_PER_SECOND = 1000;
 
 /** Sends a failure to the caller, logs the decision and counts the refusal. */
@@ -70,6 +75,7 @@
   if (retryAfterMs !== undefined) {
     headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND));
   }
+  if (code === 'memory_exhausted') headers.connection = 'close';
   sendJson(response, failureStatus(failure), createFailureBody(failure, id), headers);
 }
 
@@ -88,10 +94,15 @@
 
 /** Reads the request body within the server's size and time limits. */
 export async function readRequestBody(
-  {limits}: CallersApiOptions,
-  {request}: CallerExchange,
+  {limits, memory: budget, logger}: CallersApiOptions,
+  {id, request, response, caller}: CallerExchange,
 ): Promise<Result<Buffer, Failure>> {
-  const body = await readBody(request, limits);
+  const owner = caller.accountName;
+  const onRefused = (bytes: number) => {
+    logger.info('memory refused', {request: id, kind: 'body', owner, bytes, rule: 'no_room'});
+  };
+  const memory = budget === undefined ? undefined : {budget, owner, onRefused};
+  const body = await readPinnedBody(request, response, limits, memory);
   await nextPoll();
   if (isClientDisconnected(request)) return err(refusal('caller_gone', 'the caller disconnected'));
   if (body.isOk()) return ok(body.value);
@@ -100,6 +111,10 @@
       return err(refusal('body_too_large', `body: is over ${limits.maxBodyBytes} bytes`));
     case 'timed_out':
       return err(refusal('request_timeout', 'body: did not arrive in time'));
+    case 'no_memory':
+      return err(
+        refusal('memory_exhausted', 'the instance has no memory left', MEMORY_RETRY_AFTER_MS),
+      );
     case 'aborted':
       return err(refusal('caller_gone', 'the caller disconnected'));
   }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -18,11 +18,13 @@
 import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
 import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
+  budgetOptions,
   createClusterKey,
   createHttpClient,
   type HttpServer,
   listen,
   type ListenError,
+  MemoryBudget,
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
@@ -80,6 +82,14 @@
     });
   };
 
+  const memory = new MemoryBudget({
+    ...budgetOptions(clock, settings.limits.maxMemoryBytes),
+    onEviction: (eviction) => {
+      logger.info('memory evicted', {...eviction});
+    },
+    onCallbackError: onUnhandledError,
+  });
+
   const callers = await listen({
     ...hostAndPort(settings.listen),
     limits: settings.limits,
@@ -88,6 +98,7 @@
       clock,
       logger,
       limits: settings.limits,
+      memory,
       head: () => feed.head,
       accountLimits: accounts.limits,
       router: new Router({
@@ -114,6 +125,7 @@
     handle: createOperatorsApi({
       operators: settings.operators,
       limits: settings.limits,
+      memory,
       ticketManager: createTicketManager({record, head: () => feed.head, clock}),
       status: (ticket) =>
         gatherStatus({
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -21,6 +21,7 @@
 import {err, ok} from 'neverthrow';
 import type {MetadataCodec} from '../metadataCodec.js';
 import {ForwardProcess} from '../forwardProcess.js';
+import type {ProcessLimits} from '../forwardMemory.js';
 import type {ForwardBounds} from '../forwardSource.js';
 
 /** Metadata codec with short header names, for tests. */
@@ -151,6 +152,7 @@
   readonly name?: string;
   /** `host:port` for reports from other instances; the port has to be free. */
   readonly peerAddress?: string;
+  readonly processLimits?: ProcessLimits;
   /** Rig whose clock and store this one shares. */
   readonly sharedWith?: ForwardRig;
 }
@@ -172,7 +174,13 @@
   /** Time that the machine was suspended, which only the wall clock counts. */
   suspendedMs = 0;
 
-  constructor({name = 'front-1', peerAddress = '127.0.0.1:0', sharedWith}: RigOptions = {}) {
+  constructor({
+    name = 'front-1',
+    peerAddress = '127.0.0.1:0',
+    // The smallest budget, 16 MiB.
+    processLimits = {memoryBytes: 100_000_000, maxDescriptors: 4096},
+    sharedWith,
+  }: RigOptions = {}) {
     this.clock = sharedWith?.clock ?? new VirtualClock(1000);
     this.store = sharedWith?.store ?? new MemoryKeyValue(this.clock);
     this.switchableStore = new SwitchableKeyValue(this.store, this.clock);
@@ -207,6 +215,7 @@
       readyPath: '/ready',
       metricsPath: '/metrics',
       bounds,
+      processLimits,
     });
   }
 
--- a/packages/entry/src/forwarding/admission.ts
+++ b/packages/entry/src/forwarding/admission.ts
@@ -28,6 +28,8 @@
   readonly reason: string;
   /** Value of `retry-after`, in milliseconds. */
   readonly retryAfterMs?: number;
+  /** Whether the client has to open another connection. */
+  readonly closesConnection?: boolean;
 }
 
 /** Route and account of an admitted request; without an account if it has no key. */
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -3,9 +3,11 @@
 import type {Endpoint, InFlightRequest, PlacementRequest} from '@marigoldfold/coordination';
 import type {Engine, Route} from '@marigoldfold/state';
 import {
+  type BufferShare,
   type EndpointResponse,
   EventBoundary,
   EventSplitter,
+  openResponseShare,
   type RawEvent,
 } from '@marigoldfold/transport';
 import {forEachChunk, bufferResponse} from './responseReader.js';
@@ -29,6 +31,8 @@
   /** Headers as sent to the endpoint, as alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Client address or account for which memory is held. */
+  readonly memoryOwner: string;
   readonly isRetryable: boolean;
   /** Whether the request is still allowed; checked again when its connection is open. */
   readonly isAllowed: () => boolean;
@@ -211,7 +215,7 @@
   }
 
   async #relayBuffered(response: EndpointResponse, status: number): Promise<AttemptOutcome> {
-    using share = this.#options.responseBuffers.open();
+    using share = this.#openShare();
     const buffered = await bufferResponse(response, share);
     switch (buffered.kind) {
       case 'broken':
@@ -267,7 +271,7 @@
     if (!this.#request.route.isResumable)
       return this.#relayChunks(response, {boundary: new EventBoundary()});
     const {response: writer} = this.#request;
-    using share = this.#options.responseBuffers.open();
+    using share = this.#openShare();
     const splitter = new EventSplitter(share);
     using silence = this.#watchForSilence();
     let fault: string | undefined;
@@ -299,6 +303,10 @@
     };
   }
 
+  #openShare(): BufferShare {
+    return openResponseShare(this.#options.memory, this.#request.memoryOwner);
+  }
+
   /** Relays an event that is next in the sequence; returns the fault of one that is not. */
   async #relayEvent(
     response: IncomingMessage,
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -3,6 +3,7 @@
 import type {Endpoint, PlacementRequest} from '@marigoldfold/coordination';
 import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
 import type {RoutedAccount, Service} from '@marigoldfold/state';
+import type {HeldBody} from '@marigoldfold/transport';
 import type {Result} from 'neverthrow';
 import type {Admission, Refusal} from './admission.js';
 import {type AttemptOutcome, runAttempt} from './attempt.js';
@@ -14,6 +15,7 @@
 import {EventSequence} from './eventSequence.js';
 import {describeArrival, describeBreak} from './exchangeReport.js';
 import type {ForwardOptions} from './forwardOptions.js';
+import {memoryOwner} from './forwardMemory.js';
 import type {ArrivedRequest} from './forwardServer.js';
 import type {RequestMetadata} from './metadataCodec.js';
 import {chooseService, computeQueueRank, patienceMs} from './routePolicy.js';
@@ -32,7 +34,7 @@
   readonly arrival: ArrivedRequest;
   /** Checks the request against the configuration in force. */
   readonly admit: () => Result<Admission, Refusal>;
-  /** Whether the client has disconnected or the deadline has passed. */
+  /** Whether the client has disconnected, the deadline has passed or the body has been evicted. */
   readonly isCancelled: () => boolean;
   readonly onSent: () => void;
   readonly log: (message: string, fields: LogFields, level?: 'debug' | 'info') => void;
@@ -41,7 +43,7 @@
 /** What an attempt is made with. */
 export interface AttemptPlan {
   readonly admission: Admission;
-  readonly body: Buffer;
+  readonly body: HeldBody;
   /** Clock time in milliseconds. */
   readonly deadlineMs: number;
   readonly isRetryable: boolean;
@@ -116,6 +118,8 @@
     if (reservation.kind !== 'reserved' || isCancelled()) return undefined;
     if (replaces?.isSilent() === false) return undefined;
     const {endpoint} = reservation;
+    // Not read before, as the body may have been evicted while the request waited.
+    const {bytes} = body;
     // Attempts that never reached an endpoint put no load on the service, which is what the budget protects.
     if (this.history.arrivalCount + this.#race.size > 0 && !retryBudget.takeRetry(service.name)) {
       this.#log('retry refused', {endpoint: endpoint.record.id, reason: 'budget'});
@@ -123,6 +127,7 @@
     }
     const leftMs = deadlineMs - clock.now();
     this.history.attemptCount += 1;
+    body.pin();
     this.#context.onSent();
     const headers = codec.encodeRequest(endToEndHeaders(request.rawHeaders), {
       deadlineMs: Math.max(1, Math.floor(leftMs)),
@@ -136,8 +141,8 @@
       lastEventId: this.events.lastEventId,
     });
     const method = request.method ?? 'GET';
-    if (body.length > 0 || method === 'POST' || method === 'PUT') {
-      headers.push('content-length', String(body.length));
+    if (bytes.length > 0 || method === 'POST' || method === 'PUT') {
+      headers.push('content-length', String(bytes.length));
     }
     this.#log(
       'sent',
@@ -170,7 +175,8 @@
       method,
       target: request.url ?? '/',
       headers,
-      body,
+      body: bytes,
+      memoryOwner: memoryOwner(request, account),
       isRetryable,
       isAllowed: () => this.#isStillAllowed(service, account),
       response,
--- a/packages/entry/src/forwarding/clientResponseWriter.ts
+++ b/packages/entry/src/forwarding/clientResponseWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the response to a client and sends its head at most once. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {waitForDrain} from '@marigoldfold/transport';
+import {endAfterRequest, waitForDrain} from '@marigoldfold/transport';
 import {endToEndHeaders} from './endToEndHeaders.js';
 
 const MS_PER_SECOND = 1000;
@@ -27,15 +27,17 @@
   }
 
   /** Sends an error of the router as JSON, unless a response head has been sent. */
-  sendError(status: number, reason: string, retryAfterMs?: number): void {
+  sendError(status: number, reason: string, retryAfterMs?: number, closesConnection = false): void {
     if (this.hasStarted || this.isDisconnected) return;
     const body = JSON.stringify({error: reason});
     const headers = ['content-type', 'application/json', 'content-length', String(body.length)];
     if (retryAfterMs !== undefined) {
       headers.push('retry-after', String(retryAfterMs / MS_PER_SECOND));
     }
+    if (closesConnection) headers.push('connection', 'close');
     this.#response.writeHead(status, headers);
-    this.#response.end(body);
+    if (closesConnection) endAfterRequest(this.#response, body);
+    else this.#response.end(body);
   }
 
   /** Sends an endpoint's response with its complete body. */
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,8 +1,13 @@
 /** Handles a client request from its arrival to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
-import type {Route} from '@marigoldfold/state';
-import {onClientDisconnect, readBody} from '@marigoldfold/transport';
+import type {Route, RoutedAccount} from '@marigoldfold/state';
+import {
+  type BodyMemory,
+  type HeldBody,
+  onClientDisconnect,
+  readHeldBody,
+} from '@marigoldfold/transport';
 import {type Admission, resolveAdmission} from './admission.js';
 import {ABORT_REASON, type AttemptOutcome} from './attempt.js';
 import {AttemptSeries} from './attemptSeries.js';
@@ -15,6 +20,7 @@
   reportOutcome,
   type Stage,
 } from './exchangeReport.js';
+import {memoryOwner} from './forwardMemory.js';
 import {chooseRetryAfterMs} from './retryAfter.js';
 import type {ArrivedRequest} from './forwardServer.js';
 import {chooseService, computeQueueRank, isIdempotent, queueLimitMs} from './routePolicy.js';
@@ -47,6 +53,8 @@
   readonly #arrival: ArrivedRequest;
   #isClientGone = false;
   #isTimeOver = false;
+  /** Whether the body was evicted from memory before the first attempt. */
+  #isEvicted = false;
   readonly #attempts: AttemptSeries;
   #routeName = '';
   /** Rank in the dispatch queue; requests with lower ranks are sent first. */
@@ -124,23 +132,43 @@
     }
     const {maxBodyBytes} = table.configuration.limits;
     const bodyLimits = {maxBodyBytes, requestTimeoutMs: deadlineMs - this.#arrivedAtMs};
-    const body = await readBody(this.#request, bodyLimits, this.#options.clock);
+    const {clock} = this.#options;
+    const body = await readHeldBody(this.#request, bodyLimits, {
+      clock,
+      memory: this.#bodyMemory(account),
+    });
     if (body.isErr()) return bodyErrorOutcome(body.error);
+    using disposables = new DisposableStore();
+    disposables.add(body.value);
     const endRequest = () => {
       this.#isTimeOver = true;
       this.#attempts.abort(ABORT_REASON);
     };
-    const {clock} = this.#options;
-    using disposables = new DisposableStore();
     disposables.add(clock.schedule(deadlineMs - clock.now() + TIMEOUT_GRACE_MS, endRequest));
     disposables.add(plannedStop.onEnd(endRequest));
     this.#options.retryBudget.recordRequest(service);
     return await this.#forward(body.value, deadlineMs);
   }
 
-  /** Whether the client has disconnected or the deadline has passed. */
+  #bodyMemory(account: RoutedAccount | undefined): BodyMemory {
+    const {memory: budget, metrics} = this.#options;
+    const owner = memoryOwner(this.#request, account);
+    return {
+      budget,
+      owner,
+      onEvicted: () => {
+        this.#isEvicted = true;
+      },
+      onRefused: (bytes) => {
+        metrics.memoryRefusals.inc({kind: 'body', rule: 'no_room'});
+        this.#log('memory refused', {kind: 'body', owner, bytes, rule: 'no_room'});
+      },
+    };
+  }
+
+  /** Whether the client has disconnected, the deadline has passed or the body has been evicted. */
   get #isCancelled(): boolean {
-    return this.#isClientGone || this.#isTimeOver;
+    return this.#isClientGone || this.#isTimeOver || this.#isEvicted;
   }
 
   #admit() {
@@ -154,7 +182,7 @@
   }
 
   /** Makes attempts until a response is delivered or no retry is allowed. */
-  async #forward(body: Buffer, deadlineMs: number): Promise<ExchangeOutcome> {
+  async #forward(body: HeldBody, deadlineMs: number): Promise<ExchangeOutcome> {
     while (true) {
       this.#stage = 'queued';
       this.#queuedAtMs = this.#options.clock.now();
@@ -188,7 +216,7 @@
   }
 
   /** Makes one attempt; resolves to undefined when a retry may follow. */
-  async #dispatchAttempt(body: Buffer, deadlineMs: number): Promise<ExchangeOutcome | undefined> {
+  async #dispatchAttempt(body: HeldBody, deadlineMs: number): Promise<ExchangeOutcome | undefined> {
     if (deadlineMs - this.#options.clock.now() < MIN_REMAINING_MS)
       return this.#endWithoutRetry(504, 'time_over');
     // The configuration may have changed since the request arrived.
@@ -244,6 +272,7 @@
     retryAfterMs = chooseRetryAfterMs(this.#rank, this.#options.random),
   ): ExchangeOutcome {
     if (this.#isClientGone) return {kind: 'gone'};
+    if (this.#isEvicted) return bodyErrorOutcome('no_memory');
     if (this.#response.hasStarted) return {kind: 'cut', reason};
     if (this.#attempts.history.failureResponse !== undefined) {
       const {response, body} = this.#attempts.history.failureResponse;
--- a/packages/entry/src/forwarding/exchangeReport.ts
+++ b/packages/entry/src/forwarding/exchangeReport.ts
@@ -8,6 +8,9 @@
 import type {AttemptOutcome} from './attempt.js';
 import type {ArrivedRequest} from './forwardServer.js';
 
+/** Value of `retry-after` for a request for which there is no memory; uploads in progress end within seconds. */
+const MEMORY_RETRY_AFTER_MS = 1000;
+
 /** Outcome of a client request; `cut` is a response that ended early, `gone` a client that disconnected. */
 export type ExchangeOutcome =
   | {readonly kind: 'delivered'; readonly status: number; readonly inFlight?: InFlightRequest}
@@ -67,9 +70,9 @@
       break;
     }
     case 'refused': {
-      const {status, retryAfterMs} = outcome.refusal;
+      const {status, retryAfterMs, closesConnection} = outcome.refusal;
       reason = outcome.refusal.reason;
-      response.sendError(status, reason, retryAfterMs);
+      response.sendError(status, reason, retryAfterMs, closesConnection);
       const beliefAgeMs = Math.round(configurationState().ageMs);
       log('refused', {...fields, status, reason, retryAfterMs, beliefAgeMs, rank: report.rank});
       break;
@@ -126,6 +129,16 @@
       return {kind: 'refused', refusal: {status: 413, reason: 'body_too_large'}};
     case 'timed_out':
       return {kind: 'refused', refusal: {status: 408, reason: 'body_not_in_time'}};
+    case 'no_memory':
+      return {
+        kind: 'refused',
+        refusal: {
+          status: 503,
+          reason: 'memory_exhausted',
+          retryAfterMs: MEMORY_RETRY_AFTER_MS,
+          closesConnection: true,
+        },
+      };
     case 'aborted':
       return {kind: 'gone'};
   }
--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -72,6 +72,7 @@
       readyPath: '/ready',
       metricsPath: '/metrics',
       bounds: toBounds(bounds),
+      processLimits: settings.processLimits,
     });
     const reload = () => {
       readForwardSettings(flags.settings).match(
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and histograms of the forwarding router. */
 import type {AttemptOutcome} from './attempt.js';
 import type {ArrivedRequest} from './forwardServer.js';
+import {type HolderKind, holderKinds} from '@marigoldfold/transport';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 
 /** Upper bounds in seconds, around the latency objectives of short and long requests. */
@@ -31,6 +32,8 @@
   /** Endpoints that have stated a limit of the rate that they take. */
   readonly limitedEndpoints: () => number;
   readonly quarantinedParts: () => number;
+  readonly heldBytes: (kind: HolderKind) => number;
+  readonly memoryLimitBytes: () => number;
   /** Remaining retries by service. */
   readonly retriesLeft: () => Iterable<readonly [service: string, left: number]>;
 }
@@ -41,6 +44,7 @@
   readonly sends: Counter<'service' | 'outcome'>;
   readonly endpointSends: Counter<'endpoint' | 'outcome'>;
   readonly storeCalls: Counter<'call' | 'outcome'>;
+  readonly memoryRefusals: Counter<'kind' | 'rule'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #acceptWait: Histogram;
   readonly #readWait: Histogram;
@@ -106,6 +110,26 @@
       labelNames: ['call', 'outcome'],
       registers,
     });
+    this.memoryRefusals = new Counter({
+      name: 'marigoldfold_forward_memory_refusals_total',
+      help: 'What was evicted from memory, or refused for lack of it, by what it was held for and rule.',
+      labelNames: ['kind', 'rule'],
+      registers,
+    });
+    new Gauge({
+      name: 'marigoldfold_forward_held_bytes',
+      help: 'Memory held for clients and endpoints, by what it is held for.',
+      labelNames: ['kind'],
+      registers,
+      collect() {
+        for (const kind of holderKinds) this.set({kind}, sources.heldBytes(kind));
+      },
+    });
+    addGauge({
+      name: 'marigoldfold_forward_held_bytes_limit',
+      help: 'Memory that may be held for clients and endpoints in all.',
+      read: sources.memoryLimitBytes,
+    });
     new Gauge({
       name: 'marigoldfold_forward_repeats_left',
       help: 'Retries that the budget of a service currently allows.',
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -7,7 +7,7 @@
   WindowedRetryBudget,
 } from '@marigoldfold/coordination';
 import type {Clock, EventLoopMonitor, Logger, Random} from '@marigoldfold/runtime';
-import type {BufferBudget, EndpointClient} from '@marigoldfold/transport';
+import type {EndpointClient, MemoryBudget} from '@marigoldfold/transport';
 import type {CrashDetector} from './crashDetector.js';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
 import type {MetadataCodec} from './metadataCodec.js';
@@ -32,8 +32,8 @@
   readonly reachability: Reachability;
   readonly quarantine: PromptQuarantine;
   readonly retryBudget: WindowedRetryBudget;
-  /** Memory for parts of responses that are kept until the rest arrives. */
-  readonly responseBuffers: BufferBudget;
+  /** Memory that clients and endpoints make the process hold. */
+  readonly memory: MemoryBudget;
   readonly plannedStop: PlannedStop;
   readonly metrics: ForwardMetrics;
   readonly configurationState: () => ConfigurationState;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -14,16 +14,9 @@
   RangeMirror,
   WindowedRetryBudget,
 } from '@marigoldfold/coordination';
-import {
-  type Clock,
-  DisposableStore,
-  EventLoopMonitor,
-  type Logger,
-  type Random,
-} from '@marigoldfold/runtime';
+import {DisposableStore, EventLoopMonitor} from '@marigoldfold/runtime';
 import type {KeyValueEntry} from '@marigoldfold/state';
 import {
-  BufferBudget,
   createEndpointClient,
   isListening,
   listenPersistently,
@@ -31,50 +24,25 @@
 } from '@marigoldfold/transport';
 import {Registry} from 'prom-client';
 import type {ConfigurationAgeLimits} from './admission.js';
-import type {ForwardBounds, ForwardSource} from './forwardSource.js';
+import type {ForwardBounds} from './forwardSource.js';
 import {ConfigurationHolder} from './configurationHolder.js';
 import {CrashDetector} from './crashDetector.js';
 import {FleetRecords} from './fleetRecords.js';
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
-import type {MetadataCodec} from './metadataCodec.js';
+import {createForwardMemory} from './forwardMemory.js';
 import {ForwardMetrics} from './forwardMetrics.js';
+import type {ForwardProcessOptions} from './forwardProcessOptions.js';
 import {ForwardServer} from './forwardServer.js';
 import {PlannedStop} from './plannedStop.js';
 import {Reachability} from './reachability.js';
 import {createStatusServer} from './statusServer.js';
 import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
 
-/** Dependencies, addresses and bounds of a router process. */
-export interface ForwardProcessOptions {
-  /** Monotonic clock, in milliseconds. */
-  readonly clock: Clock;
-  /** Wall clock time, in milliseconds, by which a suspension of the machine is detected. */
-  readonly wallTimeMs: () => number;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly codec: MetadataCodec;
-  readonly source: ForwardSource;
-  readonly name: string;
-  /** `host:port` for reports from other instances. */
-  readonly peerAddress: string;
-  /** `host:port` for clients. */
-  readonly clientAddress: string;
-  /** `host:port` for readiness checks. */
-  readonly readyAddress: string;
-  readonly readyPath: string;
-  /** `host:port` for metrics. */
-  readonly metricsAddress: string;
-  readonly metricsPath: string;
-  readonly bounds: ForwardBounds;
-}
-
 /** Time until load balancers send no new connections to an unready process: two failed checks and one in reserve. */
 const ACCEPT_AFTER_STOP_MS = 2700;
 /** Time reserved for the last writes before the process is killed. */
 const STOP_RESERVE_MS = 700;
-/** Memory for parts of responses that are kept until the rest arrives, in bytes. */
-const MAX_RESPONSE_BUFFER_BYTES = 16_777_216;
 /** Event loop turns of at least this duration are logged, since they may exceed the shortest objectives. */
 const LONG_LOOP_TURN_MS = 100;
 
@@ -201,6 +169,12 @@
       },
     });
     const dispatch = new DispatchQueue({clock});
+    const memory = createForwardMemory({
+      clock,
+      logger,
+      memoryBytes: options.processLimits.memoryBytes,
+      metrics: () => this.#metrics,
+    });
     this.#metrics = new ForwardMetrics(this.#metricsRegistry, {
       configurationAgeMs: () => this.#configuration.state.ageMs,
       peers: () => this.#peers.size,
@@ -209,6 +183,8 @@
       endpoints: () => this.#registry.size,
       limitedEndpoints: () => this.#registry.limitedCount,
       quarantinedParts: () => this.#quarantine.size,
+      heldBytes: (kind) => memory.bytesOf(kind),
+      memoryLimitBytes: () => memory.maxBytes,
       retriesLeft: () =>
         [...this.#retryBudget.services].map((service) => [
           service,
@@ -233,7 +209,7 @@
       placement,
       permits: this.#permits,
       crashDetector,
-      responseBuffers: new BufferBudget(MAX_RESPONSE_BUFFER_BYTES),
+      memory,
       reachability: new Reachability({clock, isListening}),
       quarantine: this.#quarantine,
       plannedStop: this.#plannedStop,
--- a/packages/entry/src/forwarding/forwardSettings.ts
+++ b/packages/entry/src/forwarding/forwardSettings.ts
@@ -46,6 +46,22 @@
         .describe('Retries allowed in a window beyond the ratio, for all instances together.'),
     })
     .prefault({}),
+  processLimits: z
+    .strictObject({
+      memoryBytes: z
+        .int()
+        .min(128_000_000)
+        .default(256_000_000)
+        .describe(
+          'Memory that the process may use, in bytes; 0.4 of what exceeds 80 MB, but at least 16 MiB, is for what clients and endpoints make it hold.',
+        ),
+      maxDescriptors: z
+        .int()
+        .min(512)
+        .default(4096)
+        .describe('Number of file descriptors that the process may use.'),
+    })
+    .prefault({}),
   log: logSchema.prefault({}),
 });
 
--- a/packages/entry/src/forwarding/index.ts
+++ b/packages/entry/src/forwarding/index.ts
@@ -16,7 +16,9 @@
 export {ForwardMetrics} from './forwardMetrics.js';
 export type {ForwardOptions} from './forwardOptions.js';
 export {ForwardServer, type StopTimeouts} from './forwardServer.js';
-export {ForwardProcess, type ForwardProcessOptions} from './forwardProcess.js';
+export {ForwardProcess} from './forwardProcess.js';
+export type {ForwardProcessOptions} from './forwardProcessOptions.js';
+export type {ProcessLimits} from './forwardMemory.js';
 export {computeQueueRank} from './routePolicy.js';
 export {createHeaderCodec, type HeaderNames} from './headerCodec.js';
 export {forwardHeaders, forwardKeys} from './standaloneDefaults.js';
--- a/packages/entry/src/operatorsApi.ts
+++ b/packages/entry/src/operatorsApi.ts
@@ -3,7 +3,13 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {checkDocument, formatProblem} from '@marigoldfold/runtime';
 import {decisionSchema} from '@marigoldfold/state';
-import {readBody, sendJson, type ServerLimits} from '@marigoldfold/transport';
+import {
+  type BodyError,
+  type MemoryBudget,
+  readPinnedBody,
+  sendJson,
+  type ServerLimits,
+} from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
 import type {Registry} from 'prom-client';
 import type {z} from 'zod';
@@ -21,6 +27,7 @@
 export interface OperatorsApiOptions {
   readonly operators: EntrySettings['operators'];
   readonly limits: ServerLimits;
+  readonly memory: MemoryBudget;
   readonly ticketManager: TicketManager;
   readonly claimManager: ClaimManager;
   /** Queries the configuration that each instance has applied, and when a ticket took effect there. */
@@ -40,6 +47,7 @@
 
 const statusByCode: Readonly<Record<string, number>> = {
   store: STATUS.unavailable,
+  memory_exhausted: STATUS.unavailable,
   stale: STATUS.unavailable,
   number_taken: STATUS.conflict,
   already_decided: STATUS.conflict,
@@ -62,7 +70,9 @@
       });
       return;
     }
-    const answer = await serveOperator(options, operator, url, request);
+    const {limits, memory: budget} = options;
+    const readBody = () => readPinnedBody(request, response, limits, {budget, owner: operator});
+    const answer = await serveOperator(options, {operator, url, request, readBody});
     if (answer.isOk()) sendJson(response, STATUS.ok, answer.value);
     else sendError(response, statusByCode[answer.error.code] ?? STATUS.badRequest, answer.error);
   };
@@ -89,11 +99,17 @@
   }
 }
 
+/** An authenticated request of an operator. */
+interface OperatorRequest {
+  readonly operator: string;
+  readonly url: URL;
+  readonly request: IncomingMessage;
+  readonly readBody: () => Promise<Result<Buffer, BodyError>>;
+}
+
 async function serveOperator(
-  {ticketManager, claimManager, status, limits}: OperatorsApiOptions,
-  operator: string,
-  url: URL,
-  request: IncomingMessage,
+  {ticketManager, claimManager, status}: OperatorsApiOptions,
+  {operator, url, request, readBody}: OperatorRequest,
 ): Promise<Result<unknown, OperatorError>> {
   switch (`${request.method ?? ''} ${url.pathname}`) {
     case 'GET /status':
@@ -101,17 +117,17 @@
     case 'GET /tickets':
       return ticketManager.read(readNumber(url, 'after') ?? 0);
     case 'POST /tickets': {
-      const proposal = await readDocument(proposalSchema, request, limits);
+      const proposal = await readDocument(proposalSchema, readBody);
       if (proposal.isErr()) return err(proposal.error);
       return (await ticketManager.propose(operator, proposal.value)).map((ticket) => ({ticket}));
     }
     case 'POST /previews': {
-      const proposal = await readDocument(proposalSchema, request, limits);
+      const proposal = await readDocument(proposalSchema, readBody);
       if (proposal.isErr()) return err(proposal.error);
       return ticketManager.preview(operator, proposal.value);
     }
     case 'POST /decisions': {
-      const decision = await readDocument(decisionSchema, request, limits);
+      const decision = await readDocument(decisionSchema, readBody);
       if (decision.isErr()) return err(decision.error);
       return (await ticketManager.decide(decision.value)).map(() => ({
         number: decision.value.number,
@@ -120,7 +136,7 @@
     case 'GET /claims':
       return readClaims(claimManager, url);
     case 'POST /claims/settle': {
-      const settlement = await readDocument(settlementRequestSchema, request, limits);
+      const settlement = await readDocument(settlementRequestSchema, readBody);
       if (settlement.isErr()) return err(settlement.error);
       return claimManager.settle(operator, settlement.value);
     }
@@ -151,10 +167,11 @@
 
 async function readDocument<T>(
   schema: z.ZodType<T>,
-  request: IncomingMessage,
-  limits: ServerLimits,
+  readBody: OperatorRequest['readBody'],
 ): Promise<Result<T, OperatorError>> {
-  const body = await readBody(request, limits);
+  const body = await readBody();
+  if (body.isErr() && body.error === 'no_memory')
+    return err(operatorRefusal('memory_exhausted', 'the instance has no memory left'));
   if (body.isErr())
     return err(operatorRefusal('bad_request', `the body cannot be read: ${body.error}`));
   let document: unknown;
@@ -186,5 +203,6 @@
 }
 
 function sendError(response: ServerResponse, status: number, error: OperatorError): void {
-  sendJson(response, status, {error});
+  const headers = {connection: 'close', 'retry-after': '1'};
+  sendJson(response, status, {error}, error.code === 'memory_exhausted' ? headers : {});
 }
--- a/packages/protocol/src/failure.ts
+++ b/packages/protocol/src/failure.ts
@@ -26,6 +26,7 @@
   caller_gone: 499,
   account_limited: 429,
   overloaded: 503,
+  memory_exhausted: 503,
   target_unreachable: 503,
   no_endpoint: 503,
   leaving: 503,
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -1,5 +1,5 @@
 /** Splits the bytes of an event stream at event boundaries without modifying them. */
-import type {BufferShare} from './bufferBudget.js';
+import type {BufferShare} from './memoryBudget.js';
 
 /** The unmodified bytes of one event, with its id. */
 export interface RawEvent {
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -5,6 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {type Failure, createFailureBody, failureStatus, refusal} from '@marigoldfold/protocol';
+import {endAfterRequest} from './requestBody.js';
 import {sendClientError} from './clientError.js';
 
 /** Schema of the server limits in the settings. */
@@ -14,6 +15,13 @@
     .min(1024)
     .default(4_194_304)
     .describe('Maximum size of a request body, in bytes.'),
+  maxMemoryBytes: z
+    .int()
+    .min(1_048_576)
+    .default(268_435_456)
+    .describe(
+      'Maximum memory held for the requests of clients, in bytes; at least four thirds of `maxBodyBytes`, since a quarter is kept for small ones.',
+    ),
   maxHeaderBytes: z
     .int()
     .min(1024)
@@ -218,7 +226,8 @@
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
   });
-  response.end(text);
+  if (headers.connection === 'close') endAfterRequest(response, text);
+  else response.end(text);
 }
 
 /** Timeout and signal that end {@link waitForDrain} early. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -30,7 +30,16 @@
   sendJson,
   serverLimitsSchema,
 } from './httpServer.js';
-export {type BodyError, type BodyLimits, readBody} from './requestBody.js';
+export {
+  type BodyError,
+  type BodyLimits,
+  type BodyMemory,
+  type HeldBody,
+  endAfterRequest,
+  readBody,
+  readHeldBody,
+  readPinnedBody,
+} from './requestBody.js';
 export {
   type CallError,
   type ControlServer,
@@ -46,7 +55,6 @@
   type SendOutcome,
   createEndpointClient,
 } from './endpointClient.js';
-export {BufferBudget, type BufferShare} from './bufferBudget.js';
 export {
   type Eviction,
   type EvictionRule,
@@ -54,6 +62,9 @@
   type HolderOptions,
   type MemoryBudgetOptions,
   type MemoryHolder,
+  type BufferShare,
+  budgetOptions,
+  openResponseShare,
   holderKinds,
   MemoryBudget,
 } from './memoryBudget.js';
--- a/packages/transport/src/memoryBudget.ts
+++ b/packages/transport/src/memoryBudget.ts
@@ -1,6 +1,11 @@
 /** Limits the memory that clients and endpoints make a process hold, over everything that is held for them. */
 import type {Clock} from '@marigoldfold/runtime';
 
+/** A response may always keep this much, so that large ones cannot take it from small ones; in bytes. */
+const GUARANTEED_BYTES = 65_536;
+/** Part of the budget that input which waits for room may have in addition. */
+const WAITING_PART = 1 / 8;
+
 /** What bytes are held for. */
 export const holderKinds = ['body', 'readAhead', 'response', 'connection'] as const;
 
@@ -42,6 +47,27 @@
   readonly onCallbackError?: (error: unknown) => void;
 }
 
+/** Largest holder that may use the reserved part of a budget, in bytes. */
+const SMALL_BYTES = 65_536;
+/** Time without progress after which a holder may be evicted by any other. */
+const STALLED_MS = 5000;
+/** Part of a budget that only small holders use. */
+const RESERVED_PART = 1 / 4;
+
+/** The usual options of a budget of this size. */
+export function budgetOptions(
+  clock: Clock,
+  maxBytes: number,
+): Omit<MemoryBudgetOptions, 'onEviction' | 'onCallbackError'> {
+  return {
+    clock,
+    maxBytes,
+    reservedBytes: maxBytes * RESERVED_PART,
+    smallBytes: SMALL_BYTES,
+    stalledMs: STALLED_MS,
+  };
+}
+
 /** Bytes that are held for one purpose; disposing of the holder releases them. */
 export interface MemoryHolder extends Disposable {
   /** Bytes held now; 0 after an eviction. */
@@ -96,6 +122,7 @@
     connection: 0,
   };
   #usedBytes = 0;
+  #waitingBytes = 0;
   /** Bytes of holders of more than `smallBytes`. */
   #largeBytes = 0;
   /** Number of owners that hold at least one byte. */
@@ -125,6 +152,22 @@
     return this.#bytesByKind[kind];
   }
 
+  /**
+   * Admits input that has been read, but waits for room; disposing of it ends the wait. It is not counted among the
+   * used bytes. Undefined: so much input waits already that this one has to be refused.
+   */
+  admitWaiting(bytes: number): Disposable | undefined {
+    if (this.#waitingBytes + bytes > this.#options.maxBytes * WAITING_PART) return undefined;
+    this.#waitingBytes += bytes;
+    let isWaiting = true;
+    return {
+      [Symbol.dispose]: () => {
+        if (isWaiting) this.#waitingBytes -= bytes;
+        isWaiting = false;
+      },
+    };
+  }
+
   /** Opens a holder of no bytes. */
   open(options: HolderOptions): MemoryHolder {
     let owner = this.#owners.get(options.owner);
@@ -302,3 +345,21 @@
     return bytes > this.#options.smallBytes ? bytes : 0;
   }
 }
+
+/** What one response keeps until the rest arrives; disposing of it releases its bytes. */
+export interface BufferShare extends Disposable {
+  /** Records how many bytes the response keeps; returns whether it may keep them. */
+  readonly resize: (bytes: number) => boolean;
+}
+
+/** Opens the share of a response to a request that has been forwarded; it is never evicted. */
+export function openResponseShare(budget: MemoryBudget, owner: string): BufferShare {
+  const holder = budget.open({kind: 'response', owner, onEvicted: () => undefined});
+  holder.pin();
+  return {
+    resize: (bytes) => bytes === holder.bytes || holder.resize(bytes) || bytes <= GUARANTEED_BYTES,
+    [Symbol.dispose]: () => {
+      holder[Symbol.dispose]();
+    },
+  };
+}
--- a/packages/transport/src/requestBody.ts
+++ b/packages/transport/src/requestBody.ts
@@ -1,63 +1,347 @@
-/** Reads request bodies within size and time limits. */
-import type {IncomingMessage} from 'node:http';
-import {type Clock, systemClock} from '@marigoldfold/runtime';
+/** Reads request bodies within limits of size, time and rate, into memory that a budget counts. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {type Clock, steadyClock} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {ServerLimits} from './httpServer.js';
+import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
 
 /** Size and time limits of one request body. */
 export type BodyLimits = Pick<ServerLimits, 'maxBodyBytes' | 'requestTimeoutMs'>;
 
-/** Why a body could not be read; `aborted` means that the connection closed. */
-export type BodyError = 'too_large' | 'timed_out' | 'aborted';
+/**
+ * Why a body could not be read; `aborted` means that the connection closed, `no_memory` that the budget had no room or
+ * that the body was evicted from it.
+ */
+export type BodyError = 'too_large' | 'timed_out' | 'aborted' | 'no_memory';
+
+/** The budget that counts a body, and for whom. */
+export interface BodyMemory {
+  readonly budget: MemoryBudget;
+  /** Client address or account over which fairness is judged. */
+  readonly owner: string;
+  /** Called when the body is evicted after it has been read, which cannot happen once it is pinned. */
+  readonly onEvicted?: () => void;
+  /** Called when the body ends with `no_memory` without an eviction; `bytes` is the room that was not found. */
+  readonly onRefused?: (bytes: number) => void;
+}
+
+/** A complete body; disposing of it releases its bytes in the budget. */
+export interface HeldBody extends Disposable {
+  /** Empty after an eviction. */
+  readonly bytes: Buffer;
+  /** Excludes the body from eviction: its request is forwarded. */
+  pin(): void;
+}
 
 /** Time for a client to read an early response before its connection is closed. */
 const DISCARD_LIMIT_MS = 2000;
+/** Mean rate below which a body ends; the slowest mobile links are several times as fast. */
+const MIN_BYTES_PER_SECOND = 256;
+/** Time from which on the rate is checked. */
+const RATE_CHECK_AFTER_MS = 10_000;
+/** Shortest time between two checks of the rate. */
+const RATE_CHECK_MS = 1000;
+/** Time between two attempts to find room for a paused body. */
+const ROOM_CHECK_MS = 100;
+const MS_PER_SECOND = 1000;
+/** First allocation for a body that does not arrive in one piece. */
+const MIN_CAPACITY_BYTES = 1024;
+/** A buffer is kept as it is if its memory is at most this many times the size of its bytes. */
+const MAX_WASTE_FACTOR = 1.25;
+const EMPTY = Buffer.alloc(0);
 
 /** Reads the whole body; on an error the handler can still send a response. */
 export async function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
-  clock: Clock = systemClock,
+  clock: Clock = steadyClock,
 ): Promise<Result<Buffer, BodyError>> {
-  const body = await collectBody(request, limits, clock);
+  const body = await readHeldBody(request, limits, {clock});
+  return body.map(({bytes}) => bytes);
+}
+
+/** Reads the whole body into memory of a budget; on an error the handler can still send a response. */
+export async function readHeldBody(
+  request: IncomingMessage,
+  limits: BodyLimits,
+  {clock = steadyClock, memory}: {readonly clock?: Clock; readonly memory?: BodyMemory},
+): Promise<Result<HeldBody, BodyError>> {
+  const body = await new BodyReader(request, limits, clock, memory).read();
   if (body.isErr() && body.error !== 'aborted') discardRemainder(request);
   return body;
 }
 
-function collectBody(
+/**
+ * Reads the body of a request that is never evicted once it is complete, and counts it until the response has ended.
+ * Without a budget, it is not counted.
+ */
+export async function readPinnedBody(
   request: IncomingMessage,
-  {maxBodyBytes, requestTimeoutMs}: BodyLimits,
-  clock: Clock,
+  response: ServerResponse,
+  limits: BodyLimits,
+  memory?: BodyMemory,
 ): Promise<Result<Buffer, BodyError>> {
-  if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
-    return Promise.resolve(err('too_large'));
-  }
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const finish = (result: Result<Buffer, BodyError>) => {
-      timer[Symbol.dispose]();
-      request.removeAllListeners('data');
-      resolve(result);
+  const body = await readHeldBody(request, limits, memory === undefined ? {} : {memory});
+  return body.map((held) => {
+    const {bytes} = held;
+    held.pin();
+    const release = () => {
+      held[Symbol.dispose]();
     };
-    const timer = clock.schedule(requestTimeoutMs, () => {
-      finish(err('timed_out'));
-    });
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBodyBytes) finish(err('too_large'));
-      else chunks.push(chunk);
+    if (response.destroyed) release();
+    else response.once('close', release);
+    return bytes;
+  });
+}
+
+/**
+ * Sends the body of a response with which the connection closes. While the rest of the request is being discarded, the
+ * connection stays open, since closing it would reset it and lose the response.
+ */
+export function endAfterRequest(response: ServerResponse, body: string): void {
+  const {req: request} = response;
+  if (request.complete || request.readableFlowing !== true) {
+    response.end(body);
+    return;
+  }
+  response.write(body);
+  request.once('end', () => response.end());
+}
+
+class BodyReader implements HeldBody {
+  readonly #request: IncomingMessage;
+  readonly #limits: BodyLimits;
+  readonly #clock: Clock;
+  readonly #memory: BodyMemory | undefined;
+  /** Opened with the first bytes, since most requests without a body never need one. */
+  #holder: MemoryHolder | undefined;
+  /** Length that the request states, or the largest one allowed. */
+  readonly #maxLength: number;
+  /** The body in its first bytes; grows geometrically, so that each byte is copied a few times at most. */
+  #buffer: Buffer = EMPTY;
+  #size = 0;
+  /** A chunk for which there is no room yet; the request is paused. */
+  #pendingChunk: Buffer | undefined;
+  readonly #startedAtMs: number;
+  /** Time for which the body has waited for room in total, in milliseconds; the client is not slow in this time. */
+  #waitedMs = 0;
+  #timer: Disposable | undefined;
+  #roomTimer: Disposable | undefined;
+  #waitingBytes: Disposable | undefined;
+  #resolve: ((result: Result<HeldBody, BodyError>) => void) | undefined;
+
+  constructor(
+    request: IncomingMessage,
+    limits: BodyLimits,
+    clock: Clock,
+    memory: BodyMemory | undefined,
+  ) {
+    this.#request = request;
+    this.#limits = limits;
+    this.#clock = clock;
+    this.#memory = memory;
+    this.#startedAtMs = clock.now();
+    const length = request.headers['content-length'];
+    this.#maxLength = length === undefined ? limits.maxBodyBytes : Number(length);
+  }
+
+  get bytes(): Buffer {
+    return this.#buffer;
+  }
+
+  pin(): void {
+    this.#holder?.pin();
+  }
+
+  [Symbol.dispose](): void {
+    this.#buffer = EMPTY;
+    this.#holder?.[Symbol.dispose]();
+  }
+
+  read(): Promise<Result<HeldBody, BodyError>> {
+    if (this.#maxLength > this.#limits.maxBodyBytes) return Promise.resolve(err('too_large'));
+    return new Promise((resolve) => {
+      this.#resolve = resolve;
+      this.#scheduleCheck(Math.min(this.#limits.requestTimeoutMs, RATE_CHECK_AFTER_MS));
+      const request = this.#request;
+      request.on('data', (chunk: Buffer) => {
+        this.#addChunk(chunk);
+      });
+      request.on('end', () => {
+        this.#finish();
+      });
+      const abort = () => {
+        this.#finish('aborted');
+      };
+      request.on('close', abort);
+      request.on('error', abort);
     });
-    request.on('end', () => {
-      finish(ok(Buffer.concat(chunks)));
+  }
+
+  #finish(error?: BodyError): void {
+    const resolve = this.#resolve;
+    if (resolve === undefined) return;
+    this.#resolve = undefined;
+    this.#timer?.[Symbol.dispose]();
+    this.#request.removeAllListeners('data');
+    this.#endWait();
+    if (error === undefined) {
+      this.#trim();
+      resolve(ok(this));
+    } else {
+      this[Symbol.dispose]();
+      resolve(err(error));
+    }
+  }
+
+  #scheduleCheck(delayMs: number): void {
+    this.#timer = this.#clock.schedule(delayMs, () => {
+      this.#checkTime();
     });
-    request.on('close', () => {
-      finish(err('aborted'));
+  }
+
+  /** Ends a body that is late or too slow; the next check is due when its bytes no longer suffice for the rate. */
+  #checkTime(): void {
+    const leftMs = this.#limits.requestTimeoutMs - this.#elapsedMs;
+    if (leftMs <= 0) {
+      this.#finish('timed_out');
+    } else if (this.#isTooSlow) {
+      // After a long event loop turn, bytes that arrived in time have yet to be read.
+      setImmediate(() => {
+        if (this.#isTooSlow) this.#finish('timed_out');
+        else if (this.#resolve !== undefined) this.#scheduleCheck(RATE_CHECK_MS);
+      });
+    } else {
+      const sufficientMs = this.#sufficientMs - this.#elapsedMs;
+      this.#scheduleCheck(Math.min(leftMs, Math.max(RATE_CHECK_MS, sufficientMs)));
+    }
+  }
+
+  get #elapsedMs(): number {
+    return this.#clock.now() - this.#startedAtMs;
+  }
+
+  /** Time for which the bytes that have arrived suffice at the lowest rate, in milliseconds. */
+  get #sufficientMs(): number {
+    return (this.#size * MS_PER_SECOND) / MIN_BYTES_PER_SECOND + this.#waitedMs;
+  }
+
+  get #isTooSlow(): boolean {
+    return this.#pendingChunk === undefined && this.#elapsedMs > this.#sufficientMs;
+  }
+
+  #addChunk(chunk: Buffer): void {
+    const size = this.#size + chunk.length;
+    if (size > this.#limits.maxBodyBytes) {
+      this.#finish('too_large');
+      return;
+    }
+    this.#holder?.recordProgress();
+    if (this.#store(chunk)) return;
+    const request = this.#request;
+    request.pause();
+    this.#pendingChunk = chunk;
+    // Node.js may read as much again before the pause takes effect.
+    const bytes = chunk.length + request.readableHighWaterMark;
+    this.#waitingBytes = this.#memory?.budget.admitWaiting(bytes);
+    if (this.#waitingBytes === undefined) this.#refuse(chunk);
+    else this.#waitForRoom(this.#clock.now());
+  }
+
+  /** Stores a chunk unless there is no room for it. */
+  #store(chunk: Buffer): boolean {
+    const size = this.#size + chunk.length;
+    if (size > this.#buffer.length) {
+      // A chunk may be a small part of the memory that it keeps from being released.
+      const isWhole =
+        size === this.#maxLength &&
+        this.#size === 0 &&
+        chunk.buffer.byteLength <= size * MAX_WASTE_FACTOR;
+      const capacity = isWhole ? size : this.#chooseCapacity(size);
+      if (!this.#resizeHolder(capacity)) return false;
+      if (isWhole) {
+        this.#buffer = chunk;
+        this.#size = size;
+        return true;
+      }
+      const grown = Buffer.allocUnsafeSlow(capacity);
+      this.#buffer.copy(grown, 0, 0, this.#size);
+      this.#buffer = grown;
+    }
+    chunk.copy(this.#buffer, this.#size);
+    this.#size = size;
+    return true;
+  }
+
+  #chooseCapacity(size: number): number {
+    const capacity = Math.max(size, this.#buffer.length * 2, MIN_CAPACITY_BYTES);
+    return Math.min(capacity, Math.max(size, this.#maxLength));
+  }
+
+  #resizeHolder(bytes: number): boolean {
+    if (this.#memory === undefined) return true;
+    const {budget, owner} = this.#memory;
+    this.#holder ??= budget.open({
+      kind: 'body',
+      owner,
+      onEvicted: () => {
+        this.#handleEviction();
+      },
     });
-    request.on('error', () => {
-      finish(err('aborted'));
+    return this.#holder.resize(bytes);
+  }
+
+  #handleEviction(): void {
+    const isReading = this.#resolve !== undefined;
+    this.#buffer = EMPTY;
+    if (isReading) this.#finish('no_memory');
+    else this.#memory?.onEvicted?.();
+  }
+
+  /** Tries again until there is room or none has been found for the time after which a body is stalled. */
+  #waitForRoom(sinceMs: number): void {
+    this.#roomTimer = this.#clock.schedule(ROOM_CHECK_MS, () => {
+      const chunk = this.#pendingChunk;
+      if (chunk === undefined || this.#memory === undefined) return;
+      const waitedMs = this.#clock.now() - sinceMs;
+      if (this.#store(chunk)) {
+        this.#endWait();
+        this.#waitedMs += waitedMs;
+        this.#holder?.recordProgress();
+        this.#request.resume();
+      } else if (waitedMs >= this.#memory.budget.stalledMs) {
+        this.#refuse(chunk);
+      } else {
+        this.#waitForRoom(sinceMs);
+      }
     });
-  });
+  }
+
+  #endWait(): void {
+    this.#pendingChunk = undefined;
+    this.#roomTimer?.[Symbol.dispose]();
+    this.#waitingBytes?.[Symbol.dispose]();
+  }
+
+  #refuse(chunk: Buffer): void {
+    this.#memory?.onRefused?.(this.#chooseCapacity(this.#size + chunk.length));
+    this.#finish('no_memory');
+  }
+
+  /** Releases memory beyond the end of the body. */
+  #trim(): void {
+    const {length} = this.#buffer;
+    if (length === this.#size) return;
+    const bytes = this.#buffer.subarray(0, this.#size);
+    if (length <= MIN_CAPACITY_BYTES || length <= this.#size * MAX_WASTE_FACTOR) {
+      this.#buffer = bytes;
+      return;
+    }
+    const exact = Buffer.allocUnsafeSlow(this.#size);
+    bytes.copy(exact);
+    this.#buffer = exact;
+    this.#resizeHolder(this.#size);
+  }
 }
 
 /**
--- a/scripts/settingsPage.js
+++ b/scripts/settingsPage.js
@@ -1,6 +1,6 @@
 /** Writes docs/operators/settings.md; run after a build. */
 import {mkdirSync, writeFileSync} from 'node:fs';
-import {settingsReference} from '@marigoldfold/cli';
+import {formatSettingsReference} from '@marigoldfold/cli';
 
 mkdirSync('docs/operators', {recursive: true});
-writeFileSync('docs/operators/settings.md', settingsReference());
+writeFileSync('docs/operators/settings.md', formatSettingsReference());
