Merge the memory budget, and pass it to the connection guard

Cause: the guard counts connections, requests sent ahead and unread responses in the budget, and limits descriptors.

--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -18,11 +18,13 @@
 import {type Clock, DisposableStore, type Logger, type Random, sleep} from '@marigoldfold/runtime';
 import {createEtcdKeyValue} from '@marigoldfold/state';
 import {
+  budgetOptions,
   createClusterKey,
   createHttpClient,
   type HttpServer,
   listen,
   type ListenError,
+  MemoryBudget,
   splitAddress,
 } from '@marigoldfold/transport';
 import {err, ok, type Result} from 'neverthrow';
@@ -80,14 +82,27 @@
     });
   };
 
+  const memory = new MemoryBudget({
+    ...budgetOptions(clock, settings.limits.maxMemoryBytes),
+    onEviction: (eviction) => {
+      logger.info('memory evicted', {...eviction});
+    },
+    onCallbackError: onUnhandledError,
+  });
+
   const callers = await listen({
     ...hostAndPort(settings.listen),
     limits: settings.limits,
+    budget: memory,
+    onConnectionClosed: (connection) => {
+      logger.info('connection closed', {reason: 'limit', ...connection});
+    },
     handle: createCallersApi({
       incarnation,
       clock,
       logger,
       limits: settings.limits,
+      memory,
       head: () => feed.head,
       accountLimits: accounts.limits,
       router: new Router({
@@ -111,9 +126,14 @@
   const operators = await listen({
     ...hostAndPort(settings.operatorsListen),
     limits: settings.limits,
+    budget: memory,
+    onConnectionClosed: (connection) => {
+      logger.info('connection closed', {reason: 'limit', ...connection});
+    },
     handle: createOperatorsApi({
       operators: settings.operators,
       limits: settings.limits,
+      memory,
       ticketManager: createTicketManager({record, head: () => feed.head, clock}),
       status: (ticket) =>
         gatherStatus({
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -36,7 +36,16 @@
   sendJson,
   serverLimitsSchema,
 } from './httpServer.js';
-export {type BodyError, type BodyLimits, readBody} from './requestBody.js';
+export {
+  type BodyError,
+  type BodyLimits,
+  type BodyMemory,
+  type HeldBody,
+  endAfterRequest,
+  readBody,
+  readHeldBody,
+  readPinnedBody,
+} from './requestBody.js';
 export {
   type CallError,
   type ControlServer,
@@ -52,7 +61,6 @@
   type SendOutcome,
   createEndpointClient,
 } from './endpointClient.js';
-export {BufferBudget, type BufferShare} from './bufferBudget.js';
 export {
   type Eviction,
   type EvictionRule,
@@ -60,6 +68,9 @@
   type HolderOptions,
   type MemoryBudgetOptions,
   type MemoryHolder,
+  type BufferShare,
+  budgetOptions,
+  openResponseShare,
   holderKinds,
   MemoryBudget,
 } from './memoryBudget.js';
