Let large uploads wait for room instead of ending one another

Cause: a growing upload evicted larger ones that made progress. Reading and discarding the rest of refused uploads added to it. Change: a large upload may evict one that makes progress only if its own owner stays within its share and the other's exceeds it; else it waits, unread. After an early response, at most 256 KiB of the rest of a request are read.

--- a/packages/transport/src/memoryBudget.ts
+++ b/packages/transport/src/memoryBudget.ts
@@ -265,8 +265,8 @@
       // The small ones do not help a large one that lacks its own part of the budget.
       if (shortage.bytes <= 0 && this.#largePart(holder.bytes) === 0) continue;
       if (holder.progressAtMs <= stalledSinceMs) stalled.push(holder);
-      // Evicting one of equal size as well would let equal uploads end one another by turns.
-      else if (holder.bytes > bytes) larger.push(holder);
+      else if (holder.bytes > bytes && this.#mayTakeFrom(growing, bytes, holder.owner))
+        larger.push(holder);
       else continue;
       releasableBytes += holder.bytes;
       releasableLargeBytes += this.#largePart(holder.bytes);
@@ -276,6 +276,26 @@
     return this.#chooseVictims(growing, bytes, shortage, {stalled, larger});
   }
 
+  /**
+   * Whether a growing holder may evict larger ones of an owner that make progress. A large one has to wait unless its own
+   * owner stays within its share and the other one exceeds it: large uploads would end one another by turns otherwise,
+   * each after most of it has been read.
+   */
+  #mayTakeFrom(growing: HolderState, bytes: number, owner: OwnerUse): boolean {
+    if (this.#largePart(bytes) === 0) return true;
+    const shareBytes = this.#shareBytes;
+    return (
+      owner !== growing.owner &&
+      owner.bytes > shareBytes &&
+      growing.owner.bytes - growing.bytes + bytes <= shareBytes
+    );
+  }
+
+  /** Part of the budget for each owner that holds something. */
+  get #shareBytes(): number {
+    return this.#options.maxBytes / Math.max(1, this.#activeOwnerCount);
+  }
+
   #chooseVictims(
     growing: HolderState,
     bytes: number,
@@ -302,7 +322,7 @@
       if (isDone()) return victims;
       choose(holder, 'stalled');
     }
-    const shareBytes = this.#options.maxBytes / Math.max(1, this.#activeOwnerCount);
+    const shareBytes = this.#shareBytes;
     const remaining = new Set(larger.toSorted((a, b) => b.bytes - a.bytes));
     while (!isDone()) {
       const [largest] = remaining;
--- a/packages/transport/src/requestBody.ts
+++ b/packages/transport/src/requestBody.ts
@@ -51,6 +51,11 @@
 const MIN_KEPT_BYTES = 4096;
 /** A buffer is kept as it is if its memory is at most this many times the size of its bytes. */
 const MAX_WASTE_FACTOR = 1.25;
+/**
+ * Bytes of a request that are read and discarded after an early response. Without a limit, the buffers of many refused
+ * uploads occupy more memory than the budget until they are collected.
+ */
+const DISCARD_LIMIT_BYTES = 262_144;
 const EMPTY = Buffer.alloc(0);
 
 /** Reads the whole body; on an error the handler can still send a response. */
@@ -313,6 +318,7 @@
   }
 
   #releaseBytes(): void {
+    this.#heldBytes = 0;
     this.#blocks = [];
     this.#tail = EMPTY;
     this.#bytes = EMPTY;
@@ -387,5 +393,10 @@
   };
   request.once('end', stop);
   request.socket.once('close', stop);
+  let discardedBytes = 0;
+  request.on('data', (chunk: Buffer) => {
+    discardedBytes += chunk.length;
+    if (discardedBytes >= DISCARD_LIMIT_BYTES) request.pause();
+  });
   request.resume();
 }
