Share the event loop among chunked bodies

Cause: with 300 connections that send 180,000 chunks of one byte each, no ordinary request was answered within 5 s, during the attack or after it: each connection had 16 KiB of input parsed in each turn of the event loop, over a second for all of them. Heads and bodies of known length are not held up.

--- a/packages/transport/src/connectionGuard.ts
+++ b/packages/transport/src/connectionGuard.ts
@@ -5,6 +5,7 @@
 import {type Clock, systemClock} from '@marigoldfold/runtime';
 import {ConnectionLimit} from './connectionLimit.js';
 import {GuardedConnection, type CloseRule} from './guardedConnection.js';
+import {InputTurns} from './inputTurns.js';
 import type {MemoryBudget} from './memoryBudget.js';
 import {UnreadResponses} from './unreadResponses.js';
 
@@ -45,6 +46,7 @@
   readonly #connections = new WeakMap<Duplex, GuardedConnection>();
   readonly #limit: ConnectionLimit<GuardedConnection>;
   readonly #unread: UnreadResponses;
+  readonly #turns = new InputTurns();
 
   constructor(server: Server, options: ConnectionGuardOptions) {
     this.#options = options;
@@ -85,6 +87,7 @@
     holder?.pin();
     const connection: GuardedConnection = new GuardedConnection({
       socket,
+      turns: this.#turns,
       budget,
       onRequest,
       onBusy: () => {
--- a/packages/transport/src/guardedConnection.ts
+++ b/packages/transport/src/guardedConnection.ts
@@ -1,6 +1,7 @@
 /** One client connection, whose requests are handled one at a time. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {InputTurns} from './inputTurns.js';
 import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
 import {type InputSlice, MAX_TURN_BYTES, ReadGate} from './readGate.js';
 
@@ -21,6 +22,7 @@
 /** Dependencies of a {@link GuardedConnection}. */
 export interface GuardedConnectionOptions {
   readonly socket: Socket;
+  readonly turns: InputTurns;
   readonly budget: Pick<MemoryBudget, 'open'> | undefined;
   /** Called when the handling of a request may begin. */
   readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
@@ -41,7 +43,7 @@
 
 /** Input that is parsed at once where a request may end, in bytes; it holds at most 56 requests. */
 const HEAD_SLICE_BYTES = 1024;
-const HEAD_SLICE: InputSlice = {bytes: HEAD_SLICE_BYTES, isPlainBody: false};
+const HEAD_SLICE: InputSlice = {bytes: HEAD_SLICE_BYTES, kind: 'head'};
 /** The last chunk of a body has the size 0. */
 const LAST_CHUNK_START = '\n0';
 const ZERO = 0x30;
@@ -77,6 +79,7 @@
     this.#options = options;
     this.#gate = new ReadGate({
       socket: options.socket,
+      turns: options.turns,
       mayParse: () => this.#mayParse,
       chooseSlice: (input) => this.#chooseSlice(input),
       onSlice: (slice) => {
@@ -148,6 +151,7 @@
   /** Releases everything when the socket has closed. */
   [Symbol.dispose](): void {
     this.#isClosing = true;
+    this.#gate.close();
     this.#waiting.length = 0;
     this.#releaseHolder();
   }
@@ -161,13 +165,14 @@
   #chooseSlice(input: Buffer): InputSlice {
     if (this.#newest?.complete !== false) return HEAD_SLICE;
     if (this.#bodyBytesLeft > HEAD_SLICE_BYTES) {
-      return {bytes: this.#bodyBytesLeft, isPlainBody: true};
+      return {bytes: this.#bodyBytesLeft, kind: 'plainBody'};
     }
-    if (!Number.isNaN(this.#bodyBytesLeft) || this.#mayBeEnding) return HEAD_SLICE;
+    if (!Number.isNaN(this.#bodyBytesLeft)) return HEAD_SLICE;
+    if (this.#mayBeEnding) return {bytes: HEAD_SLICE_BYTES, kind: 'chunkedBody'};
     const window = input.subarray(0, MAX_TURN_BYTES);
-    if (!mayEndBody(window)) return {bytes: MAX_TURN_BYTES, isPlainBody: false};
+    if (!mayEndBody(window)) return {bytes: MAX_TURN_BYTES, kind: 'chunkedBody'};
     const bytes = Math.max(HEAD_SLICE_BYTES, window.indexOf(LAST_CHUNK_START));
-    return {bytes, isPlainBody: false};
+    return {bytes, kind: 'chunkedBody'};
   }
 
   #recordSlice(slice: Buffer): void {
--- a/packages/transport/src/readGate.ts
+++ b/packages/transport/src/readGate.ts
@@ -1,5 +1,6 @@
 /** Passes a connection's input on to the HTTP parser in slices, and keeps what may not be parsed yet. */
 import type {Socket} from 'node:net';
+import type {InputTurns} from './inputTurns.js';
 
 /** Input of a connection that is parsed in one turn of the event loop, beside plain bodies; in bytes. */
 export const MAX_TURN_BYTES = 16_384;
@@ -16,13 +17,15 @@
 /** How much input may be parsed at once. */
 export interface InputSlice {
   readonly bytes: number;
-  /** Whether it is part of a body of known length, which costs the parser nothing for each byte. */
-  readonly isPlainBody: boolean;
+  /** A body of known length costs the parser nothing for each byte, a chunked one may cost it much. */
+  readonly kind: 'head' | 'plainBody' | 'chunkedBody';
 }
 
 /** Socket and decisions of a {@link ReadGate}. */
 export interface ReadGateOptions {
   readonly socket: Socket;
+  /** Turns that the connections of a server share. */
+  readonly turns: InputTurns;
   /** Whether any input may be parsed now. */
   readonly mayParse: () => boolean;
   /** How much of the given input may be parsed at once, if any may be. */
@@ -44,8 +47,8 @@
   #isKeeping = false;
   /** Whether `http.Server` has paused the socket, as the reader of a body does not keep up; it resumes the socket. */
   #isPausedByServer = false;
-  /** Whether the rest of the input waits for the next turn of the event loop. */
-  #isTurnOver = false;
+  /** Set while the rest of the input waits for a later turn of the event loop. */
+  #turnWait: Disposable | undefined;
   #isClosed = false;
   /** Input that follows the slice that is being parsed. */
   #rest: Buffer | undefined;
@@ -69,7 +72,8 @@
 
   /** Continues with kept input, as far as it may be parsed now. */
   release(): void {
-    if (!this.#isKeeping || this.#isPausedByServer || this.#isTurnOver || this.#isClosed) return;
+    if (!this.#isKeeping || this.#isPausedByServer || this.#isClosed) return;
+    if (this.#turnWait !== undefined) return;
     if (!this.#options.mayParse()) return;
     this.#isKeeping = false;
     this.#options.socket.resume();
@@ -79,6 +83,7 @@
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
+    this.#endTurnWait();
     const {socket} = this.#options;
     socket.pause();
     while (socket.readableLength > 0 && socket.read() !== null);
@@ -88,6 +93,7 @@
   detach(): Buffer {
     const {socket} = this.#options;
     this.#isClosed = true;
+    this.#endTurnWait();
     socket.removeListener('data', this.#receive);
     socket.removeListener('pause', this.#stopHandle);
     socket.removeListener('resume', this.#startHandle);
@@ -98,7 +104,7 @@
     if (this.#isClosed) return;
     this.#isKeeping = false;
     this.#isPausedByServer = false;
-    const parsedBytes = this.#isTurnOver ? 0 : this.#parseSlices(chunk);
+    const parsedBytes = this.#turnWait === undefined ? this.#parseSlices(chunk) : 0;
     if (this.#hasEnded()) return;
     if (parsedBytes < chunk.length) this.#keep(chunk.subarray(parsedBytes));
     this.#options.onInput();
@@ -106,21 +112,25 @@
 
   /** Returns the number of bytes that were parsed. */
   #parseSlices(chunk: Buffer): number {
-    const {socket, mayParse, chooseSlice, onSlice} = this.#options;
+    const {socket, turns, mayParse, chooseSlice, onSlice} = this.#options;
     let rest: Buffer | undefined = chunk;
     let offset = 0;
     let bytesLeftInTurn = MAX_TURN_BYTES;
     while (rest !== undefined && mayParse()) {
-      const {bytes, isPlainBody} = chooseSlice(rest);
-      const limit = isPlainBody ? bytes : Math.min(bytes, bytesLeftInTurn);
-      if (limit === 0) break;
+      const {bytes, kind} = chooseSlice(rest);
+      const limit = kind === 'plainBody' ? bytes : Math.min(bytes, bytesLeftInTurn);
+      if (limit === 0 || (kind === 'chunkedBody' && !turns.hasTime)) break;
       const slice: Buffer = limit < rest.length ? rest.subarray(0, limit) : rest;
-      if (!isPlainBody) bytesLeftInTurn -= slice.length;
+      if (kind !== 'plainBody') bytesLeftInTurn -= slice.length;
       offset += slice.length;
       rest = limit < rest.length ? rest.subarray(limit) : undefined;
       this.#rest = rest;
       onSlice(slice);
-      this.#parse(slice);
+      if (kind === 'chunkedBody')
+        turns.run(() => {
+          this.#parse(slice);
+        });
+      else this.#parse(slice);
       this.#rest = undefined;
       if (this.#hasEnded()) break;
       if (socket.isPaused()) {
@@ -136,19 +146,23 @@
   }
 
   #keep(rest: Buffer): void {
-    const {socket, mayParse} = this.#options;
+    const {socket, turns, mayParse} = this.#options;
     const isWasteful = rest.length < rest.buffer.byteLength * MIN_USED_PART;
     socket.pause();
     socket.unshift(isWasteful ? Buffer.from(rest) : rest);
     this.#isKeeping = true;
-    if (this.#isTurnOver || this.#isPausedByServer || !mayParse()) return;
-    this.#isTurnOver = true;
-    setImmediate(() => {
-      this.#isTurnOver = false;
+    if (this.#turnWait !== undefined || this.#isPausedByServer || !mayParse()) return;
+    this.#turnWait = turns.wait(() => {
+      this.#turnWait = undefined;
       this.release();
     });
   }
 
+  #endTurnWait(): void {
+    this.#turnWait?.[Symbol.dispose]();
+    this.#turnWait = undefined;
+  }
+
   /**
    * A paused `net.Socket` goes on reading until its buffer is full. `reading` stays set, so that the stream does not start
    * the handle again to fill its buffer.
