Elect the holder of the duties by a leased key

Some calls to the platform's service are the duty of one instance at a time and carry a fencing token. LeaderLease acquires a leased key, derives the token from the revision of the write, and tells whether it may be used.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -73,6 +73,13 @@
   createMembership,
   computeListAgeLimitMs,
 } from './spread/membership.js';
+export {
+  LeaderLease,
+  type LeaderHold,
+  type LeaderLeaseOptions,
+  type LeaseHolder,
+  parseLeaseHolder,
+} from './duties/leaderLease.js';
 export type {PlacementRequest, PromptPart, PromptSize} from './forwarding/placementRequest.js';
 export {
   type DispatchOutcome,
