--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -144,7 +144,7 @@
   /** Sends what cannot wait for a batch to one peer. */
   sendTo(
     peer: string,
-    update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits' | 'configuration'>>,
+    update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits' | 'configuration' | 'usage'>>,
   ): void {
     const address = this.#peers.get(peer);
     if (address === undefined || this.#isClosed) return;
@@ -255,6 +255,7 @@
       limits: takeHalf(lists.limits),
       permitRequests: takeHalf(lists.permitRequests),
       permits: takeHalf(lists.permits),
+      usage: takeHalf(lists.usage),
     };
   });
   return halves.flatMap(splitUpdate);
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -1,5 +1,6 @@
 /** JSON-RPC notification by which instances report their requests at shared endpoints to each other. */
 import {z} from 'zod';
+import {usageStatementSchema} from '../duties/usageStatement.js';
 import {limitMessageSchema} from './endpointLimit.js';
 
 /** JSON-RPC method name of a peer update. */
@@ -65,6 +66,8 @@
   permitRequests: z.array(permitRequestSchema).default([]),
   /** Responses to permit requests. */
   permits: z.array(permitSchema).default([]),
+  /** Request counts for the usage reports. */
+  usage: z.array(usageStatementSchema).readonly().default([]),
 });
 
 /** A request for a permit as instances send it to each other. */
@@ -89,5 +92,6 @@
     limits: [],
     permitRequests: [],
     permits: [],
+    usage: [],
   };
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -99,3 +99,7 @@
   WindowedRetryBudget,
   type WindowedRetryBudgetBounds,
 } from './forwarding/windowedRetryBudget.js';
+export {UsageCounter, type UsageCounts} from './duties/usageCounter.js';
+export {UsageDuty, type UsageDutyOptions} from './duties/usageDuty.js';
+export type {DutyHold, ReportOutcome, ReportTotals, UsageReport} from './duties/usageReporter.js';
+export type {UsageStatement} from './duties/usageStatement.js';
