Report usage windows from the forwarding router

Usage is to be reported by one instance at a time. The router now builds the lease of the duties and the usage duty where its options have them, passes on their records of the store and their messages, and counts each request of an account once, when its response begins at any attempt. A planned stop gives the lease up at its beginning and sends the last counts before the socket is closed. Without the options nothing of this exists; the usage field of the messages between instances is absent then.

The rig of the tests gives each instance its own random numbers, as instances are told apart by them.

--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -235,7 +235,7 @@
 
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {from, configuration, ...lists} = update;
+  const {from, configuration, usage, ...lists} = update;
   const count = Object.values(lists).reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
@@ -246,6 +246,7 @@
     return {
       from,
       ...(configuration === undefined ? {} : {configuration}),
+      ...(usage === undefined ? {} : {usage}),
       sent: takeHalf(lists.sent),
       begun: takeHalf(lists.begun),
       ended: takeHalf(lists.ended),
@@ -255,7 +256,6 @@
       limits: takeHalf(lists.limits),
       permitRequests: takeHalf(lists.permitRequests),
       permits: takeHalf(lists.permits),
-      usage: takeHalf(lists.usage),
     };
   });
   return halves.flatMap(splitUpdate);
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -66,8 +66,8 @@
   permitRequests: z.array(permitRequestSchema).default([]),
   /** Responses to permit requests. */
   permits: z.array(permitSchema).default([]),
-  /** Request counts for the usage reports. */
-  usage: z.array(usageStatementSchema).readonly().default([]),
+  /** Request counts for the usage reports; absent where there are none. */
+  usage: z.array(usageStatementSchema).readonly().optional(),
 });
 
 /** A request for a permit as instances send it to each other. */
@@ -92,6 +92,5 @@
     limits: [],
     permitRequests: [],
     permits: [],
-    usage: [],
   };
 }
--- a/packages/entry/src/forwarding/__fixtures__/forwardFleet.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardFleet.ts
@@ -1,6 +1,11 @@
 /** Runs several routers that share a clock, a store and their endpoints. */
 import {createSocket} from 'node:dgram';
-import {type ClientResult, createRoutingConfiguration, ForwardRig} from './forwardRig.js';
+import {
+  type ClientResult,
+  createRoutingConfiguration,
+  ForwardRig,
+  type RigOptions,
+} from './forwardRig.js';
 import type {RoutingConfiguration} from '@marigoldfold/state';
 
 /** Returns a free UDP port of the loopback interface. */
@@ -26,14 +31,22 @@
   }
 
   /** Creates routers named `front-1` and so on, without starting them. */
-  static async create(count: number): Promise<ForwardFleet> {
+  static async create(
+    count: number,
+    options: Pick<RigOptions, 'duties'> = {},
+  ): Promise<ForwardFleet> {
     const rigs: ForwardRig[] = [];
     for (let number = 1; number <= count; number += 1) {
       const peerAddress = `127.0.0.1:${await findFreePort()}`;
       const [sharedWith] = rigs;
       const name = `front-${number}`;
       rigs.push(
-        new ForwardRig({name, peerAddress, ...(sharedWith === undefined ? {} : {sharedWith})}),
+        new ForwardRig({
+          ...options,
+          name,
+          peerAddress,
+          ...(sharedWith === undefined ? {} : {sharedWith}),
+        }),
       );
     }
     return new ForwardFleet(rigs);
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -21,6 +21,7 @@
 import {err, ok} from 'neverthrow';
 import type {MetadataCodec} from '../metadataCodec.js';
 import {ForwardProcess} from '../forwardProcess.js';
+import type {ForwardDutyOptions} from '../forwardDuties.js';
 import type {ProcessLimits} from '../forwardMemory.js';
 import type {ForwardBounds} from '../forwardSource.js';
 
@@ -153,6 +154,7 @@
   /** `host:port` for reports from other instances; the port has to be free. */
   readonly peerAddress?: string;
   readonly processLimits?: ProcessLimits;
+  readonly duties?: ForwardDutyOptions;
   /** Rig whose clock and store this one shares. */
   readonly sharedWith?: ForwardRig;
 }
@@ -179,6 +181,7 @@
     peerAddress = '127.0.0.1:0',
     // The smallest budget, 16 MiB.
     processLimits = {memoryBytes: 100_000_000, maxDescriptors: 4096},
+    duties,
     sharedWith,
   }: RigOptions = {}) {
     this.clock = sharedWith?.clock ?? new VirtualClock(1000);
@@ -191,7 +194,7 @@
     this.process = new ForwardProcess({
       clock: this.clock,
       wallTimeMs: () => this.clock.now() + this.suspendedMs,
-      random: seededRandom(1),
+      random: seededRandom(Number(/\d+$/.exec(name)?.[0] ?? 1)),
       logger: {...silentLogger, debug: log, info: log, warn: log, error: log},
       codec: testCodec,
       source: {
@@ -216,6 +219,7 @@
       metricsPath: '/metrics',
       bounds,
       processLimits,
+      ...(duties === undefined ? {} : {duties}),
     });
   }
 
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -46,6 +46,11 @@
   readonly controller: AbortController;
   /** Called before the attempt continues the response; aborts any other attempt of the request. */
   readonly claim: () => void;
+  /**
+   * Called when the response begins: with the first event of a stream, or the head of another response of an endpoint
+   * that executed the request or failed to. Undefined if that is not counted; otherwise it may be called repeatedly.
+   */
+  readonly onBegun: (() => void) | undefined;
   /** Called when a resumable stream is silent for so long that another endpoint should be asked as well. */
   readonly onSilent: (isReachable: boolean) => void;
 }
@@ -90,6 +95,8 @@
 const FIRST_SERVER_ERROR = 500;
 /** Statuses from which a client concludes that its request was not executed. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Statuses with which an endpoint reports that a request failed or did not end in time. */
+const endpointFailures: ReadonlySet<number> = new Set([500, 504]);
 const SUCCESS_STATUS_CLASS = 2;
 
 /** Sends a request to an endpoint and relays its response to the client. */
@@ -190,6 +197,7 @@
       this.#isResumed = true;
     }
     if (isSuccess && route.kind === 'stream') return this.#relayStream(response);
+    if (isEndpointsOwn(status, metadata, placementRequest.id)) this.#request.onBegun?.();
     return this.#relayBuffered(response, status);
   }
 
@@ -250,6 +258,7 @@
     const isComplete = await forEachChunk(response, async (chunk) => {
       this.#options.eventLoop.recordInput();
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
+      if (boundary !== undefined) this.#request.onBegun?.();
       writer.sendHead(response.message);
       boundary?.push(chunk);
       await writer.write(chunk, controller.signal);
@@ -322,6 +331,7 @@
     if (!event.isComment) {
       claim();
       this.#hasNewEvent = true;
+      this.#request.onBegun?.();
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
     }
     writer.sendHead(response);
@@ -356,6 +366,11 @@
   return statusCode === NO_CONTENT || headers['content-length'] === '0';
 }
 
+/** Whether a response is certainly an endpoint's own; its failures may lack the request's ID and the signature. */
+function isEndpointsOwn(status: number, metadata: ResponseMetadata, id: string): boolean {
+  return metadata.isSigned || metadata.requestId === id || endpointFailures.has(status);
+}
+
 /** Reason not to accept a response, or undefined when it is valid. */
 function findResponseFault(
   status: number,
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -79,6 +79,8 @@
   readonly events = new EventSequence();
   /** Why no endpoint could be had. */
   noEndpointReason = 'no_endpoint';
+  /** Whether the response has begun, at any attempt. */
+  #hasBegun = false;
 
   constructor(context: AttemptContext) {
     this.#context = context;
@@ -185,6 +187,7 @@
       claim: () => {
         this.#race.claim(controller);
       },
+      onBegun: this.#begunListener(account),
       onSilent: (isReachable) => {
         this.#log('stream silent', {endpoint: endpoint.record.id, isReachable});
         const silent = {endpoint, controller, isReachable};
@@ -206,6 +209,17 @@
     return isReplaced ? replacement : outcome;
   }
 
+  /** Counts the request for its account once, whichever attempt begins the response. */
+  #begunListener(account: RoutedAccount | undefined): (() => void) | undefined {
+    const {recordBegun} = this.#context.options;
+    if (recordBegun === undefined || account === undefined) return undefined;
+    return () => {
+      if (this.#hasBegun) return;
+      this.#hasBegun = true;
+      recordBegun(account.name);
+    };
+  }
+
   /**
    * Asks another endpoint to continue a silent stream while the first attempt goes on; whichever sends the next event
    * continues the stream.
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -36,6 +36,8 @@
   readonly memory: MemoryBudget;
   readonly plannedStop: PlannedStop;
   readonly metrics: ForwardMetrics;
+  /** Counts a request of an account that has begun to run; undefined where nothing is counted. */
+  readonly recordBegun: ((account: string) => void) | undefined;
   readonly configurationState: () => ConfigurationState;
   readonly configurationAgeLimits: () => ConfigurationAgeLimits;
 }
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -31,6 +31,7 @@
 import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
 import {createForwardMemory, maxClientConnections} from './forwardMemory.js';
+import {ForwardDuties} from './forwardDuties.js';
 import {ForwardMetrics} from './forwardMetrics.js';
 import type {ForwardProcessOptions} from './forwardProcessOptions.js';
 import {ForwardServer} from './forwardServer.js';
@@ -64,6 +65,8 @@
   readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
   #mirror: RangeMirror | undefined;
+  /** Undefined before the start, and where there are no duties. */
+  #duties: ForwardDuties | undefined;
   readonly #configuration: ConfigurationHolder;
   readonly #plannedStop = new PlannedStop();
   /** Aborted when the process stops, which also ends the wait for addresses that are taken. */
@@ -115,6 +118,7 @@
           }
           placement.applyPeerUpdate(update);
           this.#permits.receive(update);
+          this.#duties?.receive(update);
           const {configuration} = update;
           if (
             configuration !== undefined &&
@@ -215,6 +219,7 @@
       plannedStop: this.#plannedStop,
       retryBudget: this.#retryBudget,
       metrics: this.#metrics,
+      recordBegun: options.duties && ((account: string) => this.#duties?.recordBegun(account)),
       configurationState: () => this.#configuration.state,
       configurationAgeLimits: () => this.#configurationAgeLimits(),
     };
@@ -291,11 +296,13 @@
   /** Shuts down gracefully within the stop bound; requests in flight at its end get a failure or an incomplete stream. */
   async stop(): Promise<void> {
     this.#isStopping = true;
+    this.#duties?.release();
     this.#startController.abort();
     const limitMs = this.#bounds.stopMs - STOP_RESERVE_MS;
     this.#plannedStop.endsAtMs = this.#options.clock.now() + limitMs;
     if (await this.#listening)
       await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
+    await this.#duties?.leave();
     for (const server of this.#statusServers) {
       server.closeAllConnections();
       server.close();
@@ -304,9 +311,15 @@
   }
 
   #watchStore(): void {
-    const {clock, wallTimeMs, random, logger, source, name, peerAddress} = this.#options;
+    const {clock, wallTimeMs, random, logger, source, name, peerAddress, duties} = this.#options;
     const {prefix, peersPrefix, quarantinePrefix} = source;
     const store = instrumentKeyValue(source.store, this.#metrics.storeCalls);
+    if (duties !== undefined) {
+      const context = {clock, wallTimeMs, random, logger, store, self: name, peers: this.#peers};
+      this.#duties = this.#disposables.add(
+        new ForwardDuties(duties, context, this.#metricsRegistry),
+      );
+    }
     this.#mirror = this.#disposables.add(
       new RangeMirror({
         clock,
@@ -319,6 +332,7 @@
         onChange: (changes, origin) => {
           this.#applyChanges(changes, origin);
         },
+        onConfirmed: () => this.#duties?.confirmCopy(),
         onReconnected: () => {
           this.#registry.startGracePeriod();
         },
@@ -345,6 +359,7 @@
     for (const change of changes) {
       if (change.key === this.#options.source.configurationKey) this.#configuration.apply(change);
       else this.#records.apply(change, origin);
+      this.#duties?.observe(change);
     }
     this.#retryBudget.recordProcessCount(this.#peers.size + 1);
     this.#permits.updateMembers();
--- a/packages/entry/src/forwarding/forwardProcessOptions.ts
+++ b/packages/entry/src/forwarding/forwardProcessOptions.ts
@@ -1,5 +1,6 @@
 /** Dependencies and settings of a router process. */
 import type {Clock, Logger, Random} from '@marigoldfold/runtime';
+import type {ForwardDutyOptions} from './forwardDuties.js';
 import type {ProcessLimits} from './forwardMemory.js';
 import type {ForwardBounds, ForwardSource} from './forwardSource.js';
 import type {MetadataCodec} from './metadataCodec.js';
@@ -27,4 +28,6 @@
   readonly metricsPath: string;
   readonly bounds: ForwardBounds;
   readonly processLimits: ProcessLimits;
+  /** Duties that one instance at a time carries out; without them, nothing of them runs. */
+  readonly duties?: ForwardDutyOptions;
 }
--- a/packages/entry/src/forwarding/index.ts
+++ b/packages/entry/src/forwarding/index.ts
@@ -16,6 +16,7 @@
 export {ForwardMetrics} from './forwardMetrics.js';
 export type {ForwardOptions} from './forwardOptions.js';
 export {ForwardServer, type StopTimeouts} from './forwardServer.js';
+export type {ForwardDutyOptions} from './forwardDuties.js';
 export {ForwardProcess} from './forwardProcess.js';
 export type {ForwardProcessOptions} from './forwardProcessOptions.js';
 export type {ProcessLimits} from './forwardMemory.js';
