--- a/packages/entry/src/forwarding/__tests__/duties.test.ts
+++ b/packages/entry/src/forwarding/__tests__/duties.test.ts
@@ -5,7 +5,7 @@
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {respondOk} from '../__fixtures__/endpointScripts.js';
 import {ForwardFleet} from '../__fixtures__/forwardFleet.js';
-import {ForwardRig} from '../__fixtures__/forwardRig.js';
+import {type ForwardRig, waitUntil} from '../__fixtures__/forwardRig.js';
 
 const WINDOW_MS = 5000;
 const calls: UsageReport[] = [];
@@ -88,6 +88,28 @@
   expect(new Set(calls.map(({token}) => token)).size).toBe(2);
 });
 
+// Guards against counts that are lost as they are too late for the last regular message of an instance that stops.
+test('a request that begins at the end of a planned stop is reported', async () => {
+  fleet = await ForwardFleet.create(2, {duties});
+  let respond: (() => void) | undefined;
+  await fleet.first.addEndpoint('e1', (response, received) => {
+    respond = () => void respondOk(response, received);
+  });
+  await fleet.start();
+  await advanceTo(2.5 * WINDOW_MS);
+  const holder = await findHolder();
+  const other = fleet.rigs.find((rig) => rig !== holder);
+  const result = other?.sendRequest();
+  await waitUntil(() => respond !== undefined);
+  const stopped = other?.process.stop();
+  await advanceTo(2.5 * WINDOW_MS + 4000);
+  respond?.();
+  expect((await result)?.status).toBe(200);
+  await advanceTo(5 * WINDOW_MS);
+  await stopped;
+  expect(calls.find(({window}) => window === 3)?.counts).toEqual({'account-1': 1});
+});
+
 /** Runs a router beside a peer; returns its calls of the store, its messages to the peer and the timers of duties. */
 async function observeRouter(options: {readonly duties?: typeof duties}) {
   fleet = await ForwardFleet.create(1, options);
