--- a/packages/entry/src/forwarding/__tests__/begunRequests.test.ts
+++ b/packages/entry/src/forwarding/__tests__/begunRequests.test.ts
@@ -47,6 +47,7 @@
   'lost, then served': ['/plain/', inSequence(closeWithoutResponse, respondOk), 1],
   lost: ['/plain/', closeWithoutResponse, 0],
   unsigned: ['/plain/', (response) => response.writeHead(200).end('text'), 0],
+  'not found, unsigned': ['/plain/', (response) => response.writeHead(404).end('text'), 0],
   'not executed': ['/plain/', respondWith(503, {'x-not-executed': 'yes'}), 0],
   'not executed stream': ['/stream/', respondWith(429, {'x-not-executed': 'yes'}), 0],
   stream: ['/stream/', respondWithEvents(events(1, 3)), 1],
