Test the usage reports, and mend what the tests found

Change: relayed statements only add; silent instances are waited for until 1 s after the end of a window; windows in the record are stated with a digest, so that a restore cannot lead to a second report; instances with an outdated copy of the store also send to the one that states that it is the holder.

--- a/packages/coordination/src/duties/fleetTime.ts
+++ b/packages/coordination/src/duties/fleetTime.ts
@@ -19,14 +19,16 @@
 
 /** A step of the wall clock is followed after this time, if no peer contradicts it. */
 const FOLLOW_AFTER_MS = 60_000;
-/** Smaller differences are within the delay of messages, and are not corrected. */
-const MIN_CORRECTION_MS = 50;
+/** Smaller differences may be the delay of messages in a busy process; they are not corrected. */
+const MIN_CORRECTION_MS = 100;
 /** Statements older than this are not used; instances send at least two per second. */
 const STATEMENT_LIFE_MS = 5000;
 /** With fewer clocks, a median cannot tell which one is wrong. */
 const MIN_CLOCKS = 3;
 /** Statements kept of each peer. A delayed message makes its sender seem slow, so that the largest difference counts. */
-const KEPT_STATEMENTS = 3;
+const KEPT_STATEMENTS = 8;
+/** A peer that seems slower by less than this is not believed before that many statements. */
+const MAX_DELAY_MS = 500;
 
 interface Differences {
   /** Stated times less this instance's own estimate on arrival, in milliseconds, oldest first. */
@@ -64,21 +66,20 @@
 
   /** What this instance states to others now. */
   get statement(): TimeStatement {
-    const hasAgreed = this.#fresh(this.#own).length + 1 >= MIN_CLOCKS;
-    return {ownMs: this.#ownMs, ...(hasAgreed ? {agreedMs: this.nowMs} : {})};
+    return {ownMs: this.#ownMs, ...(this.#hasMedian ? {agreedMs: this.nowMs} : {})};
   }
 
   /** Records what a peer stated in a message that has just arrived. */
   observe(peer: string, {ownMs, agreedMs}: TimeStatement): void {
     this.#record(this.#own, peer, ownMs);
     if (agreedMs !== undefined) this.#record(this.#agreed, peer, agreedMs);
-    const differences = this.#fresh(this.#own).map(({valuesMs}) => Math.max(...valuesMs));
-    if (differences.length + 1 >= MIN_CLOCKS) {
+    if (this.#hasMedian) {
+      const differences = this.#fresh(this.#own).map(estimateDifference);
       this.#correctionMs = median([0, ...differences]);
       return;
     }
     const newest = this.#fresh(this.#agreed).sort((a, b) => b.atMs - a.atMs)[0];
-    if (newest !== undefined) this.#correctionMs = Math.max(...newest.valuesMs);
+    if (newest !== undefined) this.#correctionMs = estimateDifference(newest);
   }
 
   /** Compares the own estimate with the wall clock; to be called several times per second. */
@@ -92,14 +93,18 @@
     this.#differsSinceMs ??= now;
     if (now - this.#differsSinceMs < FOLLOW_AFTER_MS) return;
     this.#differsSinceMs = undefined;
-    // Peers that state their time decide; the corrected time does not change then.
-    const hasPeers = this.#fresh(this.#own).length + this.#fresh(this.#agreed).length > 0;
-    this.#correctionMs = hasPeers ? this.#correctionMs - differenceMs : 0;
+    // What enough clocks agree on goes before the wall clock; the corrected time does not change then.
+    const isAgreed = this.#hasMedian || this.#fresh(this.#agreed).length > 0;
+    this.#correctionMs = isAgreed ? this.#correctionMs - differenceMs : 0;
     this.#offsetMs += differenceMs;
     this.#own.clear();
     this.#agreed.clear();
   }
 
+  get #hasMedian(): boolean {
+    return this.#fresh(this.#own).length + 1 >= MIN_CLOCKS;
+  }
+
   get #ownMs(): number {
     return this.#options.clock.now() + this.#offsetMs;
   }
@@ -121,6 +126,12 @@
   }
 }
 
+function estimateDifference({valuesMs}: Differences): number {
+  const differenceMs = Math.max(...valuesMs);
+  const mayBeDelay = differenceMs < 0 && differenceMs > -MAX_DELAY_MS;
+  return mayBeDelay && valuesMs.length < KEPT_STATEMENTS ? 0 : differenceMs;
+}
+
 function median(values: readonly number[]): number {
   const sorted = values.toSorted((a, b) => a - b);
   const middle = sorted.length / 2;
--- a/packages/coordination/src/duties/usageCollector.ts
+++ b/packages/coordination/src/duties/usageCollector.ts
@@ -19,15 +19,19 @@
   readonly peers: () => readonly string[];
   readonly holderName: () => string | undefined;
   readonly send: (peer: string, update: {readonly usage: readonly UsageStatement[]}) => void;
-  /** Windows that this instance knows to be in the record. */
-  readonly recorded: () => Iterable<number>;
+  /** Windows that this instance has seen in the record, each with a digest of its counts. */
+  readonly recorded: () => ReadonlyMap<number, number>;
 }
 
 /** Time after its end until the counts of a window are final: clocks may differ by some of it. */
 export const FINAL_DELAY_MS = 300;
 const SEND_INTERVAL_MS = 500;
-/** An instance that was silent for this long, four intervals, does not delay a report. */
+/** Interval while the last window is final and not recorded: a report waits for what was lost. */
+const FINAL_INTERVAL_MS = 250;
+/** An instance that was silent for this long, at least four intervals, does not delay a report. */
 const SILENCE_MS = 2000;
+/** Time after the end of a window in which a silent instance is waited for, as short outages may end. */
+const SILENT_GRACE_MS = 1000;
 /** Instances that get all counts besides the holder, so that its counts and those of killed instances survive it. */
 const DEPUTIES = 2;
 
@@ -37,6 +41,8 @@
   readonly lifetime: string;
   since: number;
   finalThrough: number;
+  /** Whether the process itself has stated it; others may do so before. */
+  isHeard: boolean;
   readonly windows: Map<number, WindowTally>;
   changedAtMs: number;
 }
@@ -51,11 +57,16 @@
   readonly #options: UsageCollectorOptions;
   /** By instance and lifetime. */
   readonly #tallies = new Map<string, Tally>();
-  /** Lifetime that last sent a first message, by instance. */
+  /** The lifetime that was heard for the first time last, by instance. */
   readonly #currentLifetimes = new Map<string, string>();
   /** When an instance was last heard, or when this instance learned of it. */
   readonly #heardAtMs = new Map<string, number>();
-  readonly #recordedElsewhere = new Set<number>();
+  /** Digests of the counts of windows that other instances have seen in the record. */
+  readonly #recordedElsewhere = new Map<number, Set<number>>();
+  /** When each instance last stated that it holds the duty. */
+  readonly #claimedAtMs = new Map<string, number>();
+  #isHolder = false;
+  #holderSinceMs = Number.NEGATIVE_INFINITY;
   #sentAtMs = Number.NEGATIVE_INFINITY;
   #sentFinalThrough = Number.NEGATIVE_INFINITY;
   #hasLeft = false;
@@ -73,42 +84,53 @@
       if (statement.instance === self && statement.lifetime === lifetime) continue;
       if (statement.instance === from) {
         if (statement.time !== undefined) time.observe(from, statement.time);
-        if (!this.#tallies.has(keyOf(statement)))
+        if (statement.isHolder) this.#claimedAtMs.set(from, this.#options.clock.now());
+        if (this.#tallies.get(keyOf(statement))?.isHeard !== true)
           this.#currentLifetimes.set(from, statement.lifetime);
       }
-      this.#merge(statement);
+      this.#merge(statement, statement.instance === from);
+      for (const [window, digest] of statement.recorded) {
+        if (!this.#isKept(window)) continue;
+        const digests = this.#recordedElsewhere.get(window) ?? new Set();
+        this.#recordedElsewhere.set(window, digests.add(digest));
+      }
     }
   }
 
   /** Sends the counts if it is time to; to be called several times per second. */
   tick(): void {
-    const {clock, peers} = this.#options;
+    const {clock, self, peers, holderName, recorded} = this.#options;
+    const isHolder = holderName() === self;
+    if (isHolder && !this.#isHolder) this.#holderSinceMs = clock.now();
+    this.#isHolder = isHolder;
     this.#prune();
-    this.#merge(this.#ownStatement());
+    this.#merge(this.#ownStatement(), true);
     for (const peer of peers())
       if (!this.#heardAtMs.has(peer)) this.#heardAtMs.set(peer, clock.now());
-    const isDue = clock.now() - this.#sentAtMs >= SEND_INTERVAL_MS;
+    const isRecorded = recorded().has(this.#finalThrough);
+    const intervalMs = isRecorded ? SEND_INTERVAL_MS : FINAL_INTERVAL_MS;
+    const isDue = clock.now() - this.#sentAtMs >= intervalMs;
     if (isDue || this.#finalThrough > this.#sentFinalThrough) this.sendNow();
   }
 
   /** Sends the counts without waiting for the next interval. */
   sendNow(): void {
-    const {clock, self, lifetime, peers, holderName} = this.#options;
+    const {clock, lifetime, peers} = this.#options;
     this.#sentAtMs = clock.now();
     this.#sentFinalThrough = this.#finalThrough;
     const own = this.#ownStatement();
-    const holder = holderName();
-    const deputies = this.#deputies(holder);
+    const holders = this.#holders();
+    const recipients = [...holders, ...this.#deputies()];
     for (const peer of peers()) {
-      if (peer === self) continue;
-      if (peer === holder || deputies.includes(peer)) this.#send(peer, own);
+      if (recipients.includes(peer)) this.#send(peer, own);
       // The holder tells all instances the time and what is recorded.
-      else if (holder === self) this.#send(peer, {...own, windows: []});
+      else if (own.isHolder) this.#send(peer, {...own, windows: []});
+    }
+    for (const tally of this.#tallies.values()) {
+      if (tally.windows.size === 0 || tally.lifetime === lifetime) continue;
+      if (!this.#isGone(tally.instance)) continue;
+      for (const holder of holders) this.#send(holder, this.#statementOf(tally));
     }
-    if (holder === undefined || holder === self) return;
-    for (const tally of this.#tallies.values())
-      if (tally.windows.size > 0 && tally.lifetime !== lifetime && this.#isGone(tally.instance))
-        this.#send(holder, this.#statementOf(tally));
   }
 
   /** Sends the counts for the last time, all of them final. */
@@ -125,17 +147,18 @@
     return first;
   }
 
-  /** Whether another instance knows the window to be recorded. */
-  isRecordedElsewhere(window: number): boolean {
-    return this.#recordedElsewhere.has(window);
+  /** Digests of the counts that other instances have seen recorded for a window. */
+  recordedElsewhere(window: number): ReadonlySet<number> {
+    return this.#recordedElsewhere.get(window) ?? new Set();
   }
 
   /** Names of the instances whose final counts of a window are missing. */
   missing(window: number): readonly string[] {
-    const {self, peers} = this.#options;
+    const {self, peers, time, windowMs} = this.#options;
+    const isGraceOver = time.nowMs >= (window + 1) * windowMs + SILENT_GRACE_MS;
     const names = new Set([...peers(), ...this.#currentLifetimes.keys()]);
     return [...names].filter((name) => {
-      if (name === self || this.#isSilent(name)) return false;
+      if (name === self || (isGraceOver && this.#isSilent(name))) return false;
       const tally = this.#tallies.get(keyOf({instance: name, lifetime: this.#lifetimeOf(name)}));
       return tally === undefined || !isFinal(tally, window);
     });
@@ -143,7 +166,7 @@
 
   /** Sums of all instances in a window, in the order of the accounts' names. */
   counts(window: number): UsageCounts {
-    this.#merge(this.#ownStatement());
+    this.#merge(this.#ownStatement(), true);
     const sums = new Map<string, number>();
     for (const {windows} of this.#tallies.values())
       for (const [account, count] of windows.get(window)?.counts ?? [])
@@ -158,13 +181,17 @@
   }
 
   #ownStatement(): UsageStatement {
-    const {counter, self, lifetime, time} = this.#options;
+    const {counter, self, lifetime, time, holderName} = this.#options;
     const recorded = this.#recordedWindows();
-    const windows = [...counter.windows].filter(([window]) => !recorded.includes(window));
+    const isRecorded = new Set(recorded.map(([window]) => window));
+    const windows = [...counter.windows].filter(
+      ([window]) => !isRecorded.has(window) && this.#isKept(window),
+    );
     return {
       instance: self,
       lifetime,
       time: time.statement,
+      isHolder: holderName() === self,
       since: counter.firstWindow,
       finalThrough: this.#finalThrough,
       recorded,
@@ -181,37 +208,45 @@
       ],
     );
     const recorded = this.#recordedWindows();
-    return {instance, lifetime, since, finalThrough, recorded, windows: listed};
+    const isHolder = false;
+    return {instance, lifetime, isHolder, since, finalThrough, recorded, windows: listed};
   }
 
-  #recordedWindows(): readonly number[] {
-    const known = new Set([...this.#options.recorded(), ...this.#recordedElsewhere]);
-    return [...known].filter((window) => this.#isKept(window));
+  /** What this instance has seen itself, and what others state. */
+  #recordedWindows(): UsageStatement['recorded'] {
+    const recorded = [...this.#options.recorded()];
+    for (const [window, digests] of this.#recordedElsewhere)
+      for (const digest of digests)
+        if (this.#options.recorded().get(window) !== digest) recorded.push([window, digest]);
+    return recorded.filter(([window]) => this.#isKept(window));
   }
 
   #send(peer: string, statement: UsageStatement): void {
     for (const part of splitStatement(statement)) this.#options.send(peer, {usage: [part]});
   }
 
-  #merge(statement: UsageStatement): void {
+  /** Adds a statement; `isOwn` if it comes from the instance that has counted, so that it is not outdated. */
+  #merge(statement: UsageStatement, isOwn: boolean): void {
     const {clock} = this.#options;
-    const {instance, lifetime, since, finalThrough, recorded, windows} = statement;
+    const {instance, lifetime, since, finalThrough, windows} = statement;
     const key = keyOf(statement);
     const tally = this.#tallies.get(key) ?? {
       instance,
       lifetime,
       since,
       finalThrough,
+      isHeard: false,
       windows: new Map<number, WindowTally>(),
       changedAtMs: 0,
     };
     this.#tallies.set(key, tally);
-    tally.since = since;
-    tally.finalThrough = Math.max(tally.finalThrough, finalThrough);
+    if (isOwn) {
+      // Not the maximum: an instance whose clock was ahead states a lower window once it is corrected.
+      tally.since = since;
+      tally.finalThrough = finalThrough;
+      tally.isHeard = true;
+    }
     tally.changedAtMs = clock.now();
-    for (const window of recorded)
-      if (this.#isKept(window) && instance !== this.#options.self)
-        this.#recordedElsewhere.add(window);
     for (const [window, total, counts] of windows) {
       if (!this.#isKept(window)) continue;
       const kept = tally.windows.get(window) ?? {total, counts: new Map<string, number>()};
@@ -230,19 +265,20 @@
 
   #prune(): void {
     const {clock, windowMs, keptWindows, peers} = this.#options;
-    const recorded = new Set(this.#options.recorded());
+    const recorded = this.#options.recorded();
     const oldestMs = clock.now() - keptWindows * windowMs;
     for (const [key, {windows, changedAtMs}] of this.#tallies) {
       for (const window of windows.keys())
         if (!this.#isKept(window) || recorded.has(window)) windows.delete(window);
       if (changedAtMs < oldestMs) this.#tallies.delete(key);
     }
-    for (const window of this.#recordedElsewhere)
+    for (const window of this.#recordedElsewhere.keys())
       if (!this.#isKept(window)) this.#recordedElsewhere.delete(window);
     const registered = new Set(peers());
     for (const [name, heardAtMs] of this.#heardAtMs) {
       if (registered.has(name) || heardAtMs >= oldestMs) continue;
       this.#heardAtMs.delete(name);
+      this.#claimedAtMs.delete(name);
       this.#currentLifetimes.delete(name);
     }
   }
@@ -252,8 +288,10 @@
   }
 
   #isSilent(name: string): boolean {
-    const heardAtMs = this.#heardAtMs.get(name) ?? this.#options.clock.now();
-    return this.#options.clock.now() - heardAtMs >= SILENCE_MS;
+    const now = this.#options.clock.now();
+    // Instances that are not deputies begin to send to this one when it becomes the holder.
+    const heardAtMs = Math.max(this.#heardAtMs.get(name) ?? now, this.#holderSinceMs);
+    return now - heardAtMs >= SILENCE_MS;
   }
 
   /** Whether an instance cannot be expected to send its counts itself. */
@@ -262,9 +300,18 @@
     return this.#isSilent(name) || !this.#options.peers().includes(name);
   }
 
-  #deputies(holder: string | undefined): readonly string[] {
-    const {self, peers} = this.#options;
-    const names = [...new Set([...peers(), self])].filter((name) => name !== holder);
+  /** Other instances that hold the duty, according to the copy of the store, which may be outdated, or to themselves. */
+  #holders(): readonly string[] {
+    const {clock, self, holderName} = this.#options;
+    const oldestMs = clock.now() - SILENCE_MS;
+    const claiming = [...this.#claimedAtMs].filter(([, atMs]) => atMs >= oldestMs);
+    const names = new Set([holderName(), ...claiming.map(([name]) => name)]);
+    return [...names].filter((name): name is string => name !== undefined && name !== self);
+  }
+
+  #deputies(): readonly string[] {
+    const {self, peers, holderName} = this.#options;
+    const names = [...new Set([...peers(), self])].filter((name) => name !== holderName());
     return rankMembers('usage', names, (name) => name).slice(0, DEPUTIES);
   }
 }
--- a/packages/coordination/src/duties/usageCounter.ts
+++ b/packages/coordination/src/duties/usageCounter.ts
@@ -29,7 +29,9 @@
       counts = new Map();
       this.#windows.set(window, counts);
       const oldest = window - this.#options.keptWindows;
-      for (const kept of this.#windows.keys()) if (kept <= oldest) this.#windows.delete(kept);
+      // Later windows were counted before this instance's clock was corrected.
+      for (const kept of this.#windows.keys())
+        if (kept <= oldest || kept > window + 1) this.#windows.delete(kept);
     }
     counts.set(account, (counts.get(account) ?? 0) + 1);
   }
--- a/packages/coordination/src/duties/usageDuty.ts
+++ b/packages/coordination/src/duties/usageDuty.ts
@@ -61,7 +61,7 @@
     const keptWindows = Math.max(MIN_KEPT_WINDOWS, openWindows);
     const counter = new UsageCounter({time, windowMs, keptWindows});
     const lifetime = Math.floor(options.random() * Number.MAX_SAFE_INTEGER).toString(36);
-    const recorded = () => this.#reporter.recorded();
+    const recorded = () => this.#reporter.recorded;
     this.#time = time;
     this.counter = counter;
     this.#collector = new UsageCollector({
--- a/packages/coordination/src/duties/usageRecord.ts
+++ b/packages/coordination/src/duties/usageRecord.ts
@@ -1,6 +1,7 @@
 /** The record of reported windows in the key-value service. */
 import type {KeyValueEntry} from '@marigoldfold/state';
 import {z} from 'zod';
+import {hash64} from '../hash.js';
 import type {UsageCounts} from './usageCounter.js';
 
 /** Counts chosen for a window. */
@@ -41,11 +42,8 @@
   }
 }
 
-/** Whether two reports of a window would be the same. */
-export function isSameCounts(counts: UsageCounts, others: UsageCounts): boolean {
-  const entries = Object.entries(counts);
-  return (
-    entries.length === Object.keys(others).length &&
-    entries.every(([account, count]) => others[account] === count)
-  );
+/** Digest of the counts of a window, by which instances compare what they have seen; 32 bits, to keep messages short. */
+export function digestCounts(counts: UsageCounts): number {
+  const sorted = Object.entries(counts).sort(([a], [b]) => (a < b ? -1 : 1));
+  return Number(BigInt.asUintN(32, hash64(JSON.stringify(sorted))));
 }
--- a/packages/coordination/src/duties/usageReporter.ts
+++ b/packages/coordination/src/duties/usageReporter.ts
@@ -4,7 +4,7 @@
 import type {FleetTime} from './fleetTime.js';
 import {FINAL_DELAY_MS, type UsageCollector} from './usageCollector.js';
 import type {UsageCounts} from './usageCounter.js';
-import {decodeRecord, encodeRecord, isSameCounts, type RecordedWindow} from './usageRecord.js';
+import {decodeRecord, digestCounts, encodeRecord, type RecordedWindow} from './usageRecord.js';
 
 /** The lease of the duty, as far as the reporter needs it. */
 export interface DutyHold {
@@ -74,6 +74,11 @@
 
 type WindowMap = ReadonlyMap<number, RecordedWindow>;
 
+interface AddedWindow extends RecordedWindow {
+  /** Instances whose final counts are missing. */
+  readonly missing: readonly string[];
+}
+
 /** Writes the counts of complete windows to the record, then sends what is recorded. */
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
@@ -82,6 +87,8 @@
    * removed. They may have been sent, so that no others may be sent for the same window.
    */
   readonly #known = new Map<number, RecordedWindow>();
+  /** Digests of the known counts. */
+  readonly #digests = new Map<number, number>();
   /** Windows recorded with different counts, before and after a restore; either may have been sent. */
   readonly #contested = new Set<number>();
   #session: Session | undefined;
@@ -97,9 +104,9 @@
     return this.#totals;
   }
 
-  /** Numbers of the windows that are known to be recorded. */
-  recorded(): Iterable<number> {
-    return this.#known.keys();
+  /** The windows that this process has seen in the record, each with a digest of its counts. */
+  get recorded(): ReadonlyMap<number, number> {
+    return this.#digests;
   }
 
   /** Takes notice of the record in this instance's copy of the store. */
@@ -146,8 +153,7 @@
       }
       session.record = {revision: written.value.revision, windows: next};
       this.#learn(next);
-      for (const [window, {counts}] of added) {
-        const missing = collector.missing(window);
+      for (const [window, {counts, missing}] of added) {
         if (missing.length > 0) this.#count('incomplete');
         logger.info('usage window recorded', {
           window,
@@ -206,16 +212,23 @@
     const recorded = [...(session.record?.windows.keys() ?? [])].sort((a, b) => a - b);
     for (const number of recorded) {
       const known = this.#known.get(number);
-      if (known === undefined || known.isAccepted || this.#contested.has(number)) continue;
+      if (known === undefined || known.isAccepted || this.#isContested(number)) continue;
       if (number >= this.#oldestOpen) return {number, counts: known.counts};
     }
     return undefined;
   }
 
+  /** Whether other counts of a known window have been recorded as well; either may have been sent. */
+  #isContested(window: number): boolean {
+    const digest = this.#digests.get(window);
+    const others = this.#options.collector.recordedElsewhere(window);
+    return this.#contested.has(window) || [...others].some((other) => other !== digest);
+  }
+
   /** Windows to add to the record: those that are complete, in order, and those that the store has lost. */
-  #windowsToRecord(windows: WindowMap): ReadonlyMap<number, RecordedWindow> {
+  #windowsToRecord(windows: WindowMap): ReadonlyMap<number, AddedWindow> {
     const {time, windowMs, lateMs, collector} = this.#options;
-    const added = new Map<number, RecordedWindow>();
+    const added = new Map<number, AddedWindow>();
     const first = Math.min(collector.firstWindow, ...windows.keys(), ...this.#known.keys());
     const nowMs = time.nowMs;
     const lastFinal = Math.floor((nowMs - FINAL_DELAY_MS) / windowMs) - 1;
@@ -223,24 +236,27 @@
       if (windows.has(window)) continue;
       const known = this.#known.get(window);
       if (known !== undefined) {
-        if (!known.isAccepted && !this.#contested.has(window)) added.set(window, known);
+        if (!known.isAccepted && !this.#isContested(window))
+          added.set(window, {...known, missing: []});
         continue;
       }
       // Others have seen counts that this process has not; it cannot send the same.
-      if (collector.isRecordedElsewhere(window)) continue;
+      if (collector.recordedElsewhere(window).size > 0) continue;
+      const missing = collector.missing(window);
       const isLate = nowMs >= (window + 1) * windowMs + lateMs - RESERVE_MS;
-      if (!isLate && collector.missing(window).length > 0) break;
-      added.set(window, {counts: collector.counts(window), isAccepted: false});
+      if (!isLate && missing.length > 0) break;
+      added.set(window, {counts: collector.counts(window), isAccepted: false, missing});
     }
     return added;
   }
 
+  /** The stored windows, the added ones, and those that the store has lost. */
   #nextRecord(windows: WindowMap, added: WindowMap): WindowMap {
-    const merged = new Map([...windows, ...added]);
+    const merged = new Map([...this.#known, ...windows, ...added]);
     for (const [window, {counts, isAccepted}] of merged) {
-      const known = this.#known.get(window);
-      if (known !== undefined && isSameCounts(known.counts, counts))
-        merged.set(window, {counts, isAccepted: isAccepted || known.isAccepted});
+      const isKnown = this.#digests.get(window) === digestCounts(counts);
+      const isKnownAccepted = isKnown && this.#known.get(window)?.isAccepted === true;
+      merged.set(window, {counts, isAccepted: isAccepted || isKnownAccepted});
     }
     const kept = [...merged].sort(([a], [b]) => a - b).slice(-this.#options.keptWindows);
     return new Map(kept);
@@ -255,15 +271,15 @@
 
   #learn(windows: WindowMap): void {
     for (const [window, {counts, isAccepted}] of windows) {
+      if (window < this.#oldestKept) continue;
+      const digest = digestCounts(counts);
       const known = this.#known.get(window);
-      if (known === undefined) {
-        if (window >= this.#oldestKept) this.#known.set(window, {counts, isAccepted});
-      } else if (!isSameCounts(known.counts, counts)) {
-        if (this.#contested.has(window)) continue;
+      if (known === undefined || (isAccepted && this.#digests.get(window) === digest)) {
+        this.#known.set(window, {counts, isAccepted});
+        this.#digests.set(window, digest);
+      } else if (this.#digests.get(window) !== digest && !this.#contested.has(window)) {
         this.#contested.add(window);
         this.#options.logger.error('usage window recorded twice', {window});
-      } else if (isAccepted && !known.isAccepted) {
-        this.#known.set(window, {counts, isAccepted});
       }
     }
   }
@@ -297,6 +313,7 @@
       }
       if (window >= oldestKept) continue;
       this.#known.delete(window);
+      this.#digests.delete(window);
       this.#contested.delete(window);
     }
   }
--- a/packages/coordination/src/duties/usageStatement.ts
+++ b/packages/coordination/src/duties/usageStatement.ts
@@ -11,12 +11,14 @@
   lifetime: z.string(),
   /** The sender's time, if the sender has counted. */
   time: z.object({ownMs: z.number(), agreedMs: z.number().optional()}).optional(),
+  /** Whether the sender holds the duty. */
+  isHolder: z.boolean().default(false),
   /** Window in which the instance started. */
   since: z.number().int(),
   /** Last window whose counts are final. */
   finalThrough: z.number().int(),
-  /** Windows whose counts are known to be in the record, so that nobody may choose others. */
-  recorded: z.array(z.number().int()).readonly(),
+  /** Windows that were seen in the record, with a digest of their counts: nobody may choose others. */
+  recorded: z.array(z.tuple([z.number().int(), z.number()])).readonly(),
   /**
    * Windows not yet recorded: number, total of all accounts, and the counts of some accounts. Counts never decrease, so
    * that the larger one of two statements is the newer one; the total tells whether parts are missing.
--- a/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
@@ -1,7 +1,8 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {flushPromises, silentLogger, VirtualClock} from '@marigoldfold/runtime';
 import {afterEach, describe, expect, test} from 'vitest';
-import type {PeerUpdate} from '../peerMessages.js';
+import {splitStatement} from '../../duties/usageStatement.js';
+import {type PeerUpdate, peerUpdateSchema} from '../peerMessages.js';
 import {PeerChannel} from '../peerChannel.js';
 
 const resources: {close(): void}[] = [];
@@ -62,4 +63,26 @@
     for (let turn = 0; turn < 50; turn += 1) await flushPromises();
     expect(peer.messages).toHaveLength(40);
   });
+
+  test('state request counts to one peer, in a datagram that is not fragmented', async () => {
+    const {channel} = openChannel();
+    const peer = await openPeer();
+    channel.add('b', peer.address);
+    const counts = Array.from({length: 200}, (_, index): [string, number] => [`k${index}`, index]);
+    const fields = {instance: 'a', lifetime: '1', isHolder: false, since: 1, finalThrough: 7};
+    const parts = splitStatement({...fields, recorded: [], windows: [[8, 19_900, counts]]});
+    // Nothing is sent before the socket is bound.
+    while (peer.messages.length === 0) {
+      channel.sendTo('b', {usage: parts});
+      await flushPromises();
+    }
+    await waitUntil(() => peer.messages.length >= parts.length);
+    const sent = peer.messages.slice(0, parts.length);
+    expect(Math.max(...sent.map((message) => message.length))).toBeLessThanOrEqual(1200);
+    const usage = sent.flatMap((message) => {
+      const {params} = JSON.parse(message) as {params: unknown};
+      return peerUpdateSchema.parse(params).usage;
+    });
+    expect(usage).toEqual(parts);
+  });
 });
