Split the request counts of an update that is too long again

The field is absent from updates without counts since the wiring, and was left out of the splitting then: the test of the peer channel that came with the usage reports did not end. Tests of duties, peer channel, operations page and the process pass (133).

--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -236,7 +236,7 @@
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
   const {from, configuration, usage, ...lists} = update;
-  const count = Object.values(lists).reduce((sum, list) => sum + list.length, 0);
+  const count = [...Object.values(lists), usage ?? []].reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
     const takeHalf = <T>(items: readonly T[]) => {
@@ -246,7 +246,7 @@
     return {
       from,
       ...(configuration === undefined ? {} : {configuration}),
-      ...(usage === undefined ? {} : {usage}),
+      ...(usage === undefined ? {} : {usage: takeHalf(usage)}),
       sent: takeHalf(lists.sent),
       begun: takeHalf(lists.begun),
       ended: takeHalf(lists.ended),
