--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -144,7 +144,7 @@
   /** Sends what cannot wait for a batch to one peer. */
   sendTo(
     peer: string,
-    update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits' | 'configuration'>>,
+    update: Partial<Pick<PeerUpdate, 'permitRequests' | 'permits' | 'configuration' | 'usage'>>,
   ): void {
     const address = this.#peers.get(peer);
     if (address === undefined || this.#isClosed) return;
@@ -235,8 +235,8 @@
 
 /** Splits an update in halves recursively until each part fits into a datagram. */
 function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {from, configuration, ...lists} = update;
-  const count = Object.values(lists).reduce((sum, list) => sum + list.length, 0);
+  const {from, configuration, usage, ...lists} = update;
+  const count = [...Object.values(lists), usage ?? []].reduce((sum, list) => sum + list.length, 0);
   if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
   const halves = [0, 1].map((half): PeerUpdate => {
     const takeHalf = <T>(items: readonly T[]) => {
@@ -246,6 +246,7 @@
     return {
       from,
       ...(configuration === undefined ? {} : {configuration}),
+      ...(usage === undefined ? {} : {usage: takeHalf(usage)}),
       sent: takeHalf(lists.sent),
       begun: takeHalf(lists.begun),
       ended: takeHalf(lists.ended),
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -73,6 +73,13 @@
   createMembership,
   computeListAgeLimitMs,
 } from './spread/membership.js';
+export {
+  LeaderLease,
+  type LeaderHold,
+  type LeaderLeaseOptions,
+  type LeaseHolder,
+  parseLeaseHolder,
+} from './duties/leaderLease.js';
 export type {PlacementRequest, PromptPart, PromptSize} from './forwarding/placementRequest.js';
 export {
   type DispatchOutcome,
@@ -99,3 +106,7 @@
   WindowedRetryBudget,
   type WindowedRetryBudgetBounds,
 } from './forwarding/windowedRetryBudget.js';
+export {UsageCounter, type UsageCounts} from './duties/usageCounter.js';
+export {UsageDuty, type UsageDutyOptions} from './duties/usageDuty.js';
+export type {DutyHold, ReportOutcome, ReportTotals, UsageReport} from './duties/usageReporter.js';
+export type {UsageStatement} from './duties/usageStatement.js';
