Send short prompts to the faster engines of a service

Cause: the endpoints of a service were divided between long and short prompts regardless of their speed, so short streams ran on engines at 0.55 of the nominal speed and missed their objective for pauses.

Change: EndpointSpeed estimates the lasting ratio of an endpoint's time to the usual time of its service, from event gaps and statements of peers (PeerUpdate.speeds, empty by default). Endpoints in the slow band take long prompts first, the groups are divided by speed, slow endpoints own fewer shared prompt parts, and expected times are multiplied by the ratio. Outside the band the factor is 1 and the choices are as before.

--- a/packages/bench/src/__tests__/placementExperiments.test.ts
+++ b/packages/bench/src/__tests__/placementExperiments.test.ts
@@ -26,6 +26,12 @@
     },
   );
 
+  test('engines of equal speed are served as before the estimate of their speed', () => {
+    const {long, short} = runPlacement(readWorkload('copying-busy'), SEED).kinds;
+    expect(long).toMatchObject({inTime: 681, lateFirst: 97, latePause: 95, lost: 16});
+    expect(short).toMatchObject({inTime: 1334, lateFirst: 9, latePause: 146, lost: 0});
+  });
+
   // The users' rule: a kind earns at most 15 in 100 less of its value than a less urgent one.
   test.each([1, 2])(
     'short prompts keep up with bursts of long ones on few slots, seed %d',
--- a/packages/bench/src/placement/simulatedPeerPublisher.ts
+++ b/packages/bench/src/placement/simulatedPeerPublisher.ts
@@ -28,6 +28,8 @@
 export class SimulatedPeerPublisher implements PeerPublisher {
   readonly #options: SimulatedPeerPublisherOptions;
   #batch: UpdateBatch | undefined;
+  /** Speeds that the next batch takes along. */
+  #speeds: PeerUpdate['speeds'][number][] = [];
 
   constructor(options: SimulatedPeerPublisherOptions) {
     this.#options = options;
@@ -49,6 +51,10 @@
     this.#openBatch().slowness.push([endpointId, slowness]);
   }
 
+  publishSpeed(speed: PeerUpdate['speeds'][number]): void {
+    this.#speeds.push(speed);
+  }
+
   publishUnreachable(endpointId: string): void {
     this.#openBatch().unreachable.push(endpointId);
   }
@@ -61,12 +67,20 @@
   #openBatch(): UpdateBatch {
     const {clock, batchMs, networkMs, peers, self} = this.#options;
     if (this.#batch !== undefined) return this.#batch;
-    const batch: UpdateBatch = {sent: [], begun: [], ended: [], slowness: [], unreachable: []};
+    const batch: UpdateBatch = {
+      sent: [],
+      begun: [],
+      ended: [],
+      slowness: [],
+      unreachable: [],
+    };
     this.#batch = batch;
     clock.schedule(batchMs, () => {
       this.#batch = undefined;
+      const speeds = this.#speeds;
+      this.#speeds = [];
       clock.schedule(networkMs, () => {
-        for (const peer of peers()) peer.applyPeerUpdate({...emptyUpdate(self), ...batch});
+        for (const peer of peers()) peer.applyPeerUpdate({...emptyUpdate(self), ...batch, speeds});
       });
     });
     return batch;
--- a/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
@@ -51,6 +51,22 @@
     expect(JSON.parse(peer.messages[0]!)).toMatchObject({params: {begun: ['r1'], ended: ['r1']}});
   });
 
+  test('take speeds along without being sent for them', async () => {
+    const {clock, channel} = openChannel();
+    const peer = await openPeer();
+    channel.add('b', peer.address);
+    channel.publishSpeed(['e1', 1, 1.5]);
+    channel.publishSpeed(['e1', 1, 2]);
+    await clock.advance(1000);
+    channel.publishFirstEvent('r1');
+    await clock.advance(10);
+    await waitUntil(() => peer.messages.length > 0);
+    expect(peer.messages).toHaveLength(1);
+    expect(JSON.parse(peer.messages[0]!)).toMatchObject({
+      params: {begun: ['r1'], speeds: [['e1', 1, 2]]},
+    });
+  });
+
   test('go to a limited number of peers in a large fleet', async () => {
     const {clock, channel} = openChannel();
     const peer = await openPeer();
--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -34,6 +34,7 @@
       publishFirstEvent: (id) => updates.push({begun: [id]}),
       publishEnded: (id) => updates.push({ended: [id]}),
       publishSlowness: (id, value) => updates.push({slowness: [[id, value]]}),
+      publishSpeed: (speed) => updates.push({speeds: [speed]}),
       publishUnreachable: (id) => updates.push({unreachable: [id]}),
       publishLimit: (id, {perSecond}) =>
         updates.push({limits: [[id, {perSecond: perSecond ?? null, ageMs: 0}]]}),
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -8,6 +8,7 @@
   type LimitStatement,
   newerStatement,
 } from './endpointLimit.js';
+import {EndpointSpeed} from './endpointSpeed.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
 import {PromptCacheEstimate} from './promptCacheEstimate.js';
@@ -47,6 +48,7 @@
   /** In-flight requests reported by other processes, by id. */
   readonly remoteRequests = new Map<string, InFlightRequest>();
   readonly cacheEstimate = new PromptCacheEstimate();
+  readonly speed = new EndpointSpeed();
   record: EndpointRecord;
   #load:
     {readonly report: LoadReport; readonly atMs: number; readonly knownCount: number} | undefined;
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -143,6 +143,16 @@
     });
   }
 
+  /** Logs that an endpoint has entered or left the slow band of its service. */
+  logSpeed({record, speed}: Endpoint): void {
+    this.#options.logger.info('endpoint', {
+      belief: 'endpoint',
+      endpoint: record.id,
+      state: speed.isSlow ? 'slow' : 'not slow',
+      ratio: speed.ratio?.toFixed(2),
+    });
+  }
+
   /** Number of endpoints that have stated a limit. */
   get limitedCount(): number {
     let count = 0;
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -2,10 +2,11 @@
 import type {Clock} from '@marigoldfold/runtime';
 import type {Engine} from '@marigoldfold/state';
 import {hash64} from '../hash.js';
-import {rankMembers} from '../rendezvous.js';
+import {findWeightedOwner, rankMembers} from '../rendezvous.js';
 import {ArrivalRate} from './arrivalRate.js';
 import type {PlacementRequest, PromptSize} from './placementRequest.js';
 import type {Endpoint} from './endpoint.js';
+import {countForShare, findMedianRatio} from './endpointSpeed.js';
 import {EngineTimings} from './engineTimings.js';
 import {estimatePrefillBacklogMs} from './prefillEstimate.js';
 import {measureSlowness, estimateSlowness} from './engineSlowness.js';
@@ -50,6 +51,8 @@
  * request sent before longer ones.
  */
 const MAX_PREFILL_TARGET_SHARE = 0.5;
+/** Time between two updates of the slow band of a service, in milliseconds. */
+const SLOW_BAND_INTERVAL_MS = 500;
 /** Value of an output token as a multiple of the value of a prompt token. */
 const OUTPUT_TOKEN_WEIGHT = 10;
 
@@ -73,9 +76,11 @@
   readonly short: readonly Endpoint[];
 }
 
-/** Clock by which an engine placement estimates queueing and arrival rates. */
+/** Clock by which an engine placement estimates queueing and arrival rates, and a listener. */
 export interface EnginePlacementOptions {
   readonly clock: Clock;
+  /** Called when an endpoint has entered or left the slow band of its service. */
+  readonly onSpeedBandChanged?: (endpoint: Endpoint) => void;
 }
 
 /**
@@ -85,14 +90,18 @@
  */
 export class EnginePlacement {
   readonly #clock: Clock;
+  readonly #onSpeedBandChanged: (endpoint: Endpoint) => void;
   readonly #timings = new Map<string, EngineTimings>();
+  /** Time of the last update of the slow band, by service. */
+  readonly #slowBandUpdatedAtMs = new Map<string, number>();
   readonly #longPromptWork = new ArrivalRate(WORKLOAD_MIX_WINDOW_MS);
   readonly #shortPromptWork = new ArrivalRate(WORKLOAD_MIX_WINDOW_MS);
   /** Arrival rate of long prompts at all endpoints together. */
   readonly #longPromptArrivals = new ArrivalRate(WORKLOAD_MIX_WINDOW_MS);
 
-  constructor({clock}: EnginePlacementOptions) {
+  constructor({clock, onSpeedBandChanged}: EnginePlacementOptions) {
     this.#clock = clock;
+    this.#onSpeedBandChanged = onSpeedBandChanged ?? (() => undefined);
   }
 
   /** Timing estimates of a service's engines, created on first use. */
@@ -109,7 +118,8 @@
   canMeetTarget(endpoint: Endpoint, {service, targetLeftMs}: PlacementRequest, prompt: PromptSize) {
     const timings = this.timings(service);
     const prefillMs = endpoint.cacheEstimate.uncachedTokens(prompt) * timings.prefillMsPerToken;
-    return prefillMs + timings.eventGapMs <= targetLeftMs * MAX_PREFILL_TARGET_SHARE;
+    const expectedMs = endpoint.speed.slowness * (prefillMs + timings.eventGapMs);
+    return expectedMs <= targetLeftMs * MAX_PREFILL_TARGET_SHARE;
   }
 
   /**
@@ -124,6 +134,7 @@
   ): Endpoint | undefined {
     this.timings(request.service).tokensPerEvent = engine.tokensPerEvent;
     const isLong = isLongPrompt(prompt);
+    this.#updateSlowBand(request.service, endpoints);
     const ordered = [...endpoints].sort((a, b) => stableOrderOf(a) - stableOrderOf(b));
     const {long, short} = this.#divide(ordered);
     const ownGroup = isLong ? long : short;
@@ -197,12 +208,13 @@
     prompt: PromptSize,
     tokens: number,
     timings: EngineTimings,
-    {isCachedAnywhere, longEndpointCount}: PlacementCandidate,
+    {endpoint, isCachedAnywhere, longEndpointCount}: PlacementCandidate,
   ): number {
     if (tokens <= 0) return 0;
     const arrivalsPerMs =
       this.#longPromptArrivals.perMs(this.#clock.now()) / Math.max(1, longEndpointCount);
-    const delayedPrompts = arrivalsPerMs * tokens * timings.prefillMsPerToken;
+    const prefillMs = endpoint.speed.slowness * tokens * timings.prefillMsPerToken;
+    const delayedPrompts = arrivalsPerMs * prefillMs;
     const weight = isCachedAnywhere ? 1 : FIRST_PREFILL_DELAY_SHARE;
     return (
       (RECOMPUTE_COST * tokens) / prompt.promptTokens +
@@ -217,7 +229,7 @@
     {tokensPerEvent, eventGapMs}: EngineTimings,
     isOtherGroup: boolean,
   ): number {
-    const streamMs = (maxOutputTokens / tokensPerEvent) * eventGapMs;
+    const streamMs = endpoint.speed.slowness * (maxOutputTokens / tokensPerEvent) * eventGapMs;
     const expectedLongPrompts = endpoint.longPromptArrivals.perMs(this.#clock.now()) * streamMs;
     const risk = 1 - (1 - LONG_PREFILL_RISK) ** expectedLongPrompts;
     return isOtherGroup ? Math.max(SHORT_AMONG_LONG_RISK, risk) : risk;
@@ -271,9 +283,29 @@
     return {long: [...long, ...limited], short};
   }
 
+  /** Slow endpoints take long prompts first, whose objectives for pauses are less strict. */
   #divideByWork(endpoints: readonly Endpoint[]): EndpointGroups {
-    const count = this.#countLongEndpoints(endpoints);
-    return {long: endpoints.slice(0, count), short: endpoints.slice(count)};
+    const ordered = endpoints.some(({speed}) => speed.isSlow)
+      ? [
+          ...endpoints.filter(({speed}) => speed.isSlow),
+          ...endpoints.filter(({speed}) => !speed.isSlow),
+        ]
+      : endpoints;
+    const count = this.#countLongEndpoints(ordered);
+    return {long: ordered.slice(0, count), short: ordered.slice(count)};
+  }
+
+  /** Updates which endpoints of a service are in the slow band, if that is due. */
+  #updateSlowBand(service: string, endpoints: readonly Endpoint[]): void {
+    const now = this.#clock.now();
+    const updatedAtMs = this.#slowBandUpdatedAtMs.get(service) ?? Number.NEGATIVE_INFINITY;
+    if (now - updatedAtMs < SLOW_BAND_INTERVAL_MS) return;
+    this.#slowBandUpdatedAtMs.set(service, now);
+    const medianRatio = findMedianRatio(endpoints.map(({speed}) => speed));
+    if (medianRatio === undefined) return;
+    for (const endpoint of endpoints) {
+      if (endpoint.speed.classify(medianRatio)) this.#onSpeedBandChanged(endpoint);
+    }
   }
 
   /** Number of endpoints to reserve for long prompts. */
@@ -284,7 +316,9 @@
     const longWork = this.#longPromptWork.perMs(now);
     const totalWork = longWork + this.#shortPromptWork.perMs(now);
     const share = totalWork === 0 ? 0.5 : Math.min(MAX_LONG_SHARE, longWork / totalWork);
-    return limitBySlots(count * share, endpoints, isLongPrompt);
+    const hasSlow = endpoints.some(({speed}) => speed.isSlow);
+    const preferredCount = hasSlow ? countForShare(endpoints, share) : count * share;
+    return limitBySlots(preferredCount, endpoints, isLongPrompt);
   }
 }
 
@@ -309,11 +343,13 @@
   return parts.at(-1)?.tokens ?? promptTokens;
 }
 
-/** The endpoint that every process ranks first for the shared parts of a prompt. */
+/** The endpoint that every process ranks first for the shared parts of a prompt; slow ones own fewer prompts. */
 function affinityEndpointOf({parts}: PromptSize, group: readonly Endpoint[]): Endpoint | undefined {
   const shared = parts.at(-2) ?? parts.at(-1);
   if (shared === undefined) return undefined;
-  return rankMembers(shared.id, group, ({record}) => record.id)[0];
+  const idOf = ({record}: Endpoint) => record.id;
+  if (!group.some(({speed}) => speed.isSlow)) return rankMembers(shared.id, group, idOf)[0];
+  return findWeightedOwner(shared.id, group, idOf, ({speed}) => 1 / speed.slowness);
 }
 
 /** Sort key of an endpoint that is the same in all processes. */
--- a/packages/coordination/src/forwarding/engineSlowness.ts
+++ b/packages/coordination/src/forwarding/engineSlowness.ts
@@ -5,6 +5,11 @@
 
 /** Upper limit of the slowness inferred from time without events; other load on the machine causes no more. */
 const MAX_SILENCE_SLOWNESS = 3;
+/**
+ * Maximum fraction of the expected time that prefill may take in a sample of the lasting speed. The estimated prefill time
+ * includes queueing, so samples with much prefill make endpoints with long prompts seem fast.
+ */
+const MAX_SAMPLE_PREFILL_SHARE = 0.1;
 
 /**
  * Records the time that a number of stream events took and returns its ratio to the expected time, which
@@ -18,13 +23,17 @@
 ): number {
   const {nowMs, elapsedMs} = span;
   const prefilledTokens = prefilledTokensWithin(endpoint, timings, nowMs, elapsedMs);
-  const slowness = Math.max(1, elapsedMs / expectedEventsMs(timings, events, prefilledTokens));
+  const expectedMs = expectedEventsMs(timings, events, prefilledTokens);
+  const ratio = elapsedMs / expectedMs;
+  const slowness = Math.max(1, ratio);
+  const prefillMs = expectedMs - events * timings.eventGapMs;
+  if (prefillMs <= expectedMs * MAX_SAMPLE_PREFILL_SHARE) endpoint.speed.recordSample(ratio, nowMs);
   if (prefilledTokens === 0) timings.recordEventGap(elapsedMs / events);
   endpoint.recordSlowness(slowness);
   return slowness;
 }
 
-/** Current duration of work divided by its usual duration; rises while no events arrive. */
+/** Current or lasting duration of work, whichever is longer, divided by its usual duration; rises while no events arrive. */
 export function estimateSlowness(
   endpoint: Endpoint,
   timings: EngineTimings,
@@ -34,12 +43,13 @@
   for (const {lastEventAtMs} of endpoint.localRequests) {
     lastEventMs = Math.max(lastEventMs, lastEventAtMs ?? 0);
   }
-  if (lastEventMs === 0) return endpoint.slowness;
+  const slowness = Math.max(endpoint.slowness, endpoint.speed.slowness);
+  if (lastEventMs === 0) return slowness;
   const sinceLastEventMs = nowMs - lastEventMs;
   const silenceSlowness =
     sinceLastEventMs /
     expectedEventsMs(timings, 1, prefilledTokensWithin(endpoint, timings, nowMs, sinceLastEventMs));
-  return Math.min(MAX_SILENCE_SLOWNESS, Math.max(endpoint.slowness, silenceSlowness));
+  return Math.max(slowness, Math.min(MAX_SILENCE_SLOWNESS, silenceSlowness));
 }
 
 function prefilledTokensWithin(
--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -55,6 +55,8 @@
   /** Addresses of the peers that receive updates. */
   #recipients: readonly string[] = [];
   #batch = emptyBatch();
+  /** Speeds by endpoint that the next batch takes along; they are not urgent, so they open none. */
+  readonly #speeds = new Map<string, PeerUpdate['speeds'][number]>();
   #timer: Disposable | undefined;
   #bindTimer: Disposable | undefined;
   /** Whether the address of this instance is open. Nothing is sent before, as the socket would choose another one. */
@@ -133,6 +135,10 @@
     this.#openBatch().slowness.set(endpointId, slowness);
   }
 
+  publishSpeed(speed: PeerUpdate['speeds'][number]): void {
+    if (this.#peers.size > 0) this.#speeds.set(speed[0], speed);
+  }
+
   publishUnreachable(endpointId: string): void {
     this.#openBatch().unreachable.add(endpointId);
   }
@@ -193,12 +199,14 @@
       begun,
       ended,
       slowness: [...slowness],
+      speeds: [...this.#speeds.values()],
       unreachable: [...unreachable],
       limits: [...limits].map(([id, limit]): PeerUpdate['limits'][number] => [
         id,
         encodeLimit(limit, now),
       ]),
     };
+    this.#speeds.clear();
     this.#send(update, this.#recipients);
   }
 
@@ -250,6 +258,7 @@
       begun: takeHalf(lists.begun),
       ended: takeHalf(lists.ended),
       slowness: takeHalf(lists.slowness),
+      speeds: takeHalf(lists.speeds),
       unreachable: takeHalf(lists.unreachable),
       crashes: takeHalf(lists.crashes),
       limits: takeHalf(lists.limits),
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -51,6 +51,8 @@
   ended: z.array(z.string()),
   /** Endpoint ids, each with the current time between events divided by the usual time. */
   slowness: z.array(z.tuple([z.string(), z.number()])),
+  /** Lasting ratios of endpoints to the usual time of their service: endpoint, start of its lifetime, ratio. */
+  speeds: z.array(z.tuple([z.string(), z.number(), z.number().positive()])).default([]),
   /** Ids of endpoints to which no connection could be opened, or at whose address another endpoint answered. */
   unreachable: z.array(z.string()).default([]),
   /** Crashes of endpoints: lifetime of the endpoint, and shared prompt parts of a request that had not begun. */
@@ -84,6 +86,7 @@
     begun: [],
     ended: [],
     slowness: [],
+    speeds: [],
     unreachable: [],
     crashes: [],
     limits: [],
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -21,13 +21,14 @@
   readonly onBegun?: (prompt: PromptSize) => void;
 }
 
-/** Publishes sends, first events, ends and slowness to other instances. */
+/** Publishes sends, first events, ends, slowness and speeds to other instances. */
 export type PeerPublisher = Pick<
   PeerChannel,
   | 'publishSent'
   | 'publishFirstEvent'
   | 'publishEnded'
   | 'publishSlowness'
+  | 'publishSpeed'
   | 'publishUnreachable'
   | 'publishLimit'
 >;
@@ -57,7 +58,13 @@
 
   constructor(options: PlacementOptions) {
     this.#options = options;
-    this.#enginePlacement = new EnginePlacement(options);
+    const {clock, registry} = options;
+    this.#enginePlacement = new EnginePlacement({
+      clock,
+      onSpeedBandChanged: (endpoint) => {
+        registry.logSpeed(endpoint);
+      },
+    });
   }
 
   /** Returns the best endpoint that is not excluded, or undefined if all are excluded. */
@@ -208,6 +215,10 @@
     if (isSlow(slowness) !== isSlow(previousSlowness)) {
       this.#options.publisher?.publishSlowness(endpoint.record.id, slowness);
     }
+    const {record, speed} = endpoint;
+    const ratio = speed.takeStatement(this.#options.clock.now());
+    if (ratio !== undefined)
+      this.#options.publisher?.publishSpeed([record.id, record.startedAtMs, ratio]);
   }
 
   /** Records that a request at an endpoint has ended and publishes it to other instances. */
@@ -230,7 +241,8 @@
   }
 
   /** Applies an update from another instance. */
-  applyPeerUpdate({sent, begun, ended, slowness, unreachable, limits}: PeerUpdate): void {
+  applyPeerUpdate(update: PeerUpdate): void {
+    const {sent, begun, ended, slowness, speeds, unreachable, limits} = update;
     const {registry, clock} = this.#options;
     this.#expireRemoteRequests(clock.now() - REMOTE_REQUEST_TIMEOUT_MS);
     for (const [
@@ -276,6 +288,10 @@
       this.#removeRemoteRequest(id);
     }
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.recordSlowness(value);
+    for (const [endpointId, startedAtMs, ratio] of speeds) {
+      const endpoint = registry.find(endpointId);
+      if (endpoint?.record.startedAtMs === startedAtMs) endpoint.speed.recordReport(ratio);
+    }
     for (const [endpointId, limit] of limits)
       registry.mergeLimit(endpointId, decodeLimit(limit, clock.now()));
     for (const endpointId of unreachable) registry.find(endpointId)?.recordReportedUnreachable();
--- a/packages/coordination/src/forwarding/slotDemand.ts
+++ b/packages/coordination/src/forwarding/slotDemand.ts
@@ -27,7 +27,7 @@
     totalMs += prefillMs + (prompt.maxOutputTokens / timings.tokensPerEvent) * timings.eventGapMs;
     count += 1;
   }
-  return count === 0 ? 0 : (aheadCount * totalMs) / (count * slots);
+  return count === 0 ? 0 : (endpoint.speed.slowness * aheadCount * totalMs) / (count * slots);
 }
 
 /**
