Pace endpoints that have started or recovered by their answers

Cause: an endpoint that appears or comes out of a backoff, a pause or a report that it is unreachable looks like the emptiest one, so all instances choose it at once, although it may be cold or still fail. Change: such an endpoint has a window of requests in flight over all instances (slow start, then additive increase and multiplicative decrease) until its answers, own and reported by peers, prove it. Placement.choose leaves out endpoints at their windows, unless the others are full or none is established. Endpoints of the first listing are established.

--- a/packages/coordination/src/forwarding/__tests__/engineSlowness.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/engineSlowness.test.ts
@@ -37,6 +37,7 @@
     sentAtMs,
     prefillMs: uncachedTokens * 0.02,
     prompt: undefined,
+    objectiveMs: 600,
     pauseTargetMs: undefined,
     uncachedTokens,
     firstEventAtMs,
--- a/packages/coordination/src/forwarding/__tests__/slotDemand.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/slotDemand.test.ts
@@ -27,6 +27,7 @@
       registry.find(id)?.localRequests.add({
         requestId: String(number),
         sentAtMs: 0,
+        objectiveMs: 600,
         prefillMs: 0,
         prompt: {parts: [], promptTokens: number < long ? 9000 : 500, maxOutputTokens: 200},
         pauseTargetMs: 150,
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -8,6 +8,7 @@
   type LimitStatement,
   newerStatement,
 } from './endpointLimit.js';
+import type {EndpointPace} from './endpointPace.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
 import {PromptCacheEstimate} from './promptCacheEstimate.js';
@@ -60,6 +61,10 @@
   #withheldUntilMs = Number.NEGATIVE_INFINITY;
   /** Time at which this process last told others of the limit, in milliseconds. */
   limitPublishedAtMs = Number.NEGATIVE_INFINITY;
+  /** Limits the requests in flight after a start or an interruption; undefined at most times. */
+  pace: EndpointPace | undefined;
+  /** Whether the endpoint has answered, or its pace has ended, since its start or last interruption. */
+  isEstablished = true;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Time at which this process last received anything from the endpoint, in milliseconds. */
@@ -78,7 +83,7 @@
   /** Applies a newer record of the same lifetime. */
   update(record: EndpointRecord): void {
     this.record = record;
-    this.#isLeaving ||= record.isLeaving;
+    if (record.isLeaving) this.announceLeaving();
   }
 
   /**
@@ -93,6 +98,8 @@
   announceLeaving(): boolean {
     const isNew = !this.#isLeaving;
     this.#isLeaving = true;
+    this.pace = undefined;
+    this.isEstablished = false;
     return isNew;
   }
 
@@ -180,6 +187,11 @@
     return known === 0 ? 1 : this.#expectedRequestCount / known;
   }
 
+  /** Number of requests of other processes that each reported one stands for, 1 or more. */
+  get requestsPerReported(): number {
+    return 1 / this.#remoteCoverage();
+  }
+
   get #expectedRequestCount(): number {
     return this.localRequests.size + this.remoteRequests.size / this.#remoteCoverage();
   }
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -3,6 +3,7 @@
 import type {EndpointRecord} from '@marigoldfold/state';
 import {DepartedEndpoints, isSameLifetime} from './departedEndpoints.js';
 import {Endpoint} from './endpoint.js';
+import {EndpointPaces} from './endpointPaces.js';
 import type {LimitNotice, LimitStatement} from './endpointLimit.js';
 
 /** Clock, logger and removal callback of a registry. */
@@ -35,10 +36,20 @@
    * record of an endpoint that has left, and a record that was replaced.
    */
   readonly #departed = new DepartedEndpoints();
+  /** Whether the first listing of the store has been applied; its endpoints count as established. */
+  #isListed = false;
+  readonly paces: EndpointPaces;
   #graceUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: EndpointRegistryOptions) {
     this.#options = options;
+    const {clock, logger} = options;
+    this.paces = new EndpointPaces({clock, logger, usable: (service) => this.usable(service)});
+  }
+
+  /** Ends the first listing of the store; an endpoint that appears later is new and has a pace. */
+  completeListing(): void {
+    this.#isListed = true;
   }
 
   /** Endpoints of a service that are not leaving. */
@@ -61,25 +72,36 @@
 
   /** Adds the endpoint of a discovery record, or updates the existing one with the same id. */
   put(record: EndpointRecord): void {
-    const endpoint = this.#findLifetime(record);
+    const known = this.#findLifetime(record);
+    const endpoint = known ?? this.#create(record);
     this.#endLapse(record.id);
     endpoint.update(record);
     this.#endpoints.set(record.id, endpoint);
+    if (known === undefined && this.#isListed) this.paces.begin(endpoint);
     const state = endpoint.isLeaving ? 'leaving' : 'ready';
     const {id, service, address} = record;
     const {logger} = this.#options;
     logger.info('endpoint', {belief: 'endpoint', endpoint: id, service, address, state});
   }
 
-  /** The endpoint of a record's lifetime, with all that is known of it; a new one if nothing is. */
-  #findLifetime(record: EndpointRecord): Endpoint {
+  #create(record: EndpointRecord): Endpoint {
     const {clock, remoteCoverage} = this.#options;
+    return new Endpoint(clock, record, remoteCoverage);
+  }
+
+  /** Windows of the endpoints that have a pace, by id. */
+  *paceWindows(): Generator<readonly [id: string, window: number], void> {
+    for (const [id, {pace}] of this.#endpoints) if (pace !== undefined) yield [id, pace.window];
+  }
+
+  /** The endpoint of a record's lifetime, with all that is known of it; undefined if nothing is. */
+  #findLifetime(record: EndpointRecord): Endpoint | undefined {
     const existing = this.#endpoints.get(record.id);
     if (existing !== undefined) {
       if (isSameLifetime(existing.record, record)) return existing;
       this.#departed.add(existing);
     }
-    return this.#departed.take(record) ?? new Endpoint(clock, record, remoteCoverage);
+    return this.#departed.take(record);
   }
 
   /**
--- a/packages/coordination/src/forwarding/inFlightRequest.ts
+++ b/packages/coordination/src/forwarding/inFlightRequest.ts
@@ -5,6 +5,8 @@
 export interface InFlightRequest {
   readonly requestId: string;
   readonly sentAtMs: number;
+  /** Latency objective of the answer, in milliseconds from the send. */
+  readonly objectiveMs: number;
   /** Expected prefill time of the prompt, in milliseconds. */
   readonly prefillMs: number;
   readonly prompt: PromptSize | undefined;
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -49,6 +49,8 @@
 export class Placement {
   readonly #options: PlacementOptions;
   readonly #enginePlacement: EnginePlacement;
+  /** Longest latency objective of this instance's requests by service, by which answers to peers are judged. */
+  readonly #objectives = new Map<string, number>();
   /** In-flight requests of other instances by id, oldest first. */
   readonly #remoteRequests = new Map<
     string,
@@ -74,7 +76,9 @@
     // If all endpoints are in backoff, trying one of them is better than refusing the request.
     const responsive = reachable.length > 0 ? reachable : allowed;
     const open = responsive.filter(({withheldForMs}) => withheldForMs === 0);
-    const candidates = excludeFailing(excludeReported(open));
+    const candidates = this.#options.registry.paces.withinWindows(
+      excludeFailing(excludeReported(open)),
+    );
     if (engine !== undefined && request.prompt !== undefined) {
       // A limit must not move endpoints between groups each time that it is used up.
       const group = responsive.filter(
@@ -117,6 +121,7 @@
   /** Records for how long, in milliseconds, an endpoint wants no further request of this instance. */
   recordPause(endpoint: Endpoint, pauseMs: number): void {
     this.#options.registry.pause(endpoint, pauseMs);
+    if (pauseMs > 0) this.#options.registry.paces.begin(endpoint);
   }
 
   /** Records the limit, in requests per second, of a response to a request that was sent at `sentAtMs`. */
@@ -144,11 +149,18 @@
     request: PlacementRequest,
     engine: Engine | undefined,
   ): InFlightRequest {
-    const {prompt, id, pauseTargetMs, service} = request;
+    const {
+      prompt,
+      id,
+      pauseTargetMs,
+      service,
+      targetMs: objectiveMs = request.targetLeftMs,
+    } = request;
     const uncachedTokens = prompt === undefined ? 0 : endpoint.cacheEstimate.uncachedTokens(prompt);
     const inFlight: InFlightRequest = {
       requestId: id,
       sentAtMs: this.#options.clock.now(),
+      objectiveMs,
       prefillMs: uncachedTokens * this.#enginePlacement.timings(service).prefillMsPerToken,
       prompt,
       pauseTargetMs,
@@ -159,6 +171,8 @@
       longestPauseMs: 0,
     };
     endpoint.localRequests.add(inFlight);
+    this.#options.registry.paces.recordSend(endpoint, objectiveMs);
+    this.#objectives.set(service, Math.max(objectiveMs, this.#objectives.get(service) ?? 0));
     if (prompt !== undefined) this.#enginePlacement.recordSend(endpoint, prompt);
     if (prompt !== undefined) {
       this.#options.publisher?.publishSent([
@@ -186,6 +200,7 @@
       inFlight.firstEventAtMs = now;
       if (inFlight.prompt !== undefined) this.#options.onBegun?.(inFlight.prompt);
       this.#options.publisher?.publishFirstEvent(inFlight.requestId);
+      this.#recordFirstEvent(endpoint, inFlight, now);
       timings.recordFirstEvent(inFlight.uncachedTokens, now - inFlight.sentAtMs);
     } else {
       this.#recordGap(endpoint, inFlight, now - inFlight.lastEventAtMs);
@@ -193,6 +208,26 @@
     inFlight.lastEventAtMs = now;
   }
 
+  #recordFirstEvent(
+    endpoint: Endpoint,
+    {sentAtMs, objectiveMs}: InFlightRequest,
+    now: number,
+  ): void {
+    const answer = {elapsedMs: now - sentAtMs, objectiveMs, weight: 1};
+    this.#options.registry.paces.recordAnswer(endpoint, answer);
+  }
+
+  /** Records that a response was complete; a plain one has no events that would have been recorded. */
+  recordComplete(endpoint: Endpoint, inFlight: InFlightRequest): void {
+    if (inFlight.firstEventAtMs !== undefined) return;
+    this.#recordFirstEvent(endpoint, inFlight, this.#options.clock.now());
+  }
+
+  /** Records that an endpoint failed or refused a request. */
+  recordFailure(endpoint: Endpoint): void {
+    this.#options.registry.paces.recordFailure(endpoint);
+  }
+
   #recordGap(endpoint: Endpoint, inFlight: InFlightRequest, gapMs: number): void {
     const {lastGapMs} = inFlight;
     inFlight.lastGapMs = gapMs;
@@ -226,6 +261,7 @@
   /** Records that an endpoint could not be reached, or that another one answered at its address. */
   recordUnreachable(endpoint: Endpoint): void {
     endpoint.backOff();
+    this.#options.registry.paces.begin(endpoint);
     this.#options.publisher?.publishUnreachable(endpoint.record.id);
   }
 
@@ -253,6 +289,7 @@
       endpoint.remoteRequests.set(id, {
         requestId: id,
         sentAtMs: clock.now(),
+        objectiveMs: this.#objectives.get(endpoint.record.service) ?? Number.POSITIVE_INFINITY,
         prefillMs:
           uncachedTokens * this.#enginePlacement.timings(endpoint.record.service).prefillMsPerToken,
         prompt,
@@ -267,9 +304,12 @@
       this.#enginePlacement.recordSend(endpoint, prompt);
     }
     for (const id of begun) {
-      const inFlight = this.#remoteRequests.get(id)?.endpoint.remoteRequests.get(id);
-      if (inFlight === undefined) continue;
+      const endpoint = this.#remoteRequests.get(id)?.endpoint;
+      const inFlight = endpoint?.remoteRequests.get(id);
+      if (endpoint === undefined || inFlight === undefined) continue;
+      const isDuplicate = inFlight.firstEventAtMs !== undefined;
       inFlight.firstEventAtMs = clock.now();
+      if (!isDuplicate) this.#recordPeerAnswer(endpoint, inFlight);
       if (inFlight.prompt !== undefined) this.#options.onBegun?.(inFlight.prompt);
     }
     for (const id of ended) {
@@ -278,7 +318,19 @@
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.recordSlowness(value);
     for (const [endpointId, limit] of limits)
       registry.mergeLimit(endpointId, decodeLimit(limit, clock.now()));
-    for (const endpointId of unreachable) registry.find(endpointId)?.recordReportedUnreachable();
+    for (const endpointId of unreachable) {
+      const endpoint = registry.find(endpointId);
+      if (endpoint === undefined) continue;
+      endpoint.recordReportedUnreachable();
+      registry.paces.recordReported(endpoint);
+    }
+  }
+
+  #recordPeerAnswer(endpoint: Endpoint, {sentAtMs, objectiveMs}: InFlightRequest): void {
+    const {registry, clock} = this.#options;
+    const elapsedMs = clock.now() - sentAtMs;
+    const weight = endpoint.requestsPerReported;
+    registry.paces.recordPeerAnswer(endpoint, {elapsedMs, objectiveMs, weight});
   }
 
   /** Drops old requests whose end was not reported, because the datagram was lost or the sender crashed. */
--- a/packages/coordination/src/forwarding/placementRequest.ts
+++ b/packages/coordination/src/forwarding/placementRequest.ts
@@ -19,6 +19,8 @@
   readonly service: string;
   /** Milliseconds left until the latency objective is missed; negative once it is. */
   readonly targetLeftMs: number;
+  /** Latency objective of the route, in milliseconds; `targetLeftMs` if absent. */
+  readonly targetMs?: number;
   /** Milliseconds until the client is expected to disconnect if nothing arrives. */
   readonly patienceLeftMs: number;
   /** Objective for the longest pause between events, in milliseconds. */
--- a/packages/entry/src/forwarding/attemptHistory.ts
+++ b/packages/entry/src/forwarding/attemptHistory.ts
@@ -58,21 +58,31 @@
 ): void {
   switch (outcome.kind) {
     case 'delivered':
+      endpoint.resetBackoff();
+      endpoint.recordResponse(false);
+      placement.recordComplete(endpoint, outcome.inFlight);
+      return;
     case 'failed':
       endpoint.resetBackoff();
-      endpoint.recordResponse(outcome.kind === 'failed');
+      endpoint.recordResponse(true);
+      placement.recordFailure(endpoint);
       return;
     case 'notExecuted':
       if (outcome.isMisdirected) placement.recordUnreachable(endpoint);
+      else placement.recordFailure(endpoint);
       return;
     case 'notSent':
       if (!isCancelled) placement.recordUnreachable(endpoint);
       return;
     case 'broken':
-      if (!isCancelled) endpoint.recordResponse(true);
+      if (isCancelled) return;
+      endpoint.recordResponse(true);
+      placement.recordFailure(endpoint);
       return;
     case 'superseded':
-      if (!isCancelled && outcome.wasSilent) endpoint.recordResponse(true);
+      if (isCancelled || !outcome.wasSilent) return;
+      endpoint.recordResponse(true);
+      placement.recordFailure(endpoint);
       return;
     case 'withdrawn':
       return;
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -103,6 +103,7 @@
       id: metadata.id ?? '',
       service: service.name,
       targetLeftMs: route.targetMs - elapsedMs,
+      targetMs: route.targetMs,
       patienceLeftMs: patienceMs(route) - elapsedMs,
       pauseTargetMs: route.pauseTargetMs,
       prompt: metadata.prompt,
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -29,6 +29,8 @@
   /** Requests in the dispatch queue. */
   readonly queued: () => number;
   readonly endpoints: () => number;
+  /** Windows of the endpoints that have a pace, by endpoint. */
+  readonly paceWindows: () => Iterable<readonly [endpoint: string, window: number]>;
   /** Endpoints that have stated a limit of the rate that they take. */
   readonly limitedEndpoints: () => number;
   readonly quarantinedParts: () => number;
@@ -181,6 +183,16 @@
       help: 'Endpoints that have stated a limit of the rate that they take.',
       read: sources.limitedEndpoints,
     });
+    new Gauge({
+      name: 'marigoldfold_forward_endpoint_window',
+      help: 'Requests that may be in flight at an endpoint that has started or recovered, until it is established.',
+      labelNames: ['endpoint'],
+      registers,
+      collect() {
+        this.reset();
+        for (const [endpoint, window] of sources.paceWindows()) this.set({endpoint}, window);
+      },
+    });
     this.inFlight = new Gauge({
       name: 'marigoldfold_forward_in_flight',
       help: 'Requests whose response has not ended.',
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -181,6 +181,7 @@
       remoteRequests: () => placement.remoteRequestCount,
       queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
+      paceWindows: () => this.#registry.paceWindows(),
       limitedEndpoints: () => this.#registry.limitedCount,
       quarantinedParts: () => this.#quarantine.size,
       heldBytes: (kind) => memory.bytesOf(kind),
@@ -319,6 +320,9 @@
         onChange: (changes, origin) => {
           this.#applyChanges(changes, origin);
         },
+        onConfirmed: () => {
+          this.#registry.completeListing();
+        },
         onReconnected: () => {
           this.#registry.startGracePeriod();
         },
