--- a/packages/coordination/src/forwarding/__fixtures__/pacedFleet.ts
+++ b/packages/coordination/src/forwarding/__fixtures__/pacedFleet.ts
@@ -48,6 +48,8 @@
   readonly #random = seededRandom(7);
   readonly #instances: Instance[] = [];
   readonly #behaviors = new Map<string, () => Behavior>();
+  /** Breaks off the requests in flight, by endpoint. */
+  readonly #breaks = new Map<string, Set<() => void>>();
   #sequence = 0;
 
   constructor(instanceCount: number, warmIds: readonly string[]) {
@@ -68,6 +70,7 @@
   /** Adds an endpoint; `behavior` is read at each send. */
   add(id: string, behavior: () => Behavior): void {
     this.#behaviors.set(id, behavior);
+    this.#breaks.set(id, new Set());
     const none = {sent: 0, late: 0, failed: 0, unreachable: 0, inFlight: 0, maxInFlight: 0};
     this.counts.set(id, none);
     const startedAtMs = this.clock.now();
@@ -87,6 +90,11 @@
     for (const {registry} of this.#instances) registry.remove(id);
   }
 
+  /** Breaks off all requests in flight at an endpoint. */
+  breakOff(id: string): void {
+    for (const breakOne of [...known(this.#breaks.get(id))]) breakOne();
+  }
+
   /** Sends requests, `perSecond` in all, for a time in milliseconds. */
   async run(perSecond: number, durationMs: number): Promise<void> {
     const endMs = this.clock.now() + durationMs;
@@ -169,20 +177,29 @@
     counts.inFlight += 1;
     counts.maxInFlight = Math.max(counts.maxInFlight, counts.inFlight);
     const elapsedMs = ANSWER_MS * slowness * (0.95 + 0.1 * this.#random());
-    clock.schedule(elapsedMs, () => {
-      const isBroken = isFailing || !known(this.#behaviors.get(endpointId))().isReachable;
-      if (isBroken) {
-        counts.inFlight -= 1;
-        counts.failed += 1;
-        endpoint.recordResponse(true);
-        placement.recordFailure(endpoint);
-        sendElsewhere();
+    const breaks = known(this.#breaks.get(endpointId));
+    const leave = () => {
+      counts.inFlight -= 1;
+      breaks.delete(fail);
+    };
+    const fail = () => {
+      leave();
+      counts.failed += 1;
+      timer[Symbol.dispose]();
+      endpoint.recordResponse(true);
+      placement.recordFailure(endpoint);
+      sendElsewhere();
+    };
+    breaks.add(fail);
+    let timer = clock.schedule(elapsedMs, () => {
+      if (isFailing) {
+        fail();
         return;
       }
       if (elapsedMs > OBJECTIVE_MS) counts.late += 1;
       placement.recordEvent(endpoint, inFlight);
-      clock.schedule(STREAM_MS, () => {
-        counts.inFlight -= 1;
+      timer = clock.schedule(STREAM_MS, () => {
+        leave();
         endpoint.resetBackoff();
         endpoint.recordResponse(false);
         end();
--- a/packages/coordination/src/forwarding/__tests__/pacedPlacement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/pacedPlacement.test.ts
@@ -58,6 +58,7 @@
     fleet.add('c', () => behavior());
     await fleet.run(10 * RATE, 12_000);
     behavior = () => ({...warm, isReachable: false});
+    fleet.breakOff('c');
     await fleet.run(10 * RATE, 2000);
     behavior = warmingUp(fleet);
     const {late} = fleet.countsOf('c');
@@ -82,6 +83,7 @@
       await fleet.run(10 * RATE, 1100);
       expect(fleet.countsOf('f').late - late).toBeLessThanOrEqual(maxAnswers(1100));
       behavior = () => ({...warm, isReachable: false});
+      fleet.breakOff('f');
       await fleet.run(10 * RATE, 200);
       expect(fleet.countsOf('f').failed - failed).toBeLessThanOrEqual(INITIAL_WINDOW + UNKNOWN);
     }
--- a/packages/coordination/src/forwarding/endpointPace.ts
+++ b/packages/coordination/src/forwarding/endpointPace.ts
@@ -30,10 +30,9 @@
   readonly weight: number;
 }
 
-/** Slots of the endpoint, begin of its pace and receiver of decreases of the window. */
+/** Slots of the endpoint and receiver of decreases of the window. */
 export interface EndpointPaceOptions {
   readonly slots: number;
-  readonly beganAtMs: number;
   readonly onDecrease: (window: number, reason: PaceDecrease) => void;
 }
 
@@ -76,8 +75,6 @@
 
   /** Raises the window after an answer in time, and lowers it after a late one. */
   recordAnswer(nowMs: number, {elapsedMs, objectiveMs, weight}: PacedAnswer): void {
-    // A request that was sent before the interruption proves nothing of the time after it.
-    if (nowMs - elapsedMs < this.#options.beganAtMs) return;
     const isLate = elapsedMs > objectiveMs;
     this.#countAnswer(nowMs, isLate);
     this.#answerMs ??= elapsedMs;
--- a/packages/coordination/src/forwarding/endpointPaces.ts
+++ b/packages/coordination/src/forwarding/endpointPaces.ts
@@ -34,6 +34,8 @@
     const {service, slots} = endpoint.record;
     const isBegun = endpoint.pace?.hasRisen === false;
     endpoint.isEstablished = false;
+    // Failures before an interruption, such as streams cut off by it, tell nothing of the time after it.
+    endpoint.failureShare = 0;
     const usable = this.#options.usable(service);
     if (!usable.some(({isEstablished}) => isEstablished)) {
       for (const other of usable) this.#end(other, 'none established');
@@ -42,7 +44,6 @@
     }
     const pace = new EndpointPace({
       slots,
-      beganAtMs: this.#options.clock.now(),
       onDecrease: (window, reason) => {
         this.#log(endpoint, 'lowered', {window, reason});
       },
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -318,12 +318,12 @@
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.recordSlowness(value);
     for (const [endpointId, limit] of limits)
       registry.mergeLimit(endpointId, decodeLimit(limit, clock.now()));
-    for (const endpointId of unreachable) {
-      const endpoint = registry.find(endpointId);
-      if (endpoint === undefined) continue;
-      endpoint.recordReportedUnreachable();
-      registry.paces.recordReported(endpoint);
-    }
+    const reported = unreachable
+      .map((endpointId) => registry.find(endpointId))
+      .filter((endpoint) => endpoint !== undefined);
+    for (const endpoint of reported) endpoint.recordReportedUnreachable();
+    // Whether a report counts depends on how many endpoints are reported.
+    for (const endpoint of reported) registry.paces.recordReported(endpoint);
   }
 
   #recordPeerAnswer(endpoint: Endpoint, {sentAtMs, objectiveMs}: InFlightRequest): void {
