Count no failure against an endpoint that was sent before its interruption

Cause: streams that a network cut breaks off are found out after the interruption, and their failures then kept the returned endpoint out by its failure share; a refusal that asks for a pause lowered the window of the pace that the pause began. Change: outcomes carry the time of the send, and failures of earlier sends are not counted. Without an interruption nothing changes. Tests: both cases, in endpointPaces.test.ts.

--- a/packages/coordination/src/forwarding/__fixtures__/pacedFleet.ts
+++ b/packages/coordination/src/forwarding/__fixtures__/pacedFleet.ts
@@ -186,8 +186,8 @@
       leave();
       counts.failed += 1;
       timer[Symbol.dispose]();
-      endpoint.recordResponse(true);
-      placement.recordFailure(endpoint);
+      endpoint.recordResponse(true, inFlight.sentAtMs);
+      placement.recordFailure(endpoint, inFlight.sentAtMs);
       sendElsewhere();
     };
     breaks.add(fail);
--- a/packages/coordination/src/forwarding/__tests__/endpointPaces.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/endpointPaces.test.ts
@@ -263,11 +263,35 @@
     expect(endpoint.localRequests.size).toBe(3);
   });
 
+  test('of streams that an interruption cut off, found out later, do not either', async () => {
+    const instance = createInstance(['1', '2']);
+    const endpoint = instance.endpoint('2');
+    const sentAtMs = instance.clock.now();
+    await instance.clock.advance(100);
+    instance.placement.recordUnreachable(endpoint);
+    await instance.clock.advance(1200);
+    for (let count = 0; count < 5; count += 1) {
+      endpoint.recordResponse(true, sentAtMs);
+      instance.placement.recordFailure(endpoint, sentAtMs);
+    }
+    for (let count = 0; count < 10; count += 1) send(instance);
+    expect(endpoint.localRequests.size).toBe(3);
+  });
+
+  test('that refuse a request and ask for a pause do not lower the window after it', () => {
+    const instance = createInstance(['1', '2']);
+    const endpoint = instance.endpoint('2');
+    const sentAtMs = instance.clock.now() - 10;
+    instance.placement.recordPause(endpoint, 500);
+    instance.placement.recordFailure(endpoint, sentAtMs);
+    expect(endpoint.pace?.window).toBe(3);
+  });
+
   test('lower its window, with a log line', async () => {
     const instance = createInstance(['1', '2']);
     const endpoint = instance.put('3');
     for (let count = 0; count < 5; count += 1) await answer(instance, endpoint);
-    instance.placement.recordFailure(endpoint);
+    instance.placement.recordFailure(endpoint, instance.clock.now());
     expect(endpoint.pace?.window).toBe(4);
     expect(instance.paceStates()).toEqual(['begun', 'lowered']);
   });
--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -65,6 +65,8 @@
   pace: EndpointPace | undefined;
   /** Whether the endpoint has answered, or its pace has ended, since its start or last interruption. */
   isEstablished = true;
+  /** Time of the last interruption, or of the start as this process knows it, in milliseconds. */
+  interruptedAtMs = Number.NEGATIVE_INFINITY;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Time at which this process last received anything from the endpoint, in milliseconds. */
@@ -247,8 +249,12 @@
     this.#reportedUnreachableUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** Updates `failureShare` with the outcome of a request. */
-  recordResponse(hasFailed: boolean): void {
+  /**
+   * Updates `failureShare` with the outcome of a request. The failure of one that was sent before an interruption is
+   * part of that, and the share never decays: it would keep all work from the endpoint after its return.
+   */
+  recordResponse(hasFailed: boolean, sentAtMs = Number.POSITIVE_INFINITY): void {
+    if (hasFailed && sentAtMs < this.interruptedAtMs) return;
     this.failureShare += NEWEST_RESPONSE_WEIGHT * ((hasFailed ? 1 : 0) - this.failureShare);
   }
 }
--- a/packages/coordination/src/forwarding/endpointPaces.ts
+++ b/packages/coordination/src/forwarding/endpointPaces.ts
@@ -36,6 +36,7 @@
     endpoint.isEstablished = false;
     // Failures before an interruption, such as streams cut off by it, tell nothing of the time after it.
     endpoint.failureShare = 0;
+    endpoint.interruptedAtMs = this.#options.clock.now();
     const usable = this.#options.usable(service);
     if (!usable.some(({isEstablished}) => isEstablished)) {
       for (const other of usable) this.#end(other, 'none established');
@@ -99,9 +100,10 @@
     this.#endIfProven(endpoint, pace);
   }
 
-  recordFailure(endpoint: Endpoint): void {
-    const {pace} = endpoint;
-    if (pace === undefined) return;
+  /** Records that a request which was sent at `sentAtMs` failed or was refused. */
+  recordFailure(endpoint: Endpoint, sentAtMs: number): void {
+    const {pace, interruptedAtMs} = endpoint;
+    if (pace === undefined || sentAtMs < interruptedAtMs) return;
     pace.recordFailure(this.#options.clock.now());
     this.#endIfProven(endpoint, pace);
   }
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -223,9 +223,9 @@
     this.#recordFirstEvent(endpoint, inFlight, this.#options.clock.now());
   }
 
-  /** Records that an endpoint failed or refused a request. */
-  recordFailure(endpoint: Endpoint): void {
-    this.#options.registry.paces.recordFailure(endpoint);
+  /** Records that an endpoint failed or refused a request that was sent at `sentAtMs`. */
+  recordFailure(endpoint: Endpoint, sentAtMs: number): void {
+    this.#options.registry.paces.recordFailure(endpoint, sentAtMs);
   }
 
   #recordGap(endpoint: Endpoint, inFlight: InFlightRequest, gapMs: number): void {
--- a/packages/entry/src/forwarding/attemptHistory.ts
+++ b/packages/entry/src/forwarding/attemptHistory.ts
@@ -54,7 +54,7 @@
   placement: Placement,
   endpoint: Endpoint,
   outcome: AttemptOutcome,
-  isCancelled: boolean,
+  {isCancelled, sentAtMs}: {readonly isCancelled: boolean; readonly sentAtMs: number},
 ): void {
   switch (outcome.kind) {
     case 'delivered':
@@ -64,25 +64,25 @@
       return;
     case 'failed':
       endpoint.resetBackoff();
-      endpoint.recordResponse(true);
-      placement.recordFailure(endpoint);
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'notExecuted':
       if (outcome.isMisdirected) placement.recordUnreachable(endpoint);
-      else placement.recordFailure(endpoint);
+      else placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'notSent':
       if (!isCancelled) placement.recordUnreachable(endpoint);
       return;
     case 'broken':
       if (isCancelled) return;
-      endpoint.recordResponse(true);
-      placement.recordFailure(endpoint);
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'superseded':
       if (isCancelled || !outcome.wasSilent) return;
-      endpoint.recordResponse(true);
-      placement.recordFailure(endpoint);
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'withdrawn':
       return;
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -168,6 +168,7 @@
       );
     }
     let standby: Promise<AttemptOutcome | undefined> | undefined;
+    const sentAtMs = clock.now();
     const outcome = await runAttempt(options, {
       endpoint,
       engine: service.engine,
@@ -198,7 +199,7 @@
     });
     this.#race.end(controller);
     metrics.recordAttempt(service.name, endpoint.record.id, outcome.kind);
-    await this.#recordOutcome(endpoint, outcome);
+    await this.#recordOutcome(endpoint, outcome, sentAtMs);
     const replacement = await standby;
     const isReplaced =
       outcome.kind !== 'delivered' &&
@@ -267,12 +268,16 @@
   }
 
   /** Updates the state of the request and the endpoint after an attempt. */
-  async #recordOutcome(endpoint: Endpoint, outcome: AttemptOutcome): Promise<void> {
+  async #recordOutcome(
+    endpoint: Endpoint,
+    outcome: AttemptOutcome,
+    sentAtMs: number,
+  ): Promise<void> {
     const {placement, crashDetector} = this.#context.options;
     this.history.record(endpoint.record.id, outcome);
-    applyOutcome(placement, endpoint, outcome, this.#context.isCancelled());
-    if (this.#context.isCancelled() || outcome.kind === 'delivered' || outcome.kind === 'failed')
-      return;
+    const isCancelled = this.#context.isCancelled();
+    applyOutcome(placement, endpoint, outcome, {isCancelled, sentAtMs});
+    if (isCancelled || outcome.kind === 'delivered' || outcome.kind === 'failed') return;
     if (outcome.kind === 'superseded') {
       const {wasSilent} = outcome;
       this.#log('send superseded', {endpoint: endpoint.record.id, wasSilent});
