--- a/packages/coordination/src/forwarding/endpoint.ts
+++ b/packages/coordination/src/forwarding/endpoint.ts
@@ -9,6 +9,7 @@
   newerStatement,
 } from './endpointLimit.js';
 import {EndpointSpeed} from './endpointSpeed.js';
+import type {EndpointPace} from './endpointPace.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
 import {PromptCacheEstimate} from './promptCacheEstimate.js';
@@ -62,6 +63,12 @@
   #withheldUntilMs = Number.NEGATIVE_INFINITY;
   /** Time at which this process last told others of the limit, in milliseconds. */
   limitPublishedAtMs = Number.NEGATIVE_INFINITY;
+  /** Limits the requests in flight after a start or an interruption; undefined at most times. */
+  pace: EndpointPace | undefined;
+  /** Whether the endpoint has answered, or its pace has ended, since its start or last interruption. */
+  isEstablished = true;
+  /** Time of the last interruption, or of the start as this process knows it, in milliseconds. */
+  interruptedAtMs = Number.NEGATIVE_INFINITY;
   /** Fraction of recent requests that failed at the endpoint, from 0 to 1. */
   failureShare = 0;
   /** Time at which this process last received anything from the endpoint, in milliseconds. */
@@ -80,7 +87,7 @@
   /** Applies a newer record of the same lifetime. */
   update(record: EndpointRecord): void {
     this.record = record;
-    this.#isLeaving ||= record.isLeaving;
+    if (record.isLeaving) this.announceLeaving();
   }
 
   /**
@@ -95,6 +102,8 @@
   announceLeaving(): boolean {
     const isNew = !this.#isLeaving;
     this.#isLeaving = true;
+    this.pace = undefined;
+    this.isEstablished = false;
     return isNew;
   }
 
@@ -182,6 +191,11 @@
     return known === 0 ? 1 : this.#expectedRequestCount / known;
   }
 
+  /** Number of requests of other processes that each reported one stands for, 1 or more. */
+  get requestsPerReported(): number {
+    return 1 / this.#remoteCoverage();
+  }
+
   get #expectedRequestCount(): number {
     return this.localRequests.size + this.remoteRequests.size / this.#remoteCoverage();
   }
@@ -237,8 +251,12 @@
     this.#reportedUnreachableUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** Updates `failureShare` with the outcome of a request. */
-  recordResponse(hasFailed: boolean): void {
+  /**
+   * Updates `failureShare` with the outcome of a request. The failure of one that was sent before an interruption is
+   * part of that, and the share never decays: it would keep all work from the endpoint after its return.
+   */
+  recordResponse(hasFailed: boolean, sentAtMs = Number.POSITIVE_INFINITY): void {
+    if (hasFailed && sentAtMs < this.interruptedAtMs) return;
     this.failureShare += NEWEST_RESPONSE_WEIGHT * ((hasFailed ? 1 : 0) - this.failureShare);
   }
 }
--- a/packages/coordination/src/forwarding/enginePlacement.ts
+++ b/packages/coordination/src/forwarding/enginePlacement.ts
@@ -70,6 +70,14 @@
   readonly longEndpointCount: number;
 }
 
+/** Endpoints of a service from which one is chosen. */
+export interface EngineChoice {
+  /** Endpoints that are divided between long and short prompts. */
+  readonly group: readonly Endpoint[];
+  /** Whether an endpoint may be chosen; one whose limit is used up, or whose window is full, may not. */
+  readonly isOpen: (endpoint: Endpoint) => boolean;
+}
+
 /** Endpoints reserved for long and for short prompts. */
 interface EndpointGroups {
   readonly long: readonly Endpoint[];
@@ -122,20 +130,17 @@
     return expectedMs <= targetLeftMs * MAX_PREFILL_TARGET_SHARE;
   }
 
-  /**
-   * Returns the endpoint with the least expected loss, or undefined if there is none whose limit may allow the request.
-   * `endpoints` includes those whose limit is used up.
-   */
+  /** Returns the open endpoint with the least expected loss, or undefined if none is open. */
   choose(
     request: PlacementRequest,
     prompt: PromptSize,
     engine: Engine,
-    endpoints: readonly Endpoint[],
+    {group, isOpen}: EngineChoice,
   ): Endpoint | undefined {
     this.timings(request.service).tokensPerEvent = engine.tokensPerEvent;
     const isLong = isLongPrompt(prompt);
-    this.#updateSlowBand(request.service, endpoints);
-    const ordered = [...endpoints].sort((a, b) => stableOrderOf(a) - stableOrderOf(b));
+    this.#updateSlowBand(request.service, group);
+    const ordered = [...group].sort((a, b) => stableOrderOf(a) - stableOrderOf(b));
     const {long, short} = this.#divide(ordered);
     const ownGroup = isLong ? long : short;
     const affinityEndpoint = affinityEndpointOf(prompt, ownGroup);
@@ -145,7 +150,7 @@
     let best: Endpoint | undefined;
     let leastLoss = Number.POSITIVE_INFINITY;
     for (const endpoint of ordered) {
-      if (endpoint.withheldForMs > 0) continue;
+      if (!isOpen(endpoint)) continue;
       const isOtherGroup = !ownGroup.includes(endpoint);
       const isAffinityEndpoint = endpoint === affinityEndpoint;
       const candidate = {
--- a/packages/entry/src/forwarding/attemptHistory.ts
+++ b/packages/entry/src/forwarding/attemptHistory.ts
@@ -54,25 +54,35 @@
   placement: Placement,
   endpoint: Endpoint,
   outcome: AttemptOutcome,
-  isCancelled: boolean,
+  {isCancelled, sentAtMs}: {readonly isCancelled: boolean; readonly sentAtMs: number},
 ): void {
   switch (outcome.kind) {
     case 'delivered':
+      endpoint.resetBackoff();
+      endpoint.recordResponse(false);
+      placement.recordComplete(endpoint, outcome.inFlight);
+      return;
     case 'failed':
       endpoint.resetBackoff();
-      endpoint.recordResponse(outcome.kind === 'failed');
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'notExecuted':
       if (outcome.isMisdirected) placement.recordUnreachable(endpoint);
+      else placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'notSent':
       if (!isCancelled) placement.recordUnreachable(endpoint);
       return;
     case 'broken':
-      if (!isCancelled) endpoint.recordResponse(true);
+      if (isCancelled) return;
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'superseded':
-      if (!isCancelled && outcome.wasSilent) endpoint.recordResponse(true);
+      if (isCancelled || !outcome.wasSilent) return;
+      endpoint.recordResponse(true, sentAtMs);
+      placement.recordFailure(endpoint, sentAtMs);
       return;
     case 'withdrawn':
       return;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -185,6 +185,7 @@
       remoteRequests: () => placement.remoteRequestCount,
       queued: () => dispatch.size,
       endpoints: () => this.#registry.size,
+      paceWindows: () => this.#registry.paceWindows(),
       limitedEndpoints: () => this.#registry.limitedCount,
       quarantinedParts: () => this.#quarantine.size,
       heldBytes: (kind) => memory.bytesOf(kind),
@@ -332,7 +333,10 @@
         onChange: (changes, origin) => {
           this.#applyChanges(changes, origin);
         },
-        onConfirmed: () => this.#duties?.confirmCopy(),
+        onConfirmed: () => {
+          this.#registry.completeListing();
+          this.#duties?.confirmCopy();
+        },
         onReconnected: () => {
           this.#registry.startGracePeriod();
         },
