--- a/packages/standin/src/memoryKeyValue.ts
+++ b/packages/standin/src/memoryKeyValue.ts
@@ -91,6 +91,10 @@
     if (restored !== undefined) return Promise.resolve(err(restored));
     const conflict = this.#findConflict(key, options.ifRevision);
     if (conflict !== undefined) return Promise.resolve(ok(conflict));
+    if (options.lease !== undefined && !this.#leases.has(options.lease)) {
+      const message = 'key-value service: the lease does not exist';
+      return Promise.resolve(err({code: 'rejected', message, mayHaveTakenEffect: false}));
+    }
     this.#revisionNumber += 1;
     const entry = {key, value, revision: this.#revision};
     this.#stored.set(key, {entry, lease: options.lease});
