Run the model check of the leader lease 200 times

With 60 runs it missed a defect put in on purpose: the lease counted from the response of the renewal instead of its start. With 200 it finds it; the test takes 1.7 s.

--- a/packages/coordination/src/duties/__tests__/leaderLeaseModel.test.ts
+++ b/packages/coordination/src/duties/__tests__/leaderLeaseModel.test.ts
@@ -129,6 +129,6 @@
       expect([...trial.broken]).toEqual([]);
       expect(trial.actors.map(({name}) => name)).toHaveLength(1);
     }),
-    {seed: 5, numRuns: 60},
+    {seed: 5, numRuns: 200},
   );
 }, 120_000);
