Send final counts more often, and test successors and lost records

Change: statements go every 100 ms in the first second after a window's end until it is recorded. Tests: each successor of a killed holder, and two more restores of the store.

--- a/packages/coordination/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/coordination/src/duties/__tests__/usageDuty.test.ts
@@ -113,18 +113,22 @@
     expectExact(fleet, window, window);
   });
 
-  test('contain the counts of a holder that was killed before it wrote them', async () => {
-    const fleet = startFleet();
-    await serve(fleet, 4000);
-    const window = fleet.window;
-    fleet.begin('a', 'only');
-    await fleet.clock.advance(600);
-    fleet.kill('a');
-    await serve(fleet, 500);
-    fleet.setHolder('b');
-    await serve(fleet, 10_000);
-    expectExact(fleet, window, fleet.window - 1);
-  });
+  // Two of the three have got the holder's counts themselves, the third one has to get them from those.
+  test.each(['b', 'c', 'd'])(
+    'contain the counts of a holder that was killed before it wrote them, by %s',
+    async (successor) => {
+      const fleet = startFleet();
+      await serve(fleet, 4000);
+      const window = fleet.window;
+      fleet.begin('a', 'only');
+      await fleet.clock.advance(600);
+      fleet.kill('a');
+      await serve(fleet, 500);
+      fleet.setHolder(successor);
+      await serve(fleet, 10_000);
+      expectExact(fleet, window, fleet.window - 1);
+    },
+  );
 
   test('count both lifetimes of an instance that restarts', async () => {
     const fleet = startFleet();
@@ -206,6 +210,37 @@
     expectExact(fleet, first, fleet.window - 1);
   });
 
+  test('are not repeated by a new instance after the store lost the record', async () => {
+    const fleet = startFleet();
+    const copy = fleet.memory.copy();
+    const first = fleet.window;
+    await serve(fleet, 9500);
+    // A killed instance has stated what it counted more than 500 ms before.
+    await fleet.clock.advance(600);
+    fleet.memory.restore(copy);
+    fleet.kill('a');
+    fleet.add('z');
+    fleet.setHolder('z');
+    await serve(fleet, 15_000);
+    expectExact(fleet, first, fleet.window - 1);
+  });
+
+  test('are sent as they were recorded after the store lost the record', async () => {
+    const fleet = startFleet();
+    const copy = fleet.memory.copy();
+    const first = fleet.window;
+    fleet.isServiceDown = true;
+    await serve(fleet, 6000);
+    await fleet.clock.advance(600);
+    fleet.kill('a');
+    fleet.memory.restore(copy);
+    await serve(fleet, 500);
+    fleet.isServiceDown = false;
+    fleet.setHolder('b');
+    await serve(fleet, 8000);
+    expectExact(fleet, first, fleet.window - 1);
+  });
+
   test('wait for the store, and are given up 20 seconds after the end of their window', async () => {
     const fleet = startFleet();
     await serve(fleet, 6000);
--- a/packages/coordination/src/duties/usageCollector.ts
+++ b/packages/coordination/src/duties/usageCollector.ts
@@ -28,6 +28,8 @@
 const SEND_INTERVAL_MS = 500;
 /** Interval while the last window is final and not recorded: a report waits for what was lost. */
 const FINAL_INTERVAL_MS = 250;
+/** The same in the first second after the end, since the report does not wait longer for a silent instance. */
+const GRACE_INTERVAL_MS = 100;
 /** An instance that was silent for this long, at least four intervals, does not delay a report. */
 const SILENCE_MS = 2000;
 /** Time after the end of a window in which a silent instance is waited for, as short outages may end. */
@@ -99,7 +101,7 @@
 
   /** Sends the counts if it is time to; to be called several times per second. */
   tick(): void {
-    const {clock, self, peers, holderName, recorded} = this.#options;
+    const {clock, self, peers, holderName} = this.#options;
     const isHolder = holderName() === self;
     if (isHolder && !this.#isHolder) this.#holderSinceMs = clock.now();
     this.#isHolder = isHolder;
@@ -107,9 +109,7 @@
     this.#merge(this.#ownStatement(), true);
     for (const peer of peers())
       if (!this.#heardAtMs.has(peer)) this.#heardAtMs.set(peer, clock.now());
-    const isRecorded = recorded().has(this.#finalThrough);
-    const intervalMs = isRecorded ? SEND_INTERVAL_MS : FINAL_INTERVAL_MS;
-    const isDue = clock.now() - this.#sentAtMs >= intervalMs;
+    const isDue = clock.now() - this.#sentAtMs >= this.#intervalMs;
     if (isDue || this.#finalThrough > this.#sentFinalThrough) this.sendNow();
   }
 
@@ -154,8 +154,8 @@
 
   /** Names of the instances whose final counts of a window are missing. */
   missing(window: number): readonly string[] {
-    const {self, peers, time, windowMs} = this.#options;
-    const isGraceOver = time.nowMs >= (window + 1) * windowMs + SILENT_GRACE_MS;
+    const {self, peers} = this.#options;
+    const isGraceOver = this.#isGraceOver(window);
     const names = new Set([...peers(), ...this.#currentLifetimes.keys()]);
     return [...names].filter((name) => {
       if (name === self || (isGraceOver && this.#isSilent(name))) return false;
@@ -174,6 +174,16 @@
     return Object.fromEntries([...sums].sort(([a], [b]) => (a < b ? -1 : 1)));
   }
 
+  get #intervalMs(): number {
+    if (this.#options.recorded().has(this.#finalThrough)) return SEND_INTERVAL_MS;
+    return this.#isGraceOver(this.#finalThrough) ? FINAL_INTERVAL_MS : GRACE_INTERVAL_MS;
+  }
+
+  #isGraceOver(window: number): boolean {
+    const {time, windowMs} = this.#options;
+    return time.nowMs >= (window + 1) * windowMs + SILENT_GRACE_MS;
+  }
+
   get #finalThrough(): number {
     const {time, windowMs, counter} = this.#options;
     if (this.#hasLeft) return counter.currentWindow;
