--- a/packages/coordination/src/forwarding/__tests__/endpointPaces.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/endpointPaces.test.ts
@@ -252,6 +252,28 @@
   });
 });
 
+// Guards against shared prompt parts that are read again, since engines change between the groups for long and short prompts.
+test.each([4, 5, 6, 7, 8, 9])(
+  'a full window moves none of %d engines to another group',
+  (count) => {
+    const [open, full] = [false, true].map((hasPace) => {
+      const instance = createInstance(Array.from({length: count}, (_, index) => `e${index}`));
+      const endpoint = instance.put('new');
+      for (let sent = 0; sent < 4; sent += 1)
+        instance.placement.startRequest(endpoint, requestOf(700, `f${sent}`), engine);
+      if (!hasPace) endpoint.pace = undefined;
+      return Array.from({length: 60}, (_, index) => {
+        const request = requestOf(index % 2 === 0 ? 5000 : 700, `s${index}`);
+        return instance.placement.choose(request, engine, noneExcluded)!.record.id;
+      });
+    });
+    expect(full).not.toContain('new');
+    expect(full!.filter((_, index) => open![index] !== 'new')).toEqual(
+      open!.filter((id) => id !== 'new'),
+    );
+  },
+);
+
 describe('failures of an endpoint', () => {
   test('before an interruption do not keep work from it afterwards', () => {
     const instance = createInstance(['1', '2']);
