Name leases by their number on the wire of the etcd stand-in

The stand-in sent its store's lease ids, which name the era, and the etcd client added the era again and lost the number. Change: the number alone is on the wire, as in etcd.

--- a/packages/standin/src/keyValueServer.ts
+++ b/packages/standin/src/keyValueServer.ts
@@ -1,7 +1,9 @@
 /** Serves a key-value service by the JSON gateway of the etcd v3 API. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  decodeLease,
   decodeText,
+  encodeLease,
   encodeText,
   etcdPaths,
   type KeyValue,
@@ -144,7 +146,7 @@
       ? await store.remove(key, ifRevision)
       : await store.write(key, decodeText(put.value), {
           ifRevision,
-          ...(put.lease === undefined ? {} : {lease: put.lease}),
+          ...(put.lease === undefined ? {} : {lease: await readLease(store, put.lease)}),
         });
   const outcome = unwrapAnswer(answer);
   if (outcome.kind === 'written') {
@@ -183,19 +185,25 @@
   }
 }
 
+/** The lease that a number on the wire stands for; unlike the store's own ids, it does not name the era. */
+async function readLease(store: KeyValue, number: string): Promise<string> {
+  return encodeLease((await readRevision(store)).era, number);
+}
+
 async function grantLease(store: KeyValue, body: unknown, response: ServerResponse) {
   const {TTL} = grantSchema.parse(body);
-  const id = await store.grantLease(Number(TTL));
-  sendJson(response, OK, {ID: unwrapAnswer(id), TTL});
+  const id = unwrapAnswer(await store.grantLease(Number(TTL)));
+  sendJson(response, OK, {ID: decodeLease(id).lease, TTL});
 }
 
 async function renewLease(store: KeyValue, body: unknown, response: ServerResponse) {
   const {ID} = leaseSchema.parse(body);
-  const isAlive = unwrapAnswer(await store.renewLease(ID));
+  const isAlive = unwrapAnswer(await store.renewLease(await readLease(store, ID)));
   sendJson(response, OK, {result: {ID, TTL: isAlive ? '1' : '0'}});
 }
 
 async function revokeLease(store: KeyValue, body: unknown, response: ServerResponse) {
-  unwrapAnswer(await store.revokeLease(leaseSchema.parse(body).ID));
+  const {ID} = leaseSchema.parse(body);
+  unwrapAnswer(await store.revokeLease(await readLease(store, ID)));
   sendJson(response, OK, {});
 }
