Leave paces off by default, and end slow start by a share of late answers

By the logs, a replaced engine was kept at some 7 requests for 13 s: the first late answer ended slow start, and single answers to long prompts are late at any engine. Change: slow start lasts while at most one in four answers is bad; the setting paceEndpoints, off by default, switches paces on.

--- a/packages/coordination/src/forwarding/endpointPace.ts
+++ b/packages/coordination/src/forwarding/endpointPace.ts
@@ -14,8 +14,10 @@
 const MIN_TRIAL_ANSWERS = 8;
 /** Part of the answers of a trial that may be late or failed. */
 export const MAX_BAD_SHARE = 0.25;
-/** Weight of the newest answer in the moving average of the time to answer. */
+/** Weight of the newest answer in the moving averages of the time to answer and of the bad share. */
 const NEWEST_ANSWER_WEIGHT = 0.2;
+/** A failure counts as this many late answers in the bad share. */
+const FAILURE_WEIGHT = 2;
 
 /** Why a window was lowered. */
 export type PaceDecrease = 'late' | 'failed' | 'silent';
@@ -36,11 +38,15 @@
   readonly onDecrease: (window: number, reason: PaceDecrease) => void;
 }
 
-/** Window of the requests in flight at one endpoint: slow start, then additive increase, multiplicative decrease. */
+/**
+ * Window of the requests in flight at one endpoint: slow start while few answers are bad, else additive increase and
+ * multiplicative decrease.
+ */
 export class EndpointPace {
   readonly #options: EndpointPaceOptions;
   #window: number;
-  #isSlowStart = true;
+  /** Moving average of the part of answers that were late or failed. */
+  #badShare = 0;
   #hasRisen = false;
   #answerMs: number | undefined;
   #objectiveMs = 0;
@@ -76,20 +82,21 @@
   /** Raises the window after an answer in time, and lowers it after a late one. */
   recordAnswer(nowMs: number, {elapsedMs, objectiveMs, weight}: PacedAnswer): void {
     const isLate = elapsedMs > objectiveMs;
-    this.#countAnswer(nowMs, isLate);
+    this.#countAnswer(nowMs, isLate ? 1 : 0);
     this.#answerMs ??= elapsedMs;
     this.#answerMs += NEWEST_ANSWER_WEIGHT * (elapsedMs - this.#answerMs);
     if (isLate) {
-      this.#lower(nowMs, 'late', LATE_FACTOR);
+      // Some answers of an established endpoint are late as well, such as those to long prompts.
+      if (this.#badShare > MAX_BAD_SHARE) this.#lower(nowMs, 'late', LATE_FACTOR);
       return;
     }
     this.#hasRisen = true;
-    this.#window += this.#isSlowStart ? weight : weight / this.#window;
+    this.#window += this.#badShare <= MAX_BAD_SHARE ? weight : weight / this.#window;
   }
 
   /** Halves the window after a failed or refused request. */
   recordFailure(nowMs: number): void {
-    this.#countAnswer(nowMs, true);
+    this.#countAnswer(nowMs, FAILURE_WEIGHT);
     this.#lower(nowMs, 'failed', FAILURE_FACTOR);
   }
 
@@ -117,18 +124,19 @@
     return false;
   }
 
-  #countAnswer(nowMs: number, isBad: boolean): void {
+  /** Counts an answer; `badWeight` is 0 for one in time. */
+  #countAnswer(nowMs: number, badWeight: number): void {
     this.#trialSinceMs ??= nowMs;
     this.#unansweredSinceMs = undefined;
     this.#trialAnswers += 1;
-    if (!isBad) return;
-    this.#trialBadAnswers += 1;
-    this.#isSlowStart = false;
+    if (badWeight > 0) this.#trialBadAnswers += 1;
+    const newest = badWeight > 0 ? 1 : 0;
+    const newestWeight = NEWEST_ANSWER_WEIGHT * Math.max(1, badWeight);
+    this.#badShare += newestWeight * (newest - this.#badShare);
   }
 
   /** Lowers the window, at most once in the time of one answer, since all requests in flight tell of the same fault. */
   #lower(nowMs: number, reason: PaceDecrease, factor: number): void {
-    this.#isSlowStart = false;
     if (nowMs - this.#loweredAtMs < (this.#answerMs ?? this.#objectiveMs)) return;
     this.#loweredAtMs = nowMs;
     const lowered = Math.max(MIN_WINDOW, this.#window * factor);
--- a/packages/coordination/src/forwarding/endpointPaces.ts
+++ b/packages/coordination/src/forwarding/endpointPaces.ts
@@ -11,6 +11,8 @@
 export interface EndpointPacesOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Whether new and recovered endpoints get a pace. */
+  readonly isEnabled: boolean;
   /** Endpoints of a service that are not leaving. */
   readonly usable: (service: string) => readonly Endpoint[];
 }
@@ -30,7 +32,7 @@
    * is established then, all paces of the service end: nobody is left to take the work meanwhile.
    */
   begin(endpoint: Endpoint): void {
-    if (endpoint.isLeaving) return;
+    if (!this.#options.isEnabled || endpoint.isLeaving) return;
     const {service, slots} = endpoint.record;
     const isBegun = endpoint.pace?.hasRisen === false;
     endpoint.isEstablished = false;
--- a/packages/coordination/src/forwarding/endpointRegistry.ts
+++ b/packages/coordination/src/forwarding/endpointRegistry.ts
@@ -14,6 +14,8 @@
   readonly remoteCoverage?: () => number;
   /** Called for each endpoint that is removed, but not while it is only lapsed. */
   readonly onRemoved?: (id: string) => void;
+  /** Whether new and recovered endpoints get a pace; they do by default. */
+  readonly pacesEndpoints?: boolean;
 }
 
 /**
@@ -43,8 +45,13 @@
 
   constructor(options: EndpointRegistryOptions) {
     this.#options = options;
-    const {clock, logger} = options;
-    this.paces = new EndpointPaces({clock, logger, usable: (service) => this.usable(service)});
+    const {clock, logger, pacesEndpoints: isEnabled = true} = options;
+    this.paces = new EndpointPaces({
+      clock,
+      logger,
+      isEnabled,
+      usable: (service) => this.usable(service),
+    });
   }
 
   /** Ends the first listing of the store; an endpoint that appears later is new and has a pace. */
--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -155,6 +155,8 @@
   readonly peerAddress?: string;
   readonly processLimits?: ProcessLimits;
   readonly duties?: ForwardDutyOptions;
+  /** Whether endpoints that have started or recovered get a pace; they do by default. */
+  readonly pacesEndpoints?: boolean;
   /** Rig whose clock and store this one shares. */
   readonly sharedWith?: ForwardRig;
 }
@@ -182,6 +184,7 @@
     // The smallest budget, 16 MiB.
     processLimits = {memoryBytes: 100_000_000, maxDescriptors: 4096},
     duties,
+    pacesEndpoints = true,
     sharedWith,
   }: RigOptions = {}) {
     this.clock = sharedWith?.clock ?? new VirtualClock(1000);
@@ -219,6 +222,7 @@
       metricsPath: '/metrics',
       bounds,
       processLimits,
+      pacesEndpoints,
       ...(duties === undefined ? {} : {duties}),
     });
   }
--- a/packages/entry/src/forwarding/__tests__/endpointPace.test.ts
+++ b/packages/entry/src/forwarding/__tests__/endpointPace.test.ts
@@ -64,3 +64,16 @@
   for (let count = 0; count < 6; count += 1) await sendAll(4);
   expect(await windowOf('e2')).toBe(2);
 });
+
+// Guards against a change for deployments whose settings do not ask for it.
+test('without the setting, no endpoint has a pace', async () => {
+  await rig.stop();
+  rig = new ForwardRig({pacesEndpoints: false});
+  await rig.addEndpoint('e1', respondOk);
+  await rig.start();
+  await rig.addEndpoint('e2', respondOk);
+  await rig.syncStore();
+  await sendAll(4);
+  expect(await windowOf('e2')).toBeUndefined();
+  expect(rig.logEntries.filter(({message}) => message === 'endpoint pace')).toEqual([]);
+});
--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -73,6 +73,7 @@
       metricsPath: '/metrics',
       bounds: toBounds(bounds),
       processLimits: settings.processLimits,
+      pacesEndpoints: settings.paceEndpoints,
     });
     const reload = () => {
       readForwardSettings(flags.settings).match(
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -82,6 +82,7 @@
     this.#registry = new EndpointRegistry({
       clock,
       logger,
+      pacesEndpoints: options.pacesEndpoints ?? false,
       remoteCoverage: () => this.#peers.coverage,
       onRemoved: (id) => {
         this.#metrics.removeEndpoint(id);
--- a/packages/entry/src/forwarding/forwardProcessOptions.ts
+++ b/packages/entry/src/forwarding/forwardProcessOptions.ts
@@ -28,6 +28,8 @@
   readonly metricsPath: string;
   readonly bounds: ForwardBounds;
   readonly processLimits: ProcessLimits;
+  /** Whether endpoints that have started or recovered get work by a pace; false by default. */
+  readonly pacesEndpoints?: boolean;
   /** Duties that one instance at a time carries out; without them, nothing of them runs. */
   readonly duties?: ForwardDutyOptions;
 }
--- a/packages/entry/src/forwarding/forwardSettings.ts
+++ b/packages/entry/src/forwarding/forwardSettings.ts
@@ -62,6 +62,12 @@
         .describe('Number of file descriptors that the process may use.'),
     })
     .prefault({}),
+  paceEndpoints: z
+    .boolean()
+    .default(false)
+    .describe(
+      'Whether endpoints that have started or recovered get work as their answers prove them able.',
+    ),
   log: logSchema.prefault({}),
 });
 
