--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -5,6 +5,7 @@
 import {type Endpoint, REMOTE_REQUEST_TIMEOUT_MS} from './endpoint.js';
 import {decodeLimit} from './endpointLimit.js';
 import type {EndpointRegistry} from './endpointRegistry.js';
+import {excludeFailing, excludeReported} from './endpointFilters.js';
 import {EnginePlacement} from './enginePlacement.js';
 import type {InFlightRequest} from './inFlightRequest.js';
 import type {LoadReport} from './loadReport.js';
@@ -33,9 +34,6 @@
   | 'publishLimit'
 >;
 
-/** An endpoint is skipped if its failure share exceeds the lowest one by more than this. */
-const FAILURE_SHARE_TOLERANCE = 0.15;
-
 /**
  * Slowness from which an endpoint counts as slow; peers are told when this changes. The value lies between the
  * usual slowness, 1, and that caused by other load on the same machine.
@@ -373,24 +371,6 @@
   return slowness >= PUBLISHED_SLOWNESS_THRESHOLD;
 }
 
-/**
- * Excludes endpoints that peers could not reach, so that not every instance has to find out by itself. Reports of
- * more than half of the endpoints are ignored, since their senders may be cut off themselves.
- */
-function excludeReported(candidates: readonly Endpoint[]): readonly Endpoint[] {
-  const unreported = candidates.filter((endpoint) => !endpoint.isReportedUnreachable);
-  return unreported.length * 2 >= candidates.length ? unreported : candidates;
-}
-
-/** Excludes endpoints whose failure share exceeds the lowest one by more than the tolerance. */
-function excludeFailing(candidates: readonly Endpoint[]): readonly Endpoint[] {
-  const lowestShare = Math.min(...candidates.map(({failureShare}) => failureShare));
-  const healthy = candidates.filter(
-    ({failureShare}) => failureShare <= lowestShare + FAILURE_SHARE_TOLERANCE,
-  );
-  return healthy.length > 0 ? healthy : candidates;
-}
-
 function leastOccupied(candidates: readonly Endpoint[]): Endpoint | undefined {
   let best: Endpoint | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
--- a/packages/transport/src/__tests__/eventSplitter.test.ts
+++ b/packages/transport/src/__tests__/eventSplitter.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {EventSplitter} from '../eventSplitter.js';
-import {MemoryBudget, openResponseShare} from '../memoryBudget.js';
+import {MemoryBudget} from '../memoryBudget.js';
+import {openResponseShare} from '../responseShare.js';
 
 function createBudget(maxBytes: number): MemoryBudget {
   const clock = new VirtualClock();
--- a/packages/transport/src/__tests__/requestBody.test.ts
+++ b/packages/transport/src/__tests__/requestBody.test.ts
@@ -4,7 +4,8 @@
 import type {Result} from 'neverthrow';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import {MemoryBudget, type MemoryHolder} from '../memoryBudget.js';
-import {type BodyError, endAfterRequest, type HeldBody, readHeldBody} from '../requestBody.js';
+import {endAfterRequest} from '../earlyResponse.js';
+import {type BodyError, type HeldBody, readHeldBody} from '../requestBody.js';
 
 const LIMITS = {maxBodyBytes: 1_000_000, requestTimeoutMs: 60_000};
 const MAX_BYTES = 2_000_000;
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -1,5 +1,5 @@
 /** Splits the bytes of an event stream at event boundaries without modifying them. */
-import type {BufferShare} from './memoryBudget.js';
+import type {BufferShare} from './responseShare.js';
 
 /** The unmodified bytes of one event, with its id. */
 export interface RawEvent {
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -5,7 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {type Failure, createFailureBody, failureStatus, refusal} from '@marigoldfold/protocol';
-import {endAfterRequest} from './requestBody.js';
+import {endAfterRequest} from './earlyResponse.js';
 import {sendClientError} from './clientError.js';
 import {type ClosedConnection, ConnectionGuard} from './connectionGuard.js';
 import type {MemoryBudget} from './memoryBudget.js';
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -41,11 +41,12 @@
   type BodyLimits,
   type BodyMemory,
   type HeldBody,
-  endAfterRequest,
   readBody,
   readHeldBody,
   readPinnedBody,
 } from './requestBody.js';
+export {endAfterRequest} from './earlyResponse.js';
+export {type BufferShare, openResponseShare} from './responseShare.js';
 export {
   type CallError,
   type ControlServer,
@@ -68,9 +69,7 @@
   type HolderOptions,
   type MemoryBudgetOptions,
   type MemoryHolder,
-  type BufferShare,
   budgetOptions,
-  openResponseShare,
   holderKinds,
   MemoryBudget,
 } from './memoryBudget.js';
--- a/packages/transport/src/requestBody.ts
+++ b/packages/transport/src/requestBody.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {type Clock, steadyClock} from '@marigoldfold/runtime';
 import {err, ok, type Result} from 'neverthrow';
+import {discardRemainder} from './earlyResponse.js';
 import type {ServerLimits} from './httpServer.js';
 import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
 
@@ -33,8 +34,6 @@
   pin(): void;
 }
 
-/** Time for a client to read an early response before its connection is closed. */
-const DISCARD_LIMIT_MS = 2000;
 /** Mean rate below which a body ends; the slowest mobile links are several times as fast. */
 const MIN_BYTES_PER_SECOND = 256;
 /** Time from which on the rate is checked. */
@@ -51,11 +50,6 @@
 const MIN_KEPT_BYTES = 4096;
 /** A buffer is kept as it is if its memory is at most this many times the size of its bytes. */
 const MAX_WASTE_FACTOR = 1.25;
-/**
- * Bytes of a request that are read and discarded after an early response. Without a limit, the buffers of many refused
- * uploads occupy more memory than the budget until they are collected.
- */
-const DISCARD_LIMIT_BYTES = 262_144;
 const EMPTY = Buffer.alloc(0);
 
 /** Reads the whole body; on an error the handler can still send a response. */
@@ -103,20 +97,6 @@
   });
 }
 
-/**
- * Sends the body of a response with which the connection closes. While the rest of the request is being discarded, the
- * connection stays open, since closing it would reset it and lose the response.
- */
-export function endAfterRequest(response: ServerResponse, body: string): void {
-  const {req: request} = response;
-  if (request.complete || request.readableFlowing !== true) {
-    response.end(body);
-    return;
-  }
-  response.write(body);
-  request.once('end', () => response.end());
-}
-
 class BodyReader implements HeldBody {
   readonly #request: IncomingMessage;
   readonly #limits: BodyLimits;
@@ -385,28 +365,3 @@
     this.#resizeHolder(this.#size);
   }
 }
-
-/**
- * Discards the rest of a body for up to 2 seconds, as far as the limit allows. Closing immediately would reset the
- * connection and lose the response; a rest that is known to exceed the limit is not read at all.
- */
-function discardRemainder(request: IncomingMessage, missingBytes: number): void {
-  const timer = setTimeout(() => {
-    request.socket.destroy();
-  }, DISCARD_LIMIT_MS);
-  const stop = () => {
-    clearTimeout(timer);
-  };
-  request.once('end', stop);
-  request.socket.once('close', stop);
-  if (missingBytes > DISCARD_LIMIT_BYTES) {
-    request.pause();
-    return;
-  }
-  let discardedBytes = 0;
-  request.on('data', (chunk: Buffer) => {
-    discardedBytes += chunk.length;
-    if (discardedBytes >= DISCARD_LIMIT_BYTES) request.pause();
-  });
-  request.resume();
-}
