--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -250,11 +250,7 @@
       headers: request.headers,
       target: request.url,
       atMs: Date.now(),
-      isClosed: false,
     };
-    request.socket.once('close', () => {
-      if (!entry.isDone) entry.closedAtMs = Date.now();
-    });
     try {
       for await (const chunk of request) chunks.push(chunk);
     } catch {
