--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -42,8 +42,6 @@
   #server = createServer((request, response) => {
     void this.#serve(request, response);
   });
-  /** Decides before each call whether it is answered; resolves to false to leave it without a response. */
-  onCall = async () => true;
 
   async start() {
     this.#server.listen(0, '127.0.0.1');
@@ -57,22 +55,9 @@
     this.#server.close();
   }
 
-  keys(prefix) {
-    return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
-  }
-
   /** Writes as the operator or a runner does. */
   put(key, value) {
-    this.putText(key, JSON.stringify(value));
-  }
-
-  putText(key, text) {
-    this.#set(key, Buffer.from(text).toString('base64'), 0);
-    this.#notify();
-  }
-
-  remove(key) {
-    this.#delete(key);
+    this.#set(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0);
     this.#notify();
   }
 
@@ -98,7 +83,6 @@
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const url = new URL(request.url, 'http://store');
-    if (!(await this.onCall(request.method, url))) return;
     const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
     const [status, result] = await this.#respond(url, request.method, body);
     const text = JSON.stringify(result);
@@ -205,7 +189,6 @@
 /** A runner: a server whose requests are handled by a function, registered in the store. */
 export class Runner {
   requests = [];
-  isLive = true;
 
   /** `handle` gets the request, the response, the body, and the entry of the request in `requests`. */
   constructor({id, service, store, recorder, handle, slots = 64, zone = 'z-1'}) {
@@ -217,21 +200,17 @@
     });
   }
 
-  async start(state = 'ready') {
+  async start() {
     this.server.listen(0, '127.0.0.1');
     await once(this.server, 'listening');
     this.address = `127.0.0.1:${this.server.address().port}`;
-    this.register(state);
-  }
-
-  register(state) {
     this.store.put(`servers/${this.id}`, {
       Service: this.service,
       Address: this.address,
       Zone: this.zone,
       Version: 'v1',
       Slots: this.slots,
-      State: state,
+      State: 'ready',
       ColdLeftMs: 0,
       Seq: 1,
       born: this.born,
@@ -395,8 +374,7 @@
     return 8740;
   }
 
-  writeSettings(changes = {}) {
-    this.settings = {...this.settings, ...changes};
+  writeSettings() {
     const listen = {
       Front: `${this.ip}:8740`,
       Ready: `${this.ip}:8749`,
@@ -522,8 +500,6 @@
   body,
   timeoutMs = 20_000,
   agent = new Agent({keepAlive: false}),
-  onData,
-  onRequest,
 }) {
   const startedAtMs = Date.now();
   return new Promise((resolve) => {
@@ -544,7 +520,6 @@
       answer = response;
       response.on('data', (chunk) => {
         chunks.push(chunk);
-        onData?.(chunk, response);
       });
       response.on('end', () => finish(response.complete ? 'whole' : 'cut'));
       response.on('error', (error) => finish(`cut: ${error.message}`));
@@ -554,7 +529,6 @@
       outgoing.destroy(new Error('time limit'));
     }, timeoutMs);
     outgoing.on('error', (error) => finish(`error: ${error.code ?? error.message}`));
-    onRequest?.(outgoing);
     outgoing.end(body);
   });
 }
@@ -592,15 +566,22 @@
   const recorder = new Recorder();
   const stops = [];
   let code = 2;
-  const limit = setTimeout(() => {
-    recorder.add('the case took too long');
-    process.exitCode = 2;
-    void end().then(() => process.exit(2));
-  }, 110 * MS_PER_SECOND);
   const end = async () => {
     for (const stop of stops.reverse()) await stop();
     recorder.write(join(folder, 'record.txt'));
   };
+  const giveUp = (reason) => {
+    recorder.add(reason);
+    void end().then(() => process.exit(2));
+  };
+  const limit = setTimeout(() => {
+    giveUp('the case took too long');
+  }, 110 * MS_PER_SECOND);
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => {
+      giveUp(`stopped by ${signal}`);
+    });
+  }
   try {
     const broken = await play({recorder, onEnd: (stop) => stops.push(stop)});
     for (const line of broken) recorder.add(`BROKEN ${line}`);
