--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -12,6 +12,7 @@
   hasTrouble,
   runCase,
   send,
+  waitUntilInTouch,
 } from '../lib-2/harness.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
@@ -73,8 +74,8 @@
     onEnd(() => front.stop());
     await front.start();
   }
-  // The fronts learn of one another from the store.
-  await delay(3000);
+  // Meanwhile the fronts learn of one another from the store.
+  await waitUntilInTouch();
 
   const agents = Array.from({length: CHANNELS}, () => new Agent({keepAlive: true, maxSockets: 1}));
   onEnd(() => agents.forEach((agent) => agent.destroy()));
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -13,6 +13,7 @@
   promptHeaders,
   runCase,
   send,
+  waitUntilInTouch,
 } from '../lib-2/harness.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
@@ -80,6 +81,7 @@
   const router = new Router({store, recorder});
   onEnd(() => router.stop());
   await router.start();
+  await waitUntilInTouch();
 
   const agents = Array.from(
     {length: CHANNELS + 2},
--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -13,10 +13,17 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const MS_PER_SECOND = 1000;
+/** `StableWindowMs` of the settings, and a little more: until then a machine that was started is not in touch. */
+const UNTIL_IN_TOUCH_MS = 3500;
 
 /** Whether the case's disruption is to be left out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
+/** Waits until machines that have just been started are in touch. */
+export async function waitUntilInTouch() {
+  await delay(UNTIL_IN_TOUCH_MS);
+}
+
 /** Collects the lines of `record.txt` with the time since the start in milliseconds. */
 export class Recorder {
   #lines = [];
