Review: each case reads TROUBLE itself, and a fault of a stand-in is no broken rule

An exception in a stand-in ended a script with 1, which means a broken rule, and left the router running. Now it ends with 2, like a case that cannot be loaded, and all that was started is ended; ports are free ones instead of those of the sample settings.

--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -9,13 +9,14 @@
   answerHeaders,
   clientHeaders,
   configuration,
-  hasTrouble,
   runCase,
   send,
   waitUntilInTouch,
 } from '../lib-2/harness.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
+/** `TROUBLE=0` leaves out what breaks the rule. */
+const hasTrouble = process.env.TROUBLE !== '0';
 /** Fronts of cac-fees. */
 const FRONTS = 4;
 /** Parts of a prompt: those of a long session, or as few as on a quiet day. */
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -9,7 +9,6 @@
   answerHeaders,
   clientHeaders,
   configuration,
-  hasTrouble,
   promptHeaders,
   runCase,
   send,
@@ -17,6 +16,8 @@
 } from '../lib-2/harness.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
+/** `TROUBLE=0` leaves out what breaks the rule. */
+const hasTrouble = process.env.TROUBLE !== '0';
 /** Answers of the faulty runner before the one that is spoiled: the share of the site's `garble` is 0.02. */
 const MIN_ANSWERS = 50;
 const CHANNELS = 6;
--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -3,7 +3,9 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {createSocket} from 'node:dgram';
 import {createServer, Agent, request as httpRequest} from 'node:http';
+import {createServer as createTcpServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -16,9 +18,6 @@
 /** `StableWindowMs` of the settings, and a little more: until then a machine that was started is not in touch. */
 const UNTIL_IN_TOUCH_MS = 3500;
 
-/** Whether the case's disruption is to be left out. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 /** Waits until machines that have just been started are in touch. */
 export async function waitUntilInTouch() {
   await delay(UNTIL_IN_TOUCH_MS);
@@ -377,16 +376,8 @@
     return this.ip;
   }
 
-  get port() {
-    return 8740;
-  }
-
   writeSettings() {
-    const listen = {
-      Front: `${this.ip}:8740`,
-      Ready: `${this.ip}:8749`,
-      Control: `${this.ip}:8748`,
-    };
+    const listen = {Front: `${this.ip}:${this.port}`, Ready: `${this.ip}:${this.readyPort}`};
     const document = {
       NodeName: this.name,
       Role: 'front',
@@ -397,7 +388,7 @@
       Region: 'region',
       Zones: {'z-1': 'region'},
       Listen: listen,
-      PortRange: [7200, 7215],
+      PortRange: [this.peerPort, this.peerPort],
       Seeds: [],
       Bootstrap: true,
       Limits: {CpuShare: 0.513, Cores: 1, MemoryMb: 200, MaxFds: 4200, LinkMbps: 1000, DiskMb: 0},
@@ -442,6 +433,8 @@
 
   /** Starts the process; resolves once it is ready. */
   async start() {
+    [this.port, this.readyPort] = [await findTcpPort(this.ip), await findTcpPort(this.ip)];
+    this.peerPort = await findUdpPort(this.ip);
     this.writeSettings();
     const {run} = readDeployFile();
     const [program, ...words] = run.split(' ');
@@ -469,7 +462,12 @@
   }
 
   async ready() {
-    const answer = await send({host: this.ip, port: 8749, path: '/v1/readyz', timeoutMs: 1000});
+    const answer = await send({
+      host: this.ip,
+      port: this.readyPort,
+      path: '/v1/readyz',
+      timeoutMs: 1000,
+    });
     return answer.status;
   }
 
@@ -488,6 +486,24 @@
   }
 }
 
+async function findTcpPort(host) {
+  const server = createTcpServer().listen(0, host);
+  await once(server, 'listening');
+  const {port} = server.address();
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function findUdpPort(host) {
+  const socket = createSocket('udp4').bind(0, host);
+  await once(socket, 'listening');
+  const {port} = socket.address();
+  socket.close();
+  await once(socket, 'close');
+  return port;
+}
+
 function readDeployFile() {
   const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
   const run = /^run = "(.*)"$/m.exec(text)?.[1];
@@ -567,37 +583,40 @@
 
 /**
  * Runs a case: `play` resolves to the list of broken promises. Exits with 1 if there are any, 0 if there are none and 2 if
- * the case could not run.
+ * the case could not run, also by a fault of a stand-in. In each case, what was started is ended before.
  */
 export async function runCase(folder, play) {
   const recorder = new Recorder();
   const stops = [];
-  let code = 2;
-  const end = async () => {
-    for (const stop of stops.reverse()) await stop();
+  let isEnding = false;
+  const finish = async (code) => {
+    if (isEnding) return;
+    isEnding = true;
+    for (const stop of stops.reverse()) {
+      try {
+        await stop();
+      } catch (error) {
+        recorder.add(`not stopped: ${error.stack}`);
+        code = 2;
+      }
+    }
     recorder.write(join(folder, 'record.txt'));
+    process.exit(code);
   };
   const giveUp = (reason) => {
-    recorder.add(reason);
-    void end().then(() => process.exit(2));
+    recorder.add(`could not run: ${reason}`);
+    void finish(2);
   };
-  const limit = setTimeout(() => {
-    giveUp('the case took too long');
-  }, 110 * MS_PER_SECOND);
-  for (const signal of ['SIGINT', 'SIGTERM']) {
-    process.once(signal, () => {
-      giveUp(`stopped by ${signal}`);
-    });
-  }
+  process.on('uncaughtException', (error) => giveUp(error.stack));
+  process.on('unhandledRejection', (error) => giveUp(error?.stack ?? error));
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => giveUp(signal));
+  setTimeout(() => giveUp('it took too long'), 110 * MS_PER_SECOND).unref();
   try {
     const broken = await play({recorder, onEnd: (stop) => stops.push(stop)});
     for (const line of broken) recorder.add(`BROKEN ${line}`);
     recorder.add(broken.length > 0 ? 'verdict: the rule was broken' : 'verdict: the rule held');
-    code = broken.length > 0 ? 1 : 0;
+    await finish(broken.length > 0 ? 1 : 0);
   } catch (error) {
-    recorder.add(`could not run: ${error.stack}`);
+    giveUp(error.stack);
   }
-  clearTimeout(limit);
-  await end();
-  process.exit(code);
 }
