Check the heads of responses where they enter, and confine exceptions to their attempt

Cause: an endpoint's status line with a control byte in its reason. Node.js reads it from a server, and throws when it is sent to a client. The head was handed on unchecked. In the attempt beside a silent stream, whose promise nobody awaits until the silent one has ended, the exception was an unhandled rejection. In a first attempt it closed the client's connection without an answer.

A second attempt owns its rejection. An exception in an attempt counts as an attempt that may have been executed; one in a request is answered with 502, or cuts a response that has begun. Each is logged and counted (marigoldfold_forward_defects_total). A response that is complete just as another attempt continues it is dropped.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -157,6 +157,8 @@
   readonly duties?: ForwardDutyOptions;
   /** Whether endpoints that have started or recovered get a pace; they do by default. */
   readonly pacesEndpoints?: boolean;
+  /** Reads and writes the metadata instead of `testCodec`. */
+  readonly codec?: MetadataCodec;
   /** Rig whose clock and store this one shares. */
   readonly sharedWith?: ForwardRig;
 }
@@ -185,6 +187,7 @@
     processLimits = {memoryBytes: 100_000_000, maxDescriptors: 4096},
     duties,
     pacesEndpoints = true,
+    codec = testCodec,
     sharedWith,
   }: RigOptions = {}) {
     this.clock = sharedWith?.clock ?? new VirtualClock(1000);
@@ -199,7 +202,7 @@
       wallTimeMs: () => this.clock.now() + this.suspendedMs,
       random: seededRandom(Number(/\d+$/.exec(name)?.[0] ?? 1)),
       logger: {...silentLogger, debug: log, info: log, warn: log, error: log},
-      codec: testCodec,
+      codec,
       source: {
         store: this.switchableStore,
         prefix: '',
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -1,5 +1,4 @@
 /** One attempt to serve a request at an endpoint, and its outcome. */
-import type {IncomingMessage} from 'node:http';
 import type {Endpoint, InFlightRequest, PlacementRequest} from '@marigoldfold/coordination';
 import type {Engine, Route} from '@marigoldfold/state';
 import {
@@ -9,11 +8,18 @@
   EventSplitter,
   openResponseShare,
   type RawEvent,
+  type ResponseHead,
 } from '@marigoldfold/transport';
 import {forEachChunk, bufferResponse} from './responseReader.js';
 import type {ClientResponseWriter} from './clientResponseWriter.js';
 import type {ResponseMetadata} from './metadataCodec.js';
 import type {EventSequence} from './eventSequence.js';
+import {
+  findResponseFault,
+  isEmptyByDeclaration,
+  isEndpointsOwn,
+  isSuccessStatus,
+} from './responseCheck.js';
 import {SUPERSEDED} from './attemptRace.js';
 import {REACHABILITY_CHECK_MS} from './reachability.js';
 import {patienceMs} from './routePolicy.js';
@@ -57,7 +63,7 @@
 
 /** An endpoint's error response that has been read but not sent to the client. */
 export interface FailureResponse {
-  readonly response: IncomingMessage;
+  readonly head: ResponseHead;
   readonly body: readonly Buffer[];
 }
 
@@ -90,27 +96,25 @@
 const MIN_STALL_MS = 1200;
 /** Time before the client disconnects in which another endpoint has to send the next event of a silent stream. */
 const REPLACEMENT_MS = 400;
-const NO_CONTENT = 204;
 const MISDIRECTED = 421;
 const FIRST_SERVER_ERROR = 500;
-/** Statuses from which a client concludes that its request was not executed. */
-const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Statuses with which an endpoint reports that a request failed or did not end in time. */
-const endpointFailures: ReadonlySet<number> = new Set([500, 504]);
-const SUCCESS_STATUS_CLASS = 2;
 
 /** Sends a request to an endpoint and relays its response to the client. */
 export async function runAttempt(
   options: ForwardOptions,
   request: AttemptRequest,
 ): Promise<AttemptOutcome> {
-  const {placement} = options;
+  const {placement, reportDefect} = options;
   const {endpoint, placementRequest, engine, controller} = request;
   const inFlightRequest = placement.startRequest(endpoint, placementRequest, engine);
   const relay = new ResponseRelay(options, request, inFlightRequest);
   try {
     const outcome = await sendAndRelay(options, request, relay);
     return controller.signal.reason === SUPERSEDED ? toSuperseded(outcome, relay) : outcome;
+  } catch (error) {
+    const {id} = placementRequest;
+    reportDefect('attempt', error, {request: id, endpoint: endpoint.record.id});
+    return relay.broken('unexpected exception');
   } finally {
     controller.abort(ABORT_REASON);
     placement.endRequest(endpoint, inFlightRequest);
@@ -174,31 +178,30 @@
   }
 
   async relay(response: EndpointResponse): Promise<AttemptOutcome> {
-    const {message} = response;
+    const {status, headers} = response.head;
     this.#request.endpoint.recordReceived();
-    const status = message.statusCode ?? 0;
-    const metadata = this.#options.codec.decodeResponse(status, message.headers);
+    const metadata = this.#options.codec.decodeResponse(status, headers);
     const {endpoint, route, placementRequest, response: writer} = this.#request;
     const fault = findResponseFault(status, metadata, placementRequest.id);
     this.#recordNotices(metadata);
-    if (fault !== undefined) return this.#broken(fault);
+    if (fault !== undefined) return this.broken(fault);
     this.#recordLimit(status, metadata);
     if (metadata.load !== undefined) this.#options.placement.recordLoad(endpoint, metadata.load);
     if (metadata.isNotExecuted) {
-      message.resume();
+      response.body.resume();
       return {kind: 'notExecuted', status, isMisdirected: status === MISDIRECTED};
     }
-    const isSuccess = Math.floor(status / 100) === SUCCESS_STATUS_CLASS;
+    const isSuccess = isSuccessStatus(status);
     if (writer.hasStarted) {
       // Only the remaining events belong into a stream that the client is already receiving.
-      if (!isSuccess) return this.#broken(`status ${status} to a resumed stream`);
-      if (message.headers['content-type'] !== writer.contentType)
-        return this.#broken('the resumed response has another content type');
+      if (!isSuccess) return this.broken(`status ${status} to a resumed stream`);
+      if (headers['content-type'] !== writer.contentType)
+        return this.broken('the resumed response has another content type');
       this.#isResumed = true;
     }
     if (isSuccess && route.kind === 'stream') return this.#relayStream(response);
     if (isEndpointsOwn(status, metadata, placementRequest.id)) this.#request.onBegun?.();
-    return this.#relayBuffered(response, status);
+    return this.#relayBuffered(response);
   }
 
   /** What an endpoint says about itself, unless the response is that to another request. */
@@ -217,28 +220,33 @@
     this.#options.placement.recordLimit(endpoint, limitPerSecond, sentAtMs);
   }
 
-  #broken(reason: string): AttemptOutcome {
+  /** The outcome of an attempt whose response cannot be used, or not any further. */
+  broken(reason: string): AttemptOutcome {
     const hasBegun = this.#inFlightRequest.firstEventAtMs !== undefined;
     return {kind: 'broken', reason, hasBegun};
   }
 
-  async #relayBuffered(response: EndpointResponse, status: number): Promise<AttemptOutcome> {
+  async #relayBuffered(response: EndpointResponse): Promise<AttemptOutcome> {
+    const {head} = response;
+    const {status} = head;
     using share = this.#openShare();
     const buffered = await bufferResponse(response, share);
+    // Another attempt may have continued the response since the last bytes arrived.
+    if (this.#request.controller.signal.aborted) return this.broken(ABORT_REASON);
     switch (buffered.kind) {
       case 'broken':
-        return this.#broken('the response was cut off');
+        return this.broken('the response was cut off');
       case 'whole':
         if (status >= FIRST_SERVER_ERROR) {
-          return {kind: 'failed', failure: {response: response.message, body: buffered.body}};
+          return {kind: 'failed', failure: {head, body: buffered.body}};
         }
         this.#request.claim();
-        this.#request.response.sendBuffered(response.message, buffered.body);
+        this.#request.response.sendBuffered(head, buffered.body);
         return {kind: 'delivered', status, inFlight: this.#inFlightRequest};
       case 'large':
         // A large error response is not relayed, since it may be endless and a retry at another endpoint may succeed.
         if (status >= FIRST_SERVER_ERROR && this.#request.isRetryable) {
-          return this.#broken('the error response is too large');
+          return this.broken('the error response is too large');
         }
         return await this.#relayChunks(response, {firstChunks: buffered.body});
     }
@@ -255,26 +263,26 @@
     const {response: writer, controller, claim} = this.#request;
     claim();
     for (const chunk of firstChunks) {
-      writer.sendHead(response.message);
+      writer.sendHead(response.head);
       await writer.write(chunk, controller.signal);
     }
     const isComplete = await forEachChunk(response, async (chunk) => {
       this.#options.eventLoop.recordInput();
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
       if (boundary !== undefined) this.#request.onBegun?.();
-      writer.sendHead(response.message);
+      writer.sendHead(response.head);
       boundary?.push(chunk);
       await writer.write(chunk, controller.signal);
       return 'next';
     });
-    if (!isComplete) return this.#broken('the response was cut off');
-    if (boundary?.isReached === false && !isEmptyByDeclaration(response.message))
-      return this.#broken('the stream ended inside an event');
-    writer.sendHead(response.message);
+    if (!isComplete) return this.broken('the response was cut off');
+    if (boundary?.isReached === false && !isEmptyByDeclaration(response.head))
+      return this.broken('the stream ended inside an event');
+    writer.sendHead(response.head);
     writer.end();
     return {
       kind: 'delivered',
-      status: response.message.statusCode ?? 0,
+      status: response.head.status,
       inFlight: this.#inFlightRequest,
     };
   }
@@ -295,22 +303,22 @@
       // Bytes without a complete event, and comments, are no progress.
       if (events.some(({isComment}) => !isComment)) silence.recordEvent();
       for (const event of events) {
-        fault = await this.#relayEvent(response.message, event, silence);
+        fault = await this.#relayEvent(response.head, event, silence);
         if (fault !== undefined) return 'stop';
       }
       return 'next';
     });
-    if (fault !== undefined) return this.#broken(fault);
-    if (!isComplete || splitter.hasPartialEvent) return this.#broken('the stream was cut off');
+    if (fault !== undefined) return this.broken(fault);
+    if (!isComplete || splitter.hasPartialEvent) return this.broken('the stream was cut off');
     // A resumed stream may have no event left.
-    if (!writer.hasStarted && !isEmptyByDeclaration(response.message))
-      return this.#broken('the stream ended without an event');
+    if (!writer.hasStarted && !isEmptyByDeclaration(response.head))
+      return this.broken('the stream ended without an event');
     this.#request.claim();
-    writer.sendHead(response.message);
+    writer.sendHead(response.head);
     writer.end();
     return {
       kind: 'delivered',
-      status: response.message.statusCode ?? 0,
+      status: response.head.status,
       inFlight: this.#inFlightRequest,
     };
   }
@@ -321,12 +329,12 @@
 
   /** Relays an event that is next in the sequence; returns the fault of one that is not. */
   async #relayEvent(
-    response: IncomingMessage,
+    head: ResponseHead,
     event: RawEvent,
     silence: SilenceMonitor,
   ): Promise<string | undefined> {
     const {response: writer, controller, events, claim} = this.#request;
-    if (controller.signal.aborted) return 'the response is no longer needed';
+    if (controller.signal.aborted) return ABORT_REASON;
     const origin = {isResumed: this.#isResumed, isFirstNew: !this.#hasNewEvent};
     const verdict = events.check(event, origin);
     if (verdict.kind === 'skip') return undefined;
@@ -337,7 +345,7 @@
       this.#request.onBegun?.();
       this.#options.placement.recordEvent(this.#request.endpoint, this.#inFlightRequest);
     }
-    writer.sendHead(response);
+    writer.sendHead(head);
     // A client that reads slowly delays the write, which is no silence of the endpoint.
     silence.pause();
     await writer.write(event.bytes, controller.signal);
@@ -363,32 +371,3 @@
     });
   }
 }
-
-/** Whether a response states that it has no body; one that merely ends has been cut off. */
-function isEmptyByDeclaration({statusCode, headers}: IncomingMessage): boolean {
-  return statusCode === NO_CONTENT || headers['content-length'] === '0';
-}
-
-/** Whether a response is certainly an endpoint's own; its failures may lack the request's ID and the signature. */
-function isEndpointsOwn(status: number, metadata: ResponseMetadata, id: string): boolean {
-  return metadata.isSigned || metadata.requestId === id || endpointFailures.has(status);
-}
-
-/** Reason not to accept a response, or undefined when it is valid. */
-function findResponseFault(
-  status: number,
-  metadata: ResponseMetadata,
-  id: string,
-): string | undefined {
-  if (metadata.requestId !== undefined && metadata.requestId !== id)
-    return 'the response belongs to another request';
-  // A refusal without an ID may be a repetition of one to an earlier request on the connection.
-  if (metadata.isNotExecuted)
-    return metadata.requestId === undefined ? 'the refusal names no request' : undefined;
-  if (Math.floor(status / 100) === SUCCESS_STATUS_CLASS && !metadata.isSigned)
-    return 'the response is not signed';
-  // From this status, the client would conclude that the request was not executed, which the endpoint did not state.
-  if (notExecutedStatuses.has(status))
-    return `status ${status} without the statement that the request was not executed`;
-  return undefined;
-}
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -193,11 +193,17 @@
       onSilent: (isReachable) => {
         this.#log('stream silent', {endpoint: endpoint.record.id, isReachable});
         const silent = {endpoint, controller, isReachable};
-        standby ??= this.#runStandby(plan, silent).then((result) => {
-          // A standby that was not made, or was given up, does not keep a later one from being made.
-          if (result === undefined || result.kind === 'superseded') standby = undefined;
-          return result;
-        });
+        standby ??= this.#runStandby(plan, silent)
+          .catch((error: unknown) => {
+            // Nothing awaits the standby until the silent attempt has ended, which goes on.
+            options.reportDefect('standby', error, {request: metadata.id});
+            return undefined;
+          })
+          .then((result) => {
+            // A standby that was not made, or was given up, does not keep a later one from being made.
+            if (result === undefined || result.kind === 'superseded') standby = undefined;
+            return result;
+          });
       },
     });
     this.#race.end(controller);
--- a/packages/entry/src/forwarding/clientResponseWriter.ts
+++ b/packages/entry/src/forwarding/clientResponseWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the response to a client and sends its head at most once. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import {endAfterRequest, waitForDrain} from '@marigoldfold/transport';
+import type {ServerResponse} from 'node:http';
+import {endAfterRequest, type ResponseHead, waitForDrain} from '@marigoldfold/transport';
 import {endToEndHeaders} from './endToEndHeaders.js';
 
 const MS_PER_SECOND = 1000;
@@ -40,31 +40,22 @@
     else this.#response.end(body);
   }
 
-  /** Sends an endpoint's response with its complete body. */
-  sendBuffered(endpointResponse: IncomingMessage, body: readonly Buffer[]): void {
-    if (this.isDisconnected) return;
-    const headers = endToEndHeaders(endpointResponse.rawHeaders);
+  /** Sends an endpoint's response with its complete body, unless a response head has been sent. */
+  sendBuffered({status, reason, rawHeaders}: ResponseHead, body: readonly Buffer[]): void {
+    if (this.hasStarted || this.isDisconnected) return;
+    const headers = endToEndHeaders(rawHeaders);
     const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
     headers.push('content-length', String(length));
-    this.#response.writeHead(
-      endpointResponse.statusCode ?? 0,
-      endpointResponse.statusMessage,
-      headers,
-    );
+    this.#response.writeHead(status, reason, headers);
     for (const chunk of body.slice(0, -1)) this.#response.write(chunk);
     this.#response.end(body.at(-1));
   }
 
   /** Sends the head of an endpoint's response, unless one has been sent; the body follows with `write`. */
-  sendHead(endpointResponse: IncomingMessage): void {
+  sendHead({status, reason, rawHeaders, headers}: ResponseHead): void {
     if (this.hasStarted || this.isDisconnected) return;
-    this.contentType = endpointResponse.headers['content-type'];
-    const headers = endToEndHeaders(endpointResponse.rawHeaders);
-    this.#response.writeHead(
-      endpointResponse.statusCode ?? 0,
-      endpointResponse.statusMessage,
-      headers,
-    );
+    this.contentType = headers['content-type'];
+    this.#response.writeHead(status, reason, endToEndHeaders(rawHeaders));
   }
 
   /** Writes bytes; on backpressure, waits until the client has read them or the signal is aborted. */
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -104,12 +104,23 @@
       this.#isClientGone = true;
       this.#attempts.abort(ABORT_REASON);
     });
-    const outcome = await this.#serve();
+    const outcome = await this.#serve().catch((error: unknown) => this.#fail(error));
     disconnectListener[Symbol.dispose]();
     metrics.inFlight.dec();
     this.#finish(outcome);
   }
 
+  /** Ends the request after an exception; the endpoints may have executed it. */
+  #fail(error: unknown): ExchangeOutcome {
+    this.#options.reportDefect('request', error, {request: this.#metadata.id});
+    this.#attempts.abort(ABORT_REASON);
+    const reason = 'unexpected_exception';
+    if (this.#isClientGone) return {kind: 'gone'};
+    return this.#response.hasStarted
+      ? {kind: 'cut', reason}
+      : {kind: 'failed', status: 502, reason};
+  }
+
   async #serve(): Promise<ExchangeOutcome> {
     if (this.#metadata.id === undefined) {
       return {kind: 'refused', refusal: {status: 400, reason: 'no_request_id'}};
@@ -275,9 +286,9 @@
     if (this.#isEvicted) return bodyErrorOutcome('no_memory');
     if (this.#response.hasStarted) return {kind: 'cut', reason};
     if (this.#attempts.history.failureResponse !== undefined) {
-      const {response, body} = this.#attempts.history.failureResponse;
-      this.#response.sendBuffered(response, body);
-      return {kind: 'delivered', status: response.statusCode ?? 0};
+      const {head, body} = this.#attempts.history.failureResponse;
+      this.#response.sendBuffered(head, body);
+      return {kind: 'delivered', status: head.status};
     }
     // A refusal states that the request was not executed, so no endpoint may have executed it.
     if (this.#attempts.history.possibleRunCount > 0) {
--- a/packages/entry/src/forwarding/forwardMetrics.ts
+++ b/packages/entry/src/forwarding/forwardMetrics.ts
@@ -48,6 +48,7 @@
   readonly storeCalls: Counter<'call' | 'outcome'>;
   readonly closedConnections: Counter<'rule'>;
   readonly memoryRefusals: Counter<'kind' | 'rule'>;
+  readonly defects: Counter<'place'>;
   readonly #firstByte: Histogram<'route'>;
   readonly #acceptWait: Histogram;
   readonly #readWait: Histogram;
@@ -76,6 +77,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     });
+    this.defects = new Counter({
+      name: 'marigoldfold_forward_defects_total',
+      help: 'Exceptions that no code expects, by the place that confined them.',
+      labelNames: ['place'],
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: 'marigoldfold_forward_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its response.',
--- a/packages/entry/src/forwarding/forwardOptions.ts
+++ b/packages/entry/src/forwarding/forwardOptions.ts
@@ -6,7 +6,7 @@
   PromptQuarantine,
   WindowedRetryBudget,
 } from '@marigoldfold/coordination';
-import type {Clock, EventLoopMonitor, Logger, Random} from '@marigoldfold/runtime';
+import type {Clock, DefectReporter, EventLoopMonitor, Logger, Random} from '@marigoldfold/runtime';
 import type {EndpointClient, MemoryBudget} from '@marigoldfold/transport';
 import type {CrashDetector} from './crashDetector.js';
 import type {ConfigurationState, ConfigurationAgeLimits} from './admission.js';
@@ -21,6 +21,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly reportDefect: DefectReporter;
   readonly eventLoop: EventLoopMonitor;
   readonly codec: MetadataCodec;
   /** Queue in which every attempt waits until it may be sent. */
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -14,7 +14,12 @@
   RangeMirror,
   WindowedRetryBudget,
 } from '@marigoldfold/coordination';
-import {DisposableStore, EventLoopMonitor} from '@marigoldfold/runtime';
+import {
+  type DefectReporter,
+  describeError,
+  DisposableStore,
+  EventLoopMonitor,
+} from '@marigoldfold/runtime';
 import type {KeyValueEntry} from '@marigoldfold/state';
 import {
   createEndpointClient,
@@ -74,6 +79,11 @@
   /** Resolves to whether clients can connect; undefined before the start. */
   #listening: Promise<boolean> | undefined;
   #isStopping = false;
+  readonly #reportDefect: DefectReporter = (place, error, fields) => {
+    const reason = describeError(error);
+    this.#options.logger.error('unexpected exception', {place, ...fields, reason});
+    this.#metrics.defects.inc({place});
+  };
 
   constructor(options: ForwardProcessOptions) {
     this.#options = options;
@@ -208,6 +218,7 @@
       clock,
       random: options.random,
       logger,
+      reportDefect: this.#reportDefect,
       eventLoop,
       codec: options.codec,
       dispatch,
--- a/packages/entry/src/forwarding/responseReader.ts
+++ b/packages/entry/src/forwarding/responseReader.ts
@@ -16,16 +16,16 @@
 
 /** Reads a response to its end, or pauses it when it is too large to be kept. */
 export function bufferResponse(
-  {message, isComplete}: EndpointResponse,
+  {body, isComplete}: EndpointResponse,
   share: BufferShare,
 ): Promise<BufferingResult> {
   return new Promise((resolve) => {
     let chunks: Buffer[] = [];
     let size = 0;
     const finish = (result: BufferingResult) => {
-      message.off('data', onData);
-      message.off('end', onEnd);
-      message.off('close', onClose);
+      body.off('data', onData);
+      body.off('end', onEnd);
+      body.off('close', onClose);
       resolve(result);
     };
     const onData = (chunk: Buffer) => {
@@ -33,7 +33,7 @@
       if (chunks.length > MAX_CHUNKS) chunks = [Buffer.concat(chunks)];
       size += chunk.length;
       if (share.resize(size) && size <= MAX_BUFFERED_RESPONSE_BYTES) return;
-      message.pause();
+      body.pause();
       finish({kind: 'large', body: chunks});
     };
     const onEnd = () => {
@@ -42,9 +42,9 @@
     const onClose = () => {
       finish({kind: 'broken'});
     };
-    message.on('data', onData);
-    message.on('end', onEnd);
-    message.on('close', onClose);
+    body.on('data', onData);
+    body.on('end', onEnd);
+    body.on('close', onClose);
   });
 }
 
@@ -53,11 +53,11 @@
 
 /** Calls the handler for each chunk as it arrives; resolves to true when the response is complete. */
 export async function forEachChunk(
-  {message, isComplete}: EndpointResponse,
+  {body, isComplete}: EndpointResponse,
   handleChunk: ChunkHandler,
 ): Promise<boolean> {
   try {
-    for await (const chunk of message) {
+    for await (const chunk of body) {
       if ((await handleChunk(chunk as Buffer)) === 'stop') return false;
     }
   } catch {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** Utilities for all processes: clocks, random numbers, disposal, logs and settings. */
 export {type Clock, isAborted, repeat, sleep, steadyClock, systemClock} from './clock.js';
+export {contain, containTimers, type DefectReporter, describeError} from './containment.js';
 export {VirtualClock, flushPromises} from './virtualClock.js';
 export {type Random, seededRandom, systemRandom} from './random.js';
 export {EventLoopMonitor, type EventLoopMonitorOptions, nextPoll} from './eventLoopMonitor.js';
--- a/packages/transport/src/__tests__/endpointClient.test.ts
+++ b/packages/transport/src/__tests__/endpointClient.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {type AddressInfo, createServer, type Server, type Socket} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {createEndpointClient, type EndpointRequest, type SendOutcome} from '../endpointClient.js';
@@ -43,7 +44,7 @@
   if (outcome.kind !== 'answered') throw new Error(`no response: ${outcome.reason}`);
   let text = '';
   try {
-    for await (const chunk of outcome.response.message) text += String(chunk);
+    for await (const chunk of outcome.response.body) text += String(chunk);
   } catch {
     text += '!';
   }
@@ -83,6 +84,20 @@
     const outcome = await createEndpointClient().send(requestTo(address));
     expect(outcome.kind).toBe('unknown');
   });
+
+  // Guards against heads that Node.js reads from an endpoint and throws on when they are sent to a client.
+  test('is unknown when the reason of the response has a control byte', async () => {
+    const address = await startEndpoint((socket) =>
+      socket.write('HTTP/1.1 400 Bad\x01Request\r\ncontent-length: 0\r\n\r\n'),
+    );
+    const outcome = await createEndpointClient().send(requestTo(address));
+    expect(outcome).toEqual({
+      kind: 'unknown',
+      reason: 'invalid response: the reason has an invalid character',
+    });
+    const [socket] = sockets;
+    if (socket?.closed === false) await once(socket, 'close');
+  });
 });
 
 describe('the end of a response', () => {
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -1,9 +1,11 @@
 /** Sends requests to endpoints and reports whether a failed request may have been read. */
 import {Agent, type ClientRequest, request as httpRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Readable} from 'node:stream';
 import {Result} from 'neverthrow';
 import {splitAddress} from './httpClient.js';
 import {limitInterimResponses} from './interimResponses.js';
+import {readResponseHead, type ResponseHead} from './responseHead.js';
 
 /** A request to one endpoint. */
 export interface EndpointRequest {
@@ -33,13 +35,14 @@
   | {readonly kind: 'notSent'; readonly reason: string}
   /** No byte was sent either, since the caller no longer allowed it once the connection was open. */
   | {readonly kind: 'withdrawn'; readonly reason: string}
-  /** The request may have been read, but no response arrived. */
+  /** The request may have been read, but no response arrived, or none that can be passed on. */
   | {readonly kind: 'unknown'; readonly reason: string}
   | {readonly kind: 'answered'; readonly response: EndpointResponse};
 
-/** A response whose headers have arrived. */
+/** A response whose head has arrived and is valid. */
 export interface EndpointResponse {
-  readonly message: IncomingMessage;
+  readonly head: ResponseHead;
+  readonly body: Readable;
   /**
    * Whether the whole body has arrived; call it after the body has ended. A connection reset also ends a
    * body without a length.
@@ -174,8 +177,14 @@
       response.once('close', () => {
         socket.off('end', detectReset);
       });
+      const head = readResponseHead(response);
+      if (head.isErr()) {
+        fail(`invalid response: ${head.error}`);
+        outgoing.destroy();
+        return;
+      }
       const isComplete = () => response.complete && !isTruncated;
-      resolve({kind: 'answered', response: {message: response, isComplete}});
+      resolve({kind: 'answered', response: {head: head.value, body: response, isComplete}});
     });
     const fail = (reason: string) => {
       resolve({kind: isConnected ? 'unknown' : 'notSent', reason});
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -73,4 +73,5 @@
   holderKinds,
   MemoryBudget,
 } from './memoryBudget.js';
+export type {ResponseHead} from './responseHead.js';
 export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
