Bound the idle timeouts of connections and the delays of timers

Cause: a Keep-Alive timeout of 306 digits or more in a response of an endpoint is Infinity as a number, and socket.setTimeout throws on it, in an event of the connection pool that belongs to no request. The response itself is sound, and is passed on. Ruled out: a limit on the header's size (306 digits are legal), and the agent's own parser, which this pool does not use.

Change: an idle timeout is between 1 ms and 10 minutes. Clock.schedule cuts delays to what a timer can hold: Node.js runs longer ones after 1 ms.

--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -4,15 +4,21 @@
 export interface Clock {
   /** Milliseconds since an arbitrary origin that is the same for the life of the process. */
   now(): number;
-  /** Runs an action once after a delay; disposing of the returned handle cancels it. */
+  /**
+   * Runs an action once after a delay; disposing of the returned handle cancels it. A delay over 24 days is cut to that
+   * by the clocks of the system.
+   */
   schedule(delayMs: number, action: () => void): Disposable;
 }
 
+/** Longest delay that a timer of Node.js can hold, in milliseconds; it runs a longer one after 1 ms. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** The system clock. `now` is wall time, because ages and deadlines are compared across processes. */
 export const systemClock: Clock = {
   now: () => Date.now(),
   schedule(delayMs, action) {
-    const timer = setTimeout(action, delayMs);
+    const timer = setTimeout(action, Math.min(delayMs, MAX_DELAY_MS));
     return {
       [Symbol.dispose]() {
         clearTimeout(timer);
--- a/packages/transport/src/__tests__/endpointClient.test.ts
+++ b/packages/transport/src/__tests__/endpointClient.test.ts
@@ -174,6 +174,23 @@
     expect(client.openedConnectionCount()).toBe(1);
   });
 
+  // Guards against the end of the process by an idle timeout that no timer can hold.
+  test.each(['5'.repeat(400), '5'.repeat(306), '99999999999', '0', '-5', '1e999', ''])(
+    'outlive a keep-alive timeout of %j seconds, and later requests are answered',
+    async (timeout) => {
+      const address = await startEndpoint((socket, number) => {
+        const head = `HTTP/1.1 200 OK\r\nkeep-alive: timeout=${timeout}\r\ncontent-length: 1`;
+        socket.write(`${head}\r\n\r\n${number}`);
+      });
+      using client = createEndpointClient();
+      for (const text of ['1', '2'])
+        expect(await readBody(await client.send(requestTo(address)))).toEqual({
+          text,
+          isComplete: true,
+        });
+    },
+  );
+
   test('are closed when unsolicited data arrives', async () => {
     const address = await startEndpoint((socket, number) => {
       socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n${number}`);
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -59,6 +59,8 @@
 
 /** Idle timeout of a connection if the response has no `keep-alive: timeout`. */
 const DEFAULT_IDLE_TIMEOUT_MS = 4000;
+/** Longest idle timeout; a connection is closed by then, whatever the endpoint states. */
+const MAX_IDLE_TIMEOUT_MS = 600_000;
 /** Fraction of the endpoint's idle timeout; avoids reusing a connection that the endpoint is about to close. */
 const IDLE_TIMEOUT_FRACTION = 0.6;
 const MS_PER_SECOND = 1000;
@@ -91,7 +93,10 @@
   }
 }
 
-/** Idle timeout in milliseconds, from the `keep-alive` header of the last response on the socket. */
+/**
+ * Idle timeout in milliseconds, from 1 to `MAX_IDLE_TIMEOUT_MS`, by the `keep-alive` header of the last response on the
+ * socket.
+ */
 function readIdleTimeoutMs(socket: Socket): number {
   const {_httpMessage: message} = socket as Socket & {
     readonly _httpMessage?: {readonly res?: IncomingMessage};
@@ -99,7 +104,8 @@
   const header = message?.res?.headers['keep-alive'];
   const seconds = /\btimeout=(\d+)/.exec(String(header ?? ''))?.[1];
   if (seconds === undefined) return DEFAULT_IDLE_TIMEOUT_MS;
-  return Math.max(1, Number(seconds) * MS_PER_SECOND * IDLE_TIMEOUT_FRACTION);
+  const idleMs = Number(seconds) * MS_PER_SECOND * IDLE_TIMEOUT_FRACTION;
+  return Math.min(MAX_IDLE_TIMEOUT_MS, Math.max(1, idleMs));
 }
 
 /** Creates a client; disposing of it closes all its connections. */
