Divide updates between instances entry by entry

Cause: an update over 1,400 bytes was halved list by list, rounding up, so that one long entry beside a single entry of another list was in the first half again, without end. The stack overflowed in the timer of the batch. Ruled out: the number of requests (3 parts hold), and the receivers (each instance ends by its own update).

Change: peerDatagrams.ts adds entries one after another and begins a datagram when the next does not fit, by bytes. Prompts are told with as many first parts as fit, crashes in several entries; an entry over 65,507 bytes is left out and logged.

--- a/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
@@ -35,6 +35,37 @@
   return {address: `127.0.0.1:${socket.address().port}`, messages};
 }
 
+/** Bytes of a datagram that fit into one packet of an Ethernet link. */
+const MAX_PACKET_BYTES = 1472;
+
+function parseUpdate(message: string): PeerUpdate {
+  const {params} = JSON.parse(message) as {params: unknown};
+  return peerUpdateSchema.parse(params);
+}
+
+/** Nothing is sent before the socket is bound. */
+async function waitUntilBound(channel: PeerChannel, messages: string[]): Promise<void> {
+  while (messages.length === 0) {
+    channel.sendTo('b', {});
+    await flushPromises();
+  }
+  await flushPromises();
+  messages.length = 0;
+}
+
+function createNames(prefix: string, count: number): readonly string[] {
+  return Array.from({length: count}, (_, index) => `${prefix}${index}`);
+}
+
+/** A request whose prompt has a number of shared parts, with identifiers of eight hexadecimal digits. */
+function createSentRequest(id: string, count: number): PeerUpdate['sent'][number] {
+  const parts = Array.from({length: count}, (_, part): [string, number] => [
+    (0x5c1e0000 + part).toString(16),
+    8,
+  ]);
+  return [id, 'e1', 100, 800, 80, 0, parts];
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await flushPromises();
 }
@@ -68,6 +99,40 @@
     });
   });
 
+  // Guards against an endless recursion on entries that do not fit into one datagram.
+  test('of a prompt with many parts beside another request reach the peer', async () => {
+    const {clock, channel} = openChannel();
+    const peer = await openPeer();
+    channel.add('b', peer.address);
+    await waitUntilBound(channel, peer.messages);
+    channel.publishSent(createSentRequest('r1', 100));
+    channel.publishFirstEvent('r2');
+    await clock.advance(10);
+    const updates = () => peer.messages.map(parseUpdate);
+    await waitUntil(() => updates().some(({begun}) => begun.includes('r2')));
+    const [[id, , , , , , parts] = []] = updates().flatMap(({sent}) => sent);
+    expect(id).toBe('r1');
+    expect(parts).toEqual(createSentRequest('r1', 100)[6].slice(0, parts?.length));
+    expect(parts?.length).toBeGreaterThan(50);
+    for (const message of peer.messages)
+      expect(Buffer.byteLength(message)).toBeLessThanOrEqual(MAX_PACKET_BYTES);
+  });
+
+  // Guards against an endless recursion, and against entries that are told to some peers only.
+  test('with entries of any size are sent whole', async () => {
+    const {clock, channel} = openChannel();
+    const peer = await openPeer();
+    channel.add('b', peer.address);
+    await waitUntilBound(channel, peer.messages);
+    const ids = ['é'.repeat(700), 'x'.repeat(16_000), ...createNames('r', 200)];
+    for (const id of ids) channel.publishEnded(id);
+    for (const id of createNames('e', 200)) channel.publishSlowness(id, 2);
+    await clock.advance(10);
+    const ended = () => peer.messages.flatMap((message) => parseUpdate(message).ended);
+    await waitUntil(() => ended().length === ids.length);
+    expect(ended().toSorted()).toEqual(ids.toSorted());
+  });
+
   test('go to a limited number of peers in a large fleet', async () => {
     const {clock, channel} = openChannel();
     const peer = await openPeer();
--- a/packages/coordination/src/forwarding/__tests__/promptQuarantine.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/promptQuarantine.test.ts
@@ -52,6 +52,16 @@
     expect(found).toHaveLength(1);
   });
 
+  // Guards against the end of the process by crashes under more parts than a call can have arguments.
+  test('after crashes at which very many parts were present', async () => {
+    const parts = Array.from({length: 150_000}, (_, index) => `part-${index}`);
+    for (const lifetime of ['e1', 'e2', 'e3']) {
+      await crash(lifetime, parts);
+      beginOthers();
+    }
+    expect(found).toHaveLength(1);
+  });
+
   test('not for the part that ends the prompt, which no other request shares', async () => {
     for (const lifetime of ['e1', 'e2', 'e3']) {
       await crash(lifetime, ['bad']);
--- a/packages/coordination/src/forwarding/peerChannel.ts
+++ b/packages/coordination/src/forwarding/peerChannel.ts
@@ -2,10 +2,10 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {splitAddress} from '@marigoldfold/transport';
 import type {Clock, Logger} from '@marigoldfold/runtime';
-import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {rankMembers} from '../rendezvous.js';
 import {encodeLimit, type LimitStatement} from './endpointLimit.js';
 import type {EndpointCrash} from './promptQuarantine.js';
+import {encodeUpdate} from './peerDatagrams.js';
 import {
   emptyUpdate,
   PEER_UPDATE_METHOD,
@@ -34,8 +34,6 @@
 const MAX_RECIPIENTS = 40;
 /** Time until the address is tried again if another process has it, in milliseconds. */
 const BIND_RETRY_MS = 1000;
-/** Maximum datagram size, in bytes, that fits into one packet without IP fragmentation. */
-const MAX_DATAGRAM_BYTES = 1400;
 
 interface UpdateBatch {
   readonly sent: PeerUpdate['sent'][number][];
@@ -212,10 +210,10 @@
 
   #send(update: PeerUpdate, recipients: readonly string[]): void {
     if (!this.#isBound) return;
-    for (const part of splitUpdate(update)) {
-      const message = Buffer.from(
-        JSON.stringify(createJSONRPCNotification(PEER_UPDATE_METHOD, part)),
-      );
+    const datagrams = encodeUpdate(update, (bytes) => {
+      this.#options.logger.warn('peer update too long', {bytes});
+    });
+    for (const message of datagrams) {
       for (const address of recipients) {
         const [host, port] = splitAddress(address);
         this.#socket.send(message, port, host);
@@ -241,35 +239,6 @@
   };
 }
 
-/** Splits an update in halves recursively until each part fits into a datagram. */
-function splitUpdate(update: PeerUpdate): readonly PeerUpdate[] {
-  const {from, configuration, usage, ...lists} = update;
-  const count = [...Object.values(lists), usage ?? []].reduce((sum, list) => sum + list.length, 0);
-  if (count < 2 || JSON.stringify(update).length < MAX_DATAGRAM_BYTES) return [update];
-  const halves = [0, 1].map((half): PeerUpdate => {
-    const takeHalf = <T>(items: readonly T[]) => {
-      const middle = Math.ceil(items.length / 2);
-      return half === 0 ? items.slice(0, middle) : items.slice(middle);
-    };
-    return {
-      from,
-      ...(configuration === undefined ? {} : {configuration}),
-      ...(usage === undefined ? {} : {usage: takeHalf(usage)}),
-      sent: takeHalf(lists.sent),
-      begun: takeHalf(lists.begun),
-      ended: takeHalf(lists.ended),
-      slowness: takeHalf(lists.slowness),
-      speeds: takeHalf(lists.speeds),
-      unreachable: takeHalf(lists.unreachable),
-      crashes: takeHalf(lists.crashes),
-      limits: takeHalf(lists.limits),
-      permitRequests: takeHalf(lists.permitRequests),
-      permits: takeHalf(lists.permits),
-    };
-  });
-  return halves.flatMap(splitUpdate);
-}
-
 function parseUpdate(message: Buffer): PeerUpdate | undefined {
   try {
     const {method, params} = JSON.parse(message.toString()) as {method?: unknown; params?: unknown};
--- /dev/null
+++ b/packages/coordination/src/forwarding/peerDatagrams.ts
@@ -0,0 +1,151 @@
+/** Divides updates between instances into datagrams. */
+import {createJSONRPCNotification} from 'json-rpc-2.0';
+import {emptyUpdate, PEER_UPDATE_METHOD, type PeerUpdate} from './peerMessages.js';
+
+/** Size of an update, in bytes, that fits into one packet without IP fragmentation together with its envelope. */
+const MAX_UPDATE_BYTES = 1400;
+/** Largest datagram of UDP over IPv4, in bytes. */
+const MAX_DATAGRAM_BYTES = 65_507;
+
+/** Lists of an update whose entries may be sent apart from each other. */
+const listNames = [
+  'sent',
+  'begun',
+  'ended',
+  'slowness',
+  'speeds',
+  'unreachable',
+  'crashes',
+  'limits',
+  'permitRequests',
+  'permits',
+  'usage',
+] as const satisfies readonly (keyof PeerUpdate)[];
+
+type ListName = (typeof listNames)[number];
+type Entry<Name extends ListName> = NonNullable<PeerUpdate[Name]>[number];
+type Lists = {readonly [Name in ListName]: Entry<Name>[]};
+
+/**
+ * Datagrams with the entries of an update, each in one of them. An entry that is too long for a packet is shortened if it
+ * may be, or has a datagram of its own; one that no datagram can hold is passed to `onTooLong` with its size in bytes.
+ */
+export function encodeUpdate(
+  update: PeerUpdate,
+  onTooLong: (bytes: number) => void,
+): readonly Buffer[] {
+  const datagrams: Buffer[] = [];
+  for (const part of divideUpdate(update)) {
+    const message = createJSONRPCNotification(PEER_UPDATE_METHOD, part);
+    const datagram = Buffer.from(JSON.stringify(message));
+    if (datagram.length <= MAX_DATAGRAM_BYTES) datagrams.push(datagram);
+    else onTooLong(datagram.length);
+  }
+  return datagrams;
+}
+
+/** Adds the entries one after another, so that the work is proportional to their number whatever their sizes are. */
+function divideUpdate(update: PeerUpdate): readonly PeerUpdate[] {
+  if (sizeOf(update) <= MAX_UPDATE_BYTES) return [update];
+  const {from, configuration} = update;
+  const envelope = {
+    ...emptyUpdate(from),
+    ...(configuration === undefined ? {} : {configuration}),
+    usage: [],
+  };
+  const envelopeBytes = sizeOf(envelope);
+  const parts: PeerUpdate[] = [];
+  let lists = createLists();
+  let bytes = envelopeBytes;
+  const finish = () => {
+    const {usage, ...others} = lists;
+    parts.push({...envelope, ...others, ...(usage.length === 0 ? {usage: undefined} : {usage})});
+    lists = createLists();
+    bytes = envelopeBytes;
+  };
+  const add = <Name extends ListName>(name: Name, entry: Entry<Name>) => {
+    const entryBytes = sizeOf(entry) + 1;
+    if (bytes > envelopeBytes && bytes + entryBytes > MAX_UPDATE_BYTES) finish();
+    lists[name].push(entry);
+    bytes += entryBytes;
+  };
+  const addAll = <Name extends ListName>(name: Name, entries: readonly Entry<Name>[]) => {
+    for (const entry of entries) add(name, entry);
+  };
+  const freeBytes = MAX_UPDATE_BYTES - envelopeBytes;
+  const shortened = {
+    ...update,
+    sent: update.sent.map((sent) => shortenSent(sent, freeBytes)),
+    crashes: update.crashes.flatMap((crash) => divideCrash(crash, freeBytes)),
+  };
+  for (const name of listNames) addAll(name, shortened[name] ?? []);
+  if (bytes > envelopeBytes || parts.length === 0) finish();
+  return parts;
+}
+
+function createLists(): Lists {
+  return {
+    sent: [],
+    begun: [],
+    ended: [],
+    slowness: [],
+    speeds: [],
+    unreachable: [],
+    crashes: [],
+    limits: [],
+    permitRequests: [],
+    permits: [],
+    usage: [],
+  };
+}
+
+/**
+ * Leaves out prompt parts beyond the first ones that fit. Peers then take them as a part of the request's own, and so as
+ * not cached.
+ */
+function shortenSent(sent: Entry<'sent'>, freeBytes: number): Entry<'sent'> {
+  if (sizeOf(sent) < freeBytes) return sent;
+  const [id, endpoint, uncachedTokens, promptTokens, maxOutputTokens, pauseMs, parts] = sent;
+  const shorten = (kept: typeof parts): Entry<'sent'> => [
+    id,
+    endpoint,
+    uncachedTokens,
+    promptTokens,
+    maxOutputTokens,
+    pauseMs,
+    kept,
+  ];
+  return shorten(takeWhileFitting(parts, freeBytes - sizeOf(shorten([]))));
+}
+
+/** Divides the prompt parts of a crash, which peers collect by its endpoint's lifetime. */
+function divideCrash(crash: Entry<'crashes'>, freeBytes: number): readonly Entry<'crashes'>[] {
+  if (sizeOf(crash) < freeBytes) return [crash];
+  const {lifetime} = crash;
+  const partsBytes = freeBytes - sizeOf({lifetime, parts: []});
+  const divided: Entry<'crashes'>[] = [];
+  let rest = crash.parts;
+  while (rest.length > 0) {
+    const parts = takeWhileFitting(rest, partsBytes);
+    const taken = parts.length === 0 ? rest.slice(0, 1) : parts;
+    divided.push({lifetime, parts: taken});
+    rest = rest.slice(taken.length);
+  }
+  return divided;
+}
+
+/** The first items, as many as fit into a number of bytes with their separators. */
+function takeWhileFitting<T>(items: readonly T[], maxBytes: number): T[] {
+  const taken: T[] = [];
+  let bytes = 0;
+  for (const item of items) {
+    bytes += sizeOf(item) + 1;
+    if (bytes >= maxBytes) break;
+    taken.push(item);
+  }
+  return taken;
+}
+
+function sizeOf(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
--- a/packages/coordination/src/forwarding/promptQuarantine.ts
+++ b/packages/coordination/src/forwarding/promptQuarantine.ts
@@ -147,7 +147,8 @@
   #evaluate(): void {
     while (true) {
       const counts = this.#countCrashes();
-      const most = Math.max(0, ...counts.values());
+      let most = 0;
+      for (const count of counts.values()) most = Math.max(most, count);
       const suspects = [...counts].filter(([, count]) => count === most).map(([part]) => part);
       // Parts are in the order of the prompts: a later one comes with fewer requests than those before it.
       const part = suspects.at(-1);
--- a/packages/state/src/recordArchive.ts
+++ b/packages/state/src/recordArchive.ts
@@ -155,7 +155,7 @@
     if (!group.success) return ok(undefined);
     ({groups} = group.data);
     proof ??= group.data.proof;
-    shards.push(...group.data.shards);
+    for (const shard of group.data.shards) shards.push(shard);
     index += 1;
   }
   return ok(proof === undefined ? undefined : {proof, shards});
