Confine unexpected exceptions to their timer, message, record, call or request

The checks at the entrance keep out what is known to throw; nothing confined what is not.

Timers of the router run on a clock that reports their exceptions; those of a request end that request as one whose time is over. Status requests get 500; the usage duty goes on with its next tick. Each is logged with its stack and counted by place, so nothing is hidden. A request that cannot be written to an endpoint (createRequest) says nothing about the endpoint, and no longer backs it off at all instances.

Fixtures of the duties throw on a report, so that no test passes over one.

--- a/packages/coordination/src/duties/__fixtures__/usageFleet.ts
+++ b/packages/coordination/src/duties/__fixtures__/usageFleet.ts
@@ -125,6 +125,9 @@
       wallTimeMs,
       random: this.#random,
       logger: silentLogger,
+      reportDefect: (_place, error) => {
+        throw error;
+      },
       self: name,
       windowMs: WINDOW_MS,
       lateMs: LATE_MS,
--- a/packages/coordination/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/coordination/src/duties/__tests__/usageDuty.test.ts
@@ -340,6 +340,9 @@
       wallTimeMs: () => clock.now(),
       random: () => 0.5,
       logger: silentLogger,
+      reportDefect: (_place, error) => {
+        throw error;
+      },
       self: 'a',
       windowMs: WINDOW_MS,
       lateMs: 10_000,
--- a/packages/coordination/src/duties/usageDuty.ts
+++ b/packages/coordination/src/duties/usageDuty.ts
@@ -1,5 +1,13 @@
 /** The duty to report each account's requests per window: counting, exchange and reports of one instance. */
-import {type Clock, DisposableStore, type Logger, type Random, repeat} from '@marigoldfold/runtime';
+import {
+  type Clock,
+  contain,
+  type DefectReporter,
+  DisposableStore,
+  type Logger,
+  type Random,
+  repeat,
+} from '@marigoldfold/runtime';
 import type {KeyValue, KeyValueEntry} from '@marigoldfold/state';
 import {FleetTime} from './fleetTime.js';
 import {UsageCollector} from './usageCollector.js';
@@ -21,6 +29,7 @@
   readonly wallTimeMs: () => number;
   readonly random: Random;
   readonly logger: Logger;
+  readonly reportDefect: DefectReporter;
   readonly self: string;
   /** Length of a window. */
   readonly windowMs: number;
@@ -89,9 +98,16 @@
     if (this.#isStarted) return;
     this.#isStarted = true;
     const tick = () => {
-      this.#time.followWallClock();
-      this.#collector.tick();
-      this.#reporter.tick();
+      contain(
+        () => {
+          this.#time.followWallClock();
+          this.#collector.tick();
+          this.#reporter.tick();
+        },
+        (error) => {
+          this.#options.reportDefect('usage', error);
+        },
+      );
     };
     this.#resources.defer(() => {
       this.#collector.leave();
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -94,6 +94,7 @@
 export {PeerChannel} from './forwarding/peerChannel.js';
 export {PEER_LEASE_MS, PeerRegistration} from './forwarding/peerRegistration.js';
 export {type PeerPublisher, Placement} from './forwarding/placement.js';
+export {encodeUpdate} from './forwarding/peerDatagrams.js';
 export {emptyUpdate, type PeerUpdate} from './forwarding/peerMessages.js';
 export {
   type EndpointCrash,
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -1,6 +1,6 @@
 /** Handles a client request from its arrival to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {DisposableStore, type LogFields} from '@marigoldfold/runtime';
+import {containTimers, DisposableStore, type LogFields} from '@marigoldfold/runtime';
 import type {Route, RoutedAccount} from '@marigoldfold/state';
 import {
   type BodyMemory,
@@ -71,7 +71,10 @@
     response: ServerResponse,
     arrival: ArrivedRequest,
   ) {
-    this.#options = options;
+    const clock = containTimers(options.clock, (error) => {
+      this.#endAfterTimer(error);
+    });
+    this.#options = {...options, clock};
     this.#request = request;
     this.#response = new ClientResponseWriter(response);
     this.#metadata = options.codec.decodeRequest(request.headers);
@@ -79,7 +82,7 @@
     this.#arrival = arrival;
     options.metrics.observeArrival(arrival);
     this.#attempts = new AttemptSeries({
-      options,
+      options: this.#options,
       request,
       metadata: this.#metadata,
       response: this.#response,
@@ -110,6 +113,13 @@
     this.#finish(outcome);
   }
 
+  /** Ends the request after an exception in one of its timers, like one whose time is over. */
+  #endAfterTimer(error: unknown): void {
+    this.#options.reportDefect('timer', error, {request: this.#metadata.id});
+    this.#isTimeOver = true;
+    this.#attempts.abort(ABORT_REASON);
+  }
+
   /** Ends the request after an exception; the endpoints may have executed it. */
   #fail(error: unknown): ExchangeOutcome {
     this.#options.reportDefect('request', error, {request: this.#metadata.id});
--- a/packages/entry/src/forwarding/forwardDuties.ts
+++ b/packages/entry/src/forwarding/forwardDuties.ts
@@ -7,7 +7,13 @@
   UsageDuty,
   type UsageReport,
 } from '@marigoldfold/coordination';
-import {type Clock, type Logger, type Random, sleep} from '@marigoldfold/runtime';
+import {
+  type Clock,
+  type DefectReporter,
+  type Logger,
+  type Random,
+  sleep,
+} from '@marigoldfold/runtime';
 import type {KeyValue, KeyValueEntry} from '@marigoldfold/state';
 import type {Registry} from 'prom-client';
 import {registerDutyMetrics} from './dutyMetrics.js';
@@ -33,6 +39,7 @@
   readonly wallTimeMs: () => number;
   readonly random: Random;
   readonly logger: Logger;
+  readonly reportDefect: DefectReporter;
   readonly store: KeyValue;
   /** Name of this instance. */
   readonly self: string;
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -1,26 +1,21 @@
 /** The forwarding router process: watches the store, serves clients and exchanges reports with its peers. */
 import type {Server} from 'node:http';
 import {
-  type ChangeOrigin,
   DispatchQueue,
   EndpointPermits,
   EndpointRegistry,
-  PEER_LEASE_MS,
   PeerChannel,
-  PeerRegistration,
   Placement,
   PromptQuarantine,
-  QuarantineRecords,
-  RangeMirror,
   WindowedRetryBudget,
 } from '@marigoldfold/coordination';
 import {
+  containTimers,
   type DefectReporter,
   describeError,
   DisposableStore,
   EventLoopMonitor,
 } from '@marigoldfold/runtime';
-import type {KeyValueEntry} from '@marigoldfold/state';
 import {
   createEndpointClient,
   isListening,
@@ -33,17 +28,17 @@
 import {ConfigurationHolder} from './configurationHolder.js';
 import {CrashDetector} from './crashDetector.js';
 import {FleetRecords} from './fleetRecords.js';
-import {instrumentKeyValue} from './instrumentedKeyValue.js';
 import {serveExchange} from './exchange.js';
 import {createForwardMemory, maxClientConnections} from './forwardMemory.js';
-import {ForwardDuties} from './forwardDuties.js';
 import {ForwardMetrics} from './forwardMetrics.js';
 import type {ForwardProcessOptions} from './forwardProcessOptions.js';
 import {ForwardServer} from './forwardServer.js';
+import {applyPeerUpdate} from './peerUpdates.js';
 import {PlannedStop} from './plannedStop.js';
 import {Reachability} from './reachability.js';
 import {createStatusServer} from './statusServer.js';
-import {keyedMaxAgeMs, watchTimings} from './storeTimings.js';
+import {StoreFollower} from './storeFollower.js';
+import {keyedMaxAgeMs} from './storeTimings.js';
 
 /** Time until load balancers send no new connections to an unready process: two failed checks and one in reserve. */
 const ACCEPT_AFTER_STOP_MS = 2700;
@@ -62,16 +57,13 @@
   readonly #retryBudget: WindowedRetryBudget;
   readonly #peers: PeerChannel;
   readonly #permits: EndpointPermits;
-  #registration: PeerRegistration | undefined;
   readonly #quarantine: PromptQuarantine;
-  #quarantineRecords: QuarantineRecords | undefined;
   readonly #records: FleetRecords;
   readonly #server: ForwardServer;
   readonly #statusServers: readonly Server[];
   #bounds: ForwardBounds;
-  #mirror: RangeMirror | undefined;
-  /** Undefined before the start, and where there are no duties. */
-  #duties: ForwardDuties | undefined;
+  /** Undefined before the start. */
+  #follower: StoreFollower | undefined;
   readonly #configuration: ConfigurationHolder;
   readonly #plannedStop = new PlannedStop();
   /** Aborted when the process stops, which also ends the wait for addresses that are taken. */
@@ -86,9 +78,12 @@
   };
 
   constructor(options: ForwardProcessOptions) {
-    this.#options = options;
+    const clock = containTimers(options.clock, (error) => {
+      this.#reportDefect('timer', error);
+    });
+    this.#options = {...options, clock};
     this.#bounds = options.bounds;
-    const {clock, logger} = options;
+    const {logger} = options;
     this.#registry = new EndpointRegistry({
       clock,
       logger,
@@ -103,7 +98,7 @@
       clock,
       logger,
       source: options.source,
-      copyAgeMs: () => this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY,
+      copyAgeMs: () => this.#follower?.ageMs ?? Number.POSITIVE_INFINITY,
       onInForce: ({limits}) => {
         this.#server.applyLimits(limits);
       },
@@ -112,8 +107,8 @@
     this.#quarantine = new PromptQuarantine({
       clock,
       logger,
-      onQuarantined: (digest) => this.#quarantineRecords?.write(digest),
-      onCleared: (digest) => this.#quarantineRecords?.remove(digest),
+      onQuarantined: (digest) => this.#follower?.quarantineRecords.write(digest),
+      onCleared: (digest) => this.#follower?.quarantineRecords.remove(digest),
     });
     this.#peers = this.#disposables.add(
       new PeerChannel({
@@ -122,21 +117,7 @@
         self: options.name,
         address: options.peerAddress,
         onUpdate: (update) => {
-          const {from, unreachable} = update;
-          if (unreachable.length > 0) {
-            const endpoints = unreachable.join(' ');
-            logger.debug('endpoints reported unreachable', {belief: 'endpoint', from, endpoints});
-          }
-          placement.applyPeerUpdate(update);
-          this.#permits.receive(update);
-          this.#duties?.receive(update);
-          const {configuration} = update;
-          if (
-            configuration !== undefined &&
-            this.#configuration.recordReported(from, configuration)
-          )
-            this.#reportConfiguration(from);
-          for (const crash of update.crashes) this.#quarantine.recordCrash(crash);
+          applyPeerUpdate(peerUpdateTargets, update);
         },
       }),
     );
@@ -150,7 +131,7 @@
       onPeer: (peer) => {
         this.#reportConfiguration(peer);
       },
-      onRecordLost: (digest) => this.#quarantineRecords?.write(digest),
+      onRecordLost: (digest) => this.#follower?.quarantineRecords.write(digest),
     });
     this.#permits = this.#disposables.add(
       new EndpointPermits({
@@ -160,7 +141,7 @@
         self: options.name,
         registry: this.#registry,
         peers: () => this.#peers.names,
-        isRegistered: () => this.#isRegistered,
+        isRegistered: () => this.#follower?.isRegistered === true,
         send: (peer, update) => {
           this.#peers.sendTo(peer, update);
         },
@@ -174,6 +155,18 @@
         this.#quarantine.recordBegun(prompt);
       },
     });
+    const peerUpdateTargets = {
+      logger,
+      reportDefect: this.#reportDefect,
+      placement,
+      permits: this.#permits,
+      quarantine: this.#quarantine,
+      configuration: this.#configuration,
+      duties: () => this.#follower?.duties,
+      reportConfiguration: (peer: string) => {
+        this.#reportConfiguration(peer);
+      },
+    };
     const crashDetector = new CrashDetector({
       clock,
       isListening,
@@ -232,7 +225,8 @@
       plannedStop: this.#plannedStop,
       retryBudget: this.#retryBudget,
       metrics: this.#metrics,
-      recordBegun: options.duties && ((account: string) => this.#duties?.recordBegun(account)),
+      recordBegun:
+        options.duties && ((account: string) => this.#follower?.duties?.recordBegun(account)),
       configurationState: () => this.#configuration.state,
       configurationAgeLimits: () => this.#configurationAgeLimits(),
     };
@@ -254,11 +248,15 @@
         this.#plannedStop.end();
       },
     });
+    const onStatusError = (error: unknown) => {
+      this.#reportDefect('status', error);
+    };
+    const respondReady = () =>
+      Promise.resolve(this.isReady ? ([200, 'ready'] as const) : ([503, 'not ready'] as const));
+    const respondMetrics = async () => [200, await this.metrics()] as const;
     this.#statusServers = [
-      createStatusServer(options.readyPath, () =>
-        Promise.resolve(this.isReady ? [200, 'ready'] : [503, 'not ready']),
-      ),
-      createStatusServer(options.metricsPath, async () => [200, await this.metrics()]),
+      createStatusServer(options.readyPath, respondReady, onStatusError),
+      createStatusServer(options.metricsPath, respondMetrics, onStatusError),
     ];
   }
 
@@ -267,7 +265,7 @@
    * clients is open, or to false if the process was stopped before.
    */
   async start(): Promise<boolean> {
-    this.#watchStore();
+    this.#follower = this.#followStore();
     const {readyAddress, metricsAddress, clock, logger} = this.#options;
     const {signal} = this.#startController;
     this.#listening = this.#server.listen(signal);
@@ -309,13 +307,13 @@
   /** Shuts down gracefully within the stop bound; requests in flight at its end get a failure or an incomplete stream. */
   async stop(): Promise<void> {
     this.#isStopping = true;
-    this.#duties?.release();
+    this.#follower?.duties?.release();
     this.#startController.abort();
     const limitMs = this.#bounds.stopMs - STOP_RESERVE_MS;
     this.#plannedStop.endsAtMs = this.#options.clock.now() + limitMs;
     if (await this.#listening)
       await this.#server.stop({acceptMs: Math.min(ACCEPT_AFTER_STOP_MS, limitMs), limitMs});
-    await this.#duties?.leave();
+    await this.#follower?.duties?.leave();
     for (const server of this.#statusServers) {
       server.closeAllConnections();
       server.close();
@@ -323,62 +321,24 @@
     this.#disposables[Symbol.dispose]();
   }
 
-  #watchStore(): void {
-    const {clock, wallTimeMs, random, logger, source, name, peerAddress, duties} = this.#options;
-    const {prefix, peersPrefix, quarantinePrefix} = source;
-    const store = instrumentKeyValue(source.store, this.#metrics.storeCalls);
-    if (duties !== undefined) {
-      const context = {clock, wallTimeMs, random, logger, store, self: name, peers: this.#peers};
-      this.#duties = this.#disposables.add(
-        new ForwardDuties(duties, context, this.#metricsRegistry),
-      );
-    }
-    this.#mirror = this.#disposables.add(
-      new RangeMirror({
-        clock,
-        wallTimeMs,
-        random,
-        logger,
-        store,
-        prefix,
-        ...watchTimings(this.#bounds),
-        onChange: (changes, origin) => {
-          this.#applyChanges(changes, origin);
-        },
-        onConfirmed: () => {
-          this.#registry.completeListing();
-          this.#duties?.confirmCopy();
-        },
-        onReconnected: () => {
-          this.#registry.startGracePeriod();
+  #followStore(): StoreFollower {
+    return this.#disposables.add(
+      new StoreFollower({
+        ...this.#options,
+        reportDefect: this.#reportDefect,
+        metrics: this.#metrics,
+        metricsRegistry: this.#metricsRegistry,
+        bounds: this.#bounds,
+        registry: this.#registry,
+        peers: this.#peers,
+        configuration: this.#configuration,
+        records: this.#records,
+        onApplied: () => {
+          this.#retryBudget.recordProcessCount(this.#peers.size + 1);
+          this.#permits.updateMembers();
         },
       }),
     );
-    const key = peersPrefix + name;
-    this.#registration = this.#disposables.add(
-      new PeerRegistration({clock, random, logger, store, key, value: peerAddress}),
-    );
-    this.#quarantineRecords = this.#disposables.add(
-      new QuarantineRecords({
-        clock,
-        random,
-        logger,
-        store,
-        prefix: quarantinePrefix,
-        isRecorded: (digest) => this.#records.isRecorded(digest),
-      }),
-    );
-  }
-
-  #applyChanges(changes: readonly KeyValueEntry[], origin: ChangeOrigin): void {
-    if (origin === 'restore') this.#prepareForCopy();
-    for (const change of changes) {
-      if (change.key === this.#options.source.configurationKey) this.#configuration.apply(change);
-      else this.#records.apply(change, origin);
-      this.#duties?.observe(change);
-    }
-    this.#retryBudget.recordProcessCount(this.#peers.size + 1);
-    this.#permits.updateMembers();
   }
 
   /** Tells an instance of the highest version, as its copy of the store may be older. */
@@ -387,24 +347,6 @@
     if (highestVersion !== undefined) this.#peers.sendTo(peer, {configuration: highestVersion});
   }
 
-  /** What was written since a copy that the store was restored from is lost, and its writers write it again. */
-  #prepareForCopy(): void {
-    this.#options.logger.warn('key-value service restored from a copy', {
-      ageMs: Math.round(this.#mirror?.ageMs ?? 0),
-    });
-    this.#registry.startGracePeriod();
-    this.#registration?.renew();
-  }
-
-  /** Whether the other instances certainly know this one, also after a suspension of the machine. */
-  get #isRegistered(): boolean {
-    return (
-      this.#registration?.isHeld === true &&
-      this.#records.isSelfRecorded &&
-      (this.#mirror?.ageMs ?? Number.POSITIVE_INFINITY) < PEER_LEASE_MS
-    );
-  }
-
   #configurationAgeLimits(): ConfigurationAgeLimits {
     const {configurationMs} = this.#bounds;
     return {keyedRequestMaxAgeMs: keyedMaxAgeMs(this.#bounds), notFoundMaxAgeMs: configurationMs};
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -163,6 +163,9 @@
     const arrival = this.#describeArrival(request.socket);
     this.#activeResponses.add(response);
     response.once('close', () => this.#activeResponses.delete(response));
+    response.on('error', (error) => {
+      this.#options.logger.warn('response failed', {reason: error.message});
+    });
     if (this.#isStopping) this.#disableKeepAlive(response);
     if (this.#isRefusing) {
       // The request may not finish in time, and another instance can serve it immediately.
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -33,7 +33,7 @@
 export type SendOutcome =
   /** No byte of the request left this process. */
   | {readonly kind: 'notSent'; readonly reason: string}
-  /** No byte was sent either, since the caller no longer allowed it once the connection was open. */
+  /** No byte was sent either, for a reason that does not concern the endpoint. */
   | {readonly kind: 'withdrawn'; readonly reason: string}
   /** The request may have been read, but no response arrived, or none that can be passed on. */
   | {readonly kind: 'unknown'; readonly reason: string}
@@ -142,7 +142,7 @@
   if (signal.aborted)
     return Promise.resolve({kind: 'notSent', reason: 'aborted before the request was sent'});
   const created = createRequest(agent, request);
-  if (created.isErr()) return Promise.resolve({kind: 'notSent', reason: created.error.message});
+  if (created.isErr()) return Promise.resolve({kind: 'withdrawn', reason: created.error.message});
   const outgoing = created.value;
   return new Promise((resolve) => {
     let isConnected = false;
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -5,7 +5,7 @@
   request as httpRequest,
   type IncomingMessage,
 } from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {limitInterimResponses} from './interimResponses.js';
 import {readWholeBody, type TransferLimits} from './wholeBody.js';
 
@@ -72,11 +72,25 @@
   };
 }
 
+/** Node.js throws if an address, path or header cannot be sent. */
+const createRequest = Result.fromThrowable(
+  (agent: Agent, {address, method, path, headers}: ClientRequest) => {
+    const [host, port] = splitAddress(address);
+    return httpRequest({agent, host, port, method, path, headers});
+  },
+  (error) => error as Error,
+);
+
 function sendOnce(
   agent: Agent,
   request: ClientRequest,
 ): Promise<Result<ClientResponse, ConnectionError>> {
-  const [host, port] = splitAddress(request.address);
+  const created = createRequest(agent, request);
+  if (created.isErr()) {
+    const {message} = created.error;
+    return Promise.resolve(err({code: 'broken', message, mayHaveBeenSent: false}));
+  }
+  const outgoing = created.value;
   return new Promise((resolve) => {
     let isConnected = false;
     let isTimedOut = false;
@@ -85,28 +99,18 @@
       clearTimeout(timer);
       resolve(err(describeError(error, request, {isConnected, isTimedOut, isAborted})));
     };
-    const outgoing = httpRequest(
-      {
-        agent,
-        host,
-        port,
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-      },
-      (response) => {
-        clearTimeout(timer);
-        // After the headers, the reader of the stream detects errors as a premature close.
-        response.on('error', () => undefined);
-        resolve(
-          ok({
-            status: response.statusCode ?? 0,
-            headers: response.headers as Record<string, string>,
-            stream: response,
-          }),
-        );
-      },
-    );
+    outgoing.on('response', (response) => {
+      clearTimeout(timer);
+      // After the headers, the reader of the stream detects errors as a premature close.
+      response.on('error', () => undefined);
+      resolve(
+        ok({
+          status: response.statusCode ?? 0,
+          headers: response.headers as Record<string, string>,
+          stream: response,
+        }),
+      );
+    });
     limitInterimResponses(outgoing);
     const timer = setTimeout(() => {
       isTimedOut = true;
