Read numbers from clients, endpoints, peers and the store into ranges

Cause: a number was accepted if it was finite. Sums and products of such numbers are not: two prompt parts of 1e308 tokens make the tokens of an endpoint's cache estimate infinite, and it holds no part any more until the process ends; a pause of 1e308 seconds, in milliseconds, closes an endpoint for good and reaches clients as "Retry-After: Infinity"; a peer's time of 1e308 makes the windows of the usage duty numbers to which 1 cannot be added. An infinite or missing number in an update of a peer is null in JSON, and loses the whole update; so did a speed of 0, which an endpoint that sends all events at once has.

Change: one place for the ranges (state/routing/quantities.ts), used by the header codec, the messages of peers and the configuration. What is out of range is no value; a deadline is cut. Estimates of engine timings have a lower bound: bursts of events brought them to 0, where they stayed. The ID of an event is one only if a header can hold it, as a request to resume after any other cannot be sent to any endpoint.

--- a/packages/coordination/src/duties/usageStatement.ts
+++ b/packages/coordination/src/duties/usageStatement.ts
@@ -1,4 +1,5 @@
 /** Message by which an instance states its request counts to another one. */
+import {timeSchema} from '@marigoldfold/state';
 import {z} from 'zod';
 
 const countSchema = z.number().int().nonnegative();
@@ -10,7 +11,7 @@
   /** Identifies the lifetime of that instance's process. */
   lifetime: z.string(),
   /** The sender's time, if the sender has counted. */
-  time: z.object({ownMs: z.number(), agreedMs: z.number().optional()}).optional(),
+  time: z.object({ownMs: timeSchema, agreedMs: timeSchema.optional()}).optional(),
   /** Whether the sender holds the duty. */
   isHolder: z.boolean().default(false),
   /** Window in which the instance started. */
--- a/packages/coordination/src/forwarding/__tests__/engineSlowness.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/engineSlowness.test.ts
@@ -1,4 +1,5 @@
 import {VirtualClock} from '@marigoldfold/runtime';
+import {MAX_COUNT} from '@marigoldfold/state';
 import {describe, expect, test} from 'vitest';
 import {Endpoint} from '../endpoint.js';
 import {EngineTimings} from '../engineTimings.js';
@@ -27,6 +28,14 @@
   return {clock, endpoint, timings};
 }
 
+// Guards against estimates that bursts of events bring to 0, after which slowness is infinite or no number.
+test.each([0, 20])('slowness is a number after many bursts of events, for %d ms', (elapsedMs) => {
+  const {clock, endpoint, timings} = setUp();
+  for (let count = 0; count < 60_000; count += 1) timings.recordEventGap(0);
+  const span = {nowMs: clock.now(), elapsedMs};
+  expect(measureSlowness(endpoint, timings, 2, span)).toBeLessThanOrEqual(MAX_COUNT);
+});
+
 function requestWith(
   sentAtMs: number,
   uncachedTokens: number,
--- a/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/peerChannel.test.ts
@@ -99,6 +99,19 @@
     });
   });
 
+  // Guards against the loss of a whole update over one number that is legal at its sender.
+  test.each([0, 0.001, 1e6])('with the speed %d reach the peer', async (ratio) => {
+    const {clock, channel} = openChannel();
+    const peer = await openPeer();
+    channel.add('b', peer.address);
+    await waitUntilBound(channel, peer.messages);
+    channel.publishSpeed(['e1', 1, ratio]);
+    channel.publishEnded('r1');
+    await clock.advance(10);
+    await waitUntil(() => peer.messages.length > 0);
+    expect(parseUpdate(peer.messages[0]!).ended).toEqual(['r1']);
+  });
+
   // Guards against an endless recursion on entries that do not fit into one datagram.
   test('of a prompt with many parts beside another request reach the peer', async () => {
     const {clock, channel} = openChannel();
--- a/packages/coordination/src/forwarding/endpointLimit.ts
+++ b/packages/coordination/src/forwarding/endpointLimit.ts
@@ -1,4 +1,5 @@
 /** The rate of requests that an endpoint states it takes from all instances together. */
+import {countSchema} from '@marigoldfold/state';
 import {z} from 'zod';
 
 /** What an endpoint last stated about its limit. */
@@ -19,7 +20,7 @@
 /** Schema of a statement between instances, whose clocks differ: its age replaces its time. */
 export const limitMessageSchema = z.object({
   /** Requests per second; null if the endpoint has no limit. */
-  perSecond: z.number().nonnegative().nullable(),
+  perSecond: countSchema.nullable(),
   /** Age of the statement, in milliseconds. */
   ageMs: z.number().nonnegative(),
 });
--- a/packages/coordination/src/forwarding/engineSlowness.ts
+++ b/packages/coordination/src/forwarding/engineSlowness.ts
@@ -1,4 +1,5 @@
 /** Measures the slowness of an engine from the event times of its streams, in addition to its load reports. */
+import {MAX_COUNT} from '@marigoldfold/state';
 import type {Endpoint} from './endpoint.js';
 import type {EngineTimings} from './engineTimings.js';
 import {estimatePrefilledTokens} from './prefillEstimate.js';
@@ -24,7 +25,7 @@
   const {nowMs, elapsedMs} = span;
   const prefilledTokens = prefilledTokensWithin(endpoint, timings, nowMs, elapsedMs);
   const expectedMs = expectedEventsMs(timings, events, prefilledTokens);
-  const ratio = elapsedMs / expectedMs;
+  const ratio = Math.min(MAX_COUNT, elapsedMs / expectedMs);
   const slowness = Math.max(1, ratio);
   const prefillMs = expectedMs - events * timings.eventGapMs;
   if (prefillMs <= expectedMs * MAX_SAMPLE_PREFILL_SHARE) endpoint.speed.recordSample(ratio, nowMs);
--- a/packages/coordination/src/forwarding/engineTimings.ts
+++ b/packages/coordination/src/forwarding/engineTimings.ts
@@ -4,6 +4,8 @@
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.025;
 /** Time between two events of a stream before the first measurement, in milliseconds. */
 const INITIAL_EVENT_GAP_MS = 25;
+/** Lower bound of the estimates, in milliseconds; one of 0 would stay there, and nothing can be divided by it. */
+const MIN_ESTIMATE_MS = 1e-5;
 /** Minimum uncached prompt tokens for a sample of the prefill time per token. */
 const MIN_PREFILL_SAMPLE_TOKENS = 1500;
 /** Quantile of the samples used as the usual time; below the median, since most disturbances slow an engine. */
@@ -60,10 +62,8 @@
  */
 function moveTowardQuantile(estimate: number, sample: number): number {
   const isAbove = sample > estimate;
-  return (
-    estimate *
-    (isAbove
-      ? 1 + ADAPTATION_RATE * UNDISTURBED_QUANTILE
-      : 1 - ADAPTATION_RATE * (1 - UNDISTURBED_QUANTILE))
-  );
+  const factor = isAbove
+    ? 1 + ADAPTATION_RATE * UNDISTURBED_QUANTILE
+    : 1 - ADAPTATION_RATE * (1 - UNDISTURBED_QUANTILE);
+  return Math.max(MIN_ESTIMATE_MS, estimate * factor);
 }
--- a/packages/coordination/src/forwarding/peerMessages.ts
+++ b/packages/coordination/src/forwarding/peerMessages.ts
@@ -1,4 +1,5 @@
 /** JSON-RPC notification by which instances report their requests at shared endpoints to each other. */
+import {countSchema, messageDurationSchema} from '@marigoldfold/state';
 import {z} from 'zod';
 import {usageStatementSchema} from '../duties/usageStatement.js';
 import {limitMessageSchema} from './endpointLimit.js';
@@ -11,7 +12,7 @@
   endpoint: z.string(),
   rank: z.number(),
   /** Longest wait, in milliseconds. */
-  waitMs: z.number().nonnegative(),
+  waitMs: messageDurationSchema,
   /** What the sender knows of the endpoint's limit. */
   limit: limitMessageSchema,
 });
@@ -22,7 +23,7 @@
   endpoint: z.string(),
   isGranted: z.boolean(),
   /** Time after which to ask again if it is not granted, in milliseconds. */
-  retryAfterMs: z.number().nonnegative(),
+  retryAfterMs: messageDurationSchema,
   /** What the sender knows of the endpoint's limit. */
   limit: limitMessageSchema.optional(),
 });
@@ -39,11 +40,11 @@
     z.tuple([
       z.string(),
       z.string(),
-      z.number(),
-      z.number(),
-      z.number(),
-      z.number(),
-      z.array(z.tuple([z.string(), z.number()])),
+      countSchema,
+      countSchema,
+      countSchema,
+      messageDurationSchema,
+      z.array(z.tuple([z.string(), countSchema])),
     ]),
   ),
   /** Ids of requests whose first event has arrived. */
@@ -51,9 +52,9 @@
   /** Ids of requests that ended, successfully or not. */
   ended: z.array(z.string()),
   /** Endpoint ids, each with the current time between events divided by the usual time. */
-  slowness: z.array(z.tuple([z.string(), z.number()])),
+  slowness: z.array(z.tuple([z.string(), countSchema])),
   /** Lasting ratios of endpoints to the usual time of their service: endpoint, start of its lifetime, ratio. */
-  speeds: z.array(z.tuple([z.string(), z.number(), z.number().positive()])).default([]),
+  speeds: z.array(z.tuple([z.string(), z.number(), countSchema])).default([]),
   /** Ids of endpoints to which no connection could be opened, or at whose address another endpoint answered. */
   unreachable: z.array(z.string()).default([]),
   /** Crashes of endpoints: lifetime of the endpoint, and shared prompt parts of a request that had not begun. */
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -293,7 +293,7 @@
       if (endpoint === undefined) continue;
       const parts = shared.map(([part, tokens]) => ({id: part, tokens}));
       const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-      parts.push({id, tokens: promptTokens - sharedTokens});
+      parts.push({id, tokens: Math.max(0, promptTokens - sharedTokens)});
       const prompt = {parts, promptTokens, maxOutputTokens};
       this.#removeRemoteRequest(id);
       this.#remoteRequests.set(id, {endpoint, receivedAtMs: clock.now()});
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -1,6 +1,7 @@
 /** Metadata codec that uses the header names of an installation. */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {LoadReport, PromptPart, PromptSize} from '@marigoldfold/coordination';
+import {isCount, MAX_DURATION_MS} from '@marigoldfold/state';
 import type {
   ResponseMetadata,
   MetadataCodec,
@@ -62,7 +63,7 @@
 function decodeRequest(names: HeaderNames, headers: IncomingHttpHeaders): RequestMetadata {
   return {
     id: headerText(headers[names.requestId]),
-    deadlineMs: headerNumber(headers[names.deadline]),
+    deadlineMs: parseDeadlineMs(headerText(headers[names.deadline])),
     key: headerText(headers[names.key]),
     prompt: parsePrompt(names, headers),
   };
@@ -113,8 +114,8 @@
 
 /** Milliseconds of a `retry-after` header in seconds, which may have fractions. */
 function parsePauseMs(header: string | undefined): number | undefined {
-  const seconds = parseDecimal(header);
-  return seconds === undefined ? undefined : seconds * MS_PER_SECOND;
+  const pauseMs = (parseDecimal(header) ?? Number.NaN) * MS_PER_SECOND;
+  return pauseMs <= MAX_DURATION_MS ? pauseMs : undefined;
 }
 
 function parseDecimal(header: string | undefined): number | undefined {
@@ -158,15 +159,12 @@
   };
 }
 
-function isCount(value: number | undefined): value is number {
-  return value !== undefined && Number.isFinite(value) && value >= 0;
-}
-
 function headerText(header: string | string[] | undefined): string | undefined {
   return typeof header === 'string' ? header : undefined;
 }
 
-function headerNumber(header: string | string[] | undefined): number | undefined {
-  const value = Number(headerText(header) ?? 'absent');
-  return isCount(value) ? value : undefined;
+/** Milliseconds that a client waits; a longer time is cut to the longest one. */
+function parseDeadlineMs(header: string | undefined): number | undefined {
+  const waitMs = Number(header ?? 'absent');
+  return waitMs >= 0 ? Math.min(waitMs, MAX_DURATION_MS) : undefined;
 }
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -45,7 +45,15 @@
 } from './configuration.js';
 export {type Digest, canonicalJson, digestText, digestValue, zeroDigest} from './digest.js';
 export {endpointAddressSchema} from './routing/endpointAddress.js';
-export {durationSchema, MAX_DURATION_MS} from './routing/quantities.js';
+export {
+  countSchema,
+  durationSchema,
+  isCount,
+  MAX_COUNT,
+  MAX_DURATION_MS,
+  messageDurationSchema,
+  timeSchema,
+} from './routing/quantities.js';
 export {type EtcdOptions, createEtcdKeyValue} from './etcdKeyValue.js';
 export {decodeText, encodeText, etcdPaths} from './etcdMessages.js';
 export type {
--- a/packages/transport/src/__tests__/eventSplitter.test.ts
+++ b/packages/transport/src/__tests__/eventSplitter.test.ts
@@ -37,6 +37,13 @@
     );
   });
 
+  // Guards against requests to resume a stream that cannot be sent to any endpoint.
+  test.each(['2\x01', '2\x00', '\x7f'])('have no ID if a header cannot hold it: %j', (id) => {
+    const splitter = new EventSplitter(openResponseShare(createBudget(0), 'client'));
+    const events = splitter.push(Buffer.from(`id: ${id}\ndata: a\n\n`));
+    expect(events).toMatchObject([{id: undefined, isComment: false}]);
+  });
+
   test('are buffered while they are incomplete', () => {
     const splitter = new EventSplitter(openResponseShare(createBudget(0), 'client'));
     expect(splitter.push(Buffer.from('id: 1\nda'))).toEqual([]);
--- a/packages/transport/src/eventSplitter.ts
+++ b/packages/transport/src/eventSplitter.ts
@@ -1,11 +1,12 @@
 /** Splits the bytes of an event stream at event boundaries without modifying them. */
+import {isHeaderText} from './responseHead.js';
 import type {BufferShare} from './responseShare.js';
 
 /** The unmodified bytes of one event, with its id. */
 export interface RawEvent {
   /** All bytes of the event, including the empty line that ends it. */
   readonly bytes: Buffer;
-  /** Undefined when the event has no `id` field. */
+  /** Undefined when the event has no `id` field, or one that a request to resume after it cannot name. */
   readonly id: string | undefined;
   /** Whether the block has neither an ID nor data, such as a comment that keeps the connection open. */
   readonly isComment: boolean;
@@ -116,5 +117,6 @@
 function toRawEvent(bytes: Buffer): RawEvent {
   const text = bytes.toString('latin1');
   const id = /(?:^|\n)id: ?([^\r\n]*)/.exec(text)?.[1];
-  return {bytes, id, isComment: id === undefined && !/(?:^|\n)data(?:$|[:\r\n])/.test(text)};
+  const isComment = id === undefined && !/(?:^|\n)data(?:$|[:\r\n])/.test(text);
+  return {bytes, id: id === undefined || !isHeaderText(id) ? undefined : id, isComment};
 }
