Detect resets of responses in both HTTP clients

Cause: Node.js reports a response without a length as complete when its connection is reset. The client of endpoints looked for that; the client of other processes (services, engines and agents of the standalone product, the store) did not.

Change: the detection is one module, responseEnd.ts, and the body of a response that was reset ends with an error.

--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -5,6 +5,7 @@
 import {Result} from 'neverthrow';
 import {splitAddress} from './httpClient.js';
 import {limitInterimResponses} from './interimResponses.js';
+import {onResponseReset} from './responseEnd.js';
 import {readResponseHead, type ResponseHead} from './responseHead.js';
 
 /** A request to one endpoint. */
@@ -167,37 +168,26 @@
       if (socket.connecting) socket.once('connect', onConnected);
       else onConnected();
     });
-    let message: IncomingMessage | undefined;
-    let isTruncated = false;
+    let isReset = false;
+    onResponseReset(outgoing, () => {
+      isReset = true;
+    });
     outgoing.on('response', (response) => {
-      message = response;
       // Readers check `isComplete` at the end of the body.
       response.on('error', () => undefined);
-      // Node reports a reset that arrives together with the last bytes as a normal end. The socket then has
-      // no remote address.
-      const {socket} = response;
-      const detectReset = () => {
-        if (socket.remoteAddress === undefined && !response.complete) isTruncated = true;
-      };
-      socket.prependListener('end', detectReset);
-      response.once('close', () => {
-        socket.off('end', detectReset);
-      });
       const head = readResponseHead(response);
       if (head.isErr()) {
         fail(`invalid response: ${head.error}`);
         outgoing.destroy();
         return;
       }
-      const isComplete = () => response.complete && !isTruncated;
+      const isComplete = () => response.complete && !isReset;
       resolve({kind: 'answered', response: {head: head.value, body: response, isComplete}});
     });
     const fail = (reason: string) => {
       resolve({kind: isConnected ? 'unknown' : 'notSent', reason});
     };
     outgoing.on('error', (error) => {
-      // Node marks a response without a length as complete even if its connection is reset.
-      if (message?.complete === false) isTruncated = true;
       fail(error.message);
     });
     outgoing.on('close', () => {
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {err, ok, Result} from 'neverthrow';
 import {limitInterimResponses} from './interimResponses.js';
+import {onResponseReset} from './responseEnd.js';
 import {readWholeBody, type TransferLimits} from './wholeBody.js';
 
 /** Why a request got no response. */
@@ -99,17 +100,16 @@
       clearTimeout(timer);
       resolve(err(describeError(error, request, {isConnected, isTimedOut, isAborted})));
     };
+    // Readers take the end of the stream for that of a complete response.
+    onResponseReset(outgoing, (response) => {
+      response.destroy(new Error('connection reset'));
+    });
     outgoing.on('response', (response) => {
       clearTimeout(timer);
       // After the headers, the reader of the stream detects errors as a premature close.
       response.on('error', () => undefined);
-      resolve(
-        ok({
-          status: response.statusCode ?? 0,
-          headers: response.headers as Record<string, string>,
-          stream: response,
-        }),
-      );
+      const {statusCode: status = 0, headers} = response;
+      resolve(ok({status, headers: headers as Record<string, string>, stream: response}));
     });
     limitInterimResponses(outgoing);
     const timer = setTimeout(() => {
