Take a response for none if its status is not from 200 to 599

Cause: Node.js reads any three digits as a status, and throws when it is to send one below 100 or over 999.

Change: the status is part of the check of heads, and the client of other processes checks heads too: the standalone product handed a service's status on in the same way. The request may have been executed: it is repeated only where that is allowed, and answered with 502 otherwise.

--- a/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
+++ b/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
@@ -35,7 +35,13 @@
 /** Node.js reads this status line from a server, and refuses to send it to a client. */
 const CONTROL_BYTE_LINE = 'HTTP/1.1 400 Bad\x01Request';
 
-const damagedLines = [['a control byte in its reason', CONTROL_BYTE_LINE]] as const;
+const damagedLines = [
+  ['a control byte in its reason', CONTROL_BYTE_LINE],
+  ['the status 000', 'HTTP/1.1 000 OK'],
+  ['the status 099', 'HTTP/1.1 099 OK'],
+  ['the status 600', 'HTTP/1.1 600 OK'],
+  ['the status 999', 'HTTP/1.1 999 OK'],
+] as const;
 
 describe('a response whose head cannot be passed on', () => {
   test.each(damagedLines)('with %s, is replaced by a retry', async (_name, line) => {
--- a/packages/transport/src/__tests__/responseEnds.test.ts
+++ b/packages/transport/src/__tests__/responseEnds.test.ts
@@ -120,4 +120,13 @@
     });
     expect(await request(address, Buffer.alloc(0))).toEqual({text: 'abcdef', isComplete: true});
   });
+
+  // Guards against statuses that Node.js reads from a server and throws on when they are sent to a client.
+  test.each(['000', '099', '600', '999'])('with the status %s is none', async (status) => {
+    const address = await startServer((socket) => {
+      socket.end(`HTTP/1.1 ${status} X\r\ncontent-length: 6\r\n\r\nabcdef`);
+      return Promise.resolve();
+    });
+    expect((await request(address, Buffer.alloc(0)))?.isComplete ?? false).toBe(false);
+  });
 });
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -8,6 +8,7 @@
 import {err, ok, Result} from 'neverthrow';
 import {limitInterimResponses} from './interimResponses.js';
 import {onResponseReset} from './responseEnd.js';
+import {readResponseHead} from './responseHead.js';
 import {readWholeBody, type TransferLimits} from './wholeBody.js';
 
 /** Why a request got no response. */
@@ -108,7 +109,13 @@
       clearTimeout(timer);
       // After the headers, the reader of the stream detects errors as a premature close.
       response.on('error', () => undefined);
-      const {statusCode: status = 0, headers} = response;
+      const head = readResponseHead(response);
+      if (head.isErr()) {
+        fail(new Error(`invalid response: ${head.error}`));
+        outgoing.destroy();
+        return;
+      }
+      const {status, headers} = head.value;
       resolve(ok({status, headers: headers as Record<string, string>, stream: response}));
     });
     limitInterimResponses(outgoing);
--- a/packages/transport/src/responseHead.ts
+++ b/packages/transport/src/responseHead.ts
@@ -9,6 +9,7 @@
 
 /** The head of a response that a server of Node.js can send as it is. */
 export interface ResponseHead {
+  /** From 200 to 599. */
   readonly status: number;
   /** Reason phrase; may be empty. */
   readonly reason: string;
@@ -17,6 +18,9 @@
   readonly headers: Readonly<IncomingHttpHeaders>;
 }
 
+/** Statuses of final responses; from any other, a client learns nothing about its request. */
+const [MIN_STATUS, MAX_STATUS] = [200, 599];
+
 const checkName = Result.fromThrowable(validateHeaderName, () => 'a header name is invalid');
 const checkValue = Result.fromThrowable(
   validateHeaderValue,
@@ -26,6 +30,7 @@
 /** The head of a response, or what is wrong with it. */
 export function readResponseHead(message: IncomingMessage): Result<ResponseHead, string> {
   const {statusCode: status = 0, statusMessage: reason = '', rawHeaders, headers} = message;
+  if (status < MIN_STATUS || status > MAX_STATUS) return err(`the status is ${status}`);
   if (!isHeaderText(reason)) return err('the reason has an invalid character');
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const [name = '', value = ''] = [rawHeaders[index], rawHeaders[index + 1]];
