Bound the prompt parts of requests and of cache estimates

Cause: the estimate of an endpoint's cache evicted parts by tokens only, so that parts of one or no tokens, or an endpoint whose capacity is not known, had no bound. Ruled out: requests in flight (eight at a time, all answered).

Change: 2,048 parts in each estimate, and 256 in each prompt; those beyond count as the request's own part. Identifiers of 13 characters or more are copied, as V8 keeps the whole header for them otherwise.

--- a/packages/coordination/src/forwarding/promptCacheEstimate.ts
+++ b/packages/coordination/src/forwarding/promptCacheEstimate.ts
@@ -4,6 +4,9 @@
 /** Fraction of the engine's memory assumed to hold cached prompt parts; running requests use the rest. */
 const CACHE_SHARE = 0.6;
 
+/** Largest number of parts that are assumed to be cached, whatever their tokens. */
+export const MAX_CACHED_PARTS = 2048;
+
 /** Prompt parts assumed to be cached, evicted by least recent use. */
 export class PromptCacheEstimate {
   /** Token counts by part id, least recently used first. */
@@ -12,6 +15,11 @@
   /** Size of the engine's memory, in tokens; unlimited until it is known. */
   capacityTokens = Number.POSITIVE_INFINITY;
 
+  /** Number of parts. */
+  get size(): number {
+    return this.#parts.size;
+  }
+
   /** Removes all parts; called when the endpoint restarts with an empty cache. */
   clear(): void {
     this.#parts.clear();
@@ -28,7 +36,7 @@
     return Math.max(0, promptTokens - cached);
   }
 
-  /** Records the parts of a sent prompt and evicts parts beyond the capacity. */
+  /** Records the parts of a sent prompt and evicts parts beyond the capacity or the largest number. */
   recordPrompt({parts}: Pick<PromptSize, 'parts'>): void {
     for (const {id, tokens} of parts) {
       this.#tokens += tokens - (this.#parts.get(id) ?? 0);
@@ -36,7 +44,8 @@
       this.#parts.set(id, tokens);
     }
     for (const [id, tokens] of this.#parts) {
-      if (this.#tokens <= this.capacityTokens * CACHE_SHARE) return;
+      const hasRoom = this.#tokens <= this.capacityTokens * CACHE_SHARE;
+      if (hasRoom && this.#parts.size <= MAX_CACHED_PARTS) return;
       this.#parts.delete(id);
       this.#tokens -= tokens;
     }
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -39,6 +39,11 @@
 /** Slowness in the load header that means normal speed; higher values are slower. */
 const SLOWNESS_UNIT = 100;
 
+/** Largest number of parts of a prompt that are told apart. */
+const MAX_PROMPT_PARTS = 256;
+/** Length from which V8 makes a part of a text refer to the whole. */
+const MIN_SLICE_LENGTH = 13;
+
 /** Creates a codec; headers that only the system may set are removed from clients' requests. */
 export function createHeaderCodec(
   names: HeaderNames,
@@ -135,6 +140,7 @@
   };
 }
 
+/** The parts of a prompt; those beyond the largest number are one with the last, which belongs to the request itself. */
 function parsePromptParts(header: string | undefined): readonly PromptPart[] {
   const parts: PromptPart[] = [];
   if (header === undefined) return parts;
@@ -142,11 +148,17 @@
     const [id, tokens] = part.trim().split(':');
     const count = Number(tokens);
     if (id === undefined || id === '' || !isCount(count)) return [];
-    parts.push({id, tokens: count});
+    const last = parts.length < MAX_PROMPT_PARTS ? undefined : parts.pop();
+    parts.push({id: copyText(id), tokens: count + (last?.tokens ?? 0)});
   }
   return parts;
 }
 
+/** A copy that does not keep the header in memory from which a text was taken. */
+function copyText(text: string): string {
+  return text.length < MIN_SLICE_LENGTH ? text : Buffer.from(text, 'latin1').toString('latin1');
+}
+
 function parseLoad(header: string | undefined): LoadReport | undefined {
   if (header === undefined) return undefined;
   const [running, waiting, slots, slowness] = header.split(',').map(Number);
