Add entries of updates to one kind of part

Cause: peerDatagrams.ts listed the empty lists of an update a second time. Change: parts are made by emptyUpdate, and each list names where its entries go; nothing is sent otherwise. The first and the last status are constants of their own.

--- a/packages/coordination/src/forwarding/peerDatagrams.ts
+++ b/packages/coordination/src/forwarding/peerDatagrams.ts
@@ -7,24 +7,13 @@
 /** Largest datagram of UDP over IPv4, in bytes. */
 const MAX_DATAGRAM_BYTES = 65_507;
 
-/** Lists of an update whose entries may be sent apart from each other. */
-const listNames = [
-  'sent',
-  'begun',
-  'ended',
-  'slowness',
-  'speeds',
-  'unreachable',
-  'crashes',
-  'limits',
-  'permitRequests',
-  'permits',
-  'usage',
-] as const satisfies readonly (keyof PeerUpdate)[];
+type SentEntry = PeerUpdate['sent'][number];
+type CrashEntry = PeerUpdate['crashes'][number];
 
-type ListName = (typeof listNames)[number];
-type Entry<Name extends ListName> = NonNullable<PeerUpdate[Name]>[number];
-type Lists = {readonly [Name in ListName]: Entry<Name>[]};
+/** An update to which entries are added. */
+interface UpdatePart extends PeerUpdate {
+  readonly usage: NonNullable<PeerUpdate['usage']>[number][];
+}
 
 /**
  * Datagrams with the entries of an update, each in one of them. An entry that is too long for a packet is shortened if it
@@ -48,65 +37,56 @@
 function divideUpdate(update: PeerUpdate): readonly PeerUpdate[] {
   if (sizeOf(update) <= MAX_UPDATE_BYTES) return [update];
   const {from, configuration} = update;
-  const envelope = {
+  const createPart = (): UpdatePart => ({
     ...emptyUpdate(from),
     ...(configuration === undefined ? {} : {configuration}),
     usage: [],
+  });
+  let part = createPart();
+  const parts = [part];
+  const emptyBytes = sizeOf(part);
+  let bytes = emptyBytes;
+  const addAll = <T>(entries: readonly T[], listOf: (part: UpdatePart) => T[]) => {
+    for (const entry of entries) {
+      const entryBytes = sizeOf(entry) + 1;
+      if (bytes > emptyBytes && bytes + entryBytes > MAX_UPDATE_BYTES) {
+        part = createPart();
+        parts.push(part);
+        bytes = emptyBytes;
+      }
+      listOf(part).push(entry);
+      bytes += entryBytes;
+    }
   };
-  const envelopeBytes = sizeOf(envelope);
-  const parts: PeerUpdate[] = [];
-  let lists = createLists();
-  let bytes = envelopeBytes;
-  const finish = () => {
-    const {usage, ...others} = lists;
-    parts.push({...envelope, ...others, ...(usage.length === 0 ? {usage: undefined} : {usage})});
-    lists = createLists();
-    bytes = envelopeBytes;
-  };
-  const add = <Name extends ListName>(name: Name, entry: Entry<Name>) => {
-    const entryBytes = sizeOf(entry) + 1;
-    if (bytes > envelopeBytes && bytes + entryBytes > MAX_UPDATE_BYTES) finish();
-    lists[name].push(entry);
-    bytes += entryBytes;
-  };
-  const addAll = <Name extends ListName>(name: Name, entries: readonly Entry<Name>[]) => {
-    for (const entry of entries) add(name, entry);
-  };
-  const freeBytes = MAX_UPDATE_BYTES - envelopeBytes;
-  const shortened = {
-    ...update,
-    sent: update.sent.map((sent) => shortenSent(sent, freeBytes)),
-    crashes: update.crashes.flatMap((crash) => divideCrash(crash, freeBytes)),
-  };
-  for (const name of listNames) addAll(name, shortened[name] ?? []);
-  if (bytes > envelopeBytes || parts.length === 0) finish();
+  const freeBytes = MAX_UPDATE_BYTES - emptyBytes;
+  addAll(
+    update.sent.map((sent) => shortenSent(sent, freeBytes)),
+    ({sent}) => sent,
+  );
+  addAll(update.begun, ({begun}) => begun);
+  addAll(update.ended, ({ended}) => ended);
+  addAll(update.slowness, ({slowness}) => slowness);
+  addAll(update.speeds, ({speeds}) => speeds);
+  addAll(update.unreachable, ({unreachable}) => unreachable);
+  addAll(
+    update.crashes.flatMap((crash) => divideCrash(crash, freeBytes)),
+    ({crashes}) => crashes,
+  );
+  addAll(update.limits, ({limits}) => limits);
+  addAll(update.permitRequests, ({permitRequests}) => permitRequests);
+  addAll(update.permits, ({permits}) => permits);
+  addAll(update.usage ?? [], ({usage}) => usage);
   return parts;
 }
 
-function createLists(): Lists {
-  return {
-    sent: [],
-    begun: [],
-    ended: [],
-    slowness: [],
-    speeds: [],
-    unreachable: [],
-    crashes: [],
-    limits: [],
-    permitRequests: [],
-    permits: [],
-    usage: [],
-  };
-}
-
 /**
  * Leaves out prompt parts beyond the first ones that fit. Peers then take them as a part of the request's own, and so as
  * not cached.
  */
-function shortenSent(sent: Entry<'sent'>, freeBytes: number): Entry<'sent'> {
+function shortenSent(sent: SentEntry, freeBytes: number): SentEntry {
   if (sizeOf(sent) < freeBytes) return sent;
   const [id, endpoint, uncachedTokens, promptTokens, maxOutputTokens, pauseMs, parts] = sent;
-  const shorten = (kept: typeof parts): Entry<'sent'> => [
+  const shorten = (kept: typeof parts): SentEntry => [
     id,
     endpoint,
     uncachedTokens,
@@ -119,11 +99,11 @@
 }
 
 /** Divides the prompt parts of a crash, which peers collect by its endpoint's lifetime. */
-function divideCrash(crash: Entry<'crashes'>, freeBytes: number): readonly Entry<'crashes'>[] {
+function divideCrash(crash: CrashEntry, freeBytes: number): readonly CrashEntry[] {
   if (sizeOf(crash) < freeBytes) return [crash];
   const {lifetime} = crash;
   const partsBytes = freeBytes - sizeOf({lifetime, parts: []});
-  const divided: Entry<'crashes'>[] = [];
+  const divided: CrashEntry[] = [];
   let rest = crash.parts;
   while (rest.length > 0) {
     const parts = takeWhileFitting(rest, partsBytes);
--- a/packages/transport/src/responseHead.ts
+++ b/packages/transport/src/responseHead.ts
@@ -18,8 +18,9 @@
   readonly headers: Readonly<IncomingHttpHeaders>;
 }
 
-/** Statuses of final responses; from any other, a client learns nothing about its request. */
-const [MIN_STATUS, MAX_STATUS] = [200, 599];
+/** First and last status of a final response; from any other, a client learns nothing about its request. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
 
 const checkName = Result.fromThrowable(validateHeaderName, () => 'a header name is invalid');
 const checkValue = Result.fromThrowable(
