--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -3,8 +3,10 @@
 import {connect} from 'node:net';
 import {clearTimeout, setTimeout} from 'node:timers';
 import {fileURLToPath} from 'node:url';
-import {configuration, isTroubled, Router, runCase, Store} from '../lib-3/harness.mjs';
+import {configuration, Router, runCase, Store} from '../lib-3/harness.mjs';
 
+/** `TROUBLE=0` plays the case without its disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
 const HOST = 'a.example';
 const API_KEY = 'xd9dnn2ctnfzs989anu6';
 const MAX_HEADER_BYTES = 16_384;
@@ -13,7 +15,7 @@
 const REQUESTS = 20;
 const DEADLINE_MS = 5000;
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({record, onEnd}) => {
+await runCase(fileURLToPath(new URL('.', import.meta.url)), isTroubled, async ({record, onEnd}) => {
   const store = new Store();
   await store.start();
   onEnd(() => store.stop());
--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -20,14 +20,29 @@
 /** The longest run of a script. */
 const MAX_RUN_MS = 110_000;
 
-export const isTroubled = process.env.TROUBLE !== '0';
+/** Exit codes of a case's program; `run.sh` turns them into 0 and 1, and any other, as of a program that fails, into 2. */
+const HELD = 0;
+const BROKEN = 10;
+const COULD_NOT_RUN = 2;
+
+/** Processes and folders that are left; they go with this program, however it ends. */
+const children = new Set();
+const folders = new Set();
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+  for (const folder of folders) rmSync(folder, {recursive: true, force: true});
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+  process.on(signal, () => {
+    process.exit(COULD_NOT_RUN);
+  });
 
 /** The record of a run, with times in milliseconds since its start. */
 export class RunRecord {
   #path;
   #startedAt = performance.now();
 
-  constructor(folder) {
+  constructor(folder, isTroubled) {
     this.#path = join(folder, 'record.txt');
     writeFileSync(this.#path, `trouble: ${isTroubled ? 'yes' : 'no'}\n`);
   }
@@ -255,6 +270,7 @@
     this.name = name;
     this.#record = record;
     this.#folder = mkdtempSync(join(tmpdir(), 'review-3-'));
+    folders.add(this.#folder);
   }
 
   async start(storeAddress, change = {}) {
@@ -294,11 +310,13 @@
       env: {PATH, HOME, ...(LANG === undefined ? {} : {LANG}), MARIGOLDFOLD_SETTINGS: settingsPath},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
+    children.add(this.#child);
     const collect = (data) => (this.log += data.toString());
     this.#child.stdout.on('data', collect);
     this.#child.stderr.on('data', collect);
     this.exit = new Promise((resolve) => {
       this.#child.once('exit', (code, signal) => {
+        children.delete(this.#child);
         this.#record.write(`${this.name} ended, code ${code}, signal ${signal}`);
         resolve({code, signal});
       });
@@ -353,6 +371,7 @@
       await this.exit;
     }
     rmSync(this.#folder, {recursive: true, force: true});
+    folders.delete(this.#folder);
   }
 }
 
@@ -374,33 +393,32 @@
     Limits: {
       MaxHeaderBytes: 16_384,
       MaxBodyBytes: 4_194_304,
-      HeaderTimeoutMs: 10_000,
+      HeaderTimeoutMs: 3000,
       IdleTimeoutMs: 15_000,
     },
     ...(tenants === undefined ? {} : {Tenants: tenants}),
   };
 }
 
-/** Runs a case and ends the process with its verdict: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
-export async function runCase(folder, play) {
-  const record = new RunRecord(folder);
+/** Plays a case and ends the program with its verdict; `play` returns what broke the rule, or undefined if it held. */
+export async function runCase(folder, isTroubled, play) {
+  const record = new RunRecord(folder, isTroubled);
   const ends = [];
-  const stop = async () => {
-    for (const end of ends.reverse()) await end();
-  };
-  const limit = setTimeout(() => {
+  setTimeout(() => {
     record.write('verdict: could not run, the time is over');
-    void stop().finally(() => process.exit(2));
+    process.exit(COULD_NOT_RUN);
   }, MAX_RUN_MS);
-  let code = 2;
+  let code = COULD_NOT_RUN;
   try {
     const broken = await play({record, onEnd: (end) => ends.push(end)});
     record.write(`verdict: ${broken === undefined ? 'the rule held' : `broken: ${broken}`}`);
-    code = broken === undefined ? 0 : 1;
+    code = broken === undefined ? HELD : BROKEN;
   } catch (error) {
     record.write(`verdict: could not run: ${error.stack}`);
   }
-  clearTimeout(limit);
-  await stop();
-  process.exit(code);
+  try {
+    for (const end of ends.reverse()) await end();
+  } finally {
+    process.exit(code);
+  }
 }
