Size the heap for the memory of the machine, not of the host

What was seen: on a host of 24 GB, the router of a machine with 160 MB grew to 165 MB (ten header lines) and 226 MB (one line of 14,000 bytes) under 300 connections with one request at a time each.

Cause: V8 sizes its heap by the memory of the host. It begins with a limit of hundreds of MB and lets the heap grow up to fourfold between two collections.

Ruled out: the heads themselves.

Change: a process with less than 1 GiB uses the growth of 30% that V8 itself uses for heaps of up to 256 MB, and collects once when it starts, since the next limit is computed at a collection.

--- a/packages/entry/src/forwarding/forwardCommand.ts
+++ b/packages/entry/src/forwarding/forwardCommand.ts
@@ -4,6 +4,7 @@
   BoundedOutput,
   createLogger,
   formatProblem,
+  limitHeapGrowth,
   parseSettings,
   processSignals,
   steadyClock,
@@ -40,6 +41,7 @@
     const loaded = readForwardSettings(flags.settings);
     if (loaded.isErr()) this.error(loaded.error, {exit: 2});
     const {name, log, keyValue, bounds, ...settings} = loaded.value;
+    limitHeapGrowth(settings.processLimits.memoryBytes);
     const output = new BoundedOutput({
       clock: steadyClock,
       write: createDescriptorWriter(STANDARD_OUTPUT),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -18,3 +18,4 @@
 export {ProcessSignals, processSignals, type SignalHandlers} from './processSignals.js';
 export {BoundedOutput, type BoundedOutputOptions, type WriteBytes} from './boundedOutput.js';
 export {createDescriptorWriter} from './descriptorWriter.js';
+export {limitHeapGrowth} from './heapGrowth.js';
