Keep headers that the other end needs, whatever Connection names

What callers saw: a request with `Connection: X-Marigoldfold-Model` ran without its model; one that names the request ID got 502; a response that names its signature was passed on without it (trials of the issue, by real processes).

Cause: all headers that `Connection` names were removed, only `host` was kept. RFC 9110 (7.6.1) forbids to name a header that is meant for all recipients, so that no sound client sends this; by the same section, the option is invalid.

Change: the names that the codec reads of requests and responses are kept as well.

--- a/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
+++ b/packages/entry/src/forwarding/__fixtures__/forwardRig.ts
@@ -27,6 +27,8 @@
 
 /** Metadata codec with short header names, for tests. */
 export const testCodec: MetadataCodec = {
+  requestHeaders: ['x-id', 'x-deadline', 'x-key', 'x-parts'],
+  responseHeaders: ['x-id', 'x-signed', 'x-not-executed', 'x-leaving', 'x-limit', 'retry-after'],
   decodeRequest: (headers) => ({
     id: headerText(headers['x-id']),
     deadlineMs: headers['x-deadline'] === undefined ? undefined : Number(headers['x-deadline']),
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -132,7 +132,7 @@
     this.history.attemptCount += 1;
     body.pin();
     this.#context.onSent();
-    const headers = codec.encodeRequest(endToEndHeaders(request.rawHeaders), {
+    const headers = codec.encodeRequest(endToEndHeaders(request.rawHeaders, codec.requestHeaders), {
       deadlineMs: Math.max(1, Math.floor(leftMs)),
       endpointId: endpoint.record.id,
       accountName: account?.name,
--- a/packages/entry/src/forwarding/clientResponseWriter.ts
+++ b/packages/entry/src/forwarding/clientResponseWriter.ts
@@ -8,11 +8,14 @@
 /** Writes errors, buffered responses and streams; does nothing once the client has disconnected. */
 export class ClientResponseWriter {
   readonly #response: ServerResponse;
+  readonly #endToEndNames: readonly string[];
   /** `content-type` of the endpoint's response whose head was sent. */
   contentType: string | undefined;
 
-  constructor(response: ServerResponse) {
+  /** The names are those of endpoints' headers that a client needs, in lower case. */
+  constructor(response: ServerResponse, endToEndNames: readonly string[] = []) {
     this.#response = response;
+    this.#endToEndNames = endToEndNames;
     response.sendDate = false;
   }
 
@@ -43,7 +46,7 @@
   /** Sends an endpoint's response with its complete body, unless a response head has been sent. */
   sendBuffered({status, reason, rawHeaders}: ResponseHead, body: readonly Buffer[]): void {
     if (this.hasStarted || this.isDisconnected) return;
-    const headers = endToEndHeaders(rawHeaders);
+    const headers = endToEndHeaders(rawHeaders, this.#endToEndNames);
     const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
     headers.push('content-length', String(length));
     this.#response.writeHead(status, reason, headers);
@@ -55,7 +58,7 @@
   sendHead({status, reason, rawHeaders, headers}: ResponseHead): void {
     if (this.hasStarted || this.isDisconnected) return;
     this.contentType = headers['content-type'];
-    this.#response.writeHead(status, reason, endToEndHeaders(rawHeaders));
+    this.#response.writeHead(status, reason, endToEndHeaders(rawHeaders, this.#endToEndNames));
   }
 
   /** Writes bytes; on backpressure, waits until the client has read them or the signal is aborted. */
--- a/packages/entry/src/forwarding/endToEndHeaders.ts
+++ b/packages/entry/src/forwarding/endToEndHeaders.ts
@@ -13,16 +13,23 @@
   'upgrade',
 ]);
 
-/** Filters alternating names and values, keeping order and case; the caller sets `content-length`. */
-export function endToEndHeaders(rawHeaders: readonly string[]): string[] {
+/**
+ * Filters alternating names and values, keeping order and case; the caller sets `content-length`. The end-to-end names, in
+ * lower case, are those that a message needs at its other end.
+ */
+export function endToEndHeaders(
+  rawHeaders: readonly string[],
+  endToEndNames: readonly string[],
+): string[] {
   const dropped = new Set(hopByHopHeaders);
   for (const [name, value] of headerPairs(rawHeaders)) {
     if (name.toLowerCase() !== 'connection') continue;
     for (const option of value.split(',')) dropped.add(option.trim().toLowerCase());
   }
   dropped.add('content-length');
-  // A client that sends `connection: host` must not remove the header that names the target of its request.
+  // Such a connection option is invalid (RFC 9110, section 7.6.1), and must not change what the message says.
   dropped.delete('host');
+  for (const name of endToEndNames) dropped.delete(name);
   const kept: string[] = [];
   for (const [name, value] of headerPairs(rawHeaders)) {
     if (!dropped.has(name.toLowerCase())) kept.push(name, value);
--- a/packages/entry/src/forwarding/exchange.ts
+++ b/packages/entry/src/forwarding/exchange.ts
@@ -76,7 +76,7 @@
     });
     this.#options = {...options, clock};
     this.#request = request;
-    this.#response = new ClientResponseWriter(response);
+    this.#response = new ClientResponseWriter(response, options.codec.responseHeaders);
     this.#metadata = options.codec.decodeRequest(request.headers);
     this.#arrivedAtMs = options.clock.now();
     this.#arrival = arrival;
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -33,6 +33,7 @@
   readonly limit: string;
 }
 
+const PAUSE_HEADER = 'retry-after';
 const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
 const MS_PER_SECOND = 1000;
@@ -49,7 +50,8 @@
   names: HeaderNames,
   additionalReservedHeaders: readonly string[] = [],
 ): MetadataCodec {
-  const {deadline, key, account, endpointId, rank} = names;
+  const {requestId, deadline, key, promptTokens, promptParts, account, endpointId, rank} = names;
+  const {signature, notExecuted, load, leaving, limit} = names;
   const reservedHeaders = new Set([
     deadline,
     key,
@@ -59,6 +61,8 @@
     ...additionalReservedHeaders,
   ]);
   return {
+    requestHeaders: [requestId, deadline, key, promptTokens, promptParts],
+    responseHeaders: [requestId, signature, notExecuted, load, leaving, limit, PAUSE_HEADER],
     decodeRequest: (headers) => decodeRequest(names, headers),
     encodeRequest: (headers, metadata) => encodeRequest(names, reservedHeaders, headers, metadata),
     decodeResponse: (status, headers) => decodeResponse(names, status, headers),
@@ -108,7 +112,7 @@
     isNotExecuted: headers[names.notExecuted] !== undefined || status === MISDIRECTED,
     load: parseLoad(headerText(headers[names.load])),
     isLeaving: isSet(headerText(headers[names.leaving])),
-    pauseMs: status === UNAVAILABLE ? parsePauseMs(headerText(headers['retry-after'])) : undefined,
+    pauseMs: status === UNAVAILABLE ? parsePauseMs(headerText(headers[PAUSE_HEADER])) : undefined,
     limitPerSecond: parseDecimal(headerText(headers[names.limit])),
   };
 }
--- a/packages/entry/src/forwarding/metadataCodec.ts
+++ b/packages/entry/src/forwarding/metadataCodec.ts
@@ -43,6 +43,9 @@
 
 /** Reads and writes the metadata headers of an installation. */
 export interface MetadataCodec {
+  /** Names in lower case of the headers that are read of requests and of responses. */
+  readonly requestHeaders: readonly string[];
+  readonly responseHeaders: readonly string[];
   decodeRequest(headers: IncomingHttpHeaders): RequestMetadata;
   /** Turns a client's end-to-end headers into those for the endpoint; both alternate names and values. */
   encodeRequest(headers: readonly string[], metadata: AttemptMetadata): string[];
