Pass heads on whole, and count them by what they occupy

With heads of 300 lines and more on 300 connections, most connections were closed without an answer.

Cause: Node.js drops the lines of a head beyond some 1,000 without an error, in servers and in clients.

Ruled out: lifting the limit alone (trials of the issue); counting each line higher, which refuses 300 heads that are 5 MB on the wire.

Change: one rule for all parsers and clients. A head is collected as bytes, parsed in one piece, kept as one string, and an array of lines only while it is sent. What finds no room gets 503 with retry-after, also before its head is whole, and a head over 64 KiB as it arrives gets 431; input is read on after both, so that no reset takes them away. Trailers are counted while they arrive. Heads of responses count with the response. The store's client, readiness and metrics, the operators' API and the other servers of the standalone product keep all lines, and join repeated headers instead of dropping some.

Fixtures: a codec names the headers that it reads, the headers of a request to an endpoint are made when it is sent.

--- a/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
+++ b/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
@@ -88,6 +88,7 @@
 /** A codec with a defect: it throws on some responses. */
 const defectiveCodec: MetadataCodec = {
   ...testCodec,
+  responseHeaders: [...testCodec.responseHeaders, 'x-defect'],
   decodeResponse: (status, headers) => {
     if (headers['x-defect'] !== undefined) throw new Error('defect');
     return testCodec.decodeResponse(status, headers);
--- a/packages/entry/src/forwarding/attempt.ts
+++ b/packages/entry/src/forwarding/attempt.ts
@@ -34,8 +34,8 @@
   readonly placementRequest: PlacementRequest;
   readonly method: string;
   readonly target: string;
-  /** Headers as sent to the endpoint, as alternating names and values. */
-  readonly headers: readonly string[];
+  /** Headers as sent to the endpoint, as alternating names and values; called when they are sent. */
+  readonly headers: () => string[];
   readonly body: Buffer;
   /** Client address or account for which memory is held. */
   readonly memoryOwner: string;
@@ -199,9 +199,11 @@
         return this.broken('the resumed response has another content type');
       this.#isResumed = true;
     }
-    if (isSuccess && route.kind === 'stream') return this.#relayStream(response);
+    const {memoryOwner} = this.#request;
+    using share = openResponseShare(this.#options.memory, memoryOwner, response.head.lines);
+    if (isSuccess && route.kind === 'stream') return await this.#relayStream(response, share);
     if (isEndpointsOwn(status, metadata, placementRequest.id)) this.#request.onBegun?.();
-    return this.#relayBuffered(response);
+    return await this.#relayBuffered(response, share);
   }
 
   /** What an endpoint says about itself, unless the response is that to another request. */
@@ -226,10 +228,9 @@
     return {kind: 'broken', reason, hasBegun};
   }
 
-  async #relayBuffered(response: EndpointResponse): Promise<AttemptOutcome> {
+  async #relayBuffered(response: EndpointResponse, share: BufferShare): Promise<AttemptOutcome> {
     const {head} = response;
     const {status} = head;
-    using share = this.#openShare();
     const buffered = await bufferResponse(response, share);
     // Another attempt may have continued the response since the last bytes arrived.
     if (this.#request.controller.signal.aborted) return this.broken(ABORT_REASON);
@@ -287,11 +288,10 @@
     };
   }
 
-  async #relayStream(response: EndpointResponse): Promise<AttemptOutcome> {
+  async #relayStream(response: EndpointResponse, share: BufferShare): Promise<AttemptOutcome> {
     if (!this.#request.route.isResumable)
-      return this.#relayChunks(response, {boundary: new EventBoundary()});
+      return await this.#relayChunks(response, {boundary: new EventBoundary()});
     const {response: writer} = this.#request;
-    using share = this.#openShare();
     const splitter = new EventSplitter(share);
     using silence = this.#watchForSilence();
     let fault: string | undefined;
@@ -323,10 +323,6 @@
     };
   }
 
-  #openShare(): BufferShare {
-    return openResponseShare(this.#options.memory, this.#request.memoryOwner);
-  }
-
   /** Relays an event that is next in the sequence; returns the fault of one that is not. */
   async #relayEvent(
     head: ResponseHead,
--- a/packages/entry/src/forwarding/attemptSeries.ts
+++ b/packages/entry/src/forwarding/attemptSeries.ts
@@ -132,21 +132,25 @@
     this.history.attemptCount += 1;
     body.pin();
     this.#context.onSent();
-    const headers = codec.encodeRequest(endToEndHeaders(request.rawHeaders, codec.requestHeaders), {
-      deadlineMs: Math.max(1, Math.floor(leftMs)),
-      endpointId: endpoint.record.id,
-      accountName: account?.name,
-      rank: computeQueueRank(
-        account?.priority,
-        route.priority,
-        placement.canMeetTarget(endpoint, placementRequest),
-      ),
-      lastEventId: this.events.lastEventId,
-    });
+    const endpointRank = computeQueueRank(
+      account?.priority,
+      route.priority,
+      placement.canMeetTarget(endpoint, placementRequest),
+    );
     const method = request.method ?? 'GET';
-    if (bytes.length > 0 || method === 'POST' || method === 'PUT') {
-      headers.push('content-length', String(bytes.length));
-    }
+    const headers = () => {
+      const kept = endToEndHeaders(request.rawHeaders, codec.requestHeaders);
+      const lines = codec.encodeRequest(kept, {
+        deadlineMs: Math.max(1, Math.floor(leftMs)),
+        endpointId: endpoint.record.id,
+        accountName: account?.name,
+        rank: endpointRank,
+        lastEventId: this.events.lastEventId,
+      });
+      if (bytes.length > 0 || method === 'POST' || method === 'PUT')
+        lines.push('content-length', String(bytes.length));
+      return lines;
+    };
     this.#log(
       'sent',
       {
--- a/packages/entry/src/forwarding/clientResponseWriter.ts
+++ b/packages/entry/src/forwarding/clientResponseWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the response to a client and sends its head at most once. */
 import type {ServerResponse} from 'node:http';
-import {endAfterRequest, type ResponseHead, waitForDrain} from '@marigoldfold/transport';
+import {endAfterRequest, joinHead, type ResponseHead, waitForDrain} from '@marigoldfold/transport';
 import {endToEndHeaders} from './endToEndHeaders.js';
 
 const MS_PER_SECOND = 1000;
@@ -44,21 +44,24 @@
   }
 
   /** Sends an endpoint's response with its complete body, unless a response head has been sent. */
-  sendBuffered({status, reason, rawHeaders}: ResponseHead, body: readonly Buffer[]): void {
+  sendBuffered({status, reason, lines}: ResponseHead, body: readonly Buffer[]): void {
     if (this.hasStarted || this.isDisconnected) return;
-    const headers = endToEndHeaders(rawHeaders, this.#endToEndNames);
+    const headers = endToEndHeaders(lines.toArray(), this.#endToEndNames);
     const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
     headers.push('content-length', String(length));
     this.#response.writeHead(status, reason, headers);
+    joinHead(this.#response);
     for (const chunk of body.slice(0, -1)) this.#response.write(chunk);
     this.#response.end(body.at(-1));
   }
 
   /** Sends the head of an endpoint's response, unless one has been sent; the body follows with `write`. */
-  sendHead({status, reason, rawHeaders, headers}: ResponseHead): void {
+  sendHead({status, reason, lines, headers}: ResponseHead): void {
     if (this.hasStarted || this.isDisconnected) return;
     this.contentType = headers['content-type'];
-    this.#response.writeHead(status, reason, endToEndHeaders(rawHeaders, this.#endToEndNames));
+    const kept = endToEndHeaders(lines.toArray(), this.#endToEndNames);
+    this.#response.writeHead(status, reason, kept);
+    joinHead(this.#response);
   }
 
   /** Writes bytes; on backpressure, waits until the client has read them or the signal is aborted. */
--- a/packages/entry/src/forwarding/forwardProcess.ts
+++ b/packages/entry/src/forwarding/forwardProcess.ts
@@ -215,7 +215,7 @@
       eventLoop,
       codec: options.codec,
       dispatch,
-      client: this.#disposables.add(createEndpointClient()),
+      client: this.#disposables.add(createEndpointClient(options.codec.responseHeaders)),
       placement,
       permits: this.#permits,
       crashDetector,
@@ -239,6 +239,7 @@
       port,
       budget: memory,
       maxConnections: maxClientConnections(options.processLimits),
+      requestHeaders: options.codec.requestHeaders,
       serve: (request, response, arrival) =>
         serveExchange(forwardOptions, request, response, arrival),
       onConnectionClosed: ({rule}) => {
--- a/packages/entry/src/forwarding/forwardServer.ts
+++ b/packages/entry/src/forwarding/forwardServer.ts
@@ -6,8 +6,10 @@
 import type {ClientLimits} from '@marigoldfold/state';
 import {
   type ClosedConnection,
+  compactRequestClass,
   ConnectionGuard,
   type ConnectionGuardOptions,
+  keepAllLines,
   listenPersistently,
   sendBareClientError,
 } from '@marigoldfold/transport';
@@ -21,6 +23,8 @@
   readonly eventLoop: EventLoopMonitor;
   readonly host: string;
   readonly port: number;
+  /** Names in lower case of the headers that `serve` reads. */
+  readonly requestHeaders: readonly string[];
   readonly serve: (
     request: IncomingMessage,
     response: ServerResponse,
@@ -59,7 +63,7 @@
  * request on it.
  */
 const TIMEOUT_SLACK_MS = 1000;
-/** Header size above which Node.js refuses a request; the configured limit is lower. */
+/** Header size above which a request is refused, in bytes; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 const STOP_POLL_INTERVAL_MS = 50;
@@ -84,13 +88,16 @@
   constructor(options: ForwardServerOptions) {
     this.#options = options;
     this.#server = createServer({
+      IncomingMessage: compactRequestClass(options.requestHeaders),
       noDelay: true,
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + TIMEOUT_SLACK_MS,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
       requestTimeout: 0,
     });
+    keepAllLines(this.#server);
     new ConnectionGuard(this.#server, {
+      maxHeadBytes: MAX_HEADER_BYTES,
       clock: options.clock,
       budget: options.budget,
       maxConnections: options.maxConnections,
--- a/packages/entry/src/forwarding/statusServer.ts
+++ b/packages/entry/src/forwarding/statusServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for readiness checks and metrics. */
 import {createServer, type Server} from 'node:http';
+import {keepAllLines} from '@marigoldfold/transport';
 
 const NOT_FOUND = 404;
 const INTERNAL_ERROR = 500;
@@ -21,10 +22,12 @@
       return [INTERNAL_ERROR, 'unexpected exception'];
     }
   };
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     void respondTo(request.url).then(([status, body]) => {
       response.writeHead(status, {'content-length': Buffer.byteLength(body)});
       response.end(body);
     });
   });
+  keepAllLines(server);
+  return server;
 }
--- a/packages/transport/src/__tests__/endlessBytes.test.ts
+++ b/packages/transport/src/__tests__/endlessBytes.test.ts
@@ -22,7 +22,7 @@
       address: server.address,
       method: 'GET',
       target: '/a',
-      headers: ['host', 'a.example'],
+      headers: () => ['host', 'a.example'],
       body: undefined,
       signal: new AbortController().signal,
       connectTimeoutMs: REQUEST_TIMEOUT_MS,
--- a/packages/transport/src/__tests__/endpointClient.test.ts
+++ b/packages/transport/src/__tests__/endpointClient.test.ts
@@ -31,7 +31,7 @@
     address,
     method: 'GET',
     target: '/a',
-    headers: ['host', 'a.example'],
+    headers: () => ['host', 'a.example'],
     body: undefined,
     signal: new AbortController().signal,
     connectTimeoutMs: 5000,
--- a/packages/transport/src/__tests__/lateConnection.test.ts
+++ b/packages/transport/src/__tests__/lateConnection.test.ts
@@ -17,7 +17,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     method: 'POST',
     target: '/',
-    headers: ['host', 'a', 'content-length', '4'],
+    headers: () => ['host', 'a', 'content-length', '4'],
     body: Buffer.from('body'),
     signal: new AbortController().signal,
     connectTimeoutMs: 1000,
--- a/packages/transport/src/__tests__/responseEnds.test.ts
+++ b/packages/transport/src/__tests__/responseEnds.test.ts
@@ -40,7 +40,7 @@
     address,
     method: 'POST',
     target: '/a',
-    headers: ['host', 'a.example', 'content-length', String(body.length)],
+    headers: () => ['host', 'a.example', 'content-length', String(body.length)],
     body,
     signal: new AbortController().signal,
     connectTimeoutMs: 5000,
--- a/packages/transport/src/__tests__/truncatedHead.test.ts
+++ b/packages/transport/src/__tests__/truncatedHead.test.ts
@@ -29,7 +29,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     method: 'GET',
     target: '/a',
-    headers: ['host', 'a.example'],
+    headers: () => ['host', 'a.example'],
     body: undefined,
     signal: new AbortController().signal,
     connectTimeoutMs: 1000,
--- a/packages/transport/src/clientError.ts
+++ b/packages/transport/src/clientError.ts
@@ -4,12 +4,19 @@
 import {type Failure, createFailureBody, failureStatus, refusal} from '@marigoldfold/protocol';
 
 const BAD_REQUEST = 400;
+const HEAD_TOO_LARGE = 431;
+const UNAVAILABLE = 503;
+/** Value of `retry-after` for a request for which there is no memory, in seconds. */
+const NO_MEMORY_RETRY_AFTER_S = 1;
 const bareStatuses: Readonly<Record<string, number>> = {
-  HPE_HEADER_OVERFLOW: 431,
+  HPE_HEADER_OVERFLOW: HEAD_TOO_LARGE,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+/** Failure of a request whose head exceeds the limit. */
+export const headTooLarge = refusal('headers_too_large', 'the headers are too large');
+
 /** Sends an error response for an HTTP parser error and closes the connection. */
 export function sendClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -17,15 +24,30 @@
     return;
   }
   const failure = describeClientError(error);
-  const status = failureStatus(failure);
   const body = JSON.stringify(createFailureBody(failure, ''));
+  socket.end(formatLastResponse(failureStatus(failure), body));
+}
+
+/** The 503 to a request for which there is no memory, as it is sent; the body is JSON. */
+export function formatNoMemory(body: string): string {
+  return formatLastResponse(UNAVAILABLE, body, [`retry-after: ${NO_MEMORY_RETRY_AFTER_S}`]);
+}
+
+/** The 431 to a request whose head is too large, as it is sent; the body is JSON. */
+export function formatHeadTooLarge(body: string): string {
+  return formatLastResponse(HEAD_TOO_LARGE, body);
+}
+
+/** A response after which the connection closes. */
+function formatLastResponse(status: number, body: string, lines: readonly string[] = []): string {
   const head = [
     `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
     'connection: close',
     'content-type: application/json',
     `content-length: ${Buffer.byteLength(body)}`,
+    ...lines,
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
 }
 
 /** Sends the response without a body that `http.Server` sends by default, and closes the connection. */
@@ -43,7 +65,7 @@
 
 function describeClientError(error: NodeJS.ErrnoException): Failure {
   if (error.code === 'HPE_HEADER_OVERFLOW') {
-    return refusal('headers_too_large', 'the headers are too large');
+    return headTooLarge;
   }
   if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
     return refusal('request_timeout', 'the request did not arrive in time');
--- a/packages/transport/src/connectionGuard.ts
+++ b/packages/transport/src/connectionGuard.ts
@@ -4,7 +4,7 @@
 import type {Duplex} from 'node:stream';
 import {type Clock, systemClock} from '@marigoldfold/runtime';
 import {ConnectionLimit} from './connectionLimit.js';
-import {GuardedConnection, type CloseRule} from './guardedConnection.js';
+import {GuardedConnection, type CloseRule, type GuardRefusals} from './guardedConnection.js';
 import {InputTurns} from './inputTurns.js';
 import type {MemoryBudget} from './memoryBudget.js';
 import {UnreadResponses} from './unreadResponses.js';
@@ -25,6 +25,10 @@
   readonly budget?: Pick<MemoryBudget, 'open'> | undefined;
   /** Unlimited by default. */
   readonly maxConnections?: number | undefined;
+  /** Largest head, in bytes as they arrive; default 64 KiB. A larger one gets 431. */
+  readonly maxHeadBytes?: number | undefined;
+  /** JSON bodies of the responses to requests that the guard refuses. */
+  readonly refusals?: Partial<GuardRefusals> | undefined;
   /** Time for which a client may read no byte of a response that has ended, in milliseconds. */
   readonly stalledReaderTimeoutMs?: number;
   /** Called for each request once the response to the one before it on its connection has ended. */
@@ -37,6 +41,11 @@
 }
 
 const STALLED_READER_TIMEOUT_MS = 30_000;
+const MAX_HEAD_BYTES = 65_536;
+const defaultRefusals: GuardRefusals = {
+  noMemory: JSON.stringify({error: 'memory_exhausted'}),
+  headTooLarge: JSON.stringify({error: 'headers_too_large'}),
+};
 /** Memory that an open connection occupies, with its HTTP parser; in bytes. */
 const CONNECTION_BYTES = 8192;
 
@@ -80,7 +89,7 @@
   }
 
   #open(socket: Socket): void {
-    const {budget, onRequest} = this.#options;
+    const {budget, onRequest, maxHeadBytes = MAX_HEAD_BYTES, refusals} = this.#options;
     const owner = socket.remoteAddress ?? '';
     const holder = budget?.open({kind: 'connection', owner, onEvicted: () => undefined});
     // Idle connections are limited by number instead.
@@ -89,6 +98,8 @@
       socket,
       turns: this.#turns,
       budget,
+      maxHeadBytes,
+      refusals: {...defaultRefusals, ...refusals},
       onRequest,
       onBusy: () => {
         this.#limit.recordRequest(connection);
--- a/packages/transport/src/earlyResponse.ts
+++ b/packages/transport/src/earlyResponse.ts
@@ -2,12 +2,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 /** Time for a client to read an early response before its connection is closed. */
-const DISCARD_LIMIT_MS = 2000;
+export const DISCARD_LIMIT_MS = 2000;
 /**
  * Bytes of a request that are read and discarded after an early response. Without a limit, the buffers of many refused
  * uploads occupy more memory than the budget until they are collected.
  */
-const DISCARD_LIMIT_BYTES = 262_144;
+export const DISCARD_LIMIT_BYTES = 262_144;
 
 /**
  * Sends the body of a response with which the connection closes. While the rest of the request is being discarded, the
--- a/packages/transport/src/endpointClient.ts
+++ b/packages/transport/src/endpointClient.ts
@@ -6,7 +6,9 @@
 import {splitAddress} from './httpClient.js';
 import {limitInterimResponses} from './interimResponses.js';
 import {onResponseReset} from './responseEnd.js';
-import {readResponseHead, type ResponseHead} from './responseHead.js';
+import {joinHead, keepAllLines} from './headMemory.js';
+import {type ResponseHead, responseFieldNames, takeResponseHead} from './responseHead.js';
+import {collectResponseHead, MAX_RESPONSE_HEAD_BYTES} from './responseHeadGate.js';
 
 /** A request to one endpoint. */
 export interface EndpointRequest {
@@ -15,8 +17,11 @@
   readonly method: string;
   /** Path and query. */
   readonly target: string;
-  /** Alternating names and values, including `content-length` when there is a body. */
-  readonly headers: readonly string[];
+  /**
+   * Alternating names and values, including `content-length` when there is a body. Called once, as an array of lines
+   * occupies many times their bytes while the request is in progress.
+   */
+  readonly headers: () => string[];
   readonly body: Buffer | undefined;
   /** Aborting it destroys the connection, also while the response is read. */
   readonly signal: AbortSignal;
@@ -74,6 +79,9 @@
 
   override createConnection(...parameters: Parameters<Agent['createConnection']>) {
     this.openedConnectionCount += 1;
+    // Node.js keeps the options of the request that opens a connection until it is closed.
+    const [options] = parameters as [{headers?: unknown}];
+    delete options.headers;
     return super.createConnection(...parameters);
   }
 
@@ -109,8 +117,9 @@
   return Math.min(MAX_IDLE_TIMEOUT_MS, Math.max(1, idleMs));
 }
 
-/** Creates a client; disposing of it closes all its connections. */
-export function createEndpointClient(): EndpointClient {
+/** Creates a client; disposing of it closes all its connections. The fields are those that heads of responses show. */
+export function createEndpointClient(fields: Iterable<string> = []): EndpointClient {
+  const fieldNames = responseFieldNames(fields);
   const keepAlivePool = new ConnectionPool({
     keepAlive: true,
     maxFreeSockets: MAX_IDLE_CONNECTIONS_PER_ENDPOINT,
@@ -119,7 +128,10 @@
   });
   const singleUsePool = new ConnectionPool({keepAlive: false, noDelay: true});
   return {
-    send: (request) => send(request.allowsConnectionReuse ? keepAlivePool : singleUsePool, request),
+    send: (request) => {
+      const agent = request.allowsConnectionReuse ? keepAlivePool : singleUsePool;
+      return send(agent, request, fieldNames);
+    },
     openedConnectionCount: () =>
       keepAlivePool.openedConnectionCount + singleUsePool.openedConnectionCount,
     [Symbol.dispose]() {
@@ -133,12 +145,27 @@
 const createRequest = Result.fromThrowable(
   (agent: Agent, {address, method, target, headers}: EndpointRequest) => {
     const [host, port] = splitAddress(address);
-    return httpRequest({agent, host, port, method, path: target, headers: headers as string[]});
+    const outgoing = httpRequest({
+      agent,
+      host,
+      port,
+      method,
+      path: target,
+      headers: headers(),
+      maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
+    });
+    keepAllLines(outgoing);
+    joinHead(outgoing);
+    return outgoing;
   },
   (error) => error as Error,
 );
 
-function send(agent: Agent, request: EndpointRequest): Promise<SendOutcome> {
+function send(
+  agent: Agent,
+  request: EndpointRequest,
+  fieldNames: ReadonlySet<string>,
+): Promise<SendOutcome> {
   const {signal} = request;
   if (signal.aborted)
     return Promise.resolve({kind: 'notSent', reason: 'aborted before the request was sent'});
@@ -148,6 +175,7 @@
   return new Promise((resolve) => {
     let isConnected = false;
     limitInterimResponses(outgoing);
+    collectResponseHead(outgoing);
     const abort = () => outgoing.destroy(new Error('request aborted'));
     signal.addEventListener('abort', abort, {once: true});
     const connectTimer = setTimeout(() => {
@@ -175,7 +203,7 @@
     outgoing.on('response', (response) => {
       // Readers check `isComplete` at the end of the body.
       response.on('error', () => undefined);
-      const head = readResponseHead(response);
+      const head = takeResponseHead(response, fieldNames);
       if (head.isErr()) {
         fail(`invalid response: ${head.error}`);
         outgoing.destroy();
--- a/packages/transport/src/guardedConnection.ts
+++ b/packages/transport/src/guardedConnection.ts
@@ -1,13 +1,28 @@
 /** One client connection, whose requests are handled one at a time. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {formatHeadTooLarge, formatNoMemory} from './clientError.js';
+import {CompactRequest, CountedRequest} from './compactRequest.js';
+import {DISCARD_LIMIT_MS} from './earlyResponse.js';
+import {HeadCollector} from './headCollector.js';
+import {
+  findLastChunk,
+  HEAD_COPIES,
+  HEAD_SLICE,
+  HEAD_SLICE_BYTES,
+  HEAD_START,
+  mayEndBody,
+  parsedHeadBytes,
+  wholeHeadBytes,
+} from './inputSlices.js';
 import type {InputTurns} from './inputTurns.js';
 import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
 import {type InputSlice, MAX_TURN_BYTES, ReadGate} from './readGate.js';
 
 /**
  * Why a connection is closed: too many connections, too many requests sent ahead, no memory for what was sent ahead or
- * for the connection, eviction by the budget, an invalid request behind others, or a response that is not read.
+ * for the connection, eviction by the budget, an invalid request behind others, a head that is too large, or a response
+ * that is not read.
  */
 export type CloseRule =
   | 'connections'
@@ -17,13 +32,25 @@
   | 'evicted_share'
   | 'evicted_largest'
   | 'invalid_request_ahead'
+  | 'head_too_large'
   | 'stalled_reader';
 
+/** JSON bodies of the responses to requests that are refused before they are handled. */
+export interface GuardRefusals {
+  /** Sent with 503. */
+  readonly noMemory: string;
+  /** Sent with 431. */
+  readonly headTooLarge: string;
+}
+
 /** Dependencies of a {@link GuardedConnection}. */
 export interface GuardedConnectionOptions {
   readonly socket: Socket;
   readonly turns: InputTurns;
   readonly budget: Pick<MemoryBudget, 'open'> | undefined;
+  /** Largest head, in bytes as they arrive. */
+  readonly maxHeadBytes: number;
+  readonly refusals: GuardRefusals;
   /** Called when the handling of a request may begin. */
   readonly onRequest: (request: IncomingMessage, response: ServerResponse) => void;
   /** Called when a request begins after the connection was idle or new. */
@@ -43,31 +70,10 @@
   readonly headBytes: number;
 }
 
-/** Input that is parsed at once where a request may end, in bytes; it holds at most 56 requests. */
-const HEAD_SLICE_BYTES = 1024;
-const HEAD_SLICE: InputSlice = {bytes: HEAD_SLICE_BYTES, kind: 'head'};
-/** The last chunk of a body has the size 0. */
-const LAST_CHUNK_START = '\n0';
-const ZERO = 0x30;
-const LINE_END = 0x0a;
 const MAX_WAITING_REQUESTS = 64;
 /** Memory that a parsed request occupies with a head of usual size; counted with its connection while it is handled. */
 const USUAL_REQUEST_BYTES = 4096;
-/** Memory that Node.js occupies for each line of a head beside twice its bytes: two strings and a property; in bytes. */
-const HEAD_LINE_BYTES = 96;
-
-/** Whether the last chunk of a chunked body may begin in the input; the line break may precede the input. */
-function mayEndBody(input: Buffer): boolean {
-  return input[0] === ZERO || input.includes(LAST_CHUNK_START);
-}
-
-/** Memory that a part of a head occupies once it is parsed, in bytes. */
-function parsedHeadBytes(part: Buffer): number {
-  let bytes = 2 * part.length;
-  for (let end = part.indexOf(LINE_END); end >= 0; end = part.indexOf(LINE_END, end + 1))
-    bytes += HEAD_LINE_BYTES;
-  return bytes;
-}
+const EMPTY = Buffer.alloc(0);
 
 /** Feeds the connection's input to the parser and starts its requests in order. */
 export class GuardedConnection implements Disposable {
@@ -86,8 +92,16 @@
   #bodyBytesLeft = 0;
   /** Whether the end of a chunked body may have been parsed in part. */
   #mayBeEnding = false;
-  /** Memory of what was parsed since the last request, which the parser may hold as part of a head; in bytes. */
-  #headBytes = 0;
+  /** Input of a head that is not parsed before all of it has arrived. */
+  readonly #head = new HeadCollector();
+  /** Whether the parser has seen the first byte of the head that arrives. */
+  #hasBegunHead = false;
+  /** Memory of the trailers of the body that arrives, in bytes. */
+  #trailerBytes = 0;
+  /** Size of that body without its framing before the last input, in bytes. */
+  #bodyBytes = 0;
+  /** Whether the request that arrives next is to be refused once the response in progress has ended. */
+  #isNextRefused = false;
   #holder: MemoryHolder | undefined;
   #heldBytes = 0;
   #isClosing = false;
@@ -99,8 +113,12 @@
       turns: options.turns,
       mayParse: () => this.#mayParse,
       chooseSlice: (input) => this.#chooseSlice(input),
-      onSlice: (slice) => {
-        this.#recordSlice(slice);
+      onSlice: (slice, kind) => this.#recordSlice(slice, kind),
+      onParsed: (input) => {
+        this.#recordTrailers(input);
+      },
+      onHeadPart: (part) => {
+        this.#head.add(part);
       },
       onInput: () => {
         this.#slice = undefined;
@@ -117,11 +135,14 @@
   /** Starts a request that was parsed, once those before it have been answered. */
   accept(request: IncomingMessage, response: ServerResponse): void {
     this.#newest = request;
-    const headBytes = this.#headBytes;
-    this.#headBytes = 0;
+    this.#hasBegunHead = false;
+    const headBytes =
+      request instanceof CompactRequest
+        ? HEAD_COPIES * request.headBytes
+        : parsedHeadBytes(this.#slice ?? EMPTY);
     this.#recordHeld();
-    // What the slice holds of the body is not known. It is not subtracted: at worst, a slice more of what follows the
-    // body is parsed together with its end.
+    // Where the slice has more than the head, what it holds of the body is not known. It is not subtracted: at worst, a
+    // slice more of what follows the body is parsed together with its end.
     this.#bodyBytesLeft = Number(request.headers['content-length'] ?? Number.NaN);
     this.#mayBeEnding =
       Number.isNaN(this.#bodyBytesLeft) && this.#slice !== undefined && mayEndBody(this.#slice);
@@ -139,9 +160,7 @@
   /** Closes the connection: once the response in progress has ended, or immediately if there is none. */
   close(rule: CloseRule): void {
     if (this.#isClosing) return;
-    this.#isClosing = true;
-    this.#options.onClosing(rule, this.#heldBytes);
-    this.#dropWaiting();
+    this.#beginClosing(rule);
     if (this.#active === undefined) this.#options.socket.destroy();
     // The rest of the body of the request in progress is still read.
     else if (this.#active.request.complete) this.#gate.close();
@@ -184,7 +203,7 @@
   }
 
   #chooseSlice(input: Buffer): InputSlice {
-    if (this.#newest?.complete !== false) return HEAD_SLICE;
+    if (this.#newest?.complete !== false) return this.#chooseHeadSlice(input);
     if (this.#bodyBytesLeft > HEAD_SLICE_BYTES) {
       return {bytes: this.#bodyBytesLeft, kind: 'plainBody'};
     }
@@ -192,31 +211,100 @@
     if (this.#mayBeEnding) return {bytes: HEAD_SLICE_BYTES, kind: 'chunkedBody'};
     const window = input.subarray(0, MAX_TURN_BYTES);
     if (!mayEndBody(window)) return {bytes: MAX_TURN_BYTES, kind: 'chunkedBody'};
-    const bytes = Math.max(HEAD_SLICE_BYTES, window.indexOf(LAST_CHUNK_START));
+    const bytes = Math.max(HEAD_SLICE_BYTES, findLastChunk(window));
     return {bytes, kind: 'chunkedBody'};
   }
 
-  #recordSlice(slice: Buffer): void {
-    this.#slice = slice;
-    if (this.#newest?.complete !== false) this.#recordHead(slice);
+  #chooseHeadSlice(input: Buffer): InputSlice {
+    const bytes = this.#head.findEnd(input);
+    if (this.#head.size + (bytes ?? input.length) > this.#options.maxHeadBytes) {
+      this.#beginClosing('head_too_large');
+      this.#sendLast(formatHeadTooLarge(this.#options.refusals.headTooLarge));
+      return HEAD_START;
+    }
+    if (bytes !== undefined) {
+      const isLong = this.#head.size > 0 || bytes > HEAD_SLICE_BYTES;
+      return isLong ? {bytes, kind: 'longHead'} : {bytes: wholeHeadBytes(input), kind: 'head'};
+    }
+    return this.#hasBegunHead ? {bytes: input.length, kind: 'headPart'} : HEAD_START;
+  }
+
+  #recordSlice(slice: Buffer, kind: InputSlice['kind']): Buffer {
+    const input = kind === 'longHead' ? this.#head.complete(slice) : slice;
+    this.#head.recordParsed(slice);
+    this.#slice = input;
+    if (this.#newest?.complete !== false) this.#hasBegunHead = true;
     else if (Number.isNaN(this.#bodyBytesLeft)) this.#mayBeEnding ||= mayEndBody(slice);
     else this.#bodyBytesLeft -= slice.length;
+    return input;
+  }
+
+  /** Counts input behind the last data of a chunked body, which the parser keeps until the body ends. */
+  #recordTrailers(input: Buffer): void {
+    const request = this.#newest;
+    if (!(request instanceof CountedRequest)) return;
+    const isTrailer =
+      this.#mayBeEnding && !request.complete && request.bodyBytes === this.#bodyBytes;
+    this.#bodyBytes = request.bodyBytes;
+    this.#trailerBytes = isTrailer ? this.#trailerBytes + parsedHeadBytes(input) : 0;
+  }
+
+  /** Whether a request has arrived in part, or waits for the one in progress. */
+  get #hasNext(): boolean {
+    return this.#head.size + this.#gate.keptBytes + this.#waiting.length > 0;
   }
 
-  /** Counts a head while it is parsed, so that one for which there is no room is not parsed to its end. */
-  #recordHead(slice: Buffer): void {
-    this.#headBytes += parsedHeadBytes(slice);
-    if (this.#headBytes > USUAL_REQUEST_BYTES) this.#recordHeld();
+  #beginClosing(rule: CloseRule): void {
+    this.#isClosing = true;
+    this.#options.onClosing(rule, this.#heldBytes);
+    this.#dropWaiting();
+  }
+
+  /** Answers the request that arrives, or waits, with 503, after the response in progress, and closes the connection. */
+  #refuse(rule: CloseRule): void {
+    if (this.#isClosing) return;
+    const active = this.#active;
+    const hasNext = this.#hasNext;
+    this.#beginClosing(rule);
+    if (active === undefined) {
+      if (hasNext) this.#sendRefusal();
+      else this.#options.socket.destroy();
+    } else if (active.request.complete) {
+      this.#isNextRefused = hasNext;
+      this.#gate.close();
+    } else if (active.response.headersSent) {
+      this.#options.socket.destroy();
+    } else {
+      // Nothing has been forwarded of a request whose body is incomplete.
+      this.#sendRefusal();
+    }
+  }
+
+  #sendRefusal(): void {
+    this.#sendLast(formatNoMemory(this.#options.refusals.noMemory));
+  }
+
+  /** Sends a response and reads on for a time, since closing at once would reset the connection and lose the response. */
+  #sendLast(response: string): void {
+    const {socket} = this.#options;
+    socket.end(response);
+    this.#gate.discard();
+    const timer = setTimeout(() => socket.destroy(), DISCARD_LIMIT_MS);
+    socket.once('close', () => {
+      clearTimeout(timer);
+    });
   }
 
   #dropWaiting(): void {
     this.#waiting.length = 0;
     this.#waitingBytes = 0;
+    this.#head.clear();
   }
 
   #start(parsed: ParsedRequest): void {
     if (!this.#holdHead(parsed)) {
-      this.close('memory');
+      this.#beginClosing('memory');
+      this.#sendRefusal();
       return;
     }
     this.#active = parsed;
@@ -258,6 +346,10 @@
       this.#dropWaiting();
       return;
     }
+    if (this.#isNextRefused) {
+      this.#sendRefusal();
+      return;
+    }
     if (this.#isClosing) {
       socket.destroySoon();
       return;
@@ -275,7 +367,8 @@
 
   /** Counts what the connection holds beside the request in progress. */
   #recordHeld(): void {
-    const bytes = this.#gate.keptBytes + this.#headBytes + this.#waitingBytes;
+    const bytes =
+      this.#gate.keptBytes + this.#head.heldBytes + this.#trailerBytes + this.#waitingBytes;
     if (bytes === this.#heldBytes || this.#isClosing) return;
     this.#heldBytes = bytes;
     const {budget, socket} = this.#options;
@@ -288,14 +381,15 @@
       },
     });
     this.#holder.recordProgress();
-    if (!this.#holder.resize(bytes)) this.close('memory');
+    if (this.#holder.resize(bytes)) return;
+    // A body is still read: it waits for room itself.
+    if (this.#active?.request.complete === false && this.#trailerBytes === 0) this.close('memory');
+    else this.#refuse('memory');
   }
 
   #evict(rule: CloseRule): void {
-    this.close(rule);
+    this.#refuse(rule);
     this.#releaseHolder();
-    // Nothing has been forwarded of a request whose body is incomplete.
-    if (this.#active?.request.complete === false) this.#options.socket.destroy();
   }
 
   #releaseHolder(): void {
--- a/packages/transport/src/httpClient.ts
+++ b/packages/transport/src/httpClient.ts
@@ -8,7 +8,9 @@
 import {err, ok, Result} from 'neverthrow';
 import {limitInterimResponses} from './interimResponses.js';
 import {onResponseReset} from './responseEnd.js';
-import {readResponseHead} from './responseHead.js';
+import {keepAllLines} from './headMemory.js';
+import {MAX_RESPONSE_HEAD_BYTES} from './responseHeadGate.js';
+import {findHeadFault} from './responseHead.js';
 import {readWholeBody, type TransferLimits} from './wholeBody.js';
 
 /** Why a request got no response. */
@@ -78,7 +80,18 @@
 const createRequest = Result.fromThrowable(
   (agent: Agent, {address, method, path, headers}: ClientRequest) => {
     const [host, port] = splitAddress(address);
-    return httpRequest({agent, host, port, method, path, headers});
+    const outgoing = httpRequest({
+      agent,
+      host,
+      port,
+      method,
+      path,
+      headers,
+      maxHeaderSize: MAX_RESPONSE_HEAD_BYTES,
+      joinDuplicateHeaders: true,
+    });
+    keepAllLines(outgoing);
+    return outgoing;
   },
   (error) => error as Error,
 );
@@ -109,13 +122,13 @@
       clearTimeout(timer);
       // After the headers, the reader of the stream detects errors as a premature close.
       response.on('error', () => undefined);
-      const head = readResponseHead(response);
-      if (head.isErr()) {
-        fail(new Error(`invalid response: ${head.error}`));
+      const fault = findHeadFault(response);
+      if (fault !== undefined) {
+        fail(new Error(`invalid response: ${fault}`));
         outgoing.destroy();
         return;
       }
-      const {status, headers} = head.value;
+      const {statusCode: status = 0, headers} = response;
       resolve(ok({status, headers: headers as Record<string, string>, stream: response}));
     });
     limitInterimResponses(outgoing);
--- a/packages/transport/src/httpServer.ts
+++ b/packages/transport/src/httpServer.ts
@@ -6,8 +6,10 @@
 import {z} from 'zod';
 import {type Failure, createFailureBody, failureStatus, refusal} from '@marigoldfold/protocol';
 import {endAfterRequest} from './earlyResponse.js';
-import {sendClientError} from './clientError.js';
+import {headTooLarge, sendClientError} from './clientError.js';
+import {CountedRequest} from './compactRequest.js';
 import {type ClosedConnection, ConnectionGuard} from './connectionGuard.js';
+import {keepAllLines} from './headMemory.js';
 import type {MemoryBudget} from './memoryBudget.js';
 
 /** Schema of the server limits in the settings. */
@@ -99,6 +101,13 @@
 /** Number of connections over the limit that get an error response; any more are closed without a response. */
 const MAX_CONNECTIONS_OVER_LIMIT = 64;
 const OVER_LIMIT_RETRY_MS = 1000;
+const NO_MEMORY_RETRY_MS = 1000;
+
+const noMemory = refusal('memory_exhausted', 'the instance has no memory left', NO_MEMORY_RETRY_MS);
+
+function formatFailure(failure: Failure): string {
+  return JSON.stringify(createFailureBody(failure, ''));
+}
 
 /** Starts a server; fails when the address cannot be bound. */
 export async function listen(options: HttpServerOptions): Promise<Result<HttpServer, ListenError>> {
@@ -109,16 +118,21 @@
   const overLimitSockets = new WeakSet<Socket>();
   const responsesBySocket = new WeakMap<Duplex, ServerResponse>();
   const server = createServer({
+    IncomingMessage: CountedRequest,
     maxHeaderSize: limits.maxHeaderBytes,
     // `readBody` has its own timeout and sends a more specific error, so this one must fire later.
     requestTimeout: limits.requestTimeoutMs * 2 + CONNECTION_CHECK_MS,
     headersTimeout: limits.requestTimeoutMs,
     keepAliveTimeout: limits.idleTimeoutMs,
     connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    joinDuplicateHeaders: true,
     noDelay: true,
   });
+  keepAllLines(server);
   new ConnectionGuard(server, {
     ...options,
+    maxHeadBytes: limits.maxHeaderBytes,
+    refusals: {noMemory: formatFailure(noMemory), headTooLarge: formatFailure(headTooLarge)},
     stalledReaderTimeoutMs: limits.stalledReaderTimeoutMs,
     onRequest(request, response) {
       responsesBySocket.set(request.socket, response);
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -74,4 +74,7 @@
   MemoryBudget,
 } from './memoryBudget.js';
 export type {ResponseHead} from './responseHead.js';
+export {HeaderLines} from './headerLines.js';
+export {CompactRequest, compactRequestClass} from './compactRequest.js';
+export {joinHead, keepAllLines} from './headMemory.js';
 export {EventBoundary, EventSplitter, type RawEvent} from './eventSplitter.js';
--- a/packages/transport/src/readGate.ts
+++ b/packages/transport/src/readGate.ts
@@ -1,5 +1,6 @@
 /** Passes a connection's input on to the HTTP parser in slices, and keeps what may not be parsed yet. */
 import type {Socket} from 'node:net';
+import {DISCARD_LIMIT_BYTES} from './earlyResponse.js';
 import type {InputTurns} from './inputTurns.js';
 
 /** Input of a connection that is parsed in one turn of the event loop, beside plain bodies; in bytes. */
@@ -14,11 +15,14 @@
   readStop(): number;
 }
 
-/** How much input may be parsed at once. */
+/** How much input may be parsed at once, or collected. */
 export interface InputSlice {
   readonly bytes: number;
-  /** A body of known length costs the parser nothing for each byte, a chunked one may cost it much. */
-  readonly kind: 'head' | 'plainBody' | 'chunkedBody';
+  /**
+   * A body of known length costs the parser nothing for each byte; a chunked one or a long head may cost it much. The
+   * part of a head is collected, and not parsed until the rest has arrived.
+   */
+  readonly kind: 'head' | 'longHead' | 'headPart' | 'plainBody' | 'chunkedBody';
 }
 
 /** Socket and decisions of a {@link ReadGate}. */
@@ -30,8 +34,11 @@
   readonly mayParse: () => boolean;
   /** How much of the given input may be parsed at once, if any may be. */
   readonly chooseSlice: (input: Buffer) => InputSlice;
-  /** Called before a slice is parsed. */
-  readonly onSlice: (slice: Buffer) => void;
+  /** Called before a slice is parsed; returns what is parsed, which begins with what was collected. */
+  readonly onSlice: (slice: Buffer, kind: InputSlice['kind']) => Buffer;
+  readonly onParsed: (input: Buffer) => void;
+  /** Called with a part of a head, which is to be copied. */
+  readonly onHeadPart: (part: Buffer) => void;
   /** Called after a part of the input has been parsed or kept. */
   readonly onInput: () => void;
 }
@@ -50,6 +57,8 @@
   /** Set while the rest of the input waits for a later turn of the event loop. */
   #turnWait: Disposable | undefined;
   #isClosed = false;
+  /** Number of bytes discarded; undefined while input is not discarded. */
+  #discardedBytes: number | undefined;
   /** Input that follows the slice that is being parsed. */
   #rest: Buffer | undefined;
 
@@ -89,6 +98,13 @@
     while (socket.readableLength > 0 && socket.read() !== null);
   }
 
+  /** Parses no further input, and reads and discards a limited number of bytes. */
+  discard(): void {
+    this.#discardedBytes = 0;
+    this.#endTurnWait();
+    this.#options.socket.resume();
+  }
+
   /** Gives the socket up to the handler of an upgrade; returns input that follows the slice being parsed. */
   detach(): Buffer {
     const {socket} = this.#options;
@@ -101,6 +117,11 @@
   }
 
   readonly #receive = (chunk: Buffer): void => {
+    if (this.#discardedBytes !== undefined) {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes >= DISCARD_LIMIT_BYTES) this.#options.socket.pause();
+      return;
+    }
     if (this.#isClosed) return;
     this.#isKeeping = false;
     this.#isPausedByServer = false;
@@ -112,25 +133,35 @@
 
   /** Returns the number of bytes that were parsed. */
   #parseSlices(chunk: Buffer): number {
-    const {socket, turns, mayParse, chooseSlice, onSlice} = this.#options;
+    const {socket, turns, mayParse, chooseSlice, onSlice, onParsed, onHeadPart} = this.#options;
     let rest: Buffer | undefined = chunk;
     let offset = 0;
     let bytesLeftInTurn = MAX_TURN_BYTES;
     while (rest !== undefined && mayParse()) {
       const {bytes, kind} = chooseSlice(rest);
-      const limit = kind === 'plainBody' ? bytes : Math.min(bytes, bytesLeftInTurn);
-      if (limit === 0 || (kind === 'chunkedBody' && !turns.hasTime)) break;
+      if (this.#hasEnded()) break;
+      // A head is parsed in one turn, so that its lines are never held in parts.
+      const isWhole = kind === 'plainBody' || kind === 'longHead' || kind === 'headPart';
+      const limit = isWhole ? bytes : Math.min(bytes, bytesLeftInTurn);
+      if (limit === 0 || (kind !== 'plainBody' && bytesLeftInTurn <= 0)) break;
+      const isCostly = kind === 'chunkedBody' || kind === 'longHead';
+      if (isCostly && !turns.hasTime) break;
       const slice: Buffer = limit < rest.length ? rest.subarray(0, limit) : rest;
       if (kind !== 'plainBody') bytesLeftInTurn -= slice.length;
       offset += slice.length;
       rest = limit < rest.length ? rest.subarray(limit) : undefined;
       this.#rest = rest;
-      onSlice(slice);
-      if (kind === 'chunkedBody')
-        turns.run(() => {
-          this.#parse(slice);
-        });
-      else this.#parse(slice);
+      if (kind === 'headPart') {
+        onHeadPart(slice);
+      } else {
+        const input = onSlice(slice, kind);
+        if (isCostly)
+          turns.run(() => {
+            this.#parse(input);
+          });
+        else this.#parse(input);
+        onParsed(input);
+      }
       this.#rest = undefined;
       if (this.#hasEnded()) break;
       if (socket.isPaused()) {
@@ -142,7 +173,7 @@
   }
 
   #hasEnded(): boolean {
-    return this.#isClosed || this.#options.socket.destroyed;
+    return this.#isClosed || this.#discardedBytes !== undefined || this.#options.socket.destroyed;
   }
 
   #keep(rest: Buffer): void {
