Answer CONNECT with 501

What callers saw: the connection was closed without an answer. Cause: http.Server does that if nothing handles the `connect` event. Change: the guard of every server sends 501 and closes. Test: connectMethod.test.ts, seen to fail before (empty response).

--- a/packages/transport/src/clientError.ts
+++ b/packages/transport/src/clientError.ts
@@ -5,6 +5,7 @@
 
 const BAD_REQUEST = 400;
 const HEAD_TOO_LARGE = 431;
+const NOT_IMPLEMENTED = 501;
 const UNAVAILABLE = 503;
 /** Value of `retry-after` for a request for which there is no memory, in seconds. */
 const NO_MEMORY_RETRY_AFTER_S = 1;
@@ -38,6 +39,18 @@
   return formatLastResponse(HEAD_TOO_LARGE, body);
 }
 
+/** Sends 501 to a request for a tunnel, and closes the connection. */
+export function endWithoutTunnel(socket: Duplex): void {
+  // The client may reset the connection before the response is written.
+  socket.on('error', () => undefined);
+  socket.end(
+    formatLastResponse(NOT_IMPLEMENTED, JSON.stringify({error: 'not_implemented'})),
+    () => {
+      socket.destroy();
+    },
+  );
+}
+
 /** A response after which the connection closes. */
 function formatLastResponse(status: number, body: string, lines: readonly string[] = []): string {
   const head = [
--- a/packages/transport/src/connectionGuard.ts
+++ b/packages/transport/src/connectionGuard.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {type Clock, systemClock} from '@marigoldfold/runtime';
+import {endWithoutTunnel} from './clientError.js';
 import {ConnectionLimit} from './connectionLimit.js';
 import {GuardedConnection, type CloseRule, type GuardRefusals} from './guardedConnection.js';
 import {InputTurns} from './inputTurns.js';
@@ -85,6 +86,13 @@
       const connection = this.#connections.get(socket);
       if (connection?.endAfterError() !== true) options.onClientError(error, socket);
     });
+    // Node.js closes the connection without a response if nothing handles the event.
+    server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
+      const connection = this.#connections.get(socket);
+      connection?.detach();
+      if (connection?.isBusy === true) socket.destroy();
+      else endWithoutTunnel(socket);
+    });
     if (options.onUpgrade !== undefined) this.#guardUpgrades(server, options.onUpgrade);
   }
 
