Pass on the length that an endpoint states of a response without a body

What callers saw: a response to HEAD, or with 304, had `content-length: 0`, whatever its endpoint had stated; one with 204 as well. Cause: the router replaces the length by that of the body that it has read. Change: the length of a response that has no body is the endpoint's, if it states one.

--- a/packages/entry/src/forwarding/clientResponseWriter.ts
+++ b/packages/entry/src/forwarding/clientResponseWriter.ts
@@ -4,6 +4,7 @@
 import {endToEndHeaders} from './endToEndHeaders.js';
 
 const MS_PER_SECOND = 1000;
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Writes errors, buffered responses and streams; does nothing once the client has disconnected. */
 export class ClientResponseWriter {
@@ -44,17 +45,27 @@
   }
 
   /** Sends an endpoint's response with its complete body, unless a response head has been sent. */
-  sendBuffered({status, reason, lines}: ResponseHead, body: readonly Buffer[]): void {
+  sendBuffered(
+    {status, reason, lines, headers: fields}: ResponseHead,
+    body: readonly Buffer[],
+  ): void {
     if (this.hasStarted || this.isDisconnected) return;
     const headers = endToEndHeaders(lines.toArray(), this.#endToEndNames);
-    const length = body.reduce((sum, chunk) => sum + chunk.length, 0);
-    headers.push('content-length', String(length));
+    const length = this.#mayHaveBody(status)
+      ? String(body.reduce((sum, chunk) => sum + chunk.length, 0))
+      : fields['content-length'];
+    if (length !== undefined) headers.push('content-length', length);
     this.#response.writeHead(status, reason, headers);
     joinHead(this.#response);
     for (const chunk of body.slice(0, -1)) this.#response.write(chunk);
     this.#response.end(body.at(-1));
   }
 
+  /** Whether a response has a body; the length of one that has none is that of another response, if it is stated. */
+  #mayHaveBody(status: number): boolean {
+    return this.#response.req.method !== 'HEAD' && !bodilessStatuses.has(status);
+  }
+
   /** Sends the head of an endpoint's response, unless one has been sent; the body follows with `write`. */
   sendHead({status, reason, lines, headers}: ResponseHead): void {
     if (this.hasStarted || this.isDisconnected) return;
