Do not close connections whose responses are not written out as idle

Cause: closeIdleConnections of http.Server, which close calls too, takes a connection for idle once its response has ended, also while bytes of it wait in the process.

Change: the guard replaces the method: a connection is idle if no response is in progress up to its last written byte, and no request has arrived in part.

--- a/packages/transport/src/__tests__/connectionGuard.test.ts
+++ b/packages/transport/src/__tests__/connectionGuard.test.ts
@@ -36,7 +36,7 @@
   servers.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
-  return {port, closed, handled};
+  return {port, closed, handled, server};
 }
 
 async function open(port: number) {
@@ -294,6 +294,37 @@
   });
 });
 
+// Guards against a planned stop that cuts off responses: Node.js takes a connection for idle once its response has ended,
+// also while bytes of it wait in the process.
+test('a connection whose response is not written out is not closed as an idle one', async () => {
+  const {port, handled, server} = await start();
+  const client = await open(port);
+  client.socket.pause();
+  client.socket.write(get('/a'));
+  const idle = await open(port);
+  await vi.waitFor(() => {
+    expect(handled.length).toBe(1);
+  });
+  const size = 16_777_216;
+  handled[0]!.response.end(Buffer.alloc(size, 'x'));
+  await delay(20);
+  server.closeIdleConnections();
+  server.close();
+  await vi.waitFor(() => {
+    expect(idle.isClosed).toBe(true);
+  });
+  client.socket.resume();
+  await vi.waitFor(() => {
+    expect(client.received.length).toBeGreaterThan(size);
+  });
+  await delay(20);
+  expect(client.isClosed).toBe(false);
+  server.closeIdleConnections();
+  await vi.waitFor(() => {
+    expect(client.isClosed).toBe(true);
+  });
+});
+
 // Guards against running out of descriptors, and against closing connections in use before unused ones.
 test('beyond the limit the longest unused, then the longest idle connection is closed', async () => {
   const {port, handled, closed} = await start({maxConnections: 3});
--- a/packages/transport/src/clientError.ts
+++ b/packages/transport/src/clientError.ts
@@ -15,6 +15,14 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+/** JSON bodies of the responses to requests that a guard refuses before they are handled. */
+export interface GuardRefusals {
+  /** Sent with 503. */
+  readonly noMemory: string;
+  /** Sent with 431. */
+  readonly headTooLarge: string;
+}
+
 /** Failure of a request whose head exceeds the limit. */
 export const headTooLarge = refusal('headers_too_large', 'the headers are too large');
 
--- a/packages/transport/src/connectionGuard.ts
+++ b/packages/transport/src/connectionGuard.ts
@@ -3,9 +3,9 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {type Clock, systemClock} from '@marigoldfold/runtime';
-import {endWithoutTunnel} from './clientError.js';
+import {endWithoutTunnel, type GuardRefusals} from './clientError.js';
 import {ConnectionLimit} from './connectionLimit.js';
-import {GuardedConnection, type CloseRule, type GuardRefusals} from './guardedConnection.js';
+import {GuardedConnection, type CloseRule} from './guardedConnection.js';
 import {InputTurns} from './inputTurns.js';
 import type {MemoryBudget} from './memoryBudget.js';
 import {UnreadResponses} from './unreadResponses.js';
@@ -86,6 +86,10 @@
       const connection = this.#connections.get(socket);
       if (connection?.endAfterError() !== true) options.onClientError(error, socket);
     });
+    // The default, which `close` also calls, cuts off responses that have ended and are not written out.
+    server.closeIdleConnections = () => {
+      for (const connection of this.#limit.idle) connection.closeIfIdle();
+    };
     // Node.js closes the connection without a response if nothing handles the event.
     server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
       const connection = this.#connections.get(socket);
--- a/packages/transport/src/connectionLimit.ts
+++ b/packages/transport/src/connectionLimit.ts
@@ -18,6 +18,11 @@
     return this.#count;
   }
 
+  /** Connections without a request in progress, unused ones first. */
+  get idle(): readonly Connection[] {
+    return [...this.#unused, ...this.#idle];
+  }
+
   /** Adds a connection; returns the one to close if there are too many, which may be the new one. */
   add(connection: Connection): Connection | undefined {
     const excess = this.#count < this.#maxConnections ? undefined : this.#longestIdle(connection);
--- a/packages/transport/src/guardedConnection.ts
+++ b/packages/transport/src/guardedConnection.ts
@@ -1,7 +1,7 @@
 /** One client connection, whose requests are handled one at a time. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {formatHeadTooLarge, formatNoMemory} from './clientError.js';
+import {formatHeadTooLarge, formatNoMemory, type GuardRefusals} from './clientError.js';
 import {CompactRequest, CountedRequest} from './compactRequest.js';
 import {DISCARD_LIMIT_MS} from './earlyResponse.js';
 import {HeadCollector} from './headCollector.js';
@@ -35,14 +35,6 @@
   | 'head_too_large'
   | 'stalled_reader';
 
-/** JSON bodies of the responses to requests that are refused before they are handled. */
-export interface GuardRefusals {
-  /** Sent with 503. */
-  readonly noMemory: string;
-  /** Sent with 431. */
-  readonly headTooLarge: string;
-}
-
 /** Dependencies of a {@link GuardedConnection}. */
 export interface GuardedConnectionOptions {
   readonly socket: Socket;
@@ -166,6 +158,11 @@
     else if (this.#active.request.complete) this.#gate.close();
   }
 
+  /** Closes the connection unless a response is not written out, or a request has arrived in part. */
+  closeIfIdle(): void {
+    if (!this.isBusy && !this.#hasBegunHead && !this.#hasNext) this.#options.socket.destroy();
+  }
+
   /**
    * Handles an error of the parser. Returns false if it concerns the request in progress, or none is; otherwise the
    * connection is closed after the response in progress, since an error response would be taken for it.
