Close idle connections, not new ones, when memory for connections runs out

Cause: connections are counted in the memory budget and could not be evicted; 2,929 use up that of a machine with 200 MB, below the limit of connections, which would close the longest idle one. Ruled out: a wrong size. 2,800 connections took 23 KB of resident memory each, and a budgeted byte stands for five.

Change: an idle connection can be evicted after 5 s, like a body without progress; for a new connection the longest idle one is closed at any time.

--- a/packages/transport/src/__tests__/connectionGuard.test.ts
+++ b/packages/transport/src/__tests__/connectionGuard.test.ts
@@ -1,7 +1,7 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {steadyClock} from '@marigoldfold/runtime';
+import {steadyClock, VirtualClock} from '@marigoldfold/runtime';
 import {afterEach, describe, expect, test, vi} from 'vitest';
 import {
   type ClosedConnection,
@@ -294,6 +294,51 @@
   });
 });
 
+// Guards against idle connections, fewer than the limit, that use up the memory so that every new one is closed.
+test('without memory for a connection the longest idle one is closed', async () => {
+  const budget = createBudget(4 * 8192);
+  const {port, closed} = await start({
+    budget,
+    onRequest: (request, response) => response.end(`[${request.url ?? ''}]`),
+  });
+  const clients: Awaited<ReturnType<typeof open>>[] = [];
+  for (let index = 0; index < 6; index++) {
+    const client = await open(port);
+    clients.push(client);
+    client.socket.write(get(`/${index}`));
+    await vi.waitFor(() => {
+      expect(echoes(client.received)).toEqual([`/${index}`]);
+    });
+  }
+  await vi.waitFor(() => {
+    expect(clients.map(({isClosed}) => isClosed)).toEqual([true, true, false, false, false, false]);
+  });
+  expect(closed.map(({rule}) => rule)).toEqual(['memory', 'memory']);
+  expect(budget.bytesOf('connection')).toBe(4 * 8192);
+});
+
+// Guards against idle connections that leave no memory for the requests of others.
+test('idle connections give way to a body after a time', async () => {
+  const clock = new VirtualClock();
+  const maxBytes = 4 * 8192;
+  const sizes = {maxBytes, reservedBytes: 0, smallBytes: 65_536, stalledMs: 5000};
+  const budget = new MemoryBudget({clock, ...sizes});
+  const {port, handled, closed} = await start({budget});
+  const clients = await Promise.all([open(port), open(port), open(port), open(port)]);
+  clients[3].socket.write('POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 9000\r\n\r\n');
+  await vi.waitFor(() => {
+    expect(handled.length).toBe(1);
+  });
+  const holder = budget.open({kind: 'body', owner: 'other', onEvicted: () => undefined});
+  expect(holder.resize(2 * 8192)).toBe(false);
+  await clock.advance(5000);
+  expect(holder.resize(2 * 8192)).toBe(true);
+  await vi.waitFor(() => {
+    expect(clients.map(({isClosed}) => isClosed)).toEqual([true, true, false, false]);
+  });
+  expect(closed.map(({rule}) => rule)).toEqual(['evicted_stalled', 'evicted_stalled']);
+});
+
 // Guards against a planned stop that cuts off responses: Node.js takes a connection for idle once its response has ended,
 // also while bytes of it wait in the process.
 test('a connection whose response is not written out is not closed as an idle one', async () => {
--- a/packages/transport/src/connectionGuard.ts
+++ b/packages/transport/src/connectionGuard.ts
@@ -7,7 +7,7 @@
 import {ConnectionLimit} from './connectionLimit.js';
 import {GuardedConnection, type CloseRule} from './guardedConnection.js';
 import {InputTurns} from './inputTurns.js';
-import type {MemoryBudget} from './memoryBudget.js';
+import type {MemoryBudget, MemoryHolder} from './memoryBudget.js';
 import {UnreadResponses} from './unreadResponses.js';
 
 /** A connection that was closed, or that is closed after the response in progress. */
@@ -103,9 +103,14 @@
   #open(socket: Socket): void {
     const {budget, onRequest, maxHeadBytes = MAX_HEAD_BYTES, refusals} = this.#options;
     const owner = socket.remoteAddress ?? '';
-    const holder = budget?.open({kind: 'connection', owner, onEvicted: () => undefined});
-    // Idle connections are limited by number instead.
-    holder?.pin();
+    // An idle connection gives way to others, like a body without progress.
+    const holder = budget?.open({
+      kind: 'connection',
+      owner,
+      onEvicted: (rule) => {
+        connection.refuse(`evicted_${rule}`);
+      },
+    });
     const connection: GuardedConnection = new GuardedConnection({
       socket,
       turns: this.#turns,
@@ -114,9 +119,12 @@
       refusals: {...defaultRefusals, ...refusals},
       onRequest,
       onBusy: () => {
+        holder?.pin();
         this.#limit.recordRequest(connection);
       },
       onIdle: () => {
+        holder?.unpin();
+        holder?.recordProgress();
         this.#limit.recordIdle(connection);
       },
       onResponseEnded: () => {
@@ -126,6 +134,7 @@
         this.#unread.remove(socket);
       },
       onClosing: (rule, bytes) => {
+        if (!connection.isBusy) holder?.[Symbol.dispose]();
         this.#report(socket, rule, bytes);
       },
     });
@@ -137,7 +146,16 @@
       holder?.[Symbol.dispose]();
     });
     this.#limit.add(connection)?.close('connections');
-    if (holder?.resize(CONNECTION_BYTES) === false) connection.close('memory');
+    if (holder !== undefined) this.#makeRoom(connection, holder);
+  }
+
+  /** Finds memory for a new connection: longest idle ones are closed for it, or itself if there are none. */
+  #makeRoom(connection: GuardedConnection, holder: MemoryHolder): void {
+    while (!holder.resize(CONNECTION_BYTES)) {
+      const idle = this.#limit.takeLongestIdle(connection);
+      idle.refuse('memory');
+      if (idle === connection) return;
+    }
   }
 
   #guardUpgrades(
--- a/packages/transport/src/connectionLimit.ts
+++ b/packages/transport/src/connectionLimit.ts
@@ -33,6 +33,18 @@
     return excess;
   }
 
+  /** Takes the connection to close for a new one, which is the new one itself if all others have a request in progress. */
+  takeLongestIdle(newest: Connection): Connection {
+    for (const connections of [this.#unused, this.#idle]) {
+      for (const connection of connections) {
+        if (connection === newest) continue;
+        this.#forget(connection);
+        return connection;
+      }
+    }
+    return newest;
+  }
+
   /** Records that a request of the connection begins. */
   recordRequest(connection: Connection): void {
     if (!this.#idle.delete(connection)) this.#unused.delete(connection);
--- a/packages/transport/src/guardedConnection.ts
+++ b/packages/transport/src/guardedConnection.ts
@@ -158,6 +158,26 @@
     else if (this.#active.request.complete) this.#gate.close();
   }
 
+  /** Answers the request that arrives, or waits, with 503, after the response in progress, and closes the connection. */
+  refuse(rule: CloseRule): void {
+    if (this.#isClosing) return;
+    const active = this.#active;
+    const hasNext = this.#hasNext;
+    this.#beginClosing(rule);
+    if (active === undefined) {
+      if (hasNext) this.#sendRefusal();
+      else this.#options.socket.destroy();
+    } else if (active.request.complete) {
+      this.#isNextRefused = hasNext;
+      this.#gate.close();
+    } else if (active.response.headersSent) {
+      this.#options.socket.destroy();
+    } else {
+      // Nothing has been forwarded of a request whose body is incomplete.
+      this.#sendRefusal();
+    }
+  }
+
   /** Closes the connection unless a response is not written out, or a request has arrived in part. */
   closeIfIdle(): void {
     if (!this.isBusy && !this.#hasBegunHead && !this.#hasNext) this.#options.socket.destroy();
@@ -257,26 +277,6 @@
     this.#dropWaiting();
   }
 
-  /** Answers the request that arrives, or waits, with 503, after the response in progress, and closes the connection. */
-  #refuse(rule: CloseRule): void {
-    if (this.#isClosing) return;
-    const active = this.#active;
-    const hasNext = this.#hasNext;
-    this.#beginClosing(rule);
-    if (active === undefined) {
-      if (hasNext) this.#sendRefusal();
-      else this.#options.socket.destroy();
-    } else if (active.request.complete) {
-      this.#isNextRefused = hasNext;
-      this.#gate.close();
-    } else if (active.response.headersSent) {
-      this.#options.socket.destroy();
-    } else {
-      // Nothing has been forwarded of a request whose body is incomplete.
-      this.#sendRefusal();
-    }
-  }
-
   #sendRefusal(): void {
     this.#sendLast(formatNoMemory(this.#options.refusals.noMemory));
   }
@@ -381,11 +381,11 @@
     if (this.#holder.resize(bytes)) return;
     // A body is still read: it waits for room itself.
     if (this.#active?.request.complete === false && this.#trailerBytes === 0) this.close('memory');
-    else this.#refuse('memory');
+    else this.refuse('memory');
   }
 
   #evict(rule: CloseRule): void {
-    this.#refuse(rule);
+    this.refuse(rule);
     this.#releaseHolder();
   }
 
--- a/packages/transport/src/memoryBudget.ts
+++ b/packages/transport/src/memoryBudget.ts
@@ -76,6 +76,8 @@
   recordProgress(): void;
   /** Excludes the holder from eviction: its request has been forwarded. */
   pin(): void;
+  /** Allows eviction again. */
+  unpin(): void;
 }
 
 /** What the holders of one owner hold together. */
@@ -123,6 +125,10 @@
     this.isPinned = true;
   }
 
+  unpin(): void {
+    this.isPinned = false;
+  }
+
   [Symbol.dispose](): void {
     this.#actions.close(this);
   }
