Keep digests of long ids, not the ids

Cause: the estimates of the endpoints' caches keep 2,048 ids each, whatever their length, and other instances keep the ids of requests.

Change: an id that is kept beyond its request and has more than 64 characters is replaced by its digest: parts of prompts, ids of requests that are told to other instances, and what these tell. Requests are forwarded with their ids whole.

--- a/packages/coordination/src/forwarding/__tests__/placement.test.ts
+++ b/packages/coordination/src/forwarding/__tests__/placement.test.ts
@@ -75,6 +75,28 @@
   return endpoint.record.id;
 }
 
+// Guards against ids of requests whose tables, limited by number only, exceed the memory of the machines of all instances.
+test('a request with a long id has a short one at all instances, the same in all messages', () => {
+  const {placement, registry, updates} = createPlacement(1);
+  const endpoint = registry.find('e1')!;
+  const request = {...requestOf(longPrompt()), id: 'a'.repeat(15_000)};
+  const inFlight = placement.startRequest(endpoint, request, engine);
+  placement.recordEvent(endpoint, inFlight);
+  placement.endRequest(endpoint, inFlight);
+  const sentId = updates.find(({sent}) => sent !== undefined)!.sent![0]![0];
+  expect(sentId.length).toBeLessThanOrEqual(64);
+  expect(updates).toContainEqual({begun: [sentId]});
+  expect(updates).toContainEqual({ended: [sentId]});
+
+  const other = createPlacement(1);
+  const sent: PeerUpdate['sent'] = [[request.id, 'e1', 100, 100, 10, 0, []]];
+  other.placement.applyPeerUpdate({...emptyUpdate('i-2'), sent});
+  const remote = [...other.registry.find('e1')!.remoteRequests.values()];
+  expect(remote.map(({requestId}) => requestId)).toEqual([sentId]);
+  other.placement.applyPeerUpdate({...emptyUpdate('i-2'), ended: [request.id]});
+  expect(other.registry.find('e1')!.remoteRequests.size).toBe(0);
+});
+
 describe('the choice of an engine', () => {
   test('returns to the endpoint that has the shared part in its cache', () => {
     const {placement} = createPlacement(8);
--- a/packages/coordination/src/forwarding/placement.ts
+++ b/packages/coordination/src/forwarding/placement.ts
@@ -4,6 +4,7 @@
 import type {PlacementRequest, PromptSize} from './placementRequest.js';
 import {type Endpoint, REMOTE_REQUEST_TIMEOUT_MS} from './endpoint.js';
 import {decodeLimit} from './endpointLimit.js';
+import {boundId} from './boundedId.js';
 import type {EndpointRegistry} from './endpointRegistry.js';
 import {excludeFailing, excludeReported} from './endpointFilters.js';
 import {EnginePlacement} from './enginePlacement.js';
@@ -155,13 +156,8 @@
     request: PlacementRequest,
     engine: Engine | undefined,
   ): InFlightRequest {
-    const {
-      prompt,
-      id,
-      pauseTargetMs,
-      service,
-      targetMs: objectiveMs = request.targetLeftMs,
-    } = request;
+    const {prompt, pauseTargetMs, service, targetMs: objectiveMs = request.targetLeftMs} = request;
+    const id = boundId(request.id);
     const uncachedTokens = prompt === undefined ? 0 : endpoint.cacheEstimate.uncachedTokens(prompt);
     const inFlight: InFlightRequest = {
       requestId: id,
@@ -281,7 +277,7 @@
     const {registry, clock} = this.#options;
     this.#expireRemoteRequests(clock.now() - REMOTE_REQUEST_TIMEOUT_MS);
     for (const [
-      id,
+      sentId,
       endpointId,
       uncachedTokens,
       promptTokens,
@@ -291,7 +287,8 @@
     ] of sent) {
       const endpoint = registry.find(endpointId);
       if (endpoint === undefined) continue;
-      const parts = shared.map(([part, tokens]) => ({id: part, tokens}));
+      const id = boundId(sentId);
+      const parts = shared.map(([part, tokens]) => ({id: boundId(part), tokens}));
       const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
       parts.push({id, tokens: Math.max(0, promptTokens - sharedTokens)});
       const prompt = {parts, promptTokens, maxOutputTokens};
@@ -314,7 +311,7 @@
       endpoint.cacheEstimate.recordPrompt(prompt);
       this.#enginePlacement.recordSend(endpoint, prompt);
     }
-    for (const id of begun) {
+    for (const id of begun.map(boundId)) {
       const endpoint = this.#remoteRequests.get(id)?.endpoint;
       const inFlight = endpoint?.remoteRequests.get(id);
       if (endpoint === undefined || inFlight === undefined) continue;
@@ -323,7 +320,7 @@
       if (!isDuplicate) this.#recordPeerAnswer(endpoint, inFlight);
       if (inFlight.prompt !== undefined) this.#options.onBegun?.(inFlight.prompt);
     }
-    for (const id of ended) {
+    for (const id of ended.map(boundId)) {
       this.#removeRemoteRequest(id);
     }
     for (const [endpointId, value] of slowness) registry.find(endpointId)?.recordSlowness(value);
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -80,6 +80,7 @@
   type LeaseHolder,
   parseLeaseHolder,
 } from './duties/leaderLease.js';
+export {boundId} from './forwarding/boundedId.js';
 export type {PlacementRequest, PromptPart, PromptSize} from './forwarding/placementRequest.js';
 export {
   type DispatchOutcome,
--- a/packages/entry/src/forwarding/headerCodec.ts
+++ b/packages/entry/src/forwarding/headerCodec.ts
@@ -1,6 +1,11 @@
 /** Metadata codec that uses the header names of an installation. */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {LoadReport, PromptPart, PromptSize} from '@marigoldfold/coordination';
+import {
+  boundId,
+  type LoadReport,
+  type PromptPart,
+  type PromptSize,
+} from '@marigoldfold/coordination';
 import {isCount, MAX_DURATION_MS} from '@marigoldfold/state';
 import type {
   ResponseMetadata,
@@ -153,7 +158,7 @@
     const count = Number(tokens);
     if (id === undefined || id === '' || !isCount(count)) return [];
     const last = parts.length < MAX_PROMPT_PARTS ? undefined : parts.pop();
-    parts.push({id: copyText(id), tokens: count + (last?.tokens ?? 0)});
+    parts.push({id: copyText(boundId(id)), tokens: count + (last?.tokens ?? 0)});
   }
   return parts;
 }
