Take a connection with line ends behind a request for idle

A stop would have waited for a connection on which line ends had arrived behind a body, as some clients send them, since the first byte of a head is noted now. Line ends between requests are skipped, as the parser does. Test: connectionGuard.test.ts "with line ends behind a request", seen to fail without the change.

--- a/packages/transport/src/__tests__/connectionGuard.test.ts
+++ b/packages/transport/src/__tests__/connectionGuard.test.ts
@@ -370,6 +370,26 @@
   });
 });
 
+// Guards against a stop that waits for connections on which line ends have arrived behind a body, as some clients send them.
+test('a connection with line ends behind a request is idle', async () => {
+  const {port, handled, server} = await start();
+  const client = await open(port);
+  client.socket.write('POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok');
+  await vi.waitFor(() => {
+    expect(handled.length).toBe(1);
+  });
+  await echo(handled[0]!.request, handled[0]!.response);
+  await vi.waitFor(() => {
+    expect(echoes(client.received)).toEqual(['/a:ok']);
+  });
+  client.socket.write('\r\n');
+  await delay(20);
+  server.closeIdleConnections();
+  await vi.waitFor(() => {
+    expect(client.isClosed).toBe(true);
+  });
+});
+
 // Guards against running out of descriptors, and against closing connections in use before unused ones.
 test('beyond the limit the longest unused, then the longest idle connection is closed', async () => {
   const {port, handled, closed} = await start({maxConnections: 3});
--- a/packages/transport/src/guardedConnection.ts
+++ b/packages/transport/src/guardedConnection.ts
@@ -6,6 +6,7 @@
 import {DISCARD_LIMIT_MS} from './earlyResponse.js';
 import {HeadCollector} from './headCollector.js';
 import {
+  beginsHead,
   findLastChunk,
   HEAD_COPIES,
   HEAD_SLICE,
@@ -250,7 +251,7 @@
     const input = kind === 'longHead' ? this.#head.complete(slice) : slice;
     this.#head.recordParsed(slice);
     this.#slice = input;
-    if (this.#newest?.complete !== false) this.#hasBegunHead = true;
+    if (this.#newest?.complete !== false) this.#hasBegunHead ||= beginsHead(slice);
     else if (Number.isNaN(this.#bodyBytesLeft)) this.#mayBeEnding ||= mayEndBody(slice);
     else this.#bodyBytesLeft -= slice.length;
     return input;
--- a/packages/transport/src/inputSlices.ts
+++ b/packages/transport/src/inputSlices.ts
@@ -11,11 +11,17 @@
 const LAST_CHUNK_START = '\n0';
 const ZERO = 0x30;
 const LINE_END = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 /** Memory that Node.js occupies for each line of a parsed head beside its bytes, with the merged object; in bytes. */
 const HEAD_LINE_BYTES = 200;
 /** Copies of a head while its request is handled: its lines, what is sent of them, and the buffer of a socket. */
 export const HEAD_COPIES = 3;
 
+/** Whether input between two requests begins a head; the parser skips line ends there. */
+export function beginsHead(input: Buffer): boolean {
+  return input.some((byte) => byte !== LINE_END && byte !== CARRIAGE_RETURN);
+}
+
 /** Whether the last chunk of a chunked body may begin in the input; the line break may precede the input. */
 export function mayEndBody(input: Buffer): boolean {
   return input[0] === ZERO || input.includes(LAST_CHUNK_START);
--- a/packages/transport/src/readGate.ts
+++ b/packages/transport/src/readGate.ts
@@ -36,6 +36,7 @@
   readonly chooseSlice: (input: Buffer) => InputSlice;
   /** Called before a slice is parsed; returns what is parsed, which begins with what was collected. */
   readonly onSlice: (slice: Buffer, kind: InputSlice['kind']) => Buffer;
+  /** Called after a slice has been parsed, with what was parsed. */
   readonly onParsed: (input: Buffer) => void;
   /** Called with a part of a head, which is to be copied. */
   readonly onHeadPart: (part: Buffer) => void;
