--- a/packages/transport/src/inputSlices.ts
+++ b/packages/transport/src/inputSlices.ts
@@ -3,6 +3,7 @@
 
 /** Input that is parsed at once where a request may end, in bytes; it holds at most 56 requests. */
 export const HEAD_SLICE_BYTES = 1024;
+/** Input of a body of which less than that is left, with what follows it. */
 export const HEAD_SLICE: InputSlice = {bytes: HEAD_SLICE_BYTES, kind: 'head'};
 /** `http.Server` limits the time for a head from its first byte on, which is therefore parsed. */
 export const HEAD_START: InputSlice = {bytes: 1, kind: 'head'};
@@ -27,7 +28,7 @@
   return input[0] === ZERO || input.includes(LAST_CHUNK_START);
 }
 
-/** First byte of the last chunk, if that may begin in the input; -1 if not. */
+/** Index of the line break before what may be the last chunk; -1 if there is none. */
 export function findLastChunk(input: Buffer): number {
   return input.indexOf(LAST_CHUNK_START);
 }
