--- a/packages/transport/src/__tests__/longHeads.test.ts
+++ b/packages/transport/src/__tests__/longHeads.test.ts
@@ -8,6 +8,7 @@
 import {createEndpointClient, type EndpointRequest} from '../endpointClient.js';
 import {keepAllLines} from '../headMemory.js';
 import {createHttpClient} from '../httpClient.js';
+import {listen, serverLimitsSchema} from '../httpServer.js';
 import {budgetOptions, MemoryBudget} from '../memoryBudget.js';
 
 const LINES = 2600;
@@ -182,6 +183,33 @@
   });
 });
 
+// Guards against the same cause in the servers of the operators' API and of the other processes, and against repeated
+// headers of which Node.js keeps the first one only.
+test('a server of the standalone product has all lines of a long head', async () => {
+  const requests: IncomingMessage[] = [];
+  const started = await listen({
+    host: '127.0.0.1',
+    port: 0,
+    limits: serverLimitsSchema.parse({}),
+    handle: (request, response) => {
+      requests.push(request);
+      response.end('well');
+      return Promise.resolve();
+    },
+    onUnhandledError: () => undefined,
+  });
+  const server = disposables.add(started._unsafeUnwrap());
+  const client = await open(server.port);
+  client.socket.write(
+    `GET / HTTP/1.1\r\nhost: a\r\n${longText}Age: 1\r\nage: 2\r\nX-Id: 7\r\n\r\n`,
+  );
+  await vi.waitFor(() => {
+    expect(client.received).toMatch(/^HTTP\/1\.1 200 /);
+  });
+  expect(requests[0]!.headers).toMatchObject({age: '1, 2', 'x-id': '7'});
+  expect(requests[0]!.rawHeaders).toHaveLength(2 * (LINES + 4));
+});
+
 describe('a response with a long head', () => {
   /** A server that answers each request with these pieces, one in each turn. */
   async function startEndpoint(pieces: readonly string[]): Promise<string> {
