--- a/packages/transport/src/__tests__/longHeads.test.ts
+++ b/packages/transport/src/__tests__/longHeads.test.ts
@@ -1,8 +1,9 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo, connect, createServer as createTcpServer} from 'node:net';
+import {type AddressInfo, createServer as createTcpServer} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {DisposableStore, steadyClock} from '@marigoldfold/runtime';
 import {afterEach, beforeEach, describe, expect, test, vi} from 'vitest';
+import {open} from '../__fixtures__/guardedServer.js';
 import {CompactRequest, compactRequestClass} from '../compactRequest.js';
 import {type ClosedConnection, ConnectionGuard} from '../connectionGuard.js';
 import {createEndpointClient, type EndpointRequest} from '../endpointClient.js';
@@ -57,21 +58,6 @@
   return {port: (server.address() as AddressInfo).port, handled, closed};
 }
 
-async function open(port: number) {
-  const socket = connect({port, host: '127.0.0.1', noDelay: true});
-  disposables.add({[Symbol.dispose]: () => socket.destroy()});
-  const client = {socket, received: '', isClosed: false};
-  socket.on('data', (data) => {
-    client.received += data.toString('latin1');
-  });
-  socket.on('error', () => undefined);
-  socket.on('close', () => {
-    client.isClosed = true;
-  });
-  await new Promise((resolve) => socket.once('connect', resolve));
-  return client;
-}
-
 function createBudget(maxBytes: number): MemoryBudget {
   return new MemoryBudget(budgetOptions(steadyClock, maxBytes));
 }
