--- a/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
+++ b/packages/entry/src/forwarding/__tests__/damagedResponses.test.ts
@@ -7,9 +7,9 @@
   createSignedHeaders,
   type EndpointScript,
   ForwardRig,
-  testCodec,
   waitUntil,
 } from '../__fixtures__/forwardRig.js';
+import {testCodec} from '../__fixtures__/testCodec.js';
 
 let rig: ForwardRig;
 
